--- /dev/null
+++ b/crates/gate/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder of the program until its first version lands.
+
+fn main() {}
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,38 @@
+//! Connections between radishbank's own processes.
+
+use std::io;
+
+use serde::Deserialize;
+use serde::Serialize;
+use tarpc::serde_transport::Transport;
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::net::TcpStream;
+
+/// The largest message between processes, in bytes.
+pub const LIMIT: usize = 64 << 20;
+
+/// Wraps a connection into a transport of messages.
+pub fn transport<In, Out>(stream: TcpStream) -> Transport<TcpStream, In, Out, Bincode<In, Out>>
+where
+    In: for<'de> Deserialize<'de>,
+    Out: Serialize,
+{
+    stream.set_nodelay(true).ok();
+    let codec = tarpc::tokio_util::codec::LengthDelimitedCodec::builder()
+        .max_frame_length(LIMIT)
+        .new_codec();
+    let framed = tarpc::tokio_util::codec::Framed::new(stream, codec);
+    tarpc::serde_transport::new(framed, Bincode::default())
+}
+
+/// Connects to `address`, `IP:PORT`.
+pub async fn connect<In, Out>(
+    address: &str,
+) -> io::Result<Transport<TcpStream, In, Out, Bincode<In, Out>>>
+where
+    In: for<'de> Deserialize<'de>,
+    Out: Serialize,
+{
+    let stream = TcpStream::connect(address).await?;
+    Ok(transport(stream))
+}
--- /dev/null
+++ b/tests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Real-process tests of a whole site.
