radishctl, tables of codes and events, and the harness of real-process tests

Cause: operators need a command line and tests need a whole site as separate processes. Ruled out: radishctl talking to keepers directly, since their calls carry no operator token; the operators' HTTP face of any gate serves instead, with the same command id at the next gate. Change: arguments, client with failover, tables and JSON; docs/CODES.md and docs/EVENTS.md checked against the code; harness that starts keepers, gates and stand-ins on loopback addresses of its own.

--- /dev/null
+++ b/crates/base/tests/tables.rs
@@ -0,0 +1,71 @@
+//! The tables in `docs/` say what the code says; `RADISH_BLESS=1` writes them anew.
+
+use std::env;
+use std::fs;
+use std::path::Path;
+
+use base::Code;
+use base::Event;
+use base::Ran;
+
+fn compare(file: &str, expected: &str) {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs").join(file);
+    if env::var_os("RADISH_BLESS").is_some() {
+        fs::write(&path, expected).expect("the table is written");
+    }
+    let found = fs::read_to_string(&path).unwrap_or_default();
+    assert!(found == expected, "docs/{file} is not what the code says; run with RADISH_BLESS=1");
+}
+
+#[test]
+fn codes() {
+    let mut text = String::from(
+        "# Result codes\n\n\
+         Each refusal carries one of these numbers in `error.code`. `ran` says whether the request \
+         may have run at an endpoint: `no` means that it did not; `unknown` means that it may have.\n\n\
+         | code | name | HTTP status | ran | meaning |\n|---|---|---|---|---|\n",
+    );
+    for code in Code::ALL {
+        let ran = match code.ran() {
+            Ran::No => "no",
+            Ran::Unknown => "unknown",
+        };
+        let line = format!(
+            "| {} | {} | {} | {ran} | {} |\n",
+            code.number(),
+            code.name(),
+            code.status(),
+            code.text()
+        );
+        text.push_str(&line);
+    }
+    compare("CODES.md", &text);
+}
+
+#[test]
+fn events() {
+    let mut text = String::from(
+        "# Log events\n\n\
+         Each log line about a decision or a change of state has its number in the field `event`.\n\n\
+         | event | name | meaning |\n|---|---|---|\n",
+    );
+    for event in Event::ALL {
+        let line = format!("| {} | {} | {} |\n", event.number(), event.name(), event.text());
+        text.push_str(&line);
+    }
+    compare("EVENTS.md", &text);
+}
+
+#[test]
+fn numbers_grow_and_convert() {
+    for pair in Code::ALL.windows(2) {
+        assert!(pair[0].number() < pair[1].number());
+    }
+    for pair in Event::ALL.windows(2) {
+        assert!(pair[0].number() < pair[1].number());
+    }
+    for code in Code::ALL {
+        assert_eq!(Code::try_from(code.number()), Ok(*code));
+    }
+    assert!(Code::try_from(1).is_err());
+}
--- /dev/null
+++ b/crates/ctl/src/client.rs
@@ -0,0 +1,120 @@
+//! Calls of the operators' face.
+
+use std::time::Duration;
+
+use base::Name;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use wire::http;
+
+use crate::Error;
+
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+
+/// A client that tries the gates in turn.
+pub struct Client {
+    addresses: Vec<Name>,
+    token: Option<Name>,
+    http: legacy::Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Client {
+    /// Creates a client for the operators' faces at `addresses`.
+    pub fn new(addresses: Vec<Name>, token: Option<Name>) -> Client {
+        let http = legacy::Client::builder(TokioExecutor::new()).build_http();
+        Client { addresses, token, http }
+    }
+
+    /// Reads a resource from the first gate that answers.
+    pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        self.call(Method::GET, path, Bytes::new()).await
+    }
+
+    /// Sends a body to the first gate that answers; the body must be safe to send twice.
+    pub async fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, Error> {
+        let bytes = serde_json::to_vec(body).map_err(|error| Error::Usage(error.to_string()))?;
+        self.call(Method::POST, path, Bytes::from(bytes)).await
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<T, Error> {
+        let mut last = Error::Unreachable("no address is given".to_owned());
+        for address in &self.addresses {
+            match self.call_one(address, method.clone(), path, body.clone()).await {
+                Err(error @ Error::Unreachable(_)) => last = error,
+                Err(Error::Refused(error)) if error.code.status() == 503 => {
+                    last = Error::Refused(error);
+                }
+                other => return other,
+            }
+        }
+        Err(last)
+    }
+
+    async fn call_one<T: DeserializeOwned>(
+        &self,
+        address: &Name,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<T, Error> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header("content-type", "application/json");
+        if let Some(token) = &self.token {
+            request = request.header("authorization", format!("Bearer {token}"));
+        }
+        let request =
+            request.body(Full::new(body)).map_err(|error| Error::Usage(error.to_string()))?;
+        let answer = tokio::time::timeout(CALL_LIMIT, self.exchange(request));
+        let (status, body) = match answer.await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(message)) => return Err(Error::Unreachable(format!("{address}: {message}"))),
+            Err(_) => return Err(Error::Unreachable(format!("{address}: no answer in time"))),
+        };
+        read(address, status, &body)
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes), String> {
+        let answer = self.http.request(request).await.map_err(|error| error.to_string())?;
+        let status = answer.status();
+        let body: Incoming = answer.into_body();
+        let body = body.collect().await.map_err(|error| error.to_string())?;
+        Ok((status, body.to_bytes()))
+    }
+}
+
+fn read<T: DeserializeOwned>(address: &Name, status: StatusCode, body: &[u8]) -> Result<T, Error> {
+    if status.is_success() {
+        return serde_json::from_slice(body).map_err(|error| Error::Answer {
+            address: address.to_string(),
+            message: error.to_string(),
+        });
+    }
+    match serde_json::from_slice::<http::Refusal>(body) {
+        Ok(refusal) => Err(Error::Refused(Box::new(refusal.error))),
+        Err(_) => Err(Error::Answer {
+            address: address.to_string(),
+            message: format!("status {status} without a result code"),
+        }),
+    }
+}
--- /dev/null
+++ b/tests/src/client.rs
@@ -0,0 +1,108 @@
+//! A caller over HTTP/1.1.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
+
+const LIMIT: Duration = Duration::from_secs(40);
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// Returns the body as JSON, or null.
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or(Value::Null)
+    }
+
+    /// Returns the body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// Returns a header, or an empty string.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
+    }
+
+    /// Returns the number of the result code of a refusal, or 0.
+    pub fn code(&self) -> u64 {
+        self.json()["error"]["code"].as_u64().unwrap_or(0)
+    }
+
+    /// Returns whether a refusal says that the request did not run.
+    pub fn not_run(&self) -> bool {
+        self.json()["error"]["ran"] == "no"
+    }
+}
+
+/// A caller.
+#[derive(Clone)]
+pub struct Client {
+    http: legacy::Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for Client {
+    fn default() -> Client {
+        Client { http: legacy::Client::builder(TokioExecutor::new()).build_http() }
+    }
+}
+
+impl Client {
+    /// Sends a request and returns the head of the answer.
+    pub async fn open(
+        &self,
+        method: &str,
+        url: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Result<Response<Incoming>, String> {
+        let mut request = Request::builder().method(method).uri(url);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(body.into())).map_err(|error| error.to_string())?;
+        let answer = tokio::time::timeout(LIMIT, self.http.request(request)).await;
+        answer.map_err(|_| "no answer in time".to_owned())?.map_err(|error| error.to_string())
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub async fn send(
+        &self,
+        method: &str,
+        url: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Result<Answer, String> {
+        let answer = self.open(method, url, headers, body).await?;
+        let (head, body) = answer.into_parts();
+        let body = tokio::time::timeout(LIMIT, body.collect()).await;
+        let body = body.map_err(|_| "no end in time".to_owned())?;
+        let body = body.map_err(|error| error.to_string())?.to_bytes();
+        Ok(Answer { status: head.status, headers: head.headers, body })
+    }
+
+    /// Reads a resource.
+    pub async fn get(&self, url: &str) -> Result<Answer, String> {
+        self.send("GET", url, &[], Bytes::new()).await
+    }
+}
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,1 +1,14 @@
-//! Real-process tests of a whole site.
+//! Real-process tests of a whole site on loopback: entry hosts, stand-ins and callers.
+
+pub mod address;
+pub mod client;
+pub mod process;
+pub mod settings;
+pub mod site;
+pub mod wait;
+
+pub use crate::client::Answer;
+pub use crate::client::Client;
+pub use crate::process::Process;
+pub use crate::site::Shape;
+pub use crate::site::Site;
--- /dev/null
+++ b/tests/src/settings.rs
@@ -0,0 +1,39 @@
+//! The settings of a test site.
+
+use std::path::Path;
+
+use base::Name;
+use conf::Config;
+use conf::Entry;
+
+use crate::address::Pool;
+
+const DISKS: usize = 3;
+
+/// Makes the settings of a site with `entries` entry hosts, three of them with a data folder.
+pub fn site(folder: &Path, entries: usize, domains: usize, pool: &mut Pool) -> Config {
+    let mut config = Config { site: Name::from("test"), ..Config::default() };
+    config.tokens.operator = Some(Name::from("operator-secret"));
+    config.tokens.endpoint = Some(Name::from("endpoint-secret"));
+    config.tokens.site = Some(Name::from("site-secret"));
+    config.store.address = Name::from(pool.take());
+    config.log.filter = Name::from("info");
+    for number in 0..entries {
+        config.entries.push(entry(folder, number, domains, pool));
+    }
+    config
+}
+
+fn entry(folder: &Path, number: usize, domains: usize, pool: &mut Pool) -> Entry {
+    Entry {
+        host: Name::from(format!("entry-{}", number + 1)),
+        domain: Name::from(format!("domain-{}", 1 + number % domains)),
+        gate: Name::from(pool.take()),
+        peer: Name::from(pool.take()),
+        relay: Name::from(pool.take()),
+        gate_admin: Name::from(pool.take()),
+        keeper: Name::from(pool.take()),
+        keeper_admin: Name::from(pool.take()),
+        data: (number < DISKS).then(|| folder.join(format!("data-{}", number + 1))),
+    }
+}
--- /dev/null
+++ b/tests/src/site.rs
@@ -0,0 +1,267 @@
+//! A whole site: keepers, gates and stand-ins as processes.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::Command;
+use std::process::Output;
+use std::time::Duration;
+
+use base::Map;
+use conf::Config;
+use serde_json::Value;
+use tempfile::TempDir;
+
+use crate::address::Pool;
+use crate::client::Answer;
+use crate::client::Client;
+use crate::process;
+use crate::process::Process;
+use crate::settings;
+use crate::wait;
+
+const READY: Duration = Duration::from_secs(30);
+const SETTINGS: &str = "site.jsonc";
+
+/// What a site consists of.
+pub struct Shape {
+    /// The entry hosts.
+    pub entries: usize,
+    /// The model engines.
+    pub engines: usize,
+    /// The endpoints of the plain service `ledger`.
+    pub services: usize,
+    /// Extra arguments of each engine.
+    pub engine_args: Vec<String>,
+    /// Whether the engines check fencing numbers.
+    pub fenced: bool,
+    /// Changes the settings before they are written.
+    pub adjust: fn(&mut Config),
+}
+
+impl Default for Shape {
+    fn default() -> Shape {
+        Shape {
+            entries: 5,
+            engines: 3,
+            services: 1,
+            engine_args: Vec::new(),
+            fenced: true,
+            adjust: |_| {},
+        }
+    }
+}
+
+/// A running site.
+pub struct Site {
+    /// The settings.
+    pub config: Config,
+    /// The processes by name: `gate-1`, `keeper-1`, `engine-1`, `ledger-1`, `store`.
+    pub processes: Map<String, Process>,
+    /// The endpoints' addresses by process name.
+    pub endpoints: Map<String, String>,
+    /// A caller.
+    pub client: Client,
+    folder: TempDir,
+}
+
+impl Site {
+    /// Starts a site and waits until every gate serves and sees every endpoint.
+    pub async fn start(shape: Shape) -> Site {
+        let mut site = Site::prepare(&shape);
+        site.start_keepers();
+        site.start_gates();
+        site.start_stubs(&shape);
+        site.ready(shape.engines + shape.services).await;
+        site
+    }
+
+    fn prepare(shape: &Shape) -> Site {
+        let folder = tempfile::tempdir().expect("a temporary folder");
+        let mut pool = Pool::default();
+        let mut config = settings::site(folder.path(), shape.entries, 4, &mut pool);
+        (shape.adjust)(&mut config);
+        let mut endpoints = Map::default();
+        for number in 1..=shape.engines {
+            endpoints.insert(format!("engine-{number}"), pool.take());
+        }
+        for number in 1..=shape.services {
+            endpoints.insert(format!("ledger-{number}"), pool.take());
+        }
+        pool.release();
+        let text = serde_json::to_string_pretty(&config).expect("settings as JSON");
+        fs::write(folder.path().join(SETTINGS), text).expect("a file of settings");
+        Site { config, processes: Map::default(), endpoints, client: Client::default(), folder }
+    }
+
+    /// Returns the path of the file of settings.
+    pub fn settings(&self) -> PathBuf {
+        self.folder.path().join(SETTINGS)
+    }
+
+    fn spawn(&mut self, name: &str, program: &'static str, args: Vec<String>) {
+        let log = self.folder.path().join(format!("{name}.log"));
+        self.processes.insert(name.to_owned(), Process::start(program, args, log));
+    }
+
+    fn entry_args(&self, number: usize) -> Vec<String> {
+        let settings = self.settings().display().to_string();
+        words(&["--config", &settings, "--host", &format!("entry-{number}")])
+    }
+
+    fn start_keepers(&mut self) {
+        for number in 1..=self.config.entries.len() {
+            let mut args = self.entry_args(number);
+            if number == 1 {
+                args.push("--bootstrap".to_owned());
+            }
+            self.spawn(&format!("keeper-{number}"), "radish-keeper", args);
+        }
+    }
+
+    fn start_gates(&mut self) {
+        for number in 1..=self.config.entries.len() {
+            let args = self.entry_args(number);
+            self.spawn(&format!("gate-{number}"), "radish-gate", args);
+        }
+    }
+
+    fn start_stubs(&mut self, shape: &Shape) {
+        let store = self.config.store.address.to_string();
+        self.spawn("store", "radish-stub", words(&["store", "--address", &store]));
+        for number in 1..=shape.engines {
+            let mut args = self.endpoint_args("engine", number);
+            args.extend(words(&["--base", "base-1", "--slots", "6", "--batch", "8"]));
+            args.extend(words(&["--store", &store]));
+            if !shape.fenced {
+                args.push("--ignore-fence".to_owned());
+            }
+            args.extend(shape.engine_args.iter().cloned());
+            self.spawn(&format!("engine-{number}"), "radish-stub", args);
+        }
+        for number in 1..=shape.services {
+            let mut args = self.endpoint_args("ledger", number);
+            args[0] = "service".to_owned();
+            args.extend(words(&["--kind", "ledger"]));
+            self.spawn(&format!("ledger-{number}"), "radish-stub", args);
+        }
+    }
+
+    fn endpoint_args(&self, kind: &str, number: usize) -> Vec<String> {
+        let name = format!("{kind}-{number}");
+        let gates: Vec<&str> =
+            self.config.entries.iter().map(|entry| entry.gate.as_str()).collect();
+        let first = number % gates.len();
+        let order = [&gates[first..], &gates[..first]].concat().join(",");
+        words(&[
+            kind,
+            "--name",
+            &name,
+            "--address",
+            &self.endpoints[&name],
+            "--announce",
+            &order,
+            "--host",
+            &format!("host-{name}"),
+            "--domain",
+            &format!("domain-{}", 1 + number % 4),
+            "--endpoint-token",
+            "endpoint-secret",
+            "--seed",
+            &number.to_string(),
+        ])
+    }
+
+    /// Waits until every gate serves and all gates together have `endpoints` ready endpoints.
+    pub async fn ready(&self, endpoints: usize) {
+        for number in 1..=self.config.entries.len() {
+            wait::until(&format!("gate-{number} sees the whole site"), READY, || async {
+                let status = self.status(number).await?;
+                (status["serving"] == true && ready_endpoints(&status) >= endpoints).then_some(())
+            })
+            .await;
+        }
+    }
+
+    /// Reads a gate's status; none while it does not answer.
+    pub async fn status(&self, gate: usize) -> Option<Value> {
+        let url = format!("http://{}/v1/status", self.config.entries[gate - 1].gate_admin);
+        let headers = [("authorization", "Bearer operator-secret")];
+        let answer = self.client.send("GET", &url, &headers, "").await.ok()?;
+        answer.status.is_success().then(|| answer.json())
+    }
+
+    /// Runs `radishctl` with the site's settings.
+    pub async fn ctl(&self, args: &[&str]) -> Output {
+        let mut command = Command::new(process::program("radishctl"));
+        command.arg("--config").arg(self.settings()).args(args);
+        tokio::task::spawn_blocking(move || command.output())
+            .await
+            .expect("the thread ran")
+            .expect("radishctl runs")
+    }
+
+    /// Runs `radishctl`, panics unless it succeeds, and returns what it printed.
+    pub async fn ctl_ok(&self, args: &[&str]) -> String {
+        let output = self.ctl(args).await;
+        let error = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "radishctl {args:?}: {error}");
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    }
+
+    /// Creates an adapter of `base-1` with versions `v1` to `vN`, in force everywhere.
+    pub async fn adapter(&self, name: &str, versions: usize) {
+        self.ctl_ok(&["adapter", "create", name, "--base", "base-1"]).await;
+        for version in 1..=versions {
+            let version = format!("v{version}");
+            self.ctl_ok(&["version", "create", name, &version, "--wait", "10"]).await;
+        }
+    }
+
+    /// Returns the URL of a path at a gate's callers' face.
+    pub fn url(&self, gate: usize, path: &str) -> String {
+        format!("http://{}{path}", self.config.entries[gate - 1].gate)
+    }
+
+    /// Sends a completion to a gate.
+    pub async fn complete(&self, gate: usize, model: &str, prompt: &str) -> Result<Answer, String> {
+        let body = serde_json::json!({"model": model, "prompt": prompt, "max_tokens": 8});
+        let url = self.url(gate, "/v1/completions");
+        self.client.send("POST", &url, &[], body.to_string()).await
+    }
+
+    /// Sends a non-idempotent call to the ledger service through a gate.
+    pub async fn sign(&self, gate: usize, key: &str, body: &str) -> Result<Answer, String> {
+        let url = self.url(gate, "/v1/services/ledger/sign");
+        self.client.send("POST", &url, &[("idempotency-key", key)], body.to_owned()).await
+    }
+
+    /// Reads what a stand-in recorded.
+    pub async fn record(&self, name: &str) -> Value {
+        let url = format!("http://{}/control/record", self.endpoints[name]);
+        self.client.get(&url).await.expect("the stand-in answers").json()
+    }
+
+    /// Sets faults of a stand-in.
+    pub async fn fault(&self, name: &str, faults: Value) {
+        let url = format!("http://{}/control/faults", self.endpoints[name]);
+        let headers = [("content-type", "application/json")];
+        let answer = self.client.send("POST", &url, &headers, faults.to_string()).await;
+        let answer = answer.expect("the stand-in answers");
+        assert!(answer.status.is_success(), "{}", answer.text());
+    }
+
+    /// Returns a process.
+    pub fn process(&mut self, name: &str) -> &mut Process {
+        self.processes.get_mut(name).expect("a process of the site")
+    }
+}
+
+fn ready_endpoints(status: &Value) -> usize {
+    let gates = status["gates"].as_array().map(Vec::as_slice).unwrap_or_default();
+    let endpoints = gates.iter().filter_map(|gate| gate["endpoints"].as_array()).flatten();
+    endpoints.filter(|endpoint| endpoint["ready"] == true).count()
+}
+
+fn words(words: &[&str]) -> Vec<String> {
+    words.iter().map(|word| (*word).to_owned()).collect()
+}
