--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -44,6 +44,7 @@
   status                              show how the site is
   in-force REVISION                   tell whether a revision is in force at every gate
   explain REQUEST                     show what was decided on a request
+  apply FILE                          carry out a file of changes, one JSON object a line
   check FILE                          check a file of settings
 
 OPTIONS
@@ -79,6 +80,8 @@
     InForce(u64),
     /// Show what was decided on a request.
     Explain(Name),
+    /// Carry out a file of changes.
+    Apply(PathBuf),
     /// Check a file of settings.
     Check(PathBuf),
 }
@@ -192,6 +195,7 @@
         ["status"] => Action::Status,
         ["in-force", revision] => Action::InForce(number(revision)?),
         ["explain", request] => Action::Explain(Name::from(request)),
+        ["apply", file] => Action::Apply(PathBuf::from(file)),
         ["check", file] => Action::Check(PathBuf::from(file)),
         _ => Action::Change(change(&words, extra)?),
     };
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -21,6 +21,16 @@
         /// The cause.
         source: io::Error,
     },
+    /// A line of a file of changes is wrong or was refused.
+    #[error("{path}:{line}: {source}")]
+    Line {
+        /// The file.
+        path: String,
+        /// The line, from 1.
+        line: usize,
+        /// What is wrong.
+        source: Box<Error>,
+    },
     /// No address answered.
     #[error("no gate answered: {0}")]
     Unreachable(String),
@@ -53,6 +63,7 @@
             Error::Unreachable(_) => 3,
             Error::Refused(_) => 4,
             Error::NotInForce { .. } => 5,
+            Error::Line { source, .. } => source.exit_code(),
             Error::Settings(_) | Error::File { .. } | Error::Answer { .. } => 1,
         }
     }
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -1,5 +1,6 @@
 //! Carries out a command.
 
+mod apply;
 mod show;
 
 use std::env;
@@ -35,6 +36,7 @@
     let client = client(options)?;
     match &options.action {
         Action::Change(change) => change_configuration(&client, options, change).await,
+        Action::Apply(file) => apply::apply(&client, options, file).await,
         Action::Show(part) => {
             let view: View = client.get("/v1/view").await?;
             if options.json { show::part_json(&view, *part) } else { Ok(show::part(&view, *part)) }
@@ -64,12 +66,8 @@
     options: &Options,
     change: &Change,
 ) -> Result<String, Error> {
-    let order = admin::Order {
-        id: options.id.clone().unwrap_or_else(|| Name::from(uuid::Uuid::new_v4().to_string())),
-        expect: options.expect,
-        author: options.author.clone().unwrap_or_else(user),
-        change: change.clone(),
-    };
+    let id = options.id.clone().unwrap_or_else(|| Name::from(uuid::Uuid::new_v4().to_string()));
+    let order = order(options, id, change.clone());
     let mut receipt: admin::Receipt = client.post("/v1/commands", &order).await?;
     if let Some(seconds) = options.wait {
         receipt.in_force = wait(client, receipt.revision, seconds).await?;
@@ -81,6 +79,11 @@
     Ok(format!("{}: revision {}, {force}\n", receipt.status, receipt.revision))
 }
 
+fn order(options: &Options, id: Name, change: Change) -> admin::Order {
+    let author = options.author.clone().unwrap_or_else(user);
+    admin::Order { id, expect: options.expect, author, change }
+}
+
 async fn wait(client: &Client, revision: u64, seconds: u64) -> Result<bool, Error> {
     let end = Instant::now() + Duration::from_secs(seconds);
     loop {
