--- /dev/null
+++ b/crates/raft/src/election.rs
@@ -0,0 +1,223 @@
+//! Elections: pre-vote, votes, check of the majority.
+
+use std::time::Duration;
+
+use base::Event;
+use base::Map;
+use rand::RngExt;
+
+use crate::message::Body;
+use crate::message::Entry;
+use crate::message::Id;
+use crate::message::Index;
+use crate::message::Message;
+use crate::message::Payload;
+use crate::message::Term;
+use crate::node::Node;
+use crate::node::Role;
+use crate::progress::Progress;
+use crate::read::majority;
+
+/// What a replica does in its term.
+#[derive(Debug)]
+pub(crate) enum Part {
+    /// Follows, or learns if it is no voter.
+    Follower,
+    /// Seeks votes; with `pre`, asks whether it would get them.
+    Candidate {
+        /// Whether it only asks.
+        pre: bool,
+        /// Who granted.
+        granted: Vec<Id>,
+    },
+    /// Leads.
+    Leader,
+}
+
+impl Node {
+    /// Lets time pass: elections and heartbeats.
+    pub fn tick(&mut self, now: Duration) {
+        self.now = self.now.max(now);
+        if self.is_leader() {
+            self.tick_leader();
+        } else if self.now >= self.election_at {
+            self.tick_election();
+        }
+    }
+
+    /// Starts an election if this replica votes.
+    fn tick_election(&mut self) {
+        self.leader = None;
+        self.set_election_time();
+        if self.is_voter(self.id) {
+            self.campaign(true);
+        } else {
+            self.part = Part::Follower;
+        }
+    }
+
+    /// Sends heartbeats and steps down without a majority.
+    fn tick_leader(&mut self) {
+        if self.now >= self.check_at {
+            self.check_at = self.now + self.config.election;
+            if !self.hears_majority() {
+                return self.follow(self.term(), None);
+            }
+        }
+        if self.now >= self.beat_at {
+            self.beat_at = self.now + self.config.heartbeat;
+            self.beat();
+        }
+    }
+
+    /// Returns whether a majority answered within the last election time.
+    fn hears_majority(&self) -> bool {
+        let since = self.now.saturating_sub(self.config.election);
+        let heard = self.members().voters.iter().map(|member| {
+            let heard = self.progress.get(&member.id).is_some_and(|peer| peer.heard >= since);
+            u64::from(member.id == self.id || heard)
+        });
+        majority(heard.collect()) == 1
+    }
+
+    /// Sets the time of the next election at random, so that replicas seldom stand at once.
+    pub(crate) fn set_election_time(&mut self) {
+        let shortest = self.config.election.as_micros() as u64;
+        let wait = self.random.random_range(shortest..2 * shortest.max(1));
+        self.election_at = self.now + Duration::from_micros(wait);
+    }
+
+    /// Asks for votes.
+    fn campaign(&mut self, pre: bool) {
+        if !pre {
+            self.hard.term += 1;
+            self.hard.vote = Some(self.id);
+            self.hard_changed = true;
+        }
+        self.part = Part::Candidate { pre, granted: vec![self.id] };
+        let last_index = self.log.last_index();
+        let last_term = self.log.last_term();
+        for to in self.other_voters() {
+            self.send(to, Body::Vote { last_index, last_term, pre });
+        }
+        self.count_votes();
+    }
+
+    /// Moves on if a majority has granted.
+    fn count_votes(&mut self) {
+        let Part::Candidate { pre, granted } = &self.part else { return };
+        let votes = self.members().voters.iter().filter(|member| granted.contains(&member.id));
+        if votes.count() <= self.members().voters.len() / 2 {
+            return;
+        }
+        if *pre {
+            self.campaign(false);
+        } else {
+            self.lead();
+        }
+    }
+
+    /// Becomes the leader and appends the first entry of the term.
+    pub(crate) fn lead(&mut self) {
+        base::event!(INFO, Event::LeaderElected, replica = self.id, term = self.hard.term);
+        self.part = Part::Leader;
+        self.leader = Some(self.id);
+        self.round = 0;
+        self.check_at = self.now + self.config.election;
+        self.beat_at = self.now + self.config.heartbeat;
+        let next = self.log.last_index() + 1;
+        let members = self.members().clone();
+        let ids = members.voters.iter().chain(&members.learners).map(|member| member.id);
+        self.progress =
+            ids.filter(|id| *id != self.id).map(|id| (id, Progress::new(next, self.now))).collect();
+        self.first_index = self.append(Payload::Empty);
+        self.beat();
+    }
+
+    /// Follows in a term; `leader` where it is known.
+    pub(crate) fn follow(&mut self, term: Term, leader: Option<Id>) {
+        if self.is_leader() {
+            base::event!(INFO, Event::LeaderLost, replica = self.id, term = self.hard.term);
+        }
+        if term > self.hard.term {
+            self.hard.term = term;
+            self.hard.vote = None;
+            self.hard_changed = true;
+        }
+        self.part = Part::Follower;
+        self.leader = leader;
+        self.progress = Map::default();
+        self.reads.clear();
+        self.wishes.clear();
+        self.set_election_time();
+    }
+
+    /// Returns whether a leader was heard so lately that votes are refused.
+    pub(crate) fn sticky(&self) -> bool {
+        let lately = self.now < self.heard + self.config.election;
+        self.is_leader() || (self.leader.is_some() && lately)
+    }
+
+    /// Answers a candidate that only asks.
+    pub(crate) fn pre_vote(&mut self, from: Id, term: Term, last: (Term, Index)) {
+        let granted = !self.sticky() && term >= self.hard.term && self.is_current(last);
+        self.send(from, Body::Voted { granted, pre: true });
+    }
+
+    /// Answers a candidate of this replica's term.
+    pub(crate) fn vote(&mut self, from: Id, last: (Term, Index)) {
+        let free = self.hard.vote.is_none_or(|vote| vote == from);
+        let granted = free && self.is_current(last);
+        if granted {
+            self.hard_changed |= self.hard.vote.is_none();
+            self.hard.vote = Some(from);
+            self.set_election_time();
+        }
+        self.send(from, Body::Voted { granted, pre: false });
+    }
+
+    /// Returns whether a log that ends so has all that this replica's log has.
+    fn is_current(&self, last: (Term, Index)) -> bool {
+        last >= (self.log.last_term(), self.log.last_index())
+    }
+
+    /// Counts an answer of a voter.
+    pub(crate) fn voted(&mut self, from: Id, granted_now: bool, pre_now: bool) {
+        let Part::Candidate { pre, granted } = &mut self.part else { return };
+        if *pre != pre_now || !granted_now || granted.contains(&from) {
+            return;
+        }
+        granted.push(from);
+        self.count_votes();
+    }
+
+    /// Returns whether this replica leads.
+    pub(crate) fn is_leader(&self) -> bool {
+        matches!(self.part, Part::Leader)
+    }
+
+    /// Returns the replica's part.
+    pub fn role(&self) -> Role {
+        match self.part {
+            Part::Leader => Role::Leader,
+            Part::Candidate { .. } => Role::Candidate,
+            Part::Follower if self.is_voter(self.id) => Role::Follower,
+            Part::Follower => Role::Learner,
+        }
+    }
+
+    /// Appends an entry of this term and returns its index.
+    pub(crate) fn append(&mut self, payload: Payload) -> Index {
+        let index = self.log.last_index() + 1;
+        if let Payload::Members(members) = &payload {
+            self.members.push((index, members.clone()));
+        }
+        self.log.push(Entry { index, term: self.hard.term, payload });
+        index
+    }
+
+    /// Queues a message of this term.
+    pub(crate) fn send(&mut self, to: Id, body: Body) {
+        self.messages.push((to, Message { term: self.hard.term, body }));
+    }
+}
--- a/crates/raft/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -8,5 +8,13 @@
 pub mod message;
 pub mod node;
 
+mod election;
+mod follow;
+mod log;
+mod membership;
+mod progress;
+mod read;
+mod replication;
+
 pub use crate::message::Message;
 pub use crate::node::Node;
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -1,9 +1,17 @@
 //! A replica.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
+use base::Event;
+use base::Map;
 use bytes::Bytes;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
+use crate::election::Part;
+use crate::log::Log;
+use crate::membership::Wish;
 use crate::message::Entry;
 use crate::message::Hard;
 use crate::message::Id;
@@ -11,7 +19,11 @@
 use crate::message::Member;
 use crate::message::Members;
 use crate::message::Message;
+use crate::message::Payload;
 use crate::message::Snapshot;
+use crate::message::Term;
+use crate::progress::Progress;
+use crate::read::Read;
 
 /// The times of a replica.
 #[derive(Clone, Copy, Debug)]
@@ -76,90 +88,202 @@
     pub leader: Option<Id>,
 }
 
+/// The entries kept in memory behind a snapshot, so that a replica that is a little behind needs no
+/// snapshot.
+const KEPT: Index = 256;
+
 /// A replica of the log.
 #[derive(Debug)]
 pub struct Node {
-    id: Id,
+    pub(crate) id: Id,
+    pub(crate) config: Config,
+    pub(crate) random: SmallRng,
+    /// The latest time that the driver told.
+    pub(crate) now: Duration,
+    /// What the disk must hold; `commit` in it is only as fresh as the last write.
+    pub(crate) hard: Hard,
+    /// Whether `hard` differs from what the driver was given.
+    pub(crate) hard_changed: bool,
+    pub(crate) log: Log,
+    /// The latest snapshot.
+    pub(crate) snapshot: Option<Snapshot>,
+    /// Whether the driver must write and load `snapshot`.
+    pub(crate) snapshot_changed: bool,
+    /// The members from an index on.
+    ///
+    /// Invariant: never empty; indices grow; only the last one can be uncommitted.
+    pub(crate) members: Vec<(Index, Members)>,
+    /// Invariant: never shrinks.
+    pub(crate) commit: Index,
+    /// The last entry given to the driver to apply.
+    ///
+    /// Invariant: at most `commit`.
+    pub(crate) applied: Index,
+    pub(crate) part: Part,
+    pub(crate) leader: Option<Id>,
+    /// When the leader was heard last.
+    pub(crate) heard: Duration,
+    /// When an election starts unless a leader is heard.
+    pub(crate) election_at: Duration,
+    /// When a leader sends its next heartbeats.
+    pub(crate) beat_at: Duration,
+    /// When a leader checks next that it hears a majority.
+    pub(crate) check_at: Duration,
+    /// The other members, as a leader sees them; empty otherwise.
+    pub(crate) progress: Map<Id, Progress>,
+    /// The leader's latest round of heartbeats.
+    pub(crate) round: u64,
+    /// The leader's first entry of its term.
+    pub(crate) first_index: Index,
+    pub(crate) reads: VecDeque<Read>,
+    pub(crate) wishes: VecDeque<Wish>,
+    pub(crate) messages: Vec<(Id, Message)>,
+    kept: Index,
 }
 
-// The calls below fix the shape that drivers build against.
-#[allow(unused_variables, clippy::todo)]
 impl Node {
     /// Starts a replica; `now` is the time since any fixed start, the same for all calls.
     pub fn new(id: Id, config: Config, stored: Stored, now: Duration) -> Node {
-        todo!()
-    }
-
-    /// Makes an empty replica the only voter of a new group.
-    pub fn bootstrap(&mut self, member: Member) {
-        todo!()
+        let Stored { hard, snapshot, entries } = stored;
+        let start = snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        let start_term = snapshot.as_ref().map_or(0, |snapshot| snapshot.term);
+        let first = snapshot.as_ref().map(|snapshot| snapshot.members.clone()).unwrap_or_default();
+        let mut members = vec![(start, first)];
+        let log = Log::new(start, start_term, entries);
+        members.extend(log.slice(start + 1, log.last_index()).iter().filter_map(changed_members));
+        let mut node = Node {
+            id,
+            config,
+            random: SmallRng::seed_from_u64(config.seed ^ id),
+            now,
+            hard,
+            hard_changed: false,
+            commit: hard.commit.clamp(start, log.last_index()),
+            applied: start,
+            log,
+            snapshot,
+            snapshot_changed: false,
+            members,
+            part: Part::Follower,
+            leader: None,
+            heard: now,
+            election_at: now,
+            beat_at: now,
+            check_at: now,
+            progress: Map::default(),
+            round: 0,
+            first_index: 0,
+            reads: VecDeque::new(),
+            wishes: VecDeque::new(),
+            messages: Vec::new(),
+            kept: KEPT,
+        };
+        node.set_election_time();
+        node
     }
 
-    /// Lets time pass: elections and heartbeats.
-    pub fn tick(&mut self, now: Duration) {
-        todo!()
+    /// Sets the entries kept in memory behind a snapshot.
+    pub fn keep(&mut self, entries: Index) {
+        self.kept = entries;
     }
 
-    /// Takes a message from another replica.
-    pub fn step(&mut self, from: Id, message: Message, now: Duration) {
-        todo!()
+    /// Makes an empty replica the only voter of a new group.
+    pub fn bootstrap(&mut self, member: Member) {
+        self.hard = Hard { term: 1, vote: Some(self.id), commit: 0 };
+        self.hard_changed = true;
+        self.append(Payload::Members(Members { voters: vec![member], learners: Vec::new() }));
+        self.lead();
     }
 
     /// Appends a command; its outcome is known when the entry at the returned index is applied with
     /// the term that the leader has now.
     pub fn propose(&mut self, data: Bytes) -> Result<Index, NotLeader> {
-        todo!()
-    }
-
-    /// Asks to be told in [`Ready::reads`] when it is certain that this replica was the leader after
-    /// this call and has applied all that was committed before it. Dropped on loss of leadership.
-    pub fn read(&mut self, token: u64) -> Result<(), NotLeader> {
-        todo!()
+        self.check_leader()?;
+        Ok(self.append(Payload::Data(data)))
     }
 
-    /// Adds a learner; the same host's former learner goes. No-op if it is a member.
-    pub fn add_learner(&mut self, member: Member) -> Result<(), NotLeader> {
-        todo!()
+    /// Takes what is to be carried out. The caller must carry it out before the next call.
+    pub fn ready(&mut self) -> Ready {
+        if self.is_leader() {
+            self.count_matches();
+            self.follow_up();
+            self.begin_round();
+            self.flush();
+        }
+        let snapshot = self.snapshot.clone().filter(|_| self.snapshot_changed);
+        self.snapshot_changed = false;
+        let entries = self.log.take_unstable();
+        let hard = self.take_hard(!entries.is_empty() || snapshot.is_some());
+        let messages = std::mem::take(&mut self.messages);
+        let committed = self.log.slice(self.applied + 1, self.commit).to_vec();
+        self.applied = self.commit;
+        let reads = self.take_reads();
+        Ready { install: snapshot.clone(), snapshot, entries, hard, messages, committed, reads }
     }
 
-    /// Removes a member.
-    pub fn remove(&mut self, id: Id) -> Result<(), NotLeader> {
-        todo!()
+    /// Returns the hard state to write; a committed index alone is worth no write of its own.
+    fn take_hard(&mut self, writes: bool) -> Option<Hard> {
+        let due = self.hard_changed || (writes && self.hard.commit != self.commit);
+        if !due {
+            return None;
+        }
+        self.hard.commit = self.commit;
+        self.hard_changed = false;
+        Some(self.hard)
     }
 
-    /// Takes what is to be carried out. The caller must carry it out before the next call.
-    pub fn ready(&mut self) -> Ready {
-        todo!()
+    /// Tells that the driver has a snapshot at `index`; entries up to it are dropped, but for some
+    /// kept in memory. Returns the snapshot, which the driver must write and sync; none if `index` is
+    /// not applied or an equal or later snapshot is there.
+    pub fn compact(&mut self, index: Index, data: Bytes) -> Option<Snapshot> {
+        let newest = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        if index > self.applied || index <= newest {
+            return None;
+        }
+        let term = self.log.term(index)?;
+        let members = self.members_at(index).clone();
+        let snapshot = Snapshot { index, term, members, data };
+        self.snapshot = Some(snapshot.clone());
+        self.log.compact(index.saturating_sub(self.kept));
+        self.forget_members(index);
+        base::event!(INFO, Event::SnapshotTaken, replica = self.id, index = index);
+        Some(snapshot)
     }
 
-    /// Tells that the driver has a snapshot at `index`; entries up to it are dropped.
-    pub fn compact(&mut self, index: Index, data: Bytes) -> Option<Snapshot> {
-        todo!()
+    /// Drops the members that were replaced before `index`.
+    fn forget_members(&mut self, index: Index) {
+        let replaced = self.members.iter().filter(|(from, _)| *from <= index).count();
+        self.members.drain(..replaced.saturating_sub(1));
     }
 
-    /// Returns the replica's part.
-    pub fn role(&self) -> Role {
-        todo!()
+    /// Returns the error of calls that only the leader takes.
+    pub(crate) fn check_leader(&self) -> Result<(), NotLeader> {
+        if self.is_leader() { Ok(()) } else { Err(NotLeader { leader: self.leader }) }
     }
 
     /// Returns the current term.
-    pub fn term(&self) -> u64 {
-        todo!()
+    pub fn term(&self) -> Term {
+        self.hard.term
     }
 
     /// Returns the leader, where it is known.
     pub fn leader(&self) -> Option<Id> {
-        todo!()
-    }
-
-    /// Returns the members in force.
-    pub fn members(&self) -> &Members {
-        todo!()
+        self.leader
     }
 
     /// Returns the committed index.
     pub fn commit(&self) -> Index {
-        todo!()
+        self.commit
+    }
+
+    /// Returns the last entry that the driver was given to apply.
+    pub fn applied(&self) -> Index {
+        self.applied
+    }
+
+    /// Returns the last entry of the log.
+    pub fn last_index(&self) -> Index {
+        self.log.last_index()
     }
 
     /// Returns the id of this replica.
@@ -167,3 +291,11 @@
         self.id
     }
 }
+
+/// Returns the members that an entry brings into force.
+fn changed_members(entry: &Entry) -> Option<(Index, Members)> {
+    match &entry.payload {
+        Payload::Members(members) => Some((entry.index, members.clone())),
+        Payload::Empty | Payload::Data(_) => None,
+    }
+}
