raft: seeded schedules of faults

Cause: nothing showed that the log holds under faults. Change: five replicas in one process under loss, repetition, delay, crashes with half-written disks, lost disks, slow syncs, partitions and removals; checked for one leader a term, log matching, equal states at each index, and reads that miss nothing committed before them; after the faults all five must vote and agree.

--- /dev/null
+++ b/crates/raft/tests/sim/mod.rs
@@ -0,0 +1,376 @@
+//! Five hosts in one process under a seeded schedule of faults.
+
+pub(crate) mod check;
+pub(crate) mod replica;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use raft::Message;
+use raft::message::Id;
+use raft::message::Members;
+use raft::node::Ready;
+use raft::node::Role;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use self::check::Check;
+use self::replica::Replica;
+
+const HOSTS: usize = 5;
+/// The hosts from this one on have no disk.
+const DISKS: usize = 3;
+const STEP: Duration = Duration::from_millis(5);
+/// The steps within which a healed group must agree: 30 s.
+const HEAL_STEPS: usize = 6_000;
+
+/// A message on its way.
+struct Parcel {
+    from: Id,
+    from_host: usize,
+    to: Id,
+    message: Message,
+}
+
+/// The rates of faults in a schedule, per thousand.
+struct Rates {
+    loss: u32,
+    twice: u32,
+    late: u32,
+    slow_sync: u32,
+    crash: u32,
+    wipe: u32,
+    split: u32,
+    remove: u32,
+}
+
+/// What a schedule did.
+#[derive(Debug, Default)]
+pub(crate) struct Report {
+    pub(crate) committed: u64,
+    pub(crate) terms: usize,
+    pub(crate) reads: usize,
+    pub(crate) installs: usize,
+    pub(crate) crashes: usize,
+    pub(crate) wipes: usize,
+    pub(crate) splits: usize,
+    pub(crate) removals: usize,
+}
+
+/// Five hosts.
+pub(crate) struct World {
+    seed: u64,
+    random: SmallRng,
+    now: Duration,
+    pub(crate) replicas: Vec<Replica>,
+    parcels: BTreeMap<(Duration, u64), Parcel>,
+    sent: u64,
+    sides: [u8; HOSTS],
+    rates: Rates,
+    faulty: bool,
+    check: Check,
+    next_value: u64,
+    report: Report,
+}
+
+impl World {
+    pub(crate) fn new(seed: u64) -> World {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let rates = Rates {
+            loss: random.random_range(0..200),
+            twice: random.random_range(0..100),
+            late: random.random_range(0..100),
+            slow_sync: random.random_range(0..60),
+            crash: random.random_range(0..10),
+            wipe: random.random_range(0..4),
+            split: random.random_range(0..8),
+            remove: random.random_range(0..4),
+        };
+        let replicas = (0..HOSTS).map(|host| Replica::new(random.random(), host)).collect();
+        let mut world = World {
+            seed,
+            random,
+            now: Duration::ZERO,
+            replicas,
+            parcels: BTreeMap::new(),
+            sent: 0,
+            sides: [0; HOSTS],
+            rates,
+            faulty: false,
+            check: Check::default(),
+            next_value: 0,
+            report: Report::default(),
+        };
+        world.boot();
+        world
+    }
+
+    fn boot(&mut self) {
+        for host in 0..HOSTS {
+            self.start(host);
+        }
+        let member = self.replicas[0].member();
+        self.replicas[0].node.as_mut().expect("started").bootstrap(member);
+    }
+
+    fn start(&mut self, host: usize) {
+        let seed = self.random.random();
+        self.replicas[host].start(seed, self.now);
+    }
+
+    fn chance(&mut self, per_thousand: u32) -> bool {
+        self.random.random_range(0..1_000) < per_thousand
+    }
+
+    /// Runs with faults for some steps.
+    pub(crate) fn torment(&mut self, steps: usize) {
+        self.faulty = true;
+        for _ in 0..steps {
+            self.inject();
+            self.step();
+        }
+        self.faulty = false;
+    }
+
+    /// Runs without faults until all hosts vote and hold the same; panics if they don't get there.
+    pub(crate) fn heal(&mut self) {
+        self.sides = [0; HOSTS];
+        for host in 0..HOSTS {
+            if self.replicas[host].node.is_none() {
+                self.start(host);
+            }
+        }
+        for _ in 0..HEAL_STEPS {
+            self.step();
+            if self.agreed() {
+                return;
+            }
+        }
+        panic!("no agreement after the faults ended: {}", self.describe());
+    }
+
+    fn agreed(&self) -> bool {
+        let Some(leader) = self.leader() else { return false };
+        let members = self.members_of(leader);
+        let last = self.check.committed();
+        members.voters.len() == HOSTS
+            && members.learners.is_empty()
+            && self.replicas.iter().all(|replica| replica.applied == last)
+            && self.parcels.values().all(|parcel| parcel.from == self.replicas[leader].id)
+    }
+
+    fn members_of(&self, host: usize) -> &Members {
+        self.replicas[host].node.as_ref().expect("running").members()
+    }
+
+    /// Returns the host of the leader of the latest term.
+    pub(crate) fn leader(&self) -> Option<usize> {
+        let nodes =
+            self.replicas.iter().filter_map(|replica| Some((replica.host, replica.node.as_ref()?)));
+        let leaders = nodes.filter(|(_, node)| node.role() == Role::Leader);
+        leaders.max_by_key(|(_, node)| node.term()).map(|(host, _)| host)
+    }
+
+    fn describe(&self) -> String {
+        let lines = self.replicas.iter().map(|replica| {
+            let node = replica.node.as_ref();
+            let shown = node.map(|node| {
+                (node.role(), node.term(), node.commit(), node.last_index(), node.members().clone())
+            });
+            format!("\n{} {:x} applied {}: {shown:?}", replica.host, replica.id, replica.applied)
+        });
+        format!("seed {}, {:?}{}", self.seed, self.now, lines.collect::<String>())
+    }
+
+    /// Lets one step of time pass.
+    pub(crate) fn step(&mut self) {
+        self.now += STEP;
+        self.deliver();
+        for host in 0..HOSTS {
+            self.run(host);
+        }
+    }
+
+    fn deliver(&mut self) {
+        let later = self.parcels.split_off(&(self.now, u64::MAX));
+        let due = std::mem::replace(&mut self.parcels, later);
+        for parcel in due.into_values() {
+            let sides = self.sides;
+            let found = self.replicas.iter_mut().find(|replica| replica.id == parcel.to);
+            let Some(replica) = found.filter(|replica| replica.node.is_some()) else { continue };
+            if sides[replica.host] == sides[parcel.from_host] {
+                replica.inbox.push_back((parcel.from, parcel.message));
+            }
+        }
+    }
+
+    fn run(&mut self, host: usize) {
+        if self.replicas[host].node.is_none() || !self.synced(host) {
+            return;
+        }
+        let now = self.now;
+        let replica = &mut self.replicas[host];
+        let node = replica.node.as_mut().expect("running");
+        node.tick(now);
+        while let Some((from, message)) = replica.inbox.pop_front() {
+            node.step(from, message, now);
+        }
+        if node.role() == Role::Leader {
+            self.check.leads(node.term(), node.id());
+            self.use_leader(host);
+        }
+        let ready = self.replicas[host].node.as_mut().expect("running").ready();
+        self.write(host, ready);
+    }
+
+    /// Carries out what was being written once that is synced; returns false until then.
+    fn synced(&mut self, host: usize) -> bool {
+        let Some((until, ready)) = self.replicas[host].busy.take() else { return true };
+        if until > self.now {
+            self.replicas[host].busy = Some((until, ready));
+            return false;
+        }
+        self.finish(host, ready);
+        true
+    }
+
+    fn write(&mut self, host: usize, ready: Ready) {
+        let writes = ready.snapshot.is_some() || !ready.entries.is_empty() || ready.hard.is_some();
+        if !writes {
+            return self.finish(host, ready);
+        }
+        let slow = self.faulty && self.chance(self.rates.slow_sync);
+        let wait =
+            if slow { self.random.random_range(5..600) } else { self.random.random_range(0..8) };
+        self.replicas[host].busy = Some((self.now + Duration::from_millis(wait), ready));
+    }
+
+    fn finish(&mut self, host: usize, ready: Ready) {
+        let messages = self.replicas[host].finish(ready, &mut self.check);
+        let from = self.replicas[host].id;
+        for (to, message) in messages {
+            if self.faulty && self.chance(self.rates.loss) {
+                continue;
+            }
+            if self.faulty && self.chance(self.rates.twice) {
+                self.post(Parcel { from, from_host: host, to, message: message.clone() });
+            }
+            self.post(Parcel { from, from_host: host, to, message });
+        }
+    }
+
+    fn post(&mut self, parcel: Parcel) {
+        let late = self.faulty && self.chance(self.rates.late);
+        let delay =
+            if late { self.random.random_range(20..900) } else { self.random.random_range(1..12) };
+        self.sent += 1;
+        self.parcels.insert((self.now + Duration::from_millis(delay), self.sent), parcel);
+    }
+
+    /// Callers' commands and reads, and hosts that ask to become members.
+    fn use_leader(&mut self, host: usize) {
+        if self.faulty && self.chance(400) {
+            self.propose(host);
+        }
+        if self.chance(200) {
+            self.read(host);
+        }
+        if self.chance(100) {
+            self.enroll(host);
+        }
+        if self.faulty && self.chance(self.rates.remove) {
+            self.remove(host);
+        }
+    }
+
+    fn propose(&mut self, host: usize) {
+        for _ in 0..self.random.random_range(1..4) {
+            self.next_value += 1;
+            let data = Bytes::from(format!("value {} of {}", self.next_value, host));
+            self.replicas[host].node.as_mut().expect("running").propose(data).expect("leads");
+        }
+    }
+
+    fn read(&mut self, host: usize) {
+        self.next_value += 1;
+        let replica = &mut self.replicas[host];
+        replica.reads.insert(self.next_value, self.check.committed());
+        replica.node.as_mut().expect("running").read(self.next_value).expect("leads");
+    }
+
+    fn enroll(&mut self, host: usize) {
+        let asker = self.random.random_range(0..HOSTS);
+        if self.sides[asker] == self.sides[host] && self.replicas[asker].node.is_some() {
+            let member = self.replicas[asker].member();
+            self.replicas[host].node.as_mut().expect("running").add_learner(member).expect("leads");
+        }
+    }
+
+    fn remove(&mut self, host: usize) {
+        let voters = self.members_of(host).voters.clone();
+        let chosen = voters[self.random.random_range(0..voters.len())].id;
+        if voters.len() == HOSTS && self.expendable(chosen) {
+            self.report.removals += 1;
+            self.replicas[host].node.as_mut().expect("running").remove(chosen).expect("leads");
+        }
+    }
+
+    /// Faults between steps.
+    fn inject(&mut self) {
+        if self.chance(self.rates.split) {
+            self.report.splits += 1;
+            self.sides = std::array::from_fn(|_| self.random.random_range(0..2));
+        }
+        if self.chance(8) {
+            self.sides = [0; HOSTS];
+        }
+        let host = self.random.random_range(0..HOSTS);
+        if self.replicas[host].node.is_none() {
+            if self.chance(40) {
+                self.start(host);
+            }
+        } else if self.chance(self.rates.crash)
+            && (host < DISKS || self.expendable(self.replicas[host].id))
+        {
+            self.crash(host, host >= DISKS);
+        } else if self.chance(self.rates.wipe) && self.expendable(self.replicas[host].id) {
+            self.crash(host, true);
+        }
+    }
+
+    fn crash(&mut self, host: usize, wiped: bool) {
+        let writes = self.random.random_range(0..6);
+        self.replicas[host].crash(writes);
+        self.report.crashes += 1;
+        if wiped {
+            self.report.wipes += 1;
+            self.report.installs += self.replicas[host].installed;
+            self.report.reads += self.replicas[host].confirmed;
+            self.replicas[host] = Replica::new(self.random.random(), host);
+        }
+    }
+
+    /// Returns whether a majority is left without a replica, by the members that any voter knows.
+    fn expendable(&self, id: Id) -> bool {
+        let alive =
+            |other: Id| other != id && self.replicas.iter().any(|replica| replica.id == other);
+        let views = self.replicas.iter().filter_map(|replica| replica.view());
+        let mut views = views.filter(|members| !members.voters.is_empty());
+        views.all(|members| {
+            let left = members.voters.iter().filter(|member| alive(member.id)).count();
+            left > members.voters.len() / 2
+        })
+    }
+
+    /// Ends the run.
+    pub(crate) fn report(mut self) -> Report {
+        self.report.committed = self.check.committed();
+        self.report.terms = self.check.terms();
+        self.report.installs +=
+            self.replicas.iter().map(|replica| replica.installed).sum::<usize>();
+        self.report.reads += self.replicas.iter().map(|replica| replica.confirmed).sum::<usize>();
+        self.report
+    }
+}
--- /dev/null
+++ b/crates/raft/tests/sim/replica.rs
@@ -0,0 +1,189 @@
+//! A replica with a disk that keeps only what was synced.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use base::Map;
+use bytes::Bytes;
+use raft::Message;
+use raft::Node;
+use raft::message::Entry;
+use raft::message::Id;
+use raft::message::Index;
+use raft::message::Member;
+use raft::message::Members;
+use raft::message::Payload;
+use raft::message::Snapshot;
+use raft::message::Term;
+use raft::node::Config;
+use raft::node::Ready;
+use raft::node::Stored;
+
+use super::check::Check;
+use super::check::state_of;
+
+/// The applied entries after which a snapshot is taken.
+const SNAPSHOT_EVERY: Index = 40;
+/// The entries kept in memory behind a snapshot.
+const KEPT: Index = 10;
+
+/// A replica on a host.
+pub(crate) struct Replica {
+    pub(crate) id: Id,
+    pub(crate) host: usize,
+    pub(crate) node: Option<Node>,
+    pub(crate) stored: Stored,
+    /// What is being written, and until when.
+    pub(crate) busy: Option<(Duration, Ready)>,
+    pub(crate) inbox: VecDeque<(Id, Message)>,
+    pub(crate) state: u64,
+    pub(crate) applied: Index,
+    /// The reads asked for, with what was committed then.
+    pub(crate) reads: Map<u64, Index>,
+    pub(crate) confirmed: usize,
+    pub(crate) installed: usize,
+}
+
+impl Replica {
+    pub(crate) fn new(id: Id, host: usize) -> Replica {
+        Replica {
+            id,
+            host,
+            node: None,
+            stored: Stored::default(),
+            busy: None,
+            inbox: VecDeque::new(),
+            state: 0,
+            applied: 0,
+            reads: Map::default(),
+            confirmed: 0,
+            installed: 0,
+        }
+    }
+
+    pub(crate) fn member(&self) -> Member {
+        Member { id: self.id, host: format!("h{}", self.host) }
+    }
+
+    pub(crate) fn start(&mut self, seed: u64, now: Duration) {
+        let mut node = Node::new(self.id, config(seed), self.stored.clone(), now);
+        node.keep(KEPT);
+        self.state = self.stored.snapshot.as_ref().map_or(0, state_of);
+        self.applied = self.stored.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        self.node = Some(node);
+    }
+
+    /// Stops at once; of what is being written only the first `writes` parts reach the disk.
+    pub(crate) fn crash(&mut self, writes: usize) {
+        self.node = None;
+        self.inbox.clear();
+        self.reads.clear();
+        if let Some((_, ready)) = self.busy.take() {
+            self.tear(ready, writes);
+        }
+    }
+
+    fn tear(&mut self, ready: Ready, mut writes: usize) {
+        if let Some(snapshot) = ready.snapshot {
+            if writes == 0 {
+                return;
+            }
+            writes -= 1;
+            self.write_snapshot(snapshot);
+        }
+        let whole = writes > ready.entries.len();
+        let torn = ready.entries.into_iter().take(writes).collect::<Vec<Entry>>();
+        self.write_entries(&torn);
+        if whole {
+            self.stored.hard = ready.hard.unwrap_or(self.stored.hard);
+        }
+    }
+
+    /// Carries out what the node wants; returns the messages to send.
+    pub(crate) fn finish(&mut self, ready: Ready, check: &mut Check) -> Vec<(Id, Message)> {
+        if let Some(snapshot) = ready.snapshot {
+            self.write_snapshot(snapshot);
+        }
+        for entry in &ready.entries {
+            self.write_entries(std::slice::from_ref(entry));
+            check.writes(entry, self.term_at(entry.index - 1));
+        }
+        self.stored.hard = ready.hard.unwrap_or(self.stored.hard);
+        if let Some(snapshot) = ready.install {
+            self.state = check.installs(&snapshot);
+            self.applied = snapshot.index;
+            self.installed += 1;
+        }
+        for entry in &ready.committed {
+            assert_eq!(entry.index, self.applied + 1, "entries are applied in order");
+            self.state = check.applies(self.state, entry);
+            self.applied = entry.index;
+        }
+        for token in ready.reads {
+            let before = self.reads.remove(&token).expect("a read that was asked for");
+            assert!(self.applied >= before, "a read at {} misses {before}", self.applied);
+            self.confirmed += 1;
+        }
+        self.compact();
+        ready.messages
+    }
+
+    fn compact(&mut self) {
+        let index = self.stored.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        if self.applied < index + SNAPSHOT_EVERY {
+            return;
+        }
+        let data = Bytes::copy_from_slice(&self.state.to_le_bytes());
+        let node = self.node.as_mut().expect("a running node");
+        let snapshot = node.compact(self.applied, data).expect("a later snapshot");
+        self.write_snapshot(snapshot);
+    }
+
+    fn write_snapshot(&mut self, snapshot: Snapshot) {
+        if self.term_at(snapshot.index) != Some(snapshot.term) {
+            self.stored.entries.clear();
+        }
+        self.stored.entries.retain(|entry| entry.index > snapshot.index);
+        self.stored.snapshot = Some(snapshot);
+    }
+
+    fn write_entries(&mut self, entries: &[Entry]) {
+        let Some(first) = entries.first() else { return };
+        self.stored.entries.retain(|entry| entry.index < first.index);
+        self.stored.entries.extend_from_slice(entries);
+    }
+
+    /// Returns the members that the replica knows, from its disk if it is down.
+    pub(crate) fn view(&self) -> Option<Members> {
+        if let Some(node) = &self.node {
+            return Some(node.members().clone());
+        }
+        let latest = self.stored.entries.iter().rev().find_map(|entry| match &entry.payload {
+            Payload::Members(members) => Some(members.clone()),
+            _ => None,
+        });
+        latest.or_else(|| Some(self.stored.snapshot.as_ref()?.members.clone()))
+    }
+
+    fn term_at(&self, index: Index) -> Option<Term> {
+        if index == 0 {
+            return Some(0);
+        }
+        let snapshot = self.stored.snapshot.as_ref();
+        if let Some(snapshot) = snapshot.filter(|snapshot| snapshot.index == index) {
+            return Some(snapshot.term);
+        }
+        let found = self.stored.entries.iter().find(|entry| entry.index == index);
+        found.map(|entry| entry.term)
+    }
+}
+
+/// Returns the times that all tests use.
+pub(crate) fn config(seed: u64) -> Config {
+    Config {
+        heartbeat: Duration::from_millis(50),
+        election: Duration::from_millis(200),
+        batch_bytes: 200,
+        seed,
+    }
+}
