route, place: the interfaces and a sound first version

Cause: the gate needs a decision for each request and each load permit, as pure functions of its tables.

Ruled out: a bare result code as the error of route::choose, because a refusal has to say when to come back; it is a route::Refusal now, which converts into its code.

--- a/crates/conf/src/config.rs
+++ b/crates/conf/src/config.rs
@@ -188,14 +188,61 @@
     pub spare_slots: u32,
     /// The share of a batch, in percent, from which a second copy of an adapter is worth a load.
     pub full_percent: u32,
+    /// The policy; all but `worth` are baselines for experiments.
+    pub policy: Scheme,
+    /// The parts of the policy `worth` that are turned off, for experiments.
+    pub off: Vec<Part>,
 }
 
 impl Default for Placement {
     fn default() -> Placement {
-        Placement { half_life_ms: 300_000, spare_slots: 1, full_percent: 90 }
+        Placement {
+            half_life_ms: 300_000,
+            spare_slots: 1,
+            full_percent: 90,
+            policy: Scheme::Worth,
+            off: Vec::new(),
+        }
     }
 }
 
+/// A policy of routing and placement.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Scheme {
+    /// Fills batches, loads what has the most waiting worth, evicts the least popular.
+    #[default]
+    Worth,
+    /// Takes the engine with the least in flight, loads the oldest first, evicts the least recent.
+    LeastLru,
+    /// Draws the engine, loads the oldest first, evicts the least recent.
+    RandomLru,
+}
+
+/// A part of the policy `worth` that can be turned off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Part {
+    /// The fullest batch below the knee; without it the engine with the least in flight.
+    Fill,
+    /// Ties broken by the prefix cache.
+    Affinity,
+    /// Loads by waiting worth; without it the oldest first.
+    Worth,
+    /// Worth that grows with the wait.
+    Aging,
+    /// Eviction by decayed popularity; without it the least recently used.
+    Popularity,
+    /// Slots kept for adapters that are asked for once.
+    SpareSlots,
+    /// Second copies of adapters whose engines are full.
+    Copies,
+    /// Loads of hot adapters into empty slots.
+    Reload,
+    /// Loads of adapters that wake.
+    Prefetch,
+}
+
 /// The certificate of the callers' and operators' face.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -15,7 +15,9 @@
     pub use crate::config::Journal;
     pub use crate::config::Limits;
     pub use crate::config::Log;
+    pub use crate::config::Part;
     pub use crate::config::Placement;
+    pub use crate::config::Scheme;
     pub use crate::config::Store;
     pub use crate::config::Timing;
     pub use crate::config::Tls;
--- /dev/null
+++ b/crates/route/src/choose.rs
@@ -0,0 +1,268 @@
+//! The choice of an endpoint.
+
+use std::cmp::Ordering;
+use std::time::Duration;
+
+use base::Code;
+
+use crate::ask::Ask;
+use crate::ask::Policy;
+use crate::candidate::Candidate;
+use crate::candidate::Holding;
+use crate::choice::Choice;
+use crate::choice::LOSERS;
+use crate::choice::Loser;
+use crate::choice::Loss;
+use crate::choice::Reason;
+use crate::choice::Refusal;
+use crate::hash;
+use crate::wait;
+
+/// When a caller should come back if no endpoint is ready.
+const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(1);
+
+/// A candidate with what it is compared by.
+#[derive(Clone, Copy)]
+struct Entrant<'a> {
+    candidate: Candidate<'a>,
+    tier: Tier,
+    /// Compared within a tier: higher is better.
+    score: f64,
+    wait: Duration,
+}
+
+/// How good a candidate is before the details: a lower tier wins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Tier {
+    /// Holds the adapter, below the knee.
+    BelowKnee,
+    /// Holds the adapter, room above the knee.
+    AboveKnee,
+    /// Holds or loads the adapter and the request waits.
+    Waits,
+    /// Has to load the adapter.
+    Loads,
+    /// Has to load the adapter and has much waiting.
+    Overloaded,
+}
+
+/// Chooses the endpoint that is to answer a request, or says why none can.
+///
+/// The candidates are the endpoints of the request's base model or kind of service. Errors:
+/// [`Code::NoEndpoint`] if none is ready, [`Code::DeadlineUnreachable`] if the request cannot
+/// start before its deadline at any of them.
+pub fn choose<'a>(
+    ask: &Ask<'a>,
+    candidates: impl Iterator<Item = Candidate<'a>>,
+) -> Result<Choice, Refusal> {
+    let seed = ask.model.map_or(ask.seed, hash::seed);
+    let mut race = Race::new(ask, seed);
+    for candidate in candidates {
+        race.enter(candidate);
+    }
+    race.finish()
+}
+
+/// The state of one pass over the candidates.
+struct Race<'r, 'a> {
+    ask: &'r Ask<'a>,
+    seed: u64,
+    /// The best of those that hold or load the adapter.
+    holder: Option<Entrant<'a>>,
+    /// The best of those that would have to load it.
+    loader: Option<Entrant<'a>>,
+    /// Whether each holder is full enough for a second copy.
+    full: bool,
+    /// The highest rank by hash of those that would have to load it.
+    first: f64,
+    losers: Vec<Loser>,
+}
+
+impl<'r, 'a> Race<'r, 'a> {
+    fn new(ask: &'r Ask<'a>, seed: u64) -> Race<'r, 'a> {
+        Race { ask, seed, holder: None, loader: None, full: true, first: 0.0, losers: Vec::new() }
+    }
+
+    fn enter(&mut self, candidate: Candidate<'a>) {
+        if !candidate.ready || candidate.batch == 0 {
+            return self.lose(&candidate, Loss::NotReady);
+        }
+        if self.ask.excluded.contains(candidate.endpoint) {
+            return self.lose(&candidate, Loss::Excluded);
+        }
+        let entrant = self.entrant(candidate);
+        if candidate.holding == Holding::Absent {
+            self.first = self.first.max(entrant.score);
+            self.loader = self.better(self.loader, entrant);
+        } else {
+            self.full &= wait::is_full(self.ask, &candidate);
+            self.holder = self.better(self.holder, entrant);
+        }
+    }
+
+    fn entrant(&self, candidate: Candidate<'a>) -> Entrant<'a> {
+        let wait = wait::start(self.ask, &candidate);
+        let (tier, score) = match self.ask.policy {
+            Policy::Fill => self.fill(&candidate, wait),
+            Policy::Least => (self.plain(&candidate), -load(&candidate)),
+            Policy::Random => {
+                let rank = hash::rank(self.ask.seed, candidate.endpoint, 1);
+                (self.plain(&candidate), rank)
+            }
+        };
+        Entrant { candidate, tier, score, wait }
+    }
+
+    /// The baselines know only whether an engine holds the adapter.
+    fn plain(&self, candidate: &Candidate<'_>) -> Tier {
+        if candidate.holding == Holding::Absent { Tier::Loads } else { Tier::BelowKnee }
+    }
+
+    fn fill(&self, candidate: &Candidate<'_>, wait: Duration) -> (Tier, f64) {
+        match candidate.holding {
+            Holding::Absent => {
+                let rank = hash::rank(self.seed, candidate.endpoint, candidate.batch);
+                let busy = candidate.in_flight + candidate.waiting >= candidate.batch;
+                (if busy { Tier::Overloaded } else { Tier::Loads }, rank)
+            }
+            Holding::Loaded if wait.is_zero() => {
+                let in_flight = f64::from(candidate.in_flight);
+                if candidate.in_flight < wait::knee(self.ask, candidate.batch) {
+                    (Tier::BelowKnee, in_flight)
+                } else {
+                    (Tier::AboveKnee, -in_flight)
+                }
+            }
+            Holding::Loaded | Holding::Loading => (Tier::Waits, -wait.as_secs_f64()),
+        }
+    }
+
+    /// Returns the better of two and notes why the other lost.
+    fn better(&mut self, best: Option<Entrant<'a>>, entrant: Entrant<'a>) -> Option<Entrant<'a>> {
+        let Some(best) = best else { return Some(entrant) };
+        let (winner, loser) = match compare(self.ask, &best, &entrant) {
+            Ordering::Less => (entrant, best),
+            Ordering::Equal | Ordering::Greater => (best, entrant),
+        };
+        let loss = loss(self.ask, &winner, &loser);
+        self.lose(&loser.candidate, loss);
+        Some(winner)
+    }
+
+    fn lose(&mut self, candidate: &Candidate<'_>, loss: Loss) {
+        if self.losers.len() < LOSERS {
+            self.losers.push(Loser { endpoint: candidate.endpoint.clone(), loss });
+        }
+    }
+
+    fn finish(mut self) -> Result<Choice, Refusal> {
+        let (winner, reason) = match (self.holder, self.loader) {
+            (None, None) => return Err(self.refuse(Code::NoEndpoint, NO_ENDPOINT_RETRY)),
+            (Some(holder), None) => (holder, self.holder_reason(&holder)),
+            (None, Some(loader)) => (loader, self.loader_reason(&loader)),
+            (Some(holder), Some(loader)) if self.copies(&holder, &loader) => {
+                self.lose(&holder.candidate, Loss::Full);
+                (loader, Reason::SecondCopy)
+            }
+            (Some(holder), Some(loader)) => {
+                self.lose(&loader.candidate, Loss::Absent);
+                (holder, self.holder_reason(&holder))
+            }
+        };
+        if winner.wait > self.ask.remaining {
+            self.lose(&winner.candidate, Loss::Deadline);
+            return Err(self.refuse(Code::DeadlineUnreachable, winner.wait));
+        }
+        Ok(Choice {
+            endpoint: winner.candidate.endpoint.clone(),
+            gate: winner.candidate.gate.clone(),
+            own: winner.candidate.own,
+            reason,
+            wait: winner.wait,
+            losers: self.losers,
+        })
+    }
+
+    fn refuse(self, code: Code, retry_after: Duration) -> Refusal {
+        Refusal { code, retry_after: Some(retry_after), losers: self.losers }
+    }
+
+    /// Whether a second copy is worth a load.
+    fn copies(&self, holder: &Entrant<'_>, loader: &Entrant<'_>) -> bool {
+        let worth = holder.wait > wait::copy_threshold(self.ask) && loader.wait < holder.wait;
+        let late = holder.wait > self.ask.remaining && loader.wait <= self.ask.remaining;
+        self.ask.copies
+            && self.ask.policy == Policy::Fill
+            && self.full
+            && holder.tier == Tier::Waits
+            && loader.tier == Tier::Loads
+            && (worth || late)
+    }
+
+    fn holder_reason(&self, holder: &Entrant<'_>) -> Reason {
+        match (self.ask.policy, holder.tier) {
+            (Policy::Least, _) => Reason::Least,
+            (Policy::Random, _) => Reason::Random,
+            _ if holder.candidate.holding == Holding::Loading => Reason::SharesLoad,
+            (_, Tier::BelowKnee) if self.ask.affinity && holder.candidate.prefix_hit => {
+                Reason::Prefix
+            }
+            (_, Tier::BelowKnee) => Reason::FillsBatch,
+            (_, Tier::AboveKnee) => Reason::LeastFull,
+            _ => Reason::ShortestWait,
+        }
+    }
+
+    fn loader_reason(&self, loader: &Entrant<'_>) -> Reason {
+        match self.ask.policy {
+            Policy::Least => Reason::Least,
+            Policy::Random => Reason::Random,
+            Policy::Fill if loader.score < self.first => Reason::Spill,
+            Policy::Fill => Reason::Hash,
+        }
+    }
+}
+
+/// The requests that an endpoint has to serve.
+fn load(candidate: &Candidate<'_>) -> f64 {
+    f64::from(candidate.in_flight + candidate.waiting)
+}
+
+/// Compares two entrants: the greater is better. Names decide last, so that all gates agree.
+fn compare(ask: &Ask<'_>, left: &Entrant<'_>, right: &Entrant<'_>) -> Ordering {
+    let tier = right.tier.cmp(&left.tier);
+    if left.tier == Tier::Overloaded && tier.is_eq() {
+        let shorter = right.wait.cmp(&left.wait);
+        return shorter.then_with(|| left.score.total_cmp(&right.score));
+    }
+    tier.then_with(|| left.score.total_cmp(&right.score))
+        .then_with(|| prefix(ask, left).cmp(&prefix(ask, right)))
+        .then_with(|| left.candidate.own.cmp(&right.candidate.own))
+        .then_with(|| right.candidate.endpoint.cmp(left.candidate.endpoint))
+}
+
+fn prefix(ask: &Ask<'_>, entrant: &Entrant<'_>) -> bool {
+    ask.affinity && entrant.candidate.prefix_hit
+}
+
+/// Says why `loser` lost against `winner`.
+fn loss(ask: &Ask<'_>, winner: &Entrant<'_>, loser: &Entrant<'_>) -> Loss {
+    if winner.tier != loser.tier {
+        return match loser.tier {
+            Tier::BelowKnee | Tier::AboveKnee => Loss::AboveKnee,
+            Tier::Waits if loser.candidate.holding == Holding::Loading => Loss::Loading,
+            Tier::Waits => Loss::Full,
+            Tier::Loads => Loss::Absent,
+            Tier::Overloaded => Loss::Overloaded,
+        };
+    }
+    if winner.score != loser.score {
+        return match loser.tier {
+            Tier::BelowKnee if ask.policy == Policy::Fill => Loss::Emptier,
+            Tier::BelowKnee | Tier::AboveKnee => Loss::Fuller,
+            Tier::Waits | Tier::Overloaded => Loss::LongerWait,
+            Tier::Loads => Loss::LowerRank,
+        };
+    }
+    if prefix(ask, winner) != prefix(ask, loser) { Loss::NoPrefix } else { Loss::OtherGate }
+}
--- /dev/null
+++ b/crates/route/src/wait.rs
@@ -0,0 +1,51 @@
+//! Estimates of how long a request would wait at an endpoint.
+
+use std::time::Duration;
+
+use crate::ask::Ask;
+use crate::candidate::Candidate;
+use crate::candidate::Holding;
+
+/// The share of a batch, in percent, that the knee lies below a full batch at stall weight 100.
+const KNEE_MARGIN_PERCENT: u32 = 25;
+/// How many times a wait must exceed a load for a second copy at stall weight 0.
+const COPY_RELUCTANCE: u32 = 8;
+
+/// Returns the requests up to which the endpoint's batch is filled before others are used.
+pub(crate) fn knee(ask: &Ask<'_>, batch: u32) -> u32 {
+    let margin = KNEE_MARGIN_PERCENT * u32::from(ask.stall_weight.min(100)) / 100;
+    (batch * (100 - margin) / 100).max(1)
+}
+
+/// Returns the expected time until a place in the endpoint's batch is free.
+pub(crate) fn queue(ask: &Ask<'_>, candidate: &Candidate<'_>) -> Duration {
+    if candidate.in_flight < candidate.batch {
+        return Duration::ZERO;
+    }
+    let ahead = candidate.in_flight + candidate.waiting + 1;
+    let over = ahead.saturating_sub(candidate.batch);
+    ask.pace.service.saturating_mul(over) / candidate.batch.max(1)
+}
+
+/// Returns the expected time until the request starts to run at the endpoint.
+pub(crate) fn start(ask: &Ask<'_>, candidate: &Candidate<'_>) -> Duration {
+    let queue = queue(ask, candidate);
+    match candidate.holding {
+        Holding::Loaded => queue,
+        Holding::Loading => queue.max(ask.pace.load / 2),
+        Holding::Absent => queue.max(ask.pace.load),
+    }
+}
+
+/// Returns whether the endpoint's batch is full enough for a second copy elsewhere.
+pub(crate) fn is_full(ask: &Ask<'_>, candidate: &Candidate<'_>) -> bool {
+    let used = u64::from(candidate.in_flight) * 100;
+    used >= u64::from(candidate.batch) * u64::from(ask.full_percent)
+}
+
+/// Returns the wait above which a second copy is worth a load.
+pub(crate) fn copy_threshold(ask: &Ask<'_>) -> Duration {
+    let weight = u32::from(ask.stall_weight.min(100));
+    let reluctance = COPY_RELUCTANCE * 100 - (COPY_RELUCTANCE - 1) * weight;
+    ask.pace.load.saturating_mul(reluctance) / 100
+}
--- /dev/null
+++ b/crates/route/tests/choose.rs
@@ -0,0 +1,202 @@
+//! The choice of an endpoint, rule by rule.
+
+use std::time::Duration;
+
+use base::Code;
+use base::Name;
+use route::Ask;
+use route::Candidate;
+use route::Choice;
+use route::Holding;
+use route::Loss;
+use route::Reason;
+use route::Refusal;
+use wire::endpoint::Model;
+
+const DEADLINE: Duration = Duration::from_secs(10);
+
+/// An engine with room for eight requests that holds nothing.
+#[derive(Clone)]
+struct Engine {
+    name: Name,
+    gate: Name,
+    own: bool,
+    ready: bool,
+    holding: Holding,
+    in_flight: u32,
+    waiting: u32,
+    prefix_hit: bool,
+}
+
+fn engine(number: usize) -> Engine {
+    Engine {
+        name: Name::from(format!("e{number:02}")),
+        gate: Name::from("g1"),
+        own: false,
+        ready: true,
+        holding: Holding::Absent,
+        in_flight: 0,
+        waiting: 0,
+        prefix_hit: false,
+    }
+}
+
+fn holder(number: usize, in_flight: u32) -> Engine {
+    Engine { holding: Holding::Loaded, in_flight, ..engine(number) }
+}
+
+fn model(adapter: &str) -> Model {
+    Model { adapter: Name::from(adapter), version: Name::from("1") }
+}
+
+fn choose(ask: &Ask<'_>, engines: &[Engine]) -> Result<Choice, Refusal> {
+    route::choose(ask, engines.iter().map(candidate))
+}
+
+fn candidate(engine: &Engine) -> Candidate<'_> {
+    Candidate {
+        endpoint: &engine.name,
+        gate: &engine.gate,
+        own: engine.own,
+        ready: engine.ready,
+        holding: engine.holding,
+        in_flight: engine.in_flight,
+        waiting: engine.waiting,
+        batch: 8,
+        free_slots: 0,
+        prefix_hit: engine.prefix_hit,
+    }
+}
+
+fn chosen(ask: &Ask<'_>, engines: &[Engine]) -> (String, Reason) {
+    let choice = choose(ask, engines).unwrap();
+    (choice.endpoint.to_string(), choice.reason)
+}
+
+#[test]
+fn fills_the_fullest_batch_below_the_knee() {
+    let model = model("a");
+    let ask = Ask { stall_weight: 0, ..Ask::new(Some(&model), DEADLINE) };
+    let engines = [holder(1, 3), holder(2, 7), holder(3, 8), engine(4)];
+    assert_eq!(chosen(&ask, &engines), ("e02".into(), Reason::FillsBatch));
+    let stalls = Ask { stall_weight: 100, ..ask };
+    assert_eq!(chosen(&stalls, &engines), ("e01".into(), Reason::FillsBatch));
+}
+
+#[test]
+fn takes_the_emptiest_above_the_knee() {
+    let model = model("a");
+    let ask = Ask { stall_weight: 100, ..Ask::new(Some(&model), DEADLINE) };
+    let engines = [holder(1, 7), holder(2, 6), holder(3, 8)];
+    assert_eq!(chosen(&ask, &engines), ("e02".into(), Reason::LeastFull));
+}
+
+#[test]
+fn breaks_ties_by_prefix_then_own_gate() {
+    let model = model("a");
+    let ask = Ask::new(Some(&model), DEADLINE);
+    let own = Engine { own: true, ..holder(1, 2) };
+    let cached = Engine { prefix_hit: true, ..holder(2, 2) };
+    let engines = [holder(3, 2), own, cached];
+    assert_eq!(chosen(&ask, &engines), ("e02".into(), Reason::Prefix));
+    let blind = Ask { affinity: false, ..ask };
+    assert_eq!(chosen(&blind, &engines), ("e01".into(), Reason::FillsBatch));
+}
+
+#[test]
+fn waits_shortest_when_all_are_full() {
+    let model = model("a");
+    let ask = Ask { copies: false, ..Ask::new(Some(&model), DEADLINE) };
+    let long = Engine { waiting: 9, ..holder(1, 8) };
+    let short = Engine { waiting: 2, ..holder(2, 8) };
+    let engines = [long, short, engine(3)];
+    assert_eq!(chosen(&ask, &engines), ("e02".into(), Reason::ShortestWait));
+}
+
+#[test]
+fn loads_a_second_copy_only_when_all_holders_are_full() {
+    let model = model("a");
+    let ask = Ask { stall_weight: 100, ..Ask::new(Some(&model), DEADLINE) };
+    let full = Engine { waiting: 20, ..holder(1, 8) };
+    let engines = [full.clone(), engine(2)];
+    assert_eq!(chosen(&ask, &engines), ("e02".into(), Reason::SecondCopy));
+    let batches = Ask { stall_weight: 0, ..ask.clone() };
+    assert_eq!(chosen(&batches, &engines), ("e01".into(), Reason::ShortestWait));
+    let engines = [full, holder(3, 0), engine(2)];
+    assert_eq!(chosen(&ask, &engines), ("e03".into(), Reason::FillsBatch));
+}
+
+#[test]
+fn shares_a_load_in_progress() {
+    let model = model("a");
+    let ask = Ask::new(Some(&model), DEADLINE);
+    let loading = Engine { holding: Holding::Loading, waiting: 1, ..engine(5) };
+    let engines = [engine(1), loading, engine(2)];
+    assert_eq!(chosen(&ask, &engines), ("e05".into(), Reason::SharesLoad));
+}
+
+#[test]
+fn all_gates_agree_on_the_engine_that_loads() {
+    let mut engines: Vec<Engine> = (0..18).map(engine).collect();
+    for adapter in 0..200 {
+        let model = model(&format!("a{adapter}"));
+        let ask = Ask::new(Some(&model), DEADLINE);
+        let first = chosen(&ask, &engines);
+        engines.rotate_left(5);
+        engines[3].own ^= true;
+        assert_eq!(chosen(&ask, &engines), first);
+        assert_eq!(first.1, Reason::Hash);
+    }
+}
+
+#[test]
+fn the_loss_of_an_engine_moves_only_its_share() {
+    let engines: Vec<Engine> = (0..18).map(engine).collect();
+    let mut moved = 0;
+    for adapter in 0..1_000 {
+        let model = model(&format!("a{adapter}"));
+        let ask = Ask::new(Some(&model), DEADLINE);
+        let before = chosen(&ask, &engines).0;
+        let after = chosen(&ask, &engines[1..]).0;
+        assert!(before == after || before == "e00");
+        moved += usize::from(before != after);
+    }
+    assert!((20..110).contains(&moved), "{moved} of 1000 moved, expected about 1000 / 18");
+}
+
+#[test]
+fn spills_to_the_next_rank_when_the_first_is_overloaded() {
+    let model = model("a");
+    let ask = Ask::new(Some(&model), DEADLINE);
+    let mut engines: Vec<Engine> = (0..6).map(engine).collect();
+    let first = chosen(&ask, &engines).0;
+    engines.iter_mut().find(|engine| *engine.name == *first).unwrap().waiting = 8;
+    let (second, reason) = chosen(&ask, &engines);
+    assert_ne!(second, first);
+    assert_eq!(reason, Reason::Spill);
+    engines.retain(|engine| *engine.name != *first);
+    assert_eq!(chosen(&ask, &engines), (second, Reason::Hash));
+}
+
+#[test]
+fn refuses_at_once_what_cannot_start_before_its_deadline() {
+    let model = model("a");
+    let ask = Ask::new(Some(&model), Duration::from_millis(200));
+    let refusal = choose(&ask, &[engine(1), engine(2)]).unwrap_err();
+    assert_eq!(refusal.code, Code::DeadlineUnreachable);
+    assert_eq!(refusal.retry_after, Some(ask.pace.load));
+    assert!(refusal.losers.iter().any(|loser| loser.loss == Loss::Deadline));
+}
+
+#[test]
+fn refuses_without_an_endpoint_that_is_ready() {
+    let ask = Ask::new(None, DEADLINE);
+    assert_eq!(choose(&ask, &[]).unwrap_err().code, Code::NoEndpoint);
+    let out = Engine { ready: false, ..holder(1, 0) };
+    let excluded = [Name::from("e02")];
+    let ask = Ask { excluded: &excluded, ..ask };
+    let refusal = choose(&ask, &[out, holder(2, 0)]).unwrap_err();
+    assert_eq!(refusal.code, Code::NoEndpoint);
+    let losses: Vec<Loss> = refusal.losers.iter().map(|loser| loser.loss).collect();
+    assert_eq!(losses, [Loss::NotReady, Loss::Excluded]);
+}
