--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod address;
 pub mod client;
 pub mod process;
+pub mod session;
 pub mod settings;
 pub mod site;
 pub mod wait;
--- /dev/null
+++ b/tests/src/session.rs
@@ -0,0 +1,135 @@
+//! Golden files of whole sessions.
+//!
+//! A file has steps separated by `---`. A step is a `radishctl` command behind `$`, or an HTTP
+//! request: method and path, headers, an empty line, the body. `{big N}` in a body stands for N
+//! times the letter x.
+
+use serde_json::Value;
+
+use crate::site::Site;
+
+const SHOWN: [&str; 5] = ["x-adapter", "x-version", "x-replayed", "x-deprecated", "retry-after"];
+const MASKED: [&str; 6] = ["id", "request", "text", "content", "created", "revision"];
+
+/// Runs the steps of a session and returns the transcript.
+pub async fn run(site: &Site, steps: &str) -> String {
+    let mut transcript = String::new();
+    for step in steps.split("\n---\n") {
+        let step = step.trim();
+        let shown = match step.strip_prefix("$ ") {
+            Some(command) => command_line(site, command).await,
+            None => request(site, step).await,
+        };
+        transcript.push_str(&format!("{}\n{shown}\n", step.lines().next().unwrap_or("")));
+    }
+    transcript
+}
+
+async fn command_line(site: &Site, command: &str) -> String {
+    let args: Vec<String> = words(command);
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    let output = site.ctl(&args).await;
+    let code = output.status.code().unwrap_or(-1);
+    let text = if code == 0 { output.stdout } else { output.stderr };
+    let text = String::from_utf8_lossy(&text).into_owned();
+    format!("exit {code}\n{}", mask_revision(&text))
+}
+
+/// Splits at spaces, but not within single quotes.
+fn words(command: &str) -> Vec<String> {
+    let parts = command.split('\'').enumerate();
+    let mut words = Vec::new();
+    for (index, part) in parts {
+        if index % 2 == 1 {
+            words.push(part.to_owned());
+        } else {
+            words.extend(part.split_whitespace().map(str::to_owned));
+        }
+    }
+    words
+}
+
+fn mask_revision(text: &str) -> String {
+    let mut masked: Vec<String> = Vec::new();
+    let mut after = false;
+    for word in text.split(' ') {
+        let digits = word.trim_end_matches([',', '\n']);
+        let is_number = !digits.is_empty() && digits.bytes().all(|byte| byte.is_ascii_digit());
+        if after && is_number {
+            masked.push(word.replace(digits, "N"));
+        } else {
+            masked.push(word.to_owned());
+        }
+        after = word == "revision";
+    }
+    masked.join(" ")
+}
+
+async fn request(site: &Site, step: &str) -> String {
+    let (head, body) = step.split_once("\n\n").unwrap_or((step, ""));
+    let mut lines = head.lines();
+    let (method, path) = lines.next().and_then(|line| line.split_once(' ')).expect("a request");
+    let headers: Vec<(&str, &str)> = lines.filter_map(|line| line.split_once(": ")).collect();
+    let url = match path.strip_prefix("admin:") {
+        Some(path) => format!("http://{}{path}", site.config.entries[0].gate_admin),
+        None => site.url(1, path),
+    };
+    let answer = match site.client.send(method, &url, &headers, expand(body)).await {
+        Ok(answer) => answer,
+        Err(error) => return format!("no answer: {error}\n"),
+    };
+    let mut shown = format!("{}\n", answer.status.as_u16());
+    for name in SHOWN {
+        if !answer.header(name).is_empty() {
+            shown.push_str(&format!("{name}: {}\n", answer.header(name)));
+        }
+    }
+    match serde_json::from_slice::<Value>(&answer.body) {
+        Ok(mut value) => {
+            mask(&mut value);
+            shown.push_str(&format!("{value:#}\n"));
+        }
+        Err(_) => shown.push_str(&events(&answer.text())),
+    }
+    shown
+}
+
+fn expand(body: &str) -> String {
+    let Some((before, rest)) = body.split_once("{big ") else { return body.to_owned() };
+    let (count, after) = rest.split_once('}').expect("the end of the placeholder");
+    let count: usize = count.parse().expect("a number");
+    format!("{before}{}{after}", "x".repeat(count))
+}
+
+/// Masks the events of a stream, and shows other text as it is.
+fn events(text: &str) -> String {
+    let mut shown = String::new();
+    for line in text.lines() {
+        let event = line.strip_prefix("data: ").map(serde_json::from_str::<Value>);
+        if let Some(Ok(mut value)) = event {
+            mask(&mut value);
+            shown.push_str(&format!("data: {value}\n"));
+        } else {
+            shown.push_str(&format!("{line}\n"));
+        }
+    }
+    shown
+}
+
+fn mask(value: &mut Value) {
+    match value {
+        Value::Object(fields) => {
+            for (name, field) in fields {
+                let model = name == "id" && field.as_str().is_some_and(|text| text.contains('@'));
+                if MASKED.contains(&name.as_str()) && !field.is_object() && !model {
+                    *field = Value::from(name.to_uppercase());
+                } else {
+                    mask(field);
+                }
+            }
+        }
+        Value::Array(items) => items.iter_mut().for_each(mask),
+        Value::String(text) if text.starts_with("127.") => *text = "ADDRESS".to_owned(),
+        _ => {}
+    }
+}
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -250,6 +250,50 @@
         assert!(answer.status.is_success(), "{}", answer.text());
     }
 
+    /// Returns the number of the gate that owns an endpoint.
+    pub async fn owner(&self, endpoint: &str) -> usize {
+        let text = self.ctl_ok(&["endpoints", "--json"]).await;
+        let endpoints: Value = serde_json::from_str(&text).expect("JSON");
+        let owner = endpoints[endpoint]["owner"].as_str().expect("an owner");
+        owner.trim_start_matches("entry-").parse().expect("the number of an entry host")
+    }
+
+    /// Returns the number of the keeper that leads, as `gate` sees it.
+    pub async fn leader(&self, gate: usize) -> usize {
+        wait::until("a leader", READY, || async {
+            let status = self.status(gate).await?;
+            let keepers = status["keepers"].as_array()?.clone();
+            let leader = keepers.iter().find(|keeper| keeper["role"] == "leader")?;
+            leader["host"].as_str()?.trim_start_matches("entry-").parse().ok()
+        })
+        .await
+    }
+
+    /// Returns how often a key ran at the endpoints of the ledger service together.
+    pub async fn runs(&self, key: &str) -> u64 {
+        let mut runs = 0;
+        for name in self.endpoints.keys().filter(|name| name.starts_with("ledger")) {
+            runs += self.record(name).await["keys"][key].as_u64().unwrap_or(0);
+        }
+        runs
+    }
+
+    /// Returns what the stand-ins saw that must never happen.
+    pub async fn violations(&self) -> Vec<Value> {
+        let mut all = Vec::new();
+        for name in self.endpoints.keys() {
+            let record = self.record(name).await;
+            all.extend(record["violations"].as_array().cloned().unwrap_or_default());
+        }
+        all
+    }
+
+    /// Sets the rule that `POST /sign` of the ledger service is non-idempotent.
+    pub async fn ledger(&self) {
+        let call = ["service", "set", "ledger", "--non-idempotent", "POST /sign", "--wait", "10"];
+        self.ctl_ok(&call).await;
+    }
+
     /// Returns a process.
     pub fn process(&mut self, name: &str) -> &mut Process {
         self.processes.get_mut(name).expect("a process of the site")
--- /dev/null
+++ b/tests/tests/at_most_once.rs
@@ -0,0 +1,159 @@
+//! A non-idempotent request runs at most once, whatever is killed, frozen or resent.
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use nix::sys::signal::Signal;
+use serde_json::json;
+use site_tests::Answer;
+use site_tests::Shape;
+use site_tests::Site;
+use site_tests::wait;
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+fn shape() -> Shape {
+    Shape { engines: 0, services: 2, ..Shape::default() }
+}
+
+async fn slow_ledger(site: &Site, millis: u64) {
+    for ledger in ["ledger-1", "ledger-2"] {
+        site.fault(ledger, json!({"late_percent": 100, "late_ms": millis})).await;
+    }
+}
+
+async fn resend_everywhere(site: &Site, gates: &[usize], key: &str, body: &str) -> Vec<Answer> {
+    let calls = gates.iter().map(|gate| site.sign(*gate, key, body));
+    join_all(calls).await.into_iter().filter_map(Result::ok).collect()
+}
+
+/// Sends the key again until its answer is final.
+async fn settled(site: &Site, gate: usize, key: &str, body: &str) -> Answer {
+    wait::until("a final answer", LIMIT, || async {
+        let answer = site.sign(gate, key, body).await.ok()?;
+        let again = matches!(answer.code(), 1202 | 1300 | 1302 | 1308 | 1700 | 1701);
+        (!again).then_some(answer)
+    })
+    .await
+}
+
+#[tokio::test]
+async fn parallel_callers_with_one_key() {
+    let site = Site::start(shape()).await;
+    site.ledger().await;
+    slow_ledger(&site, 300).await;
+    for round in 0..5 {
+        let key = format!("order-{round}");
+        let answers = resend_everywhere(&site, &[1, 2, 3, 4, 5], &key, "{\"order\":7}").await;
+        let whole = answers.iter().filter(|answer| answer.status == 200).count();
+        assert!(whole >= 1, "{answers:?}");
+        let last = settled(&site, 1 + round, &key, "{\"order\":7}").await;
+        assert_eq!(last.status, 200, "{}", last.text());
+        for answer in answers.iter().filter(|answer| answer.status == 200) {
+            assert_eq!(answer.body, last.body);
+        }
+        assert_eq!(site.runs(&key).await, 1);
+    }
+}
+
+#[tokio::test]
+async fn the_claiming_gate_is_killed() {
+    let mut site = Site::start(shape()).await;
+    site.ledger().await;
+    slow_ledger(&site, 1_500).await;
+    let (gate, key, body) = (2, "order-kill", "{\"order\":8}");
+    let url = site.url(gate, "/v1/services/ledger/sign");
+    let client = site.client.clone();
+    let first =
+        tokio::spawn(
+            async move { client.send("POST", &url, &[("idempotency-key", key)], body).await },
+        );
+    wait::until("the call runs", LIMIT, || async { (site.runs(key).await == 1).then_some(()) })
+        .await;
+    site.process("gate-2").kill();
+    assert!(first.await.expect("the task ended").is_err());
+    let answers = resend_everywhere(&site, &[1, 3, 4, 5], key, body).await;
+    for answer in &answers {
+        assert!(!answer.not_run(), "claimed and told not run: {}", answer.text());
+    }
+    let last = settled(&site, 3, key, body).await;
+    assert!(last.status == 200 || last.code() == 1203, "{}", last.text());
+    site.process("gate-2").restart();
+    site.ready(2).await;
+    let again = settled(&site, 2, key, body).await;
+    assert_eq!(again.code(), last.code());
+    assert_eq!(site.runs(key).await, 1);
+}
+
+#[tokio::test]
+async fn the_claiming_gate_is_frozen_past_its_lease() {
+    let mut site = Site::start(shape()).await;
+    site.ledger().await;
+    slow_ledger(&site, 1_000).await;
+    let (key, body) = ("order-freeze", "{\"order\":9}");
+    let url = site.url(4, "/v1/services/ledger/sign");
+    let client = site.client.clone();
+    let first =
+        tokio::spawn(
+            async move { client.send("POST", &url, &[("idempotency-key", key)], body).await },
+        );
+    wait::until("the call runs", LIMIT, || async { (site.runs(key).await == 1).then_some(()) })
+        .await;
+    site.process("gate-4").signal(Signal::SIGSTOP);
+    let last = settled(&site, 1, key, body).await;
+    site.process("gate-4").signal(Signal::SIGCONT);
+    let first = first.await.expect("the task ended").expect("an answer");
+    assert!(!first.not_run(), "{}", first.text());
+    for answer in resend_everywhere(&site, &[1, 2, 3, 4, 5], key, body).await {
+        assert!(!answer.not_run() || answer.code() == 1300, "{}", answer.text());
+    }
+    assert!(last.status == 200 || last.code() == 1203, "{}", last.text());
+    assert_eq!(site.runs(key).await, 1);
+}
+
+#[tokio::test]
+async fn the_leading_keeper_is_killed_between_calls() {
+    let mut site = Site::start(shape()).await;
+    site.ledger().await;
+    for round in 0..3 {
+        let key = format!("order-leader-{round}");
+        let leader = site.leader(1).await;
+        let calls = resend_everywhere(&site, &[1, 2, 3], &key, "{}");
+        site_kill(&site, leader);
+        calls.await;
+        let last = settled(&site, 4, &key, "{}").await;
+        assert!(last.status == 200 || last.code() == 1203, "{}", last.text());
+        assert!(site.runs(&key).await <= 1);
+        site.process(&format!("keeper-{leader}")).restart();
+        site.ready(2).await;
+    }
+}
+
+fn site_kill(site: &Site, keeper: usize) {
+    site.processes[&format!("keeper-{keeper}")].signal(Signal::SIGKILL);
+}
+
+#[tokio::test]
+async fn everything_stops_and_starts() {
+    let mut site = Site::start(shape()).await;
+    site.ledger().await;
+    let first = settled(&site, 1, "order-all", "{}").await;
+    assert_eq!(first.status, 200, "{}", first.text());
+    let names: Vec<String> = site
+        .processes
+        .keys()
+        .filter(|name| name.starts_with("gate") || name.starts_with("keeper"))
+        .cloned()
+        .collect();
+    for name in &names {
+        site.process(name).kill();
+    }
+    for name in &names {
+        site.process(name).restart();
+    }
+    site.ready(2).await;
+    let again = settled(&site, 5, "order-all", "{}").await;
+    assert_eq!(again.body, first.body);
+    assert_eq!(again.header("x-replayed"), "true");
+    assert_eq!(site.runs("order-all").await, 1);
+}
--- /dev/null
+++ b/tests/tests/configuration.rs
@@ -0,0 +1,140 @@
+//! An accepted configuration is in force everywhere within 3 s and never reverts.
+
+use std::process::Output;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures::future::join_all;
+use nix::sys::signal::Signal;
+use site_tests::Shape;
+use site_tests::Site;
+use site_tests::wait;
+
+const IN_FORCE: Duration = Duration::from_secs(3);
+const LIMIT: Duration = Duration::from_secs(20);
+
+fn shape() -> Shape {
+    Shape { engines: 1, services: 0, ..Shape::default() }
+}
+
+async fn revision(site: &Site, gate: usize) -> u64 {
+    let status = site.status(gate).await.expect("the gate answers");
+    status["configuration"].as_u64().expect("a revision")
+}
+
+#[tokio::test]
+async fn operators_race_under_one_revision() {
+    let site = Site::start(shape()).await;
+    site.adapter("quotes", 1).await;
+    let expected = revision(&site, 1).await.to_string();
+    let versions = ["a", "b", "c", "d", "e", "f"];
+    let args = versions
+        .map(|version| vec!["version", "create", "quotes", version, "--expect", expected.as_str()]);
+    let outputs = join_all(args.iter().map(|args| site.ctl(args))).await;
+    let won = outputs.iter().filter(|output| output.status.success()).count();
+    assert_eq!(won, 1);
+    for lost in outputs.iter().filter(|output| !output.status.success()) {
+        let error = String::from_utf8_lossy(&lost.stderr);
+        assert!(error.contains("1600 Conflict"), "{error}");
+    }
+}
+
+#[tokio::test]
+async fn a_command_sent_again_gets_its_first_answer() {
+    let site = Site::start(shape()).await;
+    let create = ["adapter", "create", "quotes", "--base", "base-1", "--id", "c-1"];
+    let first = site.ctl_ok(&create).await;
+    let again = site.ctl_ok(&create).await;
+    assert_eq!(first.split(',').next(), again.split(',').next());
+    let other = site.ctl(&["adapter", "create", "pumps", "--base", "base-1", "--id", "c-1"]).await;
+    let error = String::from_utf8_lossy(&other.stderr);
+    assert!(error.contains("1601 CommandReused"), "{error}");
+}
+
+#[tokio::test]
+async fn in_force_within_three_seconds_with_a_frozen_host() {
+    let site = Site::start(shape()).await;
+    site.adapter("quotes", 1).await;
+    for name in ["gate-5", "keeper-5"] {
+        site.processes[name].signal(Signal::SIGSTOP);
+    }
+    let begin = Instant::now();
+    site.ctl_ok(&["version", "create", "quotes", "v2", "--wait", "10"]).await;
+    let took = begin.elapsed();
+    assert!(took < IN_FORCE, "in force after {took:?}");
+    for name in ["gate-5", "keeper-5"] {
+        site.processes[name].signal(Signal::SIGCONT);
+    }
+    let answer = site.complete(5, "quotes@v2", "as soon as it wakes").await.expect("an answer");
+    assert_ne!(answer.code(), 1101, "served without the change: {}", answer.text());
+}
+
+#[tokio::test]
+async fn restart_of_all_after_many_changes() {
+    let mut site = Site::start(shape()).await;
+    let changes: String = (0..250)
+        .map(|index| {
+            format!(
+                "{{\"create_adapter\":{{\"adapter\":\"a-{index}\",\"base\":\"base-1\"}}}}\n\
+                 {{\"create_version\":{{\"adapter\":\"a-{index}\",\"version\":\"v1\"}}}}\n"
+            )
+        })
+        .collect();
+    let file = site.settings().with_file_name("changes.jsonl");
+    std::fs::write(&file, changes).expect("a file of changes");
+    site.ctl_ok(&["apply", &file.display().to_string(), "--wait", "10"]).await;
+    let before = revision(&site, 1).await;
+    let names: Vec<String> = site
+        .processes
+        .keys()
+        .filter(|name| name.starts_with("gate") || name.starts_with("keeper"))
+        .cloned()
+        .collect();
+    for name in &names {
+        site.process(name).kill();
+    }
+    let begin = Instant::now();
+    for name in &names {
+        site.process(name).restart();
+    }
+    site.ready(1).await;
+    println!("ready after {:?} with revision {before}", begin.elapsed());
+    for gate in 1..=5 {
+        assert!(revision(&site, gate).await >= before);
+    }
+    let text = site.ctl_ok(&["adapter", "list"]).await;
+    assert_eq!(text.lines().count(), 251);
+}
+
+#[tokio::test]
+async fn a_disk_is_lost_and_then_a_second_host() {
+    let mut site = Site::start(shape()).await;
+    site.adapter("quotes", 1).await;
+    site.process("keeper-1").kill();
+    let folder = site.config.entries[0].data.clone().expect("a data folder");
+    std::fs::remove_dir_all(&folder).expect("the disk is lost");
+    let args: Vec<String> = site.processes["keeper-1"].args().to_vec();
+    let args = args.into_iter().filter(|arg| arg != "--bootstrap").collect();
+    site.process("keeper-1").restart_with(args);
+    wait::until("the new replica votes", LIMIT, || async {
+        let status = site.status(2).await?;
+        let keepers = status["keepers"].as_array()?.clone();
+        let leader = keepers.iter().find(|keeper| keeper["role"] == "leader")?;
+        let own = keepers.iter().find(|keeper| keeper["host"] == "entry-1")?;
+        let voters = leader["voters"].as_array()?.len();
+        (voters == 5 && own["role"] == "follower").then_some(())
+    })
+    .await;
+    site.process("keeper-2").kill();
+    site.process("gate-2").kill();
+    site.process("keeper-3").kill();
+    site.process("gate-3").kill();
+    let output: Output = wait::until("a change without two hosts", LIMIT, || async {
+        let output = site.ctl(&["version", "create", "quotes", "v2", "--id", "second"]).await;
+        output.status.success().then_some(output)
+    })
+    .await;
+    assert!(output.status.success());
+    let text = site.ctl_ok(&["adapter", "list"]).await;
+    assert!(text.contains("v1 v2"), "{text}");
+}
--- /dev/null
+++ b/tests/tests/exact_version.rs
@@ -0,0 +1,97 @@
+//! Each caller gets the complete answer of the adapter and version it named, or a numbered error.
+
+use futures::future::join_all;
+use serde_json::Value;
+use serde_json::json;
+use site_tests::Answer;
+use site_tests::Shape;
+use site_tests::Site;
+
+fn check(answer: &Answer, model: &str) -> bool {
+    if answer.status != 200 {
+        assert!(answer.code() > 0, "no result code: {}", answer.text());
+        return false;
+    }
+    let body = answer.json();
+    assert_eq!(body["model"], model, "{}", answer.text());
+    assert_eq!(body["id"], answer.header("x-request-id"));
+    true
+}
+
+async fn batch(site: &Site, count: usize, adapters: usize) -> usize {
+    let calls = (0..count).map(|index| async move {
+        let model = format!("adapter-{}@v{}", index % adapters, 1 + index % 2);
+        let answer = site.complete(1 + index % 5, &model, &format!("prompt {index}")).await;
+        check(&answer.expect("an answer"), &model)
+    });
+    join_all(calls).await.into_iter().filter(|whole| *whole).count()
+}
+
+async fn site(engine_faults: Value) -> Site {
+    let site = Site::start(Shape { services: 0, ..Shape::default() }).await;
+    for adapter in 0..4 {
+        site.adapter(&format!("adapter-{adapter}"), 2).await;
+    }
+    for engine in 1..=3 {
+        site.fault(&format!("engine-{engine}"), engine_faults.clone()).await;
+    }
+    site
+}
+
+#[tokio::test]
+async fn engines_answer_with_another_version() {
+    let site = site(json!({"wrong_version_percent": 30})).await;
+    let whole = batch(&site, 60, 4).await;
+    assert!(whole >= 30, "only {whole} of 60 answered");
+    assert_eq!(site.violations().await, Vec::<Value>::new());
+}
+
+#[tokio::test]
+async fn answers_are_crossed() {
+    let site = site(json!({"crossed_percent": 30})).await;
+    let whole = batch(&site, 60, 4).await;
+    assert!(whole >= 30, "only {whole} of 60 answered");
+}
+
+#[tokio::test]
+async fn answers_are_cut_or_short() {
+    let site = site(json!({"cut_percent": 20, "short_percent": 20})).await;
+    let whole = batch(&site, 60, 4).await;
+    assert!(whole >= 30, "only {whole} of 60 answered");
+}
+
+#[tokio::test]
+async fn streams_that_are_cut_never_look_complete() {
+    let site = site(json!({"cut_percent": 25, "short_percent": 25})).await;
+    let url = site.url(2, "/v1/completions");
+    let mut whole = 0;
+    for index in 0..30 {
+        let body =
+            json!({"model": "adapter-1@v2", "prompt": index, "max_tokens": 6, "stream": true});
+        let Ok(answer) = site.client.send("POST", &url, &[], body.to_string()).await else {
+            continue;
+        };
+        let text = answer.text();
+        let tokens = text.matches("\"text\"").count();
+        if text.contains("data: [DONE]") {
+            assert!(tokens >= 6, "short and yet ended: {text}");
+            whole += 1;
+        } else {
+            assert!(text.contains("\"error\""), "neither end nor error: {text}");
+        }
+    }
+    assert!(whole >= 10, "only {whole} of 30 streams complete");
+}
+
+#[tokio::test]
+async fn an_engine_restarts_cold() {
+    let site = site(json!({})).await;
+    batch(&site, 20, 4).await;
+    for engine in 1..=3 {
+        let url = format!("http://{}/control/restart", site.endpoints[&format!("engine-{engine}")]);
+        site.client.send("POST", &url, &[], "").await.expect("the engine restarts");
+        let whole = batch(&site, 20, 4).await;
+        assert!(whole >= 15, "only {whole} of 20 answered after a cold start");
+    }
+    assert_eq!(site.violations().await, Vec::<Value>::new());
+}
--- /dev/null
+++ b/tests/tests/poison.rs
@@ -0,0 +1,74 @@
+//! A request that crashes engines is quarantined, and those beside it are not.
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use serde_json::json;
+use site_tests::Answer;
+use site_tests::Shape;
+use site_tests::Site;
+use site_tests::wait;
+
+const LIMIT: Duration = Duration::from_secs(40);
+/// The most engines that one poisonous request may crash.
+const CRASHES: u64 = 3;
+
+async fn poison(site: &Site, gate: usize) -> Result<Answer, String> {
+    site.complete(gate, "quotes@v1", "BOOM").await
+}
+
+async fn generations(site: &Site) -> u64 {
+    let mut sum = 0;
+    for engine in 1..=4 {
+        sum += site.record(&format!("engine-{engine}")).await["generation"].as_u64().unwrap_or(0);
+    }
+    sum
+}
+
+#[tokio::test]
+async fn a_poisonous_request_is_quarantined() {
+    let args = ["--poison", "BOOM", "--down-ms", "300"].map(str::to_owned).to_vec();
+    let shape = Shape { engines: 4, services: 0, engine_args: args, ..Shape::default() };
+    let site = Site::start(shape).await;
+    site.adapter("quotes", 1).await;
+    let before = generations(&site).await;
+    let innocents = (0..30).map(|index| {
+        let site = &site;
+        async move {
+            let body = json!({"model": "quotes@v1", "prompt": format!("innocent {index}"), "max_tokens": 12});
+            let url = site.url(1 + index % 5, "/v1/completions");
+            let headers = [("x-deadline-ms", "30000")];
+            let answer = wait::until("an innocent answer", LIMIT, || async {
+                let answer = site.client.send("POST", &url, &headers, body.to_string()).await.ok()?;
+                assert_ne!(answer.code(), 1400, "an innocent request is quarantined");
+                (answer.status == 200).then_some(answer)
+            })
+            .await;
+            answer.status
+        }
+    });
+    let sender = async {
+        let mut gate = 0;
+        wait::until("the quarantine", LIMIT, || {
+            gate = 1 + gate % 5;
+            let site = &site;
+            async move {
+                let answer = poison(site, gate).await.ok()?;
+                assert_ne!(answer.status, 200);
+                (answer.code() == 1400).then_some(())
+            }
+        })
+        .await;
+    };
+    let (answers, ()) = tokio::join!(join_all(innocents), sender);
+    assert!(answers.iter().all(|status| *status == 200));
+    let crashes = generations(&site).await - before;
+    assert!(crashes <= CRASHES, "{crashes} engines crashed");
+    for gate in 1..=5 {
+        let answer = poison(&site, gate).await.expect("an answer");
+        assert_eq!(answer.code(), 1400, "{}", answer.text());
+        assert!(answer.not_run());
+    }
+    let list = site.ctl_ok(&["quarantine"]).await;
+    assert_eq!(list.lines().count(), 2, "{list}");
+}
--- /dev/null
+++ b/tests/tests/sessions.rs
@@ -0,0 +1,31 @@
+//! One folder a session: `steps.txt` and the transcript `expected.txt`; `RADISH_BLESS=1` writes it.
+
+use std::env;
+use std::fs;
+use std::path::Path;
+
+use site_tests::Shape;
+use site_tests::Site;
+use site_tests::session;
+
+fn case(path: &Path) -> datatest_stable::Result<()> {
+    let steps = fs::read_to_string(path)?;
+    let expected_path = path.with_file_name("expected.txt");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let found = runtime.block_on(async {
+        let site = Site::start(Shape { entries: 1, engines: 1, ..Shape::default() }).await;
+        session::run(&site, &steps).await
+    });
+    if env::var_os("RADISH_BLESS").is_some() {
+        fs::write(&expected_path, &found)?;
+    }
+    let expected = fs::read_to_string(&expected_path)?;
+    if found == expected {
+        return Ok(());
+    }
+    Err(format!("expected:\n{expected}\nfound:\n{found}").into())
+}
+
+datatest_stable::harness! {
+    { test = case, root = "tests/sessions", pattern = r"steps\.txt$" },
+}
