state: the machine behind the replicated log

Cause: the types of commands and outcomes had no machine that applies them.

Additive: View::suspects, Patch::Suspect, Command::Clear.

Ruled out: believing a key's own time without a bound, since a key from a fast clock would be forgotten before its time refuses it.

--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -86,6 +86,11 @@
         /// The leader's wall clock.
         now_ms: u64,
     },
+    /// Suspect requests ran alone to their end and are suspects no longer.
+    Clear {
+        /// The fingerprints of the requests.
+        fingerprints: Vec<u64>,
+    },
 }
 
 /// A change of the configuration by an operator.
--- a/crates/state/src/journal.rs
+++ b/crates/state/src/journal.rs
@@ -23,7 +23,8 @@
     pub key: Key,
     /// The digest of method, path and body.
     pub digest: u64,
-    /// The id of the request.
+    /// The id of the request, unique for each arrival of a request at a gate: a claim sent again with
+    /// the same id gets its first outcome again.
     pub request: Name,
     /// The gate that claims.
     pub gate: Name,
--- /dev/null
+++ b/crates/state/src/record.rs
@@ -0,0 +1,288 @@
+//! The journal: what is known of each key of a non-idempotent request.
+
+use std::collections::BTreeSet;
+
+use base::Code;
+use base::Map;
+use base::Name;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::command::Incarnation;
+use crate::command::Outcome;
+use crate::journal::Answer;
+use crate::journal::Claim;
+use crate::journal::Key;
+use crate::limits::Limits;
+use crate::refusal::Refusal;
+use crate::view::View;
+
+/// How far a caller's clock may be ahead for its keys' times to be believed, in milliseconds.
+const SKEW_MS: u64 = 300_000;
+/// The records that one command may expire.
+const EXPIRE_BATCH: usize = 256;
+
+type Result<T> = std::result::Result<T, Refusal>;
+
+/// The records of all keys.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Records {
+    /// The records by key.
+    records: Map<Key, Record>,
+    /// When each record that is no tombstone is due to expire, in milliseconds since 1970.
+    ///
+    /// Invariant: has the keys of `records` whose stage is not [`Stage::Expired`], each once.
+    due: BTreeSet<(u64, Key)>,
+    /// The number of the last claim.
+    claims: u64,
+    /// The bytes of all bodies kept.
+    bytes: usize,
+}
+
+/// What is known of a key.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Record {
+    /// The digest of method, path and body.
+    digest: u64,
+    /// When the key was made, where the key tells it and it is plausible.
+    created_ms: Option<u64>,
+    /// When the record is due to expire, in milliseconds since 1970.
+    due_ms: u64,
+    /// How far the request came.
+    stage: Stage,
+}
+
+/// How far a request came.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+enum Stage {
+    /// It may be running or may have run.
+    Claimed {
+        /// The number of the claim.
+        claim: u64,
+        /// The id of the request.
+        request: Name,
+        /// The gate that claimed.
+        gate: Name,
+        /// The run of the gate.
+        incarnation: Incarnation,
+    },
+    /// It ran.
+    Finished {
+        /// The number of the claim.
+        claim: u64,
+        /// The answer.
+        answer: Answer,
+    },
+    /// It may have run, and its answer is no longer kept.
+    Expired,
+}
+
+impl Records {
+    /// Claims a key, or tells what is known of it.
+    pub(crate) fn claim(
+        &mut self,
+        view: &View,
+        claim: &Claim,
+        now_ms: u64,
+        limits: &Limits,
+    ) -> Result<Outcome> {
+        if !lives(view, &claim.gate, claim.incarnation) {
+            let detail = format!("gate '{}' holds no lease", claim.gate);
+            return Err(Refusal::new(Code::StaleLease, detail));
+        }
+        self.expire_key(view, &claim.key, now_ms, limits);
+        match self.records.get(&claim.key) {
+            Some(record) => known(view, record, claim),
+            None => self.insert(claim, now_ms, limits),
+        }
+    }
+
+    /// Keeps the answer of a claimed request.
+    pub(crate) fn finish(
+        &mut self,
+        key: &Key,
+        number: u64,
+        answer: &Answer,
+        now_ms: u64,
+        limits: &Limits,
+    ) -> Result<()> {
+        let record = self.find(key)?;
+        match &record.stage {
+            Stage::Claimed { claim, .. } if *claim == number => {}
+            Stage::Finished { claim, .. } if *claim == number => return Ok(()),
+            Stage::Expired => {
+                return Err(Refusal::new(Code::KeyExpired, "the record of the key has expired"));
+            }
+            _ => return Err(other_claim(number)),
+        }
+        let body = answer.body.clone().filter(|body| body.len() <= limits.answer_bytes);
+        let answer = Answer { body, ..answer.clone() };
+        self.bytes += size(&answer);
+        let stage = Stage::Finished { claim: number, answer };
+        let due_ms = record.expiry(now_ms, limits);
+        let record = Record { due_ms, stage, ..record };
+        self.replace(key, Some(record));
+        Ok(())
+    }
+
+    /// Forgets a claim whose request did not run.
+    pub(crate) fn release(&mut self, key: &Key, number: u64) -> Result<()> {
+        let record = self.find(key)?;
+        match &record.stage {
+            Stage::Claimed { claim, .. } if *claim == number => {}
+            _ => return Err(other_claim(number)),
+        }
+        self.replace(key, None);
+        Ok(())
+    }
+
+    /// Expires some of the records that are due.
+    pub(crate) fn expire(&mut self, view: &View, now_ms: u64, limits: &Limits) {
+        for _ in 0..EXPIRE_BATCH {
+            let Some((due_ms, key)) = self.due.first().cloned() else { return };
+            if due_ms > now_ms {
+                return;
+            }
+            self.expire_key(view, &key, now_ms, limits);
+        }
+    }
+
+    /// Returns the number of keys.
+    pub(crate) fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns the bytes of all bodies kept.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Lists the records by key.
+    pub(crate) fn list(&self) -> Vec<(&Key, &Record)> {
+        let mut records: Vec<(&Key, &Record)> = self.records.iter().collect();
+        records.sort_by_key(|(key, _)| *key);
+        records
+    }
+
+    /// Returns the number of the last claim.
+    pub(crate) fn claims(&self) -> u64 {
+        self.claims
+    }
+
+    fn insert(&mut self, claim: &Claim, now_ms: u64, limits: &Limits) -> Result<Outcome> {
+        let created_ms = claim.created_ms.filter(|created| *created <= now_ms + SKEW_MS);
+        if created_ms.is_some_and(|created| created + limits.retention_ms <= now_ms) {
+            let detail = format!("the key is older than {} ms", limits.retention_ms);
+            return Err(Refusal::new(Code::KeyExpired, detail));
+        }
+        if self.records.len() >= limits.keys || self.bytes >= limits.total_bytes {
+            let detail = format!("{} keys, {} bytes", self.records.len(), self.bytes);
+            return Err(Refusal::new(Code::JournalFull, detail));
+        }
+        self.claims += 1;
+        let stage = Stage::Claimed {
+            claim: self.claims,
+            request: claim.request.clone(),
+            gate: claim.gate.clone(),
+            incarnation: claim.incarnation,
+        };
+        let mut record = Record { digest: claim.digest, created_ms, due_ms: 0, stage };
+        record.due_ms = record.expiry(now_ms, limits);
+        self.replace(&claim.key, Some(record));
+        Ok(Outcome::Claimed { claim: self.claims })
+    }
+
+    /// Expires a record if it is due.
+    fn expire_key(&mut self, view: &View, key: &Key, now_ms: u64, limits: &Limits) {
+        let Some(record) = self.records.get(key) else { return };
+        if record.due_ms > now_ms || record.stage == Stage::Expired {
+            return;
+        }
+        let mut record = record.clone();
+        if record.in_progress(view) {
+            record.due_ms = record.expiry(now_ms, limits);
+            return self.replace(key, Some(record));
+        }
+        if record.created_ms.is_some() {
+            // A key that tells its time is refused by it from now on.
+            return self.replace(key, None);
+        }
+        record.stage = Stage::Expired;
+        self.replace(key, Some(record));
+    }
+
+    fn find(&self, key: &Key) -> Result<Record> {
+        let found = self.records.get(key).cloned();
+        found.ok_or_else(|| Refusal::unknown("key", format_args!("{}/{}", key.scope, key.key)))
+    }
+
+    /// Sets or removes a record and keeps the order of expiry.
+    fn replace(&mut self, key: &Key, record: Option<Record>) {
+        let former = match &record {
+            Some(record) => self.records.insert(key.clone(), record.clone()),
+            None => self.records.remove(key),
+        };
+        if let Some(former) = former {
+            self.due.remove(&(former.due_ms, key.clone()));
+            if let Stage::Finished { answer, .. } = &former.stage {
+                self.bytes -= size(answer);
+            }
+        }
+        if let Some(record) = record.filter(|record| record.stage != Stage::Expired) {
+            self.due.insert((record.due_ms, key.clone()));
+        }
+    }
+}
+
+impl Record {
+    /// Returns when the record expires if it changed last at `now_ms`.
+    fn expiry(&self, now_ms: u64, limits: &Limits) -> u64 {
+        now_ms.max(self.created_ms.unwrap_or(0)).saturating_add(limits.retention_ms)
+    }
+
+    /// Returns whether the run that claimed the key still holds its lease and may finish.
+    fn in_progress(&self, view: &View) -> bool {
+        match &self.stage {
+            Stage::Claimed { gate, incarnation, .. } => lives(view, gate, *incarnation),
+            _ => false,
+        }
+    }
+}
+
+/// Tells what is known of a key that was claimed before.
+fn known(view: &View, record: &Record, wanted: &Claim) -> Result<Outcome> {
+    if record.digest != wanted.digest {
+        return Err(Refusal::new(Code::KeyReused, "the key was used with another body"));
+    }
+    match &record.stage {
+        Stage::Finished { answer, .. } => Ok(Outcome::Recorded { answer: answer.clone() }),
+        Stage::Expired => {
+            Err(Refusal::new(Code::KeyExpired, "the answer of the key is no longer kept"))
+        }
+        Stage::Claimed { claim, request, gate, incarnation } => {
+            let same = (request, gate, *incarnation)
+                == (&wanted.request, &wanted.gate, wanted.incarnation);
+            if same {
+                return Ok(Outcome::Claimed { claim: *claim });
+            }
+            if record.in_progress(view) {
+                let detail = format!("request '{request}' is in progress at gate '{gate}'");
+                return Err(Refusal::new(Code::KeyInProgress, detail));
+            }
+            let detail = format!("request '{request}' was lost with gate '{gate}'");
+            Err(Refusal::new(Code::OutcomeUnknown, detail))
+        }
+    }
+}
+
+fn other_claim(number: u64) -> Refusal {
+    Refusal::new(Code::StaleFence, format!("claim {number} does not hold the key"))
+}
+
+fn lives(view: &View, gate: &Name, incarnation: Incarnation) -> bool {
+    view.gates.get(gate).is_some_and(|known| known.incarnation == incarnation)
+}
+
+fn size(answer: &Answer) -> usize {
+    answer.body.as_ref().map_or(0, |body| body.len())
+}
--- a/crates/state/src/view.rs
+++ b/crates/state/src/view.rs
@@ -34,6 +34,11 @@
     pub gates: Map<Name, Gate>,
     /// The fingerprints of quarantined requests, each with the time in milliseconds since 1970.
     pub quarantine: Map<u64, u64>,
+    /// The fingerprints of requests that were in progress when an endpoint crashed; each runs alone
+    /// until it ran to its end, another one explains the crash, or it is quarantined.
+    ///
+    /// Invariant: none of them is in `quarantine`.
+    pub suspects: base::Set<u64>,
 }
 
 /// A numbered change of the view.
@@ -66,6 +71,8 @@
     Gate(Name, Option<Gate>),
     /// Sets or removes a quarantined fingerprint.
     Quarantine(u64, Option<u64>),
+    /// Sets or removes a suspect fingerprint.
+    Suspect(u64, bool),
 }
 
 /// An adapter.
--- /dev/null
+++ b/crates/state/tests/replica.rs
@@ -0,0 +1,80 @@
+//! Replicas that apply the same commands are equal, also through snapshots and deltas.
+
+mod common;
+
+use base::Name;
+use common::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use state::Change;
+use state::Command;
+use state::Machine;
+use state::View;
+
+const SEEDS: u64 = 50;
+const STEPS: usize = 400;
+
+/// Makes any command over a few names, so that they meet.
+fn any(random: &mut StdRng, now_ms: u64) -> Command {
+    let gate = format!("g{}", random.random_range(0..4));
+    let run = random.random_range(0..5);
+    let endpoint = format!("e{}", random.random_range(0..6));
+    let text = format!("k{}", random.random_range(0..8));
+    let number = random.random_range(1..40);
+    let fingerprint = random.random_range(0..4);
+    match random.random_range(0..12) {
+        0 => join(&gate, run),
+        1 => expire(&gate, run),
+        2 => Command::Register { endpoint: engine(&endpoint, run) },
+        3 => Command::Forget { endpoint: Name::from(endpoint.as_str()) },
+        4 => Command::Assign {
+            endpoint: Name::from(endpoint.as_str()),
+            fence: number,
+            gate: Name::from(gate.as_str()),
+        },
+        5 | 6 => claim(&text, &format!("r{number}"), (&gate, run), now_ms),
+        7 => finish(&text, number, now_ms),
+        8 => Command::Release { key: key(&text), claim: number },
+        9 => implicate(&endpoint, run, &[fingerprint, fingerprint / 2]),
+        10 => create(&format!("c{number}"), &text),
+        _ => {
+            let change = Change::Drain { host: Name::from(gate.as_str()), draining: run % 2 == 0 };
+            configure(&format!("d{number}"), None, change)
+        }
+    }
+}
+
+#[test]
+fn replicas_stay_equal() {
+    for seed in 0..SEEDS {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut steady = machine();
+        let mut restarted = machine();
+        let mut copy = View::default();
+        for step in 0..STEPS {
+            let command = any(&mut random, step as u64 * 10);
+            let before = steady.view().revision;
+            let (outcome, deltas) = steady.apply(command.clone());
+            assert_eq!(restarted.apply(command), (outcome, deltas.clone()), "seed {seed}");
+            for delta in &deltas {
+                assert!(copy.apply(delta), "seed {seed}");
+                assert!(!copy.apply(delta), "seed {seed}: applied twice");
+            }
+            assert!(steady.view().revision >= before);
+            if step % 37 == 0 {
+                restarted = Machine::restore(LIMITS, &restarted.snapshot()).unwrap();
+            }
+        }
+        assert_eq!(steady.digest(), restarted.digest(), "seed {seed}");
+        assert_eq!(&copy, steady.view(), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_damaged_snapshot_is_refused() {
+    let snapshot = machine().snapshot();
+    assert!(Machine::restore(LIMITS, &[]).is_err());
+    assert!(Machine::restore(LIMITS, &[9, 9, 9]).is_err());
+    assert!(Machine::restore(LIMITS, &snapshot[..snapshot.len() - 1]).is_err());
+}
