--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -16,7 +16,6 @@
 use crate::node::Node;
 use crate::node::Role;
 use crate::progress::Progress;
-use crate::read::majority;
 
 /// What a replica does in its term.
 #[derive(Debug)]
@@ -60,7 +59,7 @@
     fn tick_leader(&mut self) {
         if self.now >= self.check_at {
             self.check_at = self.now + self.config.election;
-            if !self.hears_majority() {
+            if !self.reaches_majority(self.members()) {
                 return self.follow(self.term(), None);
             }
         }
@@ -70,16 +69,6 @@
         }
     }
 
-    /// Returns whether a majority answered within the last election time.
-    fn hears_majority(&self) -> bool {
-        let since = self.now.saturating_sub(self.config.election);
-        let heard = self.members().voters.iter().map(|member| {
-            let heard = self.progress.get(&member.id).is_some_and(|peer| peer.heard >= since);
-            u64::from(member.id == self.id || heard)
-        });
-        majority(heard.collect()) == 1
-    }
-
     /// Sets the time of the next election at random, so that replicas seldom stand at once.
     pub(crate) fn set_election_time(&mut self) {
         let shortest = self.config.election.as_micros() as u64;
--- a/crates/raft/src/membership.rs
+++ b/crates/raft/src/membership.rs
@@ -35,7 +35,8 @@
         Ok(())
     }
 
-    /// Removes a member; the last voter stays. Carried out once no other change is in progress.
+    /// Removes a member, once no other change is in progress. No-op if this replica does not hear a
+    /// majority of the voters that would be left.
     pub fn remove(&mut self, id: Id) -> Result<(), NotLeader> {
         self.check_leader()?;
         self.wish(Wish::Remove(id));
@@ -131,7 +132,7 @@
         let mut members = self.members().clone();
         members.voters.retain(|member| member.id != id);
         members.learners.retain(|member| member.id != id);
-        if members == *self.members() || members.voters.is_empty() {
+        if members == *self.members() || !self.reaches_majority(&members) {
             return None;
         }
         base::event!(INFO, Event::VoterRemoved, replica = id);
@@ -163,9 +164,19 @@
 
     /// Returns whether a learner holds nearly all of the log and was heard lately.
     fn caught_up(&self, id: Id) -> bool {
-        let Some(progress) = self.progress.get(&id) else { return false };
+        let matched = self.match_index(id);
+        self.hears(id) && matched > 0 && matched + CAUGHT_UP >= self.log.last_index()
+    }
+
+    /// Returns whether a majority of the voters in `members` was heard lately.
+    pub(crate) fn reaches_majority(&self, members: &Members) -> bool {
+        let heard = members.voters.iter().filter(|member| self.hears(member.id));
+        heard.count() > members.voters.len() / 2
+    }
+
+    /// Returns whether a replica is this one or answered within the last election time.
+    fn hears(&self, id: Id) -> bool {
         let since = self.now.saturating_sub(self.config.election);
-        let heard = progress.heard >= since && progress.matched > 0;
-        heard && progress.matched + CAUGHT_UP >= self.log.last_index()
+        id == self.id || self.progress.get(&id).is_some_and(|peer| peer.heard >= since)
     }
 }
