disk: the files of a replica

Cause: the raft's promises need a disk that keeps them through crashes and notices damage. Ruled out: a frame for each record; a crash may keep a later record of one write and lose an earlier one, which would look like damage. So one sync is one frame, and a bad frame with a good one behind it was synced. Change: log in segments of frames with length and checksum, hard state in the log (one sync for both),

store that takes no writes after a failure. Files is the trait for tests.

--- /dev/null
+++ b/crates/disk/src/files.rs
@@ -0,0 +1,123 @@
+//! The calls of the operating system that a store needs, so that tests can make them fail.
+
+use std::fs;
+use std::fs::File;
+use std::fs::TryLockError;
+use std::io;
+use std::io::Write;
+use std::path::Path;
+use std::path::PathBuf;
+
+use crate::error::Error;
+
+/// The file that is locked while the folder is open.
+const LOCK: &str = "lock";
+
+/// The files in one folder; nothing lasts before its sync.
+pub trait Files: Send {
+    /// Lists the names of the files.
+    fn list(&self) -> io::Result<Vec<String>>;
+    /// Reads a file; none if it does not exist.
+    fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>>;
+    /// Appends to a file and creates it if needed.
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
+    /// Cuts a file to a length in bytes.
+    fn cut(&mut self, name: &str, length: u64) -> io::Result<()>;
+    /// Makes the content of a file last.
+    fn sync(&mut self, name: &str) -> io::Result<()>;
+    /// Gives a file another name, in the place of a file that has it.
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
+    /// Removes a file.
+    fn remove(&mut self, name: &str) -> io::Result<()>;
+    /// Makes the names of the files last.
+    fn sync_folder(&mut self) -> io::Result<()>;
+}
+
+/// A folder of the file system.
+#[derive(Debug)]
+pub struct Folder {
+    path: PathBuf,
+    /// The file that was appended to last.
+    open: Option<(String, File)>,
+    /// Locked as long as this value lives.
+    _lock: File,
+}
+
+impl Folder {
+    /// Opens a folder, creates it if needed, and locks it against other processes.
+    pub fn open(path: impl AsRef<Path>) -> Result<Folder, Error> {
+        let path = path.as_ref().to_owned();
+        fs::create_dir_all(&path).map_err(Error::io(&path.to_string_lossy()))?;
+        sync_parent(&path).map_err(Error::io(&path.to_string_lossy()))?;
+        let options = File::options().create(true).append(true).open(path.join(LOCK));
+        let lock = options.map_err(Error::io(LOCK))?;
+        match lock.try_lock() {
+            Ok(()) => Ok(Folder { path, open: None, _lock: lock }),
+            Err(TryLockError::WouldBlock) => Err(Error::InUse),
+            Err(TryLockError::Error(source)) => Err(Error::io(LOCK)(source)),
+        }
+    }
+
+    /// Returns a file opened to append.
+    fn file(&mut self, name: &str) -> io::Result<&mut File> {
+        let same = self.open.as_ref().is_some_and(|(open, _)| open == name);
+        if !same {
+            let file = File::options().create(true).append(true).open(self.path.join(name))?;
+            self.open = Some((name.to_owned(), file));
+        }
+        let open = self.open.as_mut().map(|(_, file)| file);
+        open.ok_or_else(|| io::Error::other("no file is open"))
+    }
+}
+
+/// Makes the name of a folder last.
+pub(crate) fn sync_parent(path: &Path) -> io::Result<()> {
+    match path.parent().filter(|parent| !parent.as_os_str().is_empty()) {
+        Some(parent) => File::open(parent)?.sync_all(),
+        None => File::open(".")?.sync_all(),
+    }
+}
+
+impl Files for Folder {
+    fn list(&self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(&self.path)? {
+            names.push(entry?.file_name().to_string_lossy().into_owned());
+        }
+        Ok(names)
+    }
+
+    fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
+        match fs::read(self.path.join(name)) {
+            Ok(bytes) => Ok(Some(bytes)),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.file(name)?.write_all(bytes)
+    }
+
+    fn cut(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.file(name)?.set_len(length)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.file(name)?.sync_data()
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.open = None;
+        fs::rename(self.path.join(from), self.path.join(to))
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.open = None;
+        fs::remove_file(self.path.join(name))
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        File::open(&self.path)?.sync_all()
+    }
+}
--- /dev/null
+++ b/crates/disk/tests/store/damage.rs
@@ -0,0 +1,118 @@
+//! A torn tail is cut, damage before it is an error.
+
+use disk::Error;
+use disk::Identity;
+use disk::Store;
+
+use super::entries;
+use super::entry;
+use super::hard;
+use super::memory::Memory;
+use super::snapshot;
+
+/// Returns files with three frames in one segment, and where the last frame begins.
+fn three_frames() -> (Memory, String, usize) {
+    let files = Memory::default();
+    let (mut store, ..) = Store::with(files.clone()).expect("new");
+    let mut last = 0;
+    for index in 1..=3 {
+        last = files.segments().first().map_or(0, |name| files.content(name).len());
+        store.append([entry(index, 1)]);
+        store.hard(hard(index, 1, index));
+        store.sync().expect("written");
+    }
+    let name = files.segments().remove(0);
+    (files, name, last)
+}
+
+#[test]
+fn a_torn_tail_is_cut_wherever_it_ends() {
+    let (files, name, last) = three_frames();
+    let whole = files.content(&name);
+    for length in last..whole.len() {
+        let torn = files.copy();
+        torn.replace(&name, &whole[..length]);
+        let (mut store, stored, _) = Store::with(torn.clone()).expect("a torn tail");
+        assert_eq!((stored.entries, stored.hard), (entries(1, 2, 1), hard(2, 1, 2)));
+        store.append([entry(3, 2)]);
+        store.sync().expect("written");
+        let (_, stored, _) = Store::with(torn).expect("opens");
+        assert_eq!(stored.entries, [entries(1, 2, 1), vec![entry(3, 2)]].concat());
+    }
+}
+
+#[test]
+fn a_changed_byte_before_the_tail_is_damage() {
+    let (files, name, last) = three_frames();
+    let whole = files.content(&name);
+    for place in 0..last {
+        let mut bytes = whole.clone();
+        bytes[place] ^= 0x10;
+        let changed = files.copy();
+        changed.replace(&name, &bytes);
+        let opened = Store::with(changed.clone());
+        assert!(matches!(opened, Err(Error::Damaged { .. })), "byte {place}");
+        assert_eq!(changed.content(&name), bytes, "nothing is cut");
+    }
+}
+
+#[test]
+fn a_bad_end_of_an_earlier_segment_is_damage() {
+    let files = Memory::default();
+    let (mut store, ..) = Store::with(files.clone()).expect("new");
+    store.segment_bytes(1);
+    for index in 1..=3 {
+        store.append([entry(index, 1)]);
+        store.sync().expect("written");
+    }
+    let names = files.segments();
+    assert_eq!(names.len(), 3);
+    let cut = files.copy();
+    let bytes = files.content(&names[1]);
+    cut.replace(&names[1], &bytes[..bytes.len() - 1]);
+    assert!(matches!(Store::with(cut), Err(Error::Damaged { .. })));
+    files.delete(&names[1]);
+    assert!(matches!(Store::with(files), Err(Error::Damaged { .. })));
+}
+
+#[test]
+fn a_segment_removed_behind_the_snapshot_is_damage() {
+    let files = Memory::default();
+    let (mut store, ..) = Store::with(files.clone()).expect("new");
+    store.segment_bytes(1);
+    store.append(entries(1, 5, 1));
+    store.sync().expect("written");
+    store.append(entries(6, 9, 1));
+    store.sync().expect("written");
+    let covered = files.copy();
+    covered.delete(&covered.segments()[0]);
+    assert!(matches!(Store::with(covered), Err(Error::Damaged { .. })), "without a snapshot");
+    store.snapshot(&snapshot(3, 1)).expect("written");
+    files.delete(&files.segments()[0]);
+    assert!(matches!(Store::with(files), Err(Error::Damaged { .. })), "with one");
+}
+
+#[test]
+fn a_frame_copied_into_the_data_of_a_torn_one_is_no_frame() {
+    let (files, name, last) = three_frames();
+    let whole = files.content(&name);
+    let torn = [&whole[..last], &whole[last..last + 14], &whole[..last]].concat();
+    files.replace(&name, &torn);
+    let (_, stored, _) = Store::with(files).expect("a torn tail");
+    assert_eq!(stored.entries, entries(1, 2, 1));
+}
+
+#[test]
+fn a_changed_snapshot_or_identity_is_damage() {
+    let files = Memory::default();
+    let (mut store, ..) = Store::with(files.clone()).expect("new");
+    store.identify(&Identity { group: 1, replica: 2, host: "h1".into() }).expect("written");
+    store.snapshot(&snapshot(3, 1)).expect("written");
+    for name in ["snapshot", "identity"] {
+        let mut bytes = files.content(name);
+        *bytes.last_mut().expect("not empty") ^= 1;
+        let changed = files.copy();
+        changed.replace(name, &bytes);
+        assert!(matches!(Store::with(changed), Err(Error::Damaged { .. })), "{name}");
+    }
+}
