--- /dev/null
+++ b/crates/raft/tests/log/basics.rs
@@ -0,0 +1,192 @@
+//! Single rules, each in a small group without random faults.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use raft::Message;
+use raft::message::Body;
+use raft::message::Member;
+use raft::message::Payload;
+use raft::node::Role;
+
+use super::sim::World;
+
+/// A group whose hosts all vote, and its leader.
+fn group(hosts: usize) -> (World, usize) {
+    let mut world = World::new(1, hosts);
+    world.heal();
+    let leader = world.leader().expect("one leads");
+    (world, leader)
+}
+
+/// A host that does not lead.
+fn follower(world: &World) -> usize {
+    usize::from(world.leader() == Some(0))
+}
+
+fn propose(world: &mut World, host: usize, count: usize) {
+    for _ in 0..count {
+        world.node(host).propose(Bytes::from_static(b"data")).expect("leads");
+    }
+}
+
+#[test]
+fn a_group_of_one_commits_at_once() {
+    let (mut world, leader) = group(1);
+    let data = Bytes::from_static(b"x");
+    let index = world.node(leader).propose(data.clone()).expect("leads");
+    world.node(leader).read(7).expect("leads");
+    let ready = world.node(leader).ready();
+    let last = ready.committed.last().expect("committed");
+    assert_eq!((last.index, &last.payload), (index, &Payload::Data(data)));
+    assert!(ready.reads.contains(&7));
+    assert!(ready.entries.contains(last), "it is written before it is applied");
+}
+
+#[test]
+fn two_lost_disks_come_back_as_other_voters() {
+    let (mut world, leader) = group(5);
+    let former = world.node(leader).members().clone();
+    for host in [(leader + 1) % 5, (leader + 2) % 5] {
+        world.crash(host, true);
+    }
+    world.heal();
+    let leader = world.leader().expect("one leads");
+    let members = world.node(leader).members();
+    let kept = members.voters.iter().filter(|member| former.voters.contains(member));
+    assert_eq!((members.voters.len(), kept.count()), (5, 3));
+}
+
+#[test]
+fn a_replica_far_behind_gets_a_snapshot_and_a_near_one_entries() {
+    for (count, installs) in [(200, 1), (5, 0)] {
+        let (mut world, leader) = group(3);
+        let behind = follower(&world);
+        let before = world.replicas[behind].installed;
+        world.cut(behind);
+        propose(&mut world, leader, count);
+        world.run_for(500);
+        world.join();
+        world.run_for(500);
+        assert_eq!(world.replicas[behind].installed - before, installs, "{count} entries");
+        assert_eq!(world.replicas[behind].applied, world.replicas[leader].applied);
+    }
+}
+
+#[test]
+fn a_leader_without_majority_steps_down_and_answers_no_read() {
+    let (mut world, leader) = group(3);
+    world.run_for(100);
+    world.cut(leader);
+    world.run_for(50);
+    let confirmed = world.replicas[leader].confirmed;
+    world.run_for(1_000);
+    assert_ne!(world.node(leader).role(), Role::Leader);
+    assert_eq!(world.replicas[leader].confirmed, confirmed);
+    assert!(world.node(leader).read(1).is_err());
+    assert_ne!(world.leader().expect("another one leads"), leader);
+}
+
+#[test]
+fn a_cut_off_replica_does_not_raise_the_term() {
+    let (mut world, leader) = group(3);
+    let term = world.node(leader).term();
+    let away = follower(&world);
+    world.cut(away);
+    world.run_for(5_000);
+    world.join();
+    world.run_for(1_000);
+    assert_eq!((world.node(leader).term(), world.node(leader).role()), (term, Role::Leader));
+}
+
+#[test]
+fn a_vote_is_refused_while_a_leader_is_heard() {
+    let (mut world, leader) = group(3);
+    let host = follower(&world);
+    let now = world.now();
+    let id = world.replicas[leader].id;
+    let (term, last_index) = (world.node(host).term(), world.node(host).last_index());
+    for pre in [true, false] {
+        let body = Body::Vote { last_index, last_term: term, pre };
+        world.node(host).step(99, Message { term: term + 5, body }, now);
+    }
+    assert_eq!((world.node(host).term(), world.node(host).leader()), (term, Some(id)));
+    let granted = |message: &Message| matches!(message.body, Body::Voted { granted: true, .. });
+    assert!(!world.node(host).ready().messages.iter().any(|(_, message)| granted(message)));
+}
+
+#[test]
+fn a_vote_is_given_once_a_term_and_written_with_the_answer() {
+    let (mut world, _) = group(3);
+    let host = follower(&world);
+    let now = Duration::from_secs(60);
+    world.node(host).tick(now);
+    world.node(host).ready();
+    let term = world.node(host).term() + 1;
+    let body = Body::Vote { last_index: 1_000, last_term: term, pre: false };
+    for (candidate, granted, vote) in [(11, true, Some(11)), (12, false, None), (11, true, None)] {
+        world.node(host).step(candidate, Message { term, body: body.clone() }, now);
+        let ready = world.node(host).ready();
+        let answer = Message { term, body: Body::Voted { granted, pre: false } };
+        assert!(ready.messages.contains(&(candidate, answer)), "{:?}", ready.messages);
+        assert_eq!(ready.hard.and_then(|hard| hard.vote), vote, "written once");
+    }
+}
+
+#[test]
+fn a_removed_leader_steps_down_after_the_commit() {
+    let (mut world, leader) = group(3);
+    let id = world.replicas[leader].id;
+    world.node(leader).remove(id).expect("leads");
+    let mut led = Vec::new();
+    for _ in 0..400 {
+        world.step();
+        led.extend(world.leader());
+    }
+    assert!(led.iter().any(|host| *host != leader), "another one led");
+}
+
+#[test]
+fn a_removal_that_would_leave_no_majority_is_not_made() {
+    let (mut world, leader) = group(5);
+    world.crash((leader + 1) % 5, false);
+    world.crash((leader + 2) % 5, false);
+    world.run_for(1_000);
+    let id = world.replicas[(leader + 3) % 5].id;
+    world.node(leader).remove(id).expect("leads");
+    world.run_for(1_000);
+    assert_eq!(world.node(leader).members().voters.len(), 5);
+    assert_eq!(world.node(leader).role(), Role::Leader);
+}
+
+#[test]
+fn members_stay_until_the_leader_has_committed_in_its_term() {
+    let (mut world, former) = group(3);
+    world.crash(former, false);
+    while world.leader().is_none() {
+        world.step();
+    }
+    let leader = world.leader().expect("one leads");
+    let stranger = Member { id: 77, host: "h9".into() };
+    world.node(leader).add_learner(stranger.clone()).expect("leads");
+    assert!(!world.node(leader).members().learners.contains(&stranger));
+    world.run_for(200);
+    assert!(world.node(leader).members().learners.contains(&stranger));
+}
+
+#[test]
+fn entries_are_sent_in_batches_ahead_of_their_answers() {
+    let (mut world, leader) = group(2);
+    let data = Bytes::from(vec![0; 50]);
+    for _ in 0..20 {
+        world.node(leader).propose(data.clone()).expect("leads");
+    }
+    let ready = world.node(leader).ready();
+    let sizes = ready.messages.iter().map(|(_, message)| match &message.body {
+        Body::Append { entries, .. } => entries.len(),
+        _ => 0,
+    });
+    let sizes: Vec<usize> = sizes.collect();
+    assert_eq!(sizes.iter().sum::<usize>(), 20);
+    assert!(sizes.iter().all(|size| *size <= 2), "a batch has 200 bytes: {sizes:?}");
+}
--- a/crates/raft/tests/schedules.rs
+++ b/crates/raft/tests/log/schedules.rs
@@ -1,12 +1,11 @@
 //! Random schedules of faults. `RAFT_SEED=N` runs one seed and prints it, `RAFT_SEEDS=N` the first N.
 
-mod sim;
-
 use std::env;
 use std::ops::Range;
 
-use sim::Report;
-use sim::World;
+use super::sim::HOSTS;
+use super::sim::Report;
+use super::sim::World;
 
 /// The seeds that always run.
 const SEEDS: u64 = 300;
@@ -18,7 +17,7 @@
     let mut total = Report::default();
     for seed in seeds() {
         println!("seed {seed}");
-        let mut world = World::new(seed);
+        let mut world = World::new(seed, HOSTS);
         world.heal();
         world.torment(STEPS);
         world.heal();
--- a/crates/raft/tests/sim/mod.rs
+++ b/crates/raft/tests/log/sim/mod.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use raft::Message;
+use raft::Node;
 use raft::message::Id;
 use raft::message::Members;
 use raft::node::Ready;
@@ -19,7 +20,8 @@
 use self::check::Check;
 use self::replica::Replica;
 
-const HOSTS: usize = 5;
+/// The hosts of a schedule.
+pub(crate) const HOSTS: usize = 5;
 /// The hosts from this one on have no disk.
 const DISKS: usize = 3;
 const STEP: Duration = Duration::from_millis(5);
@@ -67,7 +69,7 @@
     pub(crate) replicas: Vec<Replica>,
     parcels: BTreeMap<(Duration, u64), Parcel>,
     sent: u64,
-    sides: [u8; HOSTS],
+    sides: Vec<u8>,
     rates: Rates,
     faulty: bool,
     check: Check,
@@ -76,7 +78,7 @@
 }
 
 impl World {
-    pub(crate) fn new(seed: u64) -> World {
+    pub(crate) fn new(seed: u64, hosts: usize) -> World {
         let mut random = SmallRng::seed_from_u64(seed);
         let rates = Rates {
             loss: random.random_range(0..200),
@@ -88,7 +90,7 @@
             split: random.random_range(0..8),
             remove: random.random_range(0..4),
         };
-        let replicas = (0..HOSTS).map(|host| Replica::new(random.random(), host)).collect();
+        let replicas = (0..hosts).map(|host| Replica::new(random.random(), host)).collect();
         let mut world = World {
             seed,
             random,
@@ -96,7 +98,7 @@
             replicas,
             parcels: BTreeMap::new(),
             sent: 0,
-            sides: [0; HOSTS],
+            sides: vec![0; hosts],
             rates,
             faulty: false,
             check: Check::default(),
@@ -108,14 +110,14 @@
     }
 
     fn boot(&mut self) {
-        for host in 0..HOSTS {
+        for host in 0..self.replicas.len() {
             self.start(host);
         }
         let member = self.replicas[0].member();
         self.replicas[0].node.as_mut().expect("started").bootstrap(member);
     }
 
-    fn start(&mut self, host: usize) {
+    pub(crate) fn start(&mut self, host: usize) {
         let seed = self.random.random();
         self.replicas[host].start(seed, self.now);
     }
@@ -136,8 +138,8 @@
 
     /// Runs without faults until all hosts vote and hold the same; panics if they don't get there.
     pub(crate) fn heal(&mut self) {
-        self.sides = [0; HOSTS];
-        for host in 0..HOSTS {
+        self.sides.fill(0);
+        for host in 0..self.replicas.len() {
             if self.replicas[host].node.is_none() {
                 self.start(host);
             }
@@ -151,11 +153,37 @@
         panic!("no agreement after the faults ended: {}", self.describe());
     }
 
+    /// Lets time pass, in milliseconds.
+    pub(crate) fn run_for(&mut self, millis: u64) {
+        let end = self.now + Duration::from_millis(millis);
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Cuts a host off from all others.
+    pub(crate) fn cut(&mut self, host: usize) {
+        self.sides[host] = 1;
+    }
+
+    /// Ends all cuts.
+    pub(crate) fn join(&mut self) {
+        self.sides.fill(0);
+    }
+
+    pub(crate) fn now(&self) -> Duration {
+        self.now
+    }
+
+    pub(crate) fn node(&mut self, host: usize) -> &mut Node {
+        self.replicas[host].node.as_mut().expect("running")
+    }
+
     fn agreed(&self) -> bool {
         let Some(leader) = self.leader() else { return false };
         let members = self.members_of(leader);
         let last = self.check.committed();
-        members.voters.len() == HOSTS
+        members.voters.len() == self.replicas.len()
             && members.learners.is_empty()
             && self.replicas.iter().all(|replica| replica.applied == last)
             && self.parcels.values().all(|parcel| parcel.from == self.replicas[leader].id)
@@ -188,7 +216,7 @@
     pub(crate) fn step(&mut self) {
         self.now += STEP;
         self.deliver();
-        for host in 0..HOSTS {
+        for host in 0..self.replicas.len() {
             self.run(host);
         }
     }
@@ -197,7 +225,7 @@
         let later = self.parcels.split_off(&(self.now, u64::MAX));
         let due = std::mem::replace(&mut self.parcels, later);
         for parcel in due.into_values() {
-            let sides = self.sides;
+            let sides = self.sides.clone();
             let found = self.replicas.iter_mut().find(|replica| replica.id == parcel.to);
             let Some(replica) = found.filter(|replica| replica.node.is_some()) else { continue };
             if sides[replica.host] == sides[parcel.from_host] {
@@ -221,7 +249,7 @@
             self.check.leads(node.term(), node.id());
             self.use_leader(host);
         }
-        let ready = self.replicas[host].node.as_mut().expect("running").ready();
+        let ready = self.node(host).ready();
         self.write(host, ready);
     }
 
@@ -289,7 +317,7 @@
         for _ in 0..self.random.random_range(1..4) {
             self.next_value += 1;
             let data = Bytes::from(format!("value {} of {}", self.next_value, host));
-            self.replicas[host].node.as_mut().expect("running").propose(data).expect("leads");
+            self.node(host).propose(data).expect("leads");
         }
     }
 
@@ -301,19 +329,19 @@
     }
 
     fn enroll(&mut self, host: usize) {
-        let asker = self.random.random_range(0..HOSTS);
+        let asker = self.random.random_range(0..self.replicas.len());
         if self.sides[asker] == self.sides[host] && self.replicas[asker].node.is_some() {
             let member = self.replicas[asker].member();
-            self.replicas[host].node.as_mut().expect("running").add_learner(member).expect("leads");
+            self.node(host).add_learner(member).expect("leads");
         }
     }
 
     fn remove(&mut self, host: usize) {
         let voters = self.members_of(host).voters.clone();
         let chosen = voters[self.random.random_range(0..voters.len())].id;
-        if voters.len() == HOSTS && self.expendable(chosen) {
+        if voters.len() == self.replicas.len() && self.expendable(chosen) {
             self.report.removals += 1;
-            self.replicas[host].node.as_mut().expect("running").remove(chosen).expect("leads");
+            self.node(host).remove(chosen).expect("leads");
         }
     }
 
@@ -321,12 +349,12 @@
     fn inject(&mut self) {
         if self.chance(self.rates.split) {
             self.report.splits += 1;
-            self.sides = std::array::from_fn(|_| self.random.random_range(0..2));
+            self.sides.fill_with(|| self.random.random_range(0..2));
         }
         if self.chance(8) {
-            self.sides = [0; HOSTS];
+            self.sides.fill(0);
         }
-        let host = self.random.random_range(0..HOSTS);
+        let host = self.random.random_range(0..self.replicas.len());
         if self.replicas[host].node.is_none() {
             if self.chance(40) {
                 self.start(host);
@@ -340,7 +368,8 @@
         }
     }
 
-    fn crash(&mut self, host: usize, wiped: bool) {
+    /// Stops a host; a wiped one is another replica when it starts again.
+    pub(crate) fn crash(&mut self, host: usize, wiped: bool) {
         let writes = self.random.random_range(0..6);
         self.replicas[host].crash(writes);
         self.report.crashes += 1;
