--- a/crates/raft/tests/sim/mod.rs
+++ b/crates/raft/tests/log/sim/mod.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use raft::Message;
+use raft::Node;
 use raft::message::Id;
 use raft::message::Members;
 use raft::node::Ready;
@@ -19,13 +20,17 @@
 use self::check::Check;
 use self::replica::Replica;
 
-const HOSTS: usize = 5;
+/// The hosts of a schedule.
+pub(crate) const HOSTS: usize = 5;
 /// The hosts from this one on have no disk.
 const DISKS: usize = 3;
 const STEP: Duration = Duration::from_millis(5);
 /// The steps within which a healed group must agree: 30 s.
 const HEAL_STEPS: usize = 6_000;
 
+/// How long a removal that was asked for may still be made: the leader makes it or loses its lead.
+const REMOVAL: Duration = Duration::from_secs(5);
+
 /// A message on its way.
 struct Parcel {
     from: Id,
@@ -67,16 +72,18 @@
     pub(crate) replicas: Vec<Replica>,
     parcels: BTreeMap<(Duration, u64), Parcel>,
     sent: u64,
-    sides: [u8; HOSTS],
+    sides: Vec<u8>,
     rates: Rates,
     faulty: bool,
+    /// The voters whose removal was asked for, and until when it may still be made.
+    leaving: Vec<(Id, Duration)>,
     check: Check,
     next_value: u64,
     report: Report,
 }
 
 impl World {
-    pub(crate) fn new(seed: u64) -> World {
+    pub(crate) fn new(seed: u64, hosts: usize) -> World {
         let mut random = SmallRng::seed_from_u64(seed);
         let rates = Rates {
             loss: random.random_range(0..200),
@@ -88,7 +95,7 @@
             split: random.random_range(0..8),
             remove: random.random_range(0..4),
         };
-        let replicas = (0..HOSTS).map(|host| Replica::new(random.random(), host)).collect();
+        let replicas = (0..hosts).map(|host| Replica::new(random.random(), host)).collect();
         let mut world = World {
             seed,
             random,
@@ -96,9 +103,10 @@
             replicas,
             parcels: BTreeMap::new(),
             sent: 0,
-            sides: [0; HOSTS],
+            sides: vec![0; hosts],
             rates,
             faulty: false,
+            leaving: Vec::new(),
             check: Check::default(),
             next_value: 0,
             report: Report::default(),
@@ -108,14 +116,14 @@
     }
 
     fn boot(&mut self) {
-        for host in 0..HOSTS {
+        for host in 0..self.replicas.len() {
             self.start(host);
         }
         let member = self.replicas[0].member();
         self.replicas[0].node.as_mut().expect("started").bootstrap(member);
     }
 
-    fn start(&mut self, host: usize) {
+    pub(crate) fn start(&mut self, host: usize) {
         let seed = self.random.random();
         self.replicas[host].start(seed, self.now);
     }
@@ -136,8 +144,8 @@
 
     /// Runs without faults until all hosts vote and hold the same; panics if they don't get there.
     pub(crate) fn heal(&mut self) {
-        self.sides = [0; HOSTS];
-        for host in 0..HOSTS {
+        self.sides.fill(0);
+        for host in 0..self.replicas.len() {
             if self.replicas[host].node.is_none() {
                 self.start(host);
             }
@@ -151,11 +159,37 @@
         panic!("no agreement after the faults ended: {}", self.describe());
     }
 
+    /// Lets time pass, in milliseconds.
+    pub(crate) fn run_for(&mut self, millis: u64) {
+        let end = self.now + Duration::from_millis(millis);
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Cuts a host off from all others.
+    pub(crate) fn cut(&mut self, host: usize) {
+        self.sides[host] = 1;
+    }
+
+    /// Ends all cuts.
+    pub(crate) fn join(&mut self) {
+        self.sides.fill(0);
+    }
+
+    pub(crate) fn now(&self) -> Duration {
+        self.now
+    }
+
+    pub(crate) fn node(&mut self, host: usize) -> &mut Node {
+        self.replicas[host].node.as_mut().expect("running")
+    }
+
     fn agreed(&self) -> bool {
         let Some(leader) = self.leader() else { return false };
         let members = self.members_of(leader);
         let last = self.check.committed();
-        members.voters.len() == HOSTS
+        members.voters.len() == self.replicas.len()
             && members.learners.is_empty()
             && self.replicas.iter().all(|replica| replica.applied == last)
             && self.parcels.values().all(|parcel| parcel.from == self.replicas[leader].id)
@@ -188,7 +222,7 @@
     pub(crate) fn step(&mut self) {
         self.now += STEP;
         self.deliver();
-        for host in 0..HOSTS {
+        for host in 0..self.replicas.len() {
             self.run(host);
         }
     }
@@ -197,7 +231,7 @@
         let later = self.parcels.split_off(&(self.now, u64::MAX));
         let due = std::mem::replace(&mut self.parcels, later);
         for parcel in due.into_values() {
-            let sides = self.sides;
+            let sides = self.sides.clone();
             let found = self.replicas.iter_mut().find(|replica| replica.id == parcel.to);
             let Some(replica) = found.filter(|replica| replica.node.is_some()) else { continue };
             if sides[replica.host] == sides[parcel.from_host] {
@@ -221,7 +255,7 @@
             self.check.leads(node.term(), node.id());
             self.use_leader(host);
         }
-        let ready = self.replicas[host].node.as_mut().expect("running").ready();
+        let ready = self.node(host).ready();
         self.write(host, ready);
     }
 
@@ -289,7 +323,7 @@
         for _ in 0..self.random.random_range(1..4) {
             self.next_value += 1;
             let data = Bytes::from(format!("value {} of {}", self.next_value, host));
-            self.replicas[host].node.as_mut().expect("running").propose(data).expect("leads");
+            self.node(host).propose(data).expect("leads");
         }
     }
 
@@ -301,19 +335,20 @@
     }
 
     fn enroll(&mut self, host: usize) {
-        let asker = self.random.random_range(0..HOSTS);
+        let asker = self.random.random_range(0..self.replicas.len());
         if self.sides[asker] == self.sides[host] && self.replicas[asker].node.is_some() {
             let member = self.replicas[asker].member();
-            self.replicas[host].node.as_mut().expect("running").add_learner(member).expect("leads");
+            self.node(host).add_learner(member).expect("leads");
         }
     }
 
     fn remove(&mut self, host: usize) {
         let voters = self.members_of(host).voters.clone();
         let chosen = voters[self.random.random_range(0..voters.len())].id;
-        if voters.len() == HOSTS && self.expendable(chosen) {
+        if voters.len() == self.replicas.len() && self.expendable(chosen) {
             self.report.removals += 1;
-            self.replicas[host].node.as_mut().expect("running").remove(chosen).expect("leads");
+            self.leaving.push((chosen, self.now + REMOVAL));
+            self.node(host).remove(chosen).expect("leads");
         }
     }
 
@@ -321,12 +356,12 @@
     fn inject(&mut self) {
         if self.chance(self.rates.split) {
             self.report.splits += 1;
-            self.sides = std::array::from_fn(|_| self.random.random_range(0..2));
+            self.sides.fill_with(|| self.random.random_range(0..2));
         }
         if self.chance(8) {
-            self.sides = [0; HOSTS];
+            self.sides.fill(0);
         }
-        let host = self.random.random_range(0..HOSTS);
+        let host = self.random.random_range(0..self.replicas.len());
         if self.replicas[host].node.is_none() {
             if self.chance(40) {
                 self.start(host);
@@ -340,7 +375,8 @@
         }
     }
 
-    fn crash(&mut self, host: usize, wiped: bool) {
+    /// Stops a host; a wiped one is another replica when it starts again.
+    pub(crate) fn crash(&mut self, host: usize, wiped: bool) {
         let writes = self.random.random_range(0..6);
         self.replicas[host].crash(writes);
         self.report.crashes += 1;
@@ -352,10 +388,15 @@
         }
     }
 
-    /// Returns whether a majority is left without a replica, by the members that any voter knows.
+    /// Returns whether a majority is left without a replica, by the members that any replica knows. A
+    /// voter that is being removed counts as lost: the group survives two losses, not a removal more.
     fn expendable(&self, id: Id) -> bool {
-        let alive =
-            |other: Id| other != id && self.replicas.iter().any(|replica| replica.id == other);
+        let leaving =
+            |other: Id| self.leaving.iter().any(|(id, end)| *id == other && *end > self.now);
+        let alive = |other: Id| {
+            let there = self.replicas.iter().any(|replica| replica.id == other);
+            there && other != id && !leaving(other)
+        };
         let views = self.replicas.iter().filter_map(|replica| replica.view());
         let mut views = views.filter(|members| !members.voters.is_empty());
         views.all(|members| {
