--- /dev/null
+++ b/crates/board/src/board.rs
@@ -0,0 +1,248 @@
+//! The tables and the steps that touch several of them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Code;
+use base::Name;
+use parking_lot::Mutex;
+use parking_lot::RwLock;
+use state::View;
+use state::view::Ownership;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use wire::endpoint::Model;
+use wire::endpoint::State;
+use wire::keeper::Update;
+
+use crate::endpoint::Endpoint;
+use crate::endpoint::Phase;
+use crate::endpoint::Slot;
+use crate::floor::Floor;
+use crate::floor::Target;
+use crate::floor::Waiter;
+use crate::lease::Lease;
+use crate::patch;
+use crate::peers::Peers;
+use crate::ticket::Abandoned;
+use crate::ticket::Ticket;
+
+/// The shared tables of a gate.
+#[derive(Debug)]
+pub struct Board {
+    /// The name of this gate's host.
+    pub host: Name,
+    /// The longest time between signs of an endpoint that takes work.
+    pub silent: Duration,
+    /// The replicated view; its revision never goes back.
+    pub view: RwLock<View>,
+    /// The lease of this gate.
+    pub lease: Mutex<Lease>,
+    /// The endpoints of this gate and the requests that wait for them.
+    pub floor: Mutex<Floor>,
+    /// The other gates' summaries.
+    pub peers: Mutex<Peers>,
+    /// Wakes the placement controller.
+    pub changed: Notify,
+    /// Wakes the survey controller.
+    pub gained: Notify,
+    abandoned: mpsc::UnboundedSender<Abandoned>,
+}
+
+impl Board {
+    /// Returns an empty board and the stream of requests that were given up.
+    pub fn new(host: Name, silent: Duration) -> (Arc<Board>, mpsc::UnboundedReceiver<Abandoned>) {
+        let (abandoned, given_up) = mpsc::unbounded_channel();
+        let board = Board {
+            host,
+            silent,
+            view: RwLock::default(),
+            lease: Mutex::default(),
+            floor: Mutex::default(),
+            peers: Mutex::default(),
+            changed: Notify::new(),
+            gained: Notify::new(),
+            abandoned,
+        };
+        (Arc::new(board), given_up)
+    }
+
+    /// Returns whether this gate may take requests, dispatch and give orders now.
+    pub fn serving(&self) -> bool {
+        self.lease.lock().holds(Instant::now())
+    }
+
+    /// Returns whether this gate may send work and orders to an endpoint under `fence` now.
+    pub fn owns(&self, endpoint: &Name, fence: u64) -> bool {
+        let lease = self.lease.lock();
+        let floor = self.floor.lock();
+        let owned = floor.endpoints.get(endpoint).is_some_and(|own| own.fence == fence);
+        owned && lease.holds(Instant::now())
+    }
+
+    /// Brings the view up to date; returns false if it cannot be done without a whole view.
+    pub fn update(&self, update: &Update) -> bool {
+        let mut view = self.view.write();
+        let complete = match update {
+            Update::Deltas(deltas) => deltas.iter().all(|delta| patch::apply(&mut view, delta)),
+            Update::Whole(whole) if whole.revision >= view.revision => {
+                *view = (**whole).clone();
+                true
+            }
+            Update::Whole(_) => false,
+        };
+        self.sync(&view);
+        complete
+    }
+
+    /// Takes over the endpoints that the view gives to this gate and drops the others.
+    fn sync(&self, view: &View) {
+        let now = Instant::now();
+        let mut floor = self.floor.lock();
+        let mine = |owned: &&Ownership| owned.owner.as_ref() == Some(&self.host);
+        floor.endpoints.retain(|name, _| view.endpoints.get(name).filter(mine).is_some());
+        for owned in view.endpoints.values().filter(mine) {
+            let info = &owned.endpoint;
+            let known = floor.endpoints.get_mut(&info.name);
+            let draining = view.draining.contains(&info.host);
+            match known {
+                Some(own) if own.fence == owned.fence => {
+                    own.draining = draining;
+                    if own.info.generation < info.generation {
+                        own.restart(info.generation);
+                    }
+                    own.info = info.clone();
+                }
+                _ => {
+                    let mut own = Endpoint::new(info.clone(), owned.fence, now);
+                    own.draining = draining;
+                    floor.endpoints.insert(info.name.clone(), own);
+                }
+            }
+        }
+        drop(floor);
+        self.gained.notify_one();
+        self.changed.notify_one();
+    }
+
+    /// Drops all endpoints because the lease of this run has ended.
+    pub fn disown(&self) {
+        self.floor.lock().endpoints.clear();
+    }
+
+    /// Puts a request into the queue of its target and dispatches what can be.
+    pub fn admit(
+        self: &Arc<Board>,
+        target: Target,
+        waiter: Waiter,
+        limit: usize,
+    ) -> Result<(), Code> {
+        self.floor.lock().admit(target, waiter, limit)?;
+        self.dispatch();
+        Ok(())
+    }
+
+    /// Gives tickets to waiting requests for which an endpoint has room.
+    pub fn dispatch(self: &Arc<Board>) {
+        let now = Instant::now();
+        let lease = self.lease.lock();
+        if !lease.holds(now) {
+            return;
+        }
+        let mut floor = self.floor.lock();
+        let matches = floor.dispatch(now, self.silent);
+        let waiting = !floor.queues.is_empty();
+        drop(floor);
+        drop(lease);
+        for place in matches {
+            let ticket = Ticket::new(Arc::clone(self), &place);
+            // A request that went away meanwhile drops the ticket, which ends the count.
+            drop(place.waiter.reply.send(Ok(ticket)));
+        }
+        if waiting {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Ends the count of a request and lets the next one in.
+    pub fn unpin(self: &Arc<Board>, endpoint: &Name, fence: u64, request: &Name) {
+        self.floor.lock().unpin(endpoint, fence, request);
+        self.changed.notify_one();
+    }
+
+    pub(crate) fn abandon(&self, abandoned: Abandoned) {
+        self.abandoned.send(abandoned).ok();
+    }
+
+    /// Applies a state read from an endpoint, unless an order started or ended after `orders`.
+    pub fn survey(&self, name: &Name, fence: u64, orders: u64, state: &State) -> bool {
+        let now = Instant::now();
+        let mut floor = self.floor.lock();
+        let Some(own) = floor.endpoints.get_mut(name).filter(|own| own.fence == fence) else {
+            return true;
+        };
+        if own.orders != orders || state.generation != own.info.generation {
+            return false;
+        }
+        own.heard = now;
+        let mut slots = base::Map::default();
+        for model in &state.loaded {
+            let fresh = Slot { phase: Phase::Ready, since: now, used: now };
+            slots.insert(model.clone(), own.slots.remove(model).unwrap_or(fresh));
+        }
+        // Orders under way decide on their adapters, whatever the state says.
+        slots.extend(own.slots.drain().filter(|(_, slot)| slot.phase != Phase::Ready));
+        own.slots = slots;
+        own.timeouts = 0;
+        if own.surveyed {
+            // A request that ended since the state was taken is no stranger, so the table only shrinks.
+            own.foreign.retain(|id, _| state.running.iter().any(|run| run.request == *id));
+        } else {
+            own.foreign = own.strangers(state);
+        }
+        own.surveyed = true;
+        true
+    }
+
+    /// Marks an adapter at an endpoint after an order; `None` takes it away.
+    pub fn mark(&self, name: &Name, fence: u64, model: &Model, phase: Option<Phase>) {
+        let now = Instant::now();
+        let mut floor = self.floor.lock();
+        let Some(own) = floor.endpoints.get_mut(name).filter(|own| own.fence == fence) else {
+            return;
+        };
+        own.orders += 1;
+        match phase {
+            Some(phase) => {
+                let used = own.slots.get(model).map_or(now, |slot| slot.used);
+                own.slots.insert(model.clone(), Slot { phase, since: now, used });
+            }
+            None => {
+                own.slots.remove(model);
+            }
+        }
+    }
+}
+
+impl Endpoint {
+    /// Forgets everything that ended with the former generation.
+    fn restart(&mut self, generation: u64) {
+        self.info.generation = generation;
+        self.slots.clear();
+        self.in_flight.clear();
+        self.foreign.clear();
+        self.broken.clear();
+        self.reserved = None;
+        self.leaving = false;
+        self.surveyed = false;
+        self.timeouts = 0;
+        self.orders += 1;
+    }
+
+    /// Returns the requests of a state that this gate did not send.
+    fn strangers(&self, state: &State) -> base::Map<Name, Option<Model>> {
+        let foreign = state.running.iter().filter(|run| !self.in_flight.contains_key(&run.request));
+        foreign.map(|run| (run.request.clone(), run.model.clone())).collect()
+    }
+}
--- /dev/null
+++ b/crates/board/src/floor.rs
@@ -0,0 +1,237 @@
+//! The endpoints that this gate owns and the requests that wait for them.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use base::Code;
+use base::Map;
+use base::Name;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use wire::endpoint::Model;
+
+use crate::endpoint::Endpoint;
+use crate::endpoint::Flight;
+use crate::endpoint::Phase;
+use crate::ticket::Ticket;
+
+/// What a request runs on.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Target {
+    /// A version of an adapter.
+    Model(Model),
+    /// A plain service of a kind.
+    Service(Name),
+}
+
+impl Target {
+    /// Returns the version of an adapter, if it is one.
+    pub fn model(&self) -> Option<&Model> {
+        match self {
+            Target::Model(model) => Some(model),
+            Target::Service(_) => None,
+        }
+    }
+}
+
+/// A request that waits for an endpoint.
+#[derive(Debug)]
+pub struct Waiter {
+    /// The id of the request.
+    pub request: Name,
+    /// The endpoint that the router chose.
+    pub endpoint: Option<Name>,
+    /// The priority from 0 (low) to 9 (high).
+    pub priority: u8,
+    /// When it began to wait.
+    pub arrived: Instant,
+    /// When its answer is needed.
+    pub deadline: Instant,
+    /// Whether nothing else may run beside it.
+    pub alone: bool,
+    /// The fingerprint of the request.
+    pub fingerprint: u64,
+    /// Where it is told of its endpoint or why it gets none.
+    pub reply: oneshot::Sender<Result<Ticket, Code>>,
+}
+
+/// A place for a waiting request.
+pub struct Match {
+    /// The request.
+    pub waiter: Waiter,
+    /// The endpoint.
+    pub endpoint: Name,
+    /// The address of the endpoint.
+    pub address: Name,
+    /// The fencing number.
+    pub fence: u64,
+    /// The generation of the endpoint.
+    pub generation: u64,
+    /// How long the request waited for the adapter to load.
+    pub stall: Duration,
+    /// The requests in flight there, this one included.
+    pub fill: usize,
+    /// The requests of a full batch.
+    pub batch: usize,
+}
+
+/// The endpoints that this gate owns and the requests that wait for them.
+#[derive(Debug, Default)]
+pub struct Floor {
+    /// The endpoints by name.
+    pub endpoints: Map<Name, Endpoint>,
+    /// The waiting requests, the highest priority first and in order of arrival within it.
+    ///
+    /// Invariant: no queue is empty.
+    pub queues: Map<Target, VecDeque<Waiter>>,
+}
+
+impl Floor {
+    /// Puts a request into the queue of its target, refused if `limit` requests wait there.
+    pub fn admit(&mut self, target: Target, waiter: Waiter, limit: usize) -> Result<(), Code> {
+        let queue = self.queues.entry(target).or_default();
+        queue.retain(|waiting| !waiting.reply.is_closed());
+        if queue.len() >= limit.max(1) {
+            return Err(Code::QueueFull);
+        }
+        let place = queue.partition_point(|waiting| waiting.priority >= waiter.priority);
+        queue.insert(place, waiter);
+        Ok(())
+    }
+
+    /// Matches waiting requests with endpoints that have room, and counts each at its endpoint.
+    pub fn dispatch(&mut self, now: Instant, silent: Duration) -> Vec<Match> {
+        let mut targets: Vec<(Instant, Target)> = Vec::new();
+        for (target, queue) in &self.queues {
+            let oldest = queue.iter().map(|waiter| waiter.arrived).min();
+            targets.push((oldest.unwrap_or(now), target.clone()));
+        }
+        targets.sort();
+        let mut matches = Vec::new();
+        for (_, target) in targets {
+            self.dispatch_target(&target, now, silent, &mut matches);
+        }
+        matches
+    }
+
+    fn dispatch_target(
+        &mut self,
+        target: &Target,
+        now: Instant,
+        silent: Duration,
+        matches: &mut Vec<Match>,
+    ) {
+        let Some(mut queue) = self.queues.remove(target) else { return };
+        let mut rest = VecDeque::new();
+        while let Some(waiter) = queue.pop_front() {
+            if waiter.reply.is_closed() || waiter.deadline <= now {
+                self.unreserve(&waiter.request);
+                continue;
+            }
+            match self.find(target, &waiter, now, silent) {
+                Some(name) => matches.extend(self.take(name, target, waiter, now)),
+                None => {
+                    self.reserve(target, &waiter, now, silent);
+                    rest.push_back(waiter);
+                }
+            }
+        }
+        if !rest.is_empty() {
+            self.queues.insert(target.clone(), rest);
+        }
+    }
+
+    fn find(
+        &self,
+        target: &Target,
+        waiter: &Waiter,
+        now: Instant,
+        silent: Duration,
+    ) -> Option<Name> {
+        let fit = self.endpoints.values().filter(|endpoint| {
+            endpoint.serves(target) && endpoint.ready(now, silent) && endpoint.room(waiter)
+        });
+        let model = target.model().is_some();
+        let best = fit.max_by_key(|endpoint| {
+            let chosen = waiter.endpoint.as_ref() == Some(&endpoint.info.name);
+            let fill = endpoint.busy();
+            // A plain service gains nothing from a full batch, so its work is spread.
+            let weight = if model { fill } else { usize::MAX - fill };
+            (weight, chosen, std::cmp::Reverse(endpoint.info.name.clone()))
+        });
+        best.map(|endpoint| endpoint.info.name.clone())
+    }
+
+    /// Keeps an endpoint free of new work for a request that has to run alone.
+    fn reserve(&mut self, target: &Target, waiter: &Waiter, now: Instant, silent: Duration) {
+        let held = |endpoint: &Endpoint| endpoint.reserved.as_ref() == Some(&waiter.request);
+        if !waiter.alone || self.endpoints.values().any(held) {
+            return;
+        }
+        let fit = self.endpoints.values_mut().filter(|endpoint| {
+            endpoint.serves(target) && endpoint.ready(now, silent) && endpoint.reserved.is_none()
+        });
+        if let Some(endpoint) = fit.min_by_key(|endpoint| endpoint.busy()) {
+            endpoint.reserved = Some(waiter.request.clone());
+        }
+    }
+
+    /// Ends the reservation for a request.
+    pub fn unreserve(&mut self, request: &Name) {
+        for endpoint in self.endpoints.values_mut() {
+            if endpoint.reserved.as_ref() == Some(request) {
+                endpoint.reserved = None;
+            }
+        }
+    }
+
+    fn take(&mut self, name: Name, target: &Target, waiter: Waiter, now: Instant) -> Option<Match> {
+        self.unreserve(&waiter.request);
+        let endpoint = self.endpoints.get_mut(&name)?;
+        let flight =
+            Flight { target: target.clone(), fingerprint: waiter.fingerprint, alone: waiter.alone };
+        endpoint.in_flight.insert(waiter.request.clone(), flight);
+        let mut stall = Duration::ZERO;
+        if let Some(slot) = target.model().and_then(|model| endpoint.slots.get_mut(model)) {
+            stall = slot.since.saturating_duration_since(waiter.arrived);
+            slot.used = now;
+        }
+        Some(Match {
+            endpoint: name,
+            address: endpoint.info.address.clone(),
+            fence: endpoint.fence,
+            generation: endpoint.info.generation,
+            stall,
+            fill: endpoint.busy(),
+            batch: endpoint.batch(),
+            waiter,
+        })
+    }
+
+    /// Ends the count of a request at an endpoint.
+    pub fn unpin(&mut self, endpoint: &Name, fence: u64, request: &Name) {
+        if let Some(endpoint) = self.endpoints.get_mut(endpoint)
+            && endpoint.fence == fence
+        {
+            endpoint.in_flight.remove(request);
+        }
+    }
+
+    /// Returns whether the adapter serves or is being loaded at an owned endpoint that takes work.
+    pub fn held(&self, model: &Model, now: Instant, silent: Duration) -> bool {
+        self.endpoints.values().any(|endpoint| {
+            let slot = endpoint.slots.get(model);
+            let held = slot.is_some_and(|slot| slot.phase != Phase::Unloading);
+            held && endpoint.ready(now, silent)
+        })
+    }
+
+    /// Takes all requests that wait for `target` out of their queue.
+    pub fn drain(&mut self, target: &Target) -> Vec<Waiter> {
+        let waiters: Vec<Waiter> = self.queues.remove(target).unwrap_or_default().into();
+        for waiter in &waiters {
+            self.unreserve(&waiter.request);
+        }
+        waiters
+    }
+}
--- /dev/null
+++ b/crates/board/src/ticket.rs
@@ -0,0 +1,87 @@
+//! The right to send one request to one endpoint.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Name;
+
+use crate::board::Board;
+
+/// The right to send one request to one endpoint, which counts it as in flight while this lives.
+#[derive(Debug)]
+pub struct Ticket {
+    /// The request.
+    pub request: Name,
+    /// The endpoint.
+    pub endpoint: Name,
+    /// The address of the endpoint.
+    pub address: Name,
+    /// The fencing number under which the request may be sent.
+    pub fence: u64,
+    /// The generation of the endpoint.
+    pub generation: u64,
+    /// How long the request waited for the adapter to load.
+    pub stall: Duration,
+    /// The share of the batch in use once it is sent.
+    pub fill: f64,
+    board: Arc<Board>,
+    /// Whether the request may run at the endpoint.
+    sent: bool,
+}
+
+/// A request that was given up and may still run at its endpoint.
+#[derive(Clone, Debug)]
+pub struct Abandoned {
+    /// The request.
+    pub request: Name,
+    /// The endpoint.
+    pub endpoint: Name,
+    /// The address of the endpoint.
+    pub address: Name,
+    /// The fencing number under which the request was sent.
+    pub fence: u64,
+    /// The generation of the endpoint.
+    pub generation: u64,
+}
+
+impl Ticket {
+    pub(crate) fn new(board: Arc<Board>, place: &crate::floor::Match) -> Ticket {
+        Ticket {
+            request: place.waiter.request.clone(),
+            endpoint: place.endpoint.clone(),
+            address: place.address.clone(),
+            fence: place.fence,
+            generation: place.generation,
+            stall: place.stall,
+            fill: place.fill as f64 / place.batch.max(1) as f64,
+            board,
+            sent: false,
+        }
+    }
+
+    /// Notes that bytes of the request may reach the endpoint from now on.
+    pub fn send(&mut self) {
+        self.sent = true;
+    }
+
+    /// Notes that the request does not run at the endpoint, or no longer.
+    pub fn finish(&mut self) {
+        self.sent = false;
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if !self.sent {
+            self.board.unpin(&self.endpoint, self.fence, &self.request);
+            return;
+        }
+        self.board.abandon(Abandoned {
+            request: self.request.clone(),
+            endpoint: self.endpoint.clone(),
+            address: self.address.clone(),
+            fence: self.fence,
+            generation: self.generation,
+        });
+    }
+}
--- /dev/null
+++ b/crates/gate/src/addresses.rs
@@ -0,0 +1,66 @@
+//! The addresses that callers and endpoints are told.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use axum::Json;
+use axum::extract::State;
+use base::Name;
+use state::view;
+use tokio::time::Instant;
+use wire::http::Address;
+use wire::http::Addresses;
+
+use crate::context::Context;
+
+/// The weight of each gate.
+const WEIGHT: u32 = 100;
+
+/// Answers `GET /v1/addresses`.
+pub(crate) async fn handle(State(context): State<Arc<Context>>) -> Json<Addresses> {
+    Json(Addresses { addresses: list(&context, true), keep_ms: context.config.timing.addresses_ms })
+}
+
+/// Returns the other gates that take requests.
+pub(crate) fn others(context: &Context) -> Vec<Address> {
+    list(context, false)
+}
+
+/// Returns the gates for an endpoint to announce to, its owner first and this gate last.
+pub(crate) fn behind(context: &Context, owner: Option<&Name>) -> Vec<Name> {
+    let owner = {
+        let view = context.board.view.read();
+        owner.and_then(|owner| view.gates.get(owner)).map(|gate| gate.address.clone())
+    };
+    let mut all: Vec<Name> = list(context, true).into_iter().map(|one| one.address).collect();
+    if let Some(owner) = owner {
+        all.retain(|address| *address != owner);
+        all.insert(0, owner);
+    }
+    all
+}
+
+fn list(context: &Context, own: bool) -> Vec<Address> {
+    let now = Instant::now();
+    let age = Duration::from_millis(context.config.timing.lease_ms);
+    let view = context.board.view.read();
+    let serving = context.board.serving() && !context.draining.load(Ordering::Relaxed);
+    let peers = context.board.peers.lock();
+    let takes = |gate: &view::Gate| {
+        if view.draining.contains(&gate.name) {
+            return false;
+        }
+        if gate.name == context.entry.host {
+            return own && serving;
+        }
+        // A gate that is not heard of yet may have just started; one that fell silent may be cut off.
+        peers
+            .get(&gate.name, gate.incarnation)
+            .is_none_or(|peer| !peer.summary.draining && now.duration_since(peer.received) <= age)
+    };
+    let mut gates: Vec<&view::Gate> = view.gates.values().filter(|gate| takes(gate)).collect();
+    gates.sort_by_key(|gate| &gate.name);
+    let address = |gate: &view::Gate| Address { address: gate.address.clone(), weight: WEIGHT };
+    gates.into_iter().map(address).collect()
+}
--- /dev/null
+++ b/crates/gate/src/announce.rs
@@ -0,0 +1,110 @@
+//! Announcements of endpoints.
+
+use std::sync::Arc;
+
+use axum::Json;
+use axum::body::Bytes;
+use axum::extract::State;
+use axum::http::HeaderMap;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use base::Code;
+use base::Event;
+use base::Name;
+use state::Command;
+use state::view;
+use tokio::time::Instant;
+use wire::endpoint::Announced;
+use wire::endpoint::Announcement;
+
+use crate::addresses;
+use crate::context::Context;
+use crate::crash;
+use crate::refusal::Refusal;
+use crate::request;
+use crate::token;
+
+/// Answers `POST /v1/announce`.
+pub(crate) async fn handle(
+    State(context): State<Arc<Context>>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    match take(&context, &headers, &body).await {
+        Ok(announced) => Json(announced).into_response(),
+        Err(refusal) => refusal.response(&context, &request::id()),
+    }
+}
+
+async fn take(
+    context: &Arc<Context>,
+    headers: &HeaderMap,
+    body: &[u8],
+) -> Result<Announced, Refusal> {
+    if !token::bearer(headers, context.config.tokens.endpoint.as_ref()) {
+        return Err(Refusal::new(Code::Unauthorized));
+    }
+    let announcement: Announcement = serde_json::from_slice(body)
+        .map_err(|error| Refusal::with(Code::BadRequest, error.to_string()))?;
+    let known = lookup(context, &announcement.endpoint.name);
+    let former = known.as_ref().map(|(endpoint, _)| endpoint);
+    let owner = known.as_ref().and_then(|(_, owner)| owner.clone());
+    if owner.as_ref() == Some(&context.entry.host) {
+        heard(context, &announcement);
+    } else if let Some(remote) = owner.as_ref().and_then(|owner| context.remote(owner)) {
+        let context = Arc::clone(context);
+        let copy = announcement.clone();
+        tokio::spawn(async move { context.links.announce(&remote.peer, copy).await });
+    }
+    if stale(former, &announcement.endpoint) {
+        register(context, &announcement).await?;
+    }
+    let owner = lookup(context, &announcement.endpoint.name).and_then(|(_, owner)| owner);
+    Ok(Announced {
+        interval_ms: context.config.timing.announce_ms,
+        addresses: addresses::behind(context, owner.as_ref()),
+    })
+}
+
+fn lookup(context: &Context, endpoint: &Name) -> Option<(view::Endpoint, Option<Name>)> {
+    let view = context.board.view.read();
+    let owned = view.endpoints.get(endpoint)?;
+    Some((owned.endpoint.clone(), owned.owner.clone()))
+}
+
+/// Returns whether the view lacks what is announced; a late word of an earlier run changes nothing.
+fn stale(known: Option<&view::Endpoint>, announced: &view::Endpoint) -> bool {
+    known.is_none_or(|known| known.generation <= announced.generation && known != announced)
+}
+
+async fn register(context: &Context, announcement: &Announcement) -> Result<(), Refusal> {
+    let endpoint = announcement.endpoint.clone();
+    let (name, generation) = (endpoint.name.clone(), endpoint.generation);
+    let command = Command::Register { endpoint };
+    let patience = context.call() * 2;
+    context.keepers.submit(&command, patience).await.map_err(Refusal::from)?;
+    base::event!(INFO, Event::Announced, endpoint = %name, generation);
+    Ok(())
+}
+
+/// Takes an announcement of an endpoint that this gate owns.
+pub(crate) fn heard(context: &Arc<Context>, announcement: &Announcement) {
+    let name = &announcement.endpoint.name;
+    let generation = announcement.endpoint.generation;
+    let mut floor = context.board.floor.lock();
+    let Some(own) = floor.endpoints.get_mut(name) else { return };
+    if generation < own.info.generation {
+        return;
+    }
+    own.heard = Instant::now();
+    own.leaving = announcement.leaving;
+    let restarted = generation > own.info.generation;
+    if restarted {
+        own.surveyed = false;
+    }
+    drop(floor);
+    if restarted {
+        crash::crashed(context, name);
+    }
+    context.board.dispatch();
+}
--- /dev/null
+++ b/crates/gate/src/attempt.rs
@@ -0,0 +1,314 @@
+//! Sends a request to an endpoint of this gate, or passes it to the gate that owns the endpoint.
+
+use std::sync::Arc;
+
+use axum::http::Method;
+use axum::http::header::CONTENT_TYPE;
+use base::Code;
+use base::Event;
+use base::Name;
+use board::Target;
+use board::Ticket;
+use board::Waiter;
+use http_body_util::Full;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use wire::endpoint::Reason;
+use wire::header;
+
+use crate::answer::Answer;
+use crate::context::Context;
+use crate::crash;
+use crate::exchange;
+use crate::exchange::Expect;
+use crate::failure::Failure;
+use crate::pick;
+use crate::pick::Choice;
+use crate::pick::Tried;
+use crate::request::Request;
+use crate::request::Resolved;
+
+/// The endpoints that one request is sent to at most.
+const ATTEMPTS: usize = 3;
+/// The endpoints that may crash while one request runs there.
+const CRASHES: usize = 2;
+/// The times that one owner tries a request which its endpoints refused without running it.
+const LOCAL: usize = 3;
+
+/// Answers an idempotent request by any endpoint.
+pub(crate) async fn run(
+    context: &Arc<Context>,
+    mut request: Request<Resolved>,
+) -> Result<Answer, Failure> {
+    let mut tried = Tried::default();
+    let mut crashes = 0;
+    let mut last = Failure::from(Code::NoEndpoint);
+    for attempt in 0..ATTEMPTS {
+        let Some(choice) = pick::choose(context, &request.stage.target, &tried) else { break };
+        if attempt > 0 {
+            context.trace.note(&request.id, Event::Retried, choice.reason.as_str());
+            context.metrics.requests.with_label_values(&["retried"]).inc();
+        }
+        match once(context, &request, &choice).await {
+            Ok(answer) => return Ok(answer),
+            Err(failure) => last = failure,
+        }
+        if last.crash() {
+            crashes += 1;
+            request.stage.suspect = true;
+            suspect(context, request.stage.fingerprint);
+        }
+        if !last.retriable() || crashes >= CRASHES || Instant::now() >= request.stage.deadline {
+            break;
+        }
+        if quarantined(context, &request) {
+            return Err(Failure::from(Code::Quarantined));
+        }
+        if !last.not_run() && !context.spend() {
+            break;
+        }
+        tried.add(&choice, &last);
+    }
+    Err(last)
+}
+
+/// Sends a request to the chosen endpoint through its owner.
+pub(crate) async fn once(
+    context: &Arc<Context>,
+    request: &Request<Resolved>,
+    choice: &Choice,
+) -> Result<Answer, Failure> {
+    if choice.owner == context.entry.host {
+        return local(context, request, Some(&choice.endpoint)).await;
+    }
+    relay(context, request, choice).await
+}
+
+fn suspect(context: &Context, fingerprint: u64) {
+    context.suspects.lock().insert(fingerprint);
+}
+
+fn quarantined(context: &Context, request: &Request<Resolved>) -> bool {
+    context.board.view.read().quarantine.contains_key(&request.stage.fingerprint)
+}
+
+/// Answers a request by an endpoint of this gate.
+pub(crate) async fn local(
+    context: &Arc<Context>,
+    request: &Request<Resolved>,
+    endpoint: Option<&Name>,
+) -> Result<Answer, Failure> {
+    let mut last = Failure::from(Code::NoEndpoint);
+    for _ in 0..LOCAL {
+        let ticket = wait(context, request, endpoint).await?;
+        match dispatch(context, request, ticket, request.stage.deadline).await {
+            Err(Failure::Rejected(fault))
+                if matches!(fault.error, Reason::NotLoaded | Reason::Busy) =>
+            {
+                last = Failure::Rejected(fault);
+            }
+            other => return other,
+        }
+    }
+    Err(last)
+}
+
+/// Waits until an endpoint of this gate has room for a request.
+pub(crate) async fn wait(
+    context: &Arc<Context>,
+    request: &Request<Resolved>,
+    endpoint: Option<&Name>,
+) -> Result<Ticket, Failure> {
+    let stage = &request.stage;
+    if !context.board.serving() {
+        return Err(Failure::from(Code::NotServing));
+    }
+    if !served(context, &stage.target) {
+        return Err(Failure::from(Code::NoEndpoint));
+    }
+    let (reply, ticket) = oneshot::channel();
+    let waiter = Waiter {
+        request: request.id.clone(),
+        endpoint: endpoint.cloned(),
+        priority: request.priority,
+        arrived: Instant::now(),
+        deadline: stage.deadline,
+        alone: stage.suspect,
+        fingerprint: stage.fingerprint,
+        reply,
+    };
+    context.board.admit(stage.target.clone(), waiter, stage.queue_limit)?;
+    let answer = tokio::time::timeout_at(stage.deadline, ticket).await;
+    match answer {
+        Err(_) => Err(Failure::from(Code::DeadlineExceeded)),
+        Ok(Err(_)) => Err(Failure::from(Code::DeadlineExceeded)),
+        Ok(Ok(ticket)) => ticket.map_err(Failure::from),
+    }
+}
+
+fn served(context: &Context, target: &Target) -> bool {
+    let now = Instant::now();
+    let view = context.board.view.read();
+    let base = target.model().and_then(|model| view.adapters.get(&model.adapter));
+    let base = base.map(|adapter| &adapter.base);
+    let floor = context.board.floor.lock();
+    floor.endpoints.values().any(|own| {
+        pick::suits(&own.info.role, target, base) && own.ready(now, context.board.silent)
+    })
+}
+
+/// Sends a request to the endpoint of its ticket, and checks the lease immediately before.
+pub(crate) async fn dispatch(
+    context: &Arc<Context>,
+    request: &Request<Resolved>,
+    mut ticket: Ticket,
+    deadline: Instant,
+) -> Result<Answer, Failure> {
+    context.trace.note(
+        &request.id,
+        Event::Routed,
+        format!("to {} under fence {}", ticket.endpoint, ticket.fence),
+    );
+    if request.model().is_some() {
+        context.metrics.stalled(ticket.stall);
+        context.metrics.batch_fill.observe(ticket.fill);
+    }
+    let message = compose(request, &ticket)?;
+    if !context.board.owns(&ticket.endpoint, ticket.fence) {
+        return Err(Failure::from(Code::NotServing));
+    }
+    ticket.send();
+    let answer = match context.client.send(message, deadline).await {
+        Ok(response) => exchange::receive(response, expect(request, deadline, false)).await,
+        Err(failure) => Err(failure),
+    };
+    match answer {
+        Ok(mut answer) => {
+            answer.seal(ticket);
+            context.board.dispatch();
+            Ok(answer)
+        }
+        Err(failure) => {
+            settle(context, request, ticket, &failure);
+            Err(failure)
+        }
+    }
+}
+
+fn compose(
+    request: &Request<Resolved>,
+    ticket: &Ticket,
+) -> Result<axum::http::Request<Full<axum::body::Bytes>>, Failure> {
+    let path = request.endpoint_path();
+    let mut message = exchange::build(request.method.clone(), &ticket.address, path)
+        .header(header::REQUEST, request.id.as_str())
+        .header(header::FENCE, ticket.fence)
+        .header(header::PRIORITY, u16::from(request.priority));
+    if let Some(content_type) = &request.content_type {
+        message = message.header(CONTENT_TYPE, content_type.as_str());
+    }
+    if let Some(key) = &request.key {
+        message = message.header(header::IDEMPOTENCY_KEY, key.as_str());
+    }
+    let body = Full::new(request.endpoint_body());
+    message.body(body).map_err(|_| Failure::from(Code::BadRequest))
+}
+
+fn expect(request: &Request<Resolved>, deadline: Instant, relayed: bool) -> Expect {
+    Expect {
+        request: request.id.clone(),
+        model: request.model().cloned(),
+        stream: request.stream(),
+        relayed,
+        deadline,
+    }
+}
+
+/// Keeps the books after a request got no answer.
+fn settle(context: &Context, request: &Request<Resolved>, mut ticket: Ticket, failure: &Failure) {
+    context.trace.note(
+        &request.id,
+        Event::AnswerRejected,
+        format!("{} failed: {failure:?}", ticket.endpoint),
+    );
+    if failure.crash() {
+        let fingerprint = request.stage.fingerprint;
+        crash::broken(context, &ticket.endpoint, ticket.fence, fingerprint);
+    }
+    if failure.not_run() {
+        ticket.finish();
+    }
+    if let Failure::Rejected(fault) = failure
+        && fault.error == Reason::NotLoaded
+        && let Some(model) = request.model()
+    {
+        context.board.mark(&ticket.endpoint, ticket.fence, model, None);
+    }
+    drop(ticket);
+}
+
+/// Passes a request to the gate that owns the chosen endpoint.
+pub(crate) async fn relay(
+    context: &Arc<Context>,
+    request: &Request<Resolved>,
+    choice: &Choice,
+) -> Result<Answer, Failure> {
+    let unreachable = || Failure::from(Code::OwnerUnreachable);
+    let remote = context.remote(&choice.owner).ok_or_else(unreachable)?;
+    context.trace.note(
+        &request.id,
+        Event::Forwarded,
+        format!("to {} for {}: {}", choice.owner, choice.endpoint, choice.reason),
+    );
+    context.metrics.requests.with_label_values(&["relayed"]).inc();
+    let message = pass_on(context, request, choice, &remote.relay)?;
+    let deadline = request.stage.deadline;
+    let sent = Instant::now();
+    let answer = match context.client.send(message, deadline).await {
+        Ok(response) => exchange::receive(response, expect(request, deadline, true)).await,
+        Err(failure) => Err(failure),
+    };
+    context.metrics.relay.observe(sent.elapsed().as_secs_f64());
+    answer.map_err(|failure| match failure {
+        Failure::Unsent => unreachable(),
+        Failure::Lost | Failure::Short => Failure::from(Code::OwnerLost),
+        other => other,
+    })
+}
+
+fn pass_on(
+    context: &Context,
+    request: &Request<Resolved>,
+    choice: &Choice,
+    address: &Name,
+) -> Result<axum::http::Request<Full<axum::body::Bytes>>, Failure> {
+    let left = request.stage.deadline.saturating_duration_since(Instant::now()).as_millis();
+    let mut message = exchange::build(Method::clone(&request.method), address, &request.path)
+        .header(header::REQUEST, request.id.as_str())
+        .header(header::ENDPOINT, choice.endpoint.as_str())
+        .header(header::RELAYED_BY, context.entry.host.as_str())
+        .header(header::CALLER, request.caller.as_str())
+        .header(header::PRIORITY, u16::from(request.priority))
+        .header(header::DEADLINE, left.to_string());
+    if let Some(token) = &context.config.tokens.site {
+        message = message.header(header::SITE_TOKEN, token.as_str());
+    }
+    if let Some(content_type) = &request.content_type {
+        message = message.header(CONTENT_TYPE, content_type.as_str());
+    }
+    if let Some(model) = request.model() {
+        message = message.header(header::ADAPTER, model.adapter.as_str());
+        message = message.header(header::VERSION, model.version.as_str());
+    }
+    if let Some(key) = &request.key {
+        message = message.header(header::IDEMPOTENCY_KEY, key.as_str());
+    }
+    if request.stage.key.is_some() {
+        message = message.header(header::NON_IDEMPOTENT, "true");
+    }
+    if request.stage.suspect {
+        message = message.header(header::SUSPECT, "true");
+    }
+    let body = Full::new(request.body.clone());
+    message.body(body).map_err(|_| Failure::from(Code::BadRequest))
+}
--- /dev/null
+++ b/crates/gate/src/exchange.rs
@@ -0,0 +1,227 @@
+//! The HTTP client, and the comparison of answers with what was asked.
+
+use std::time::Duration;
+
+use axum::body::Bytes;
+use axum::http::HeaderMap;
+use axum::http::Method;
+use axum::http::Request;
+use axum::http::Response;
+use axum::http::header::CONTENT_TYPE;
+use base::Name;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioTimer;
+use serde::Deserialize;
+use tokio::time::Instant;
+use wire::endpoint::Fault;
+use wire::endpoint::Model;
+use wire::header;
+
+use crate::answer::Answer;
+use crate::answer::Head;
+use crate::answer::Whole;
+use crate::failure::Failure;
+use crate::refusal::Refusal;
+use crate::request;
+use crate::stream::Source;
+
+/// The largest answer that is not a stream, in bytes.
+const ANSWER_LIMIT: usize = 32 << 20;
+/// How long an unused connection is kept.
+const IDLE: Duration = Duration::from_secs(20);
+/// The status of a request that an endpoint refused.
+const CONFLICT: u16 = 409;
+
+/// The HTTP client towards endpoints and other gates.
+pub(crate) struct Client {
+    inner: hyper_util::client::legacy::Client<HttpConnector, Full<Bytes>>,
+}
+
+/// What an answer has to carry.
+#[derive(Clone, Debug)]
+pub(crate) struct Expect {
+    /// The request.
+    pub(crate) request: Name,
+    /// What it ran on, if it is a completion.
+    pub(crate) model: Option<Model>,
+    /// Whether the answer is a stream of events.
+    pub(crate) stream: bool,
+    /// Whether another gate gives it, which tells its refusals in the form for callers.
+    pub(crate) relayed: bool,
+    /// When it has to be complete.
+    pub(crate) deadline: Instant,
+}
+
+/// The fields of a completion that are compared.
+#[derive(Deserialize)]
+struct Mark {
+    id: Option<Name>,
+    model: Option<Name>,
+}
+
+impl Client {
+    /// Returns a client that gives a connection up after `connect`.
+    pub(crate) fn new(connect: Duration) -> Client {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(connect));
+        connector.set_nodelay(true);
+        let inner = hyper_util::client::legacy::Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE)
+            .build(connector);
+        Client { inner }
+    }
+
+    /// Sends a request and waits until the head of its answer has come.
+    pub(crate) async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<Response<Incoming>, Failure> {
+        let answer = tokio::time::timeout_at(deadline, self.inner.request(request)).await;
+        let answer = answer.map_err(|_| Failure::Timeout)?;
+        answer.map_err(|error| if error.is_connect() { Failure::Unsent } else { Failure::Lost })
+    }
+
+    /// Reads a resource; none if it cannot be had within `time`.
+    pub(crate) async fn get(&self, address: &str, path: &str, time: Duration) -> Option<Bytes> {
+        let request = build(Method::GET, address, path).body(Full::default()).ok()?;
+        let (status, body) = tokio::time::timeout(time, self.whole(request)).await.ok()??;
+        (status == 200).then_some(body)
+    }
+
+    /// Posts JSON; none without an answer within `time`.
+    pub(crate) async fn post(
+        &self,
+        address: &str,
+        path: &str,
+        body: Bytes,
+        fence: u64,
+        time: Duration,
+    ) -> Option<(u16, Bytes)> {
+        let request = build(Method::POST, address, path)
+            .header(CONTENT_TYPE, "application/json")
+            .header(header::FENCE, fence)
+            .body(Full::new(body))
+            .ok()?;
+        tokio::time::timeout(time, self.whole(request)).await.ok()?
+    }
+
+    /// Deletes a resource; false without an answer within `time`.
+    pub(crate) async fn delete(
+        &self,
+        address: &str,
+        path: &str,
+        fence: u64,
+        time: Duration,
+    ) -> bool {
+        let request = build(Method::DELETE, address, path).header(header::FENCE, fence);
+        let Ok(request) = request.body(Full::default()) else { return false };
+        let answer = tokio::time::timeout(time, self.whole(request)).await;
+        matches!(answer, Ok(Some(_)))
+    }
+
+    async fn whole(&self, request: Request<Full<Bytes>>) -> Option<(u16, Bytes)> {
+        let answer = self.inner.request(request).await.ok()?;
+        let status = answer.status().as_u16();
+        let body = Limited::new(answer.into_body(), ANSWER_LIMIT).collect().await.ok()?;
+        Some((status, body.to_bytes()))
+    }
+}
+
+/// Starts a request to `address`.
+pub(crate) fn build(method: Method, address: &str, path: &str) -> axum::http::request::Builder {
+    Request::builder().method(method).uri(format!("http://{address}{path}"))
+}
+
+/// Reads an answer and compares it with what was asked; of a stream, its first event.
+pub(crate) async fn receive(
+    response: Response<Incoming>,
+    expect: Expect,
+) -> Result<Answer, Failure> {
+    let (parts, body) = response.into_parts();
+    let status = parts.status.as_u16();
+    let head = Head::read(&parts.headers);
+    let content_type = text(&parts.headers, CONTENT_TYPE.as_str());
+    if status == 200 && expect.stream && !head.replayed {
+        check_headers(&parts.headers, &expect)?;
+        let mut source = Source::new(body, expect);
+        let first = source.next().await?;
+        return Ok(Answer::Stream(Box::new(crate::answer::Live::new(head, source, first))));
+    }
+    let body = collect(body, &expect).await?;
+    refused(status, &body, &expect)?;
+    check_headers(&parts.headers, &expect)?;
+    if expect.model.is_some() && !head.replayed {
+        if status != 200 {
+            return Err(Failure::Failed(status));
+        }
+        check_mark(&body, &expect)?;
+    }
+    Ok(Answer::Whole(Whole { status, content_type, body, head }))
+}
+
+async fn collect(body: Incoming, expect: &Expect) -> Result<Bytes, Failure> {
+    let reading = Limited::new(body, ANSWER_LIMIT).collect();
+    let read = tokio::time::timeout_at(expect.deadline, reading).await;
+    let read = read.map_err(|_| Failure::Timeout)?;
+    read.map(|collected| collected.to_bytes()).map_err(|_| Failure::Lost)
+}
+
+/// Tells an answer from a refusal.
+fn refused(status: u16, body: &[u8], expect: &Expect) -> Result<(), Failure> {
+    if status < 400 {
+        return Ok(());
+    }
+    if expect.relayed {
+        let Ok(refusal) = serde_json::from_slice::<wire::http::Refusal>(body) else {
+            return Ok(());
+        };
+        if refusal.error.code.status() == status && refusal.error.request == expect.request {
+            return Err(Failure::Refused(Refusal::from(refusal.error)));
+        }
+        return Ok(());
+    }
+    if status == CONFLICT || expect.model.is_some() {
+        if let Ok(fault) = serde_json::from_slice::<Fault>(body) {
+            return Err(Failure::Rejected(fault));
+        }
+    }
+    Ok(())
+}
+
+fn check_headers(headers: &HeaderMap, expect: &Expect) -> Result<(), Failure> {
+    check(header::REQUEST, text(headers, header::REQUEST).as_deref(), &expect.request)?;
+    let replayed = text(headers, header::REPLAYED).is_some();
+    if let Some(model) = expect.model.as_ref().filter(|_| !replayed) {
+        check(header::ADAPTER, text(headers, header::ADAPTER).as_deref(), &model.adapter)?;
+        check(header::VERSION, text(headers, header::VERSION).as_deref(), &model.version)?;
+    }
+    Ok(())
+}
+
+/// Compares the fields of a completion with what was asked.
+pub(crate) fn check_mark(json: &[u8], expect: &Expect) -> Result<(), Failure> {
+    let mark: Mark = serde_json::from_slice(json)
+        .map_err(|_| Failure::Wrong(String::from("the answer is not the JSON of a completion")))?;
+    check("id", mark.id.as_deref(), &expect.request)?;
+    let Some(model) = &expect.model else { return Ok(()) };
+    check("model", mark.model.as_deref(), &request::spell(model))
+}
+
+fn check(field: &str, found: Option<&str>, wanted: &str) -> Result<(), Failure> {
+    if found == Some(wanted) {
+        return Ok(());
+    }
+    let found = found.unwrap_or("nothing");
+    Err(Failure::Wrong(format!("{field} is {found} in place of {wanted}")))
+}
+
+fn text(headers: &HeaderMap, name: &str) -> Option<Name> {
+    headers.get(name).and_then(|value| value.to_str().ok()).map(Name::from)
+}
--- /dev/null
+++ b/crates/gate/src/failure.rs
@@ -0,0 +1,105 @@
+//! Why a request got no answer from an endpoint or another gate.
+
+use base::Code;
+use base::Ran;
+use wire::endpoint::Fault;
+use wire::endpoint::Reason;
+
+use crate::refusal::Refusal;
+
+/// Why a request got no answer from an endpoint or another gate.
+#[derive(Clone, Debug)]
+pub(crate) enum Failure {
+    /// No connection could be made: it did not run.
+    Unsent,
+    /// The endpoint refused it before it ran.
+    Rejected(Fault),
+    /// It was refused here or by another gate.
+    Refused(Refusal),
+    /// The connection broke before the answer ended.
+    Lost,
+    /// The answer did not come before the deadline.
+    Timeout,
+    /// The answer was for another request, adapter or version.
+    Wrong(String),
+    /// The answer ended before its end mark.
+    Short,
+    /// The endpoint answered with a fault of its own.
+    Failed(u16),
+}
+
+impl Failure {
+    /// Returns what the caller is told.
+    pub(crate) fn refusal(&self) -> Refusal {
+        match self {
+            Failure::Unsent => Refusal::with(Code::NoEndpoint, "the endpoint cannot be reached"),
+            Failure::Rejected(fault) => rejected(fault),
+            Failure::Refused(refusal) => refusal.clone(),
+            Failure::Lost => Refusal::new(Code::EndpointFailed),
+            Failure::Timeout => Refusal::new(Code::EndpointTimeout),
+            Failure::Wrong(message) => Refusal::with(Code::WrongAnswer, message.as_str()),
+            Failure::Short => Refusal::new(Code::ShortAnswer),
+            Failure::Failed(status) => {
+                Refusal::with(Code::EndpointFailed, format!("the endpoint answered {status}"))
+            }
+        }
+    }
+
+    /// Returns whether the request certainly did not run.
+    pub(crate) fn not_run(&self) -> bool {
+        match self {
+            Failure::Unsent | Failure::Rejected(_) => true,
+            Failure::Refused(refusal) => refusal.ran == Ran::No,
+            _ => false,
+        }
+    }
+
+    /// Returns whether an idempotent request may succeed elsewhere.
+    pub(crate) fn retriable(&self) -> bool {
+        match self {
+            Failure::Rejected(fault) => fault.error != Reason::BadRequest,
+            Failure::Refused(refusal) => matches!(
+                refusal.code,
+                Code::NotServing
+                    | Code::Draining
+                    | Code::NoEndpoint
+                    | Code::OwnerUnreachable
+                    | Code::OwnerLost
+                    | Code::LoadFailed
+                    | Code::EndpointFailed
+                    | Code::WrongAnswer
+                    | Code::ShortAnswer
+            ),
+            Failure::Timeout => false,
+            _ => true,
+        }
+    }
+
+    /// Returns whether an endpoint may have crashed from it.
+    pub(crate) fn crash(&self) -> bool {
+        match self {
+            Failure::Lost | Failure::Short => true,
+            Failure::Refused(refusal) => {
+                matches!(refusal.code, Code::EndpointFailed | Code::ShortAnswer)
+            }
+            _ => false,
+        }
+    }
+}
+
+fn rejected(fault: &Fault) -> Refusal {
+    let code = match fault.error {
+        Reason::BadRequest => Code::BadRequest,
+        Reason::StaleFence => Code::StaleFence,
+        Reason::LoadFailed => Code::LoadFailed,
+        Reason::Busy => Code::QueueFull,
+        Reason::NotLoaded | Reason::NoSlot | Reason::InUse => Code::NoEndpoint,
+    };
+    Refusal::with(code, fault.message.as_str())
+}
+
+impl From<Code> for Failure {
+    fn from(code: Code) -> Failure {
+        Failure::Refused(Refusal::new(code))
+    }
+}
--- /dev/null
+++ b/crates/gate/src/journal.rs
@@ -0,0 +1,145 @@
+//! Claims of non-idempotent requests and their recorded answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Code;
+use base::Event;
+use base::Name;
+use state::Command;
+use state::Outcome;
+use state::journal::Answer;
+use state::journal::Claim;
+use state::journal::Key;
+use tokio::time::Instant;
+use uuid::Uuid;
+
+use crate::answer::Head;
+use crate::answer::Whole;
+use crate::context::Context;
+use crate::crash::now_ms;
+use crate::failure::Failure;
+use crate::refusal::Refusal;
+use crate::request::Request;
+use crate::request::Resolved;
+
+/// How long the keepers are asked for a claim.
+const CLAIM_TIME: Duration = Duration::from_secs(5);
+/// How long the keepers are asked in one go to note an end.
+const STEP: Duration = Duration::from_secs(5);
+/// The goes after which an end that cannot be noted is given up.
+const STEPS: usize = 60;
+
+/// What the journal says of a key.
+#[derive(Debug)]
+pub(crate) enum Entry {
+    /// The request may be sent once, under this number.
+    Claimed(u64),
+    /// It ran and this is its answer.
+    Recorded(Whole),
+}
+
+/// Claims the key of a request.
+pub(crate) async fn claim(
+    context: &Arc<Context>,
+    request: &Request<Resolved>,
+    key: &Key,
+) -> Result<Entry, Failure> {
+    let claim = Claim {
+        key: key.clone(),
+        digest: request.stage.digest,
+        request: request.id.clone(),
+        gate: context.entry.host.clone(),
+        incarnation: context.board.lease.lock().incarnation,
+        created_ms: created_ms(&key.key),
+    };
+    let command = Command::Claim { claim, now_ms: now_ms() };
+    let left = request.stage.deadline.saturating_duration_since(Instant::now());
+    let began = Instant::now();
+    let outcome = context.keepers.submit(&command, left.min(CLAIM_TIME)).await;
+    context.metrics.journal.observe(began.elapsed().as_secs_f64());
+    match outcome {
+        Ok(Outcome::Claimed { claim }) => {
+            context.trace.note(&request.id, Event::KeyClaimed, format!("claim {claim}"));
+            Ok(Entry::Claimed(claim))
+        }
+        Ok(Outcome::Recorded { answer }) => {
+            context.trace.note(&request.id, Event::Replayed, key.key.as_str());
+            replay(answer).map(Entry::Recorded)
+        }
+        Ok(Outcome::Refused { code, detail, .. }) => {
+            Err(Failure::Refused(Refusal::with(code, detail)))
+        }
+        Ok(Outcome::Done { .. }) => Err(Failure::from(Code::Internal)),
+        Err(wire::keeper::Fault::Unknown) => {
+            tokio::spawn(retract(Arc::clone(context), command, key.clone()));
+            Err(Failure::from(Code::Lost))
+        }
+        Err(fault) => Err(Failure::Refused(Refusal::from(fault))),
+    }
+}
+
+fn replay(answer: Answer) -> Result<Whole, Failure> {
+    let body = answer.body.ok_or_else(|| Failure::from(Code::AnswerTooLarge))?;
+    let head = Head { replayed: true, ..Head::default() };
+    let content_type = Some(answer.content_type).filter(|text| !text.is_empty());
+    Ok(Whole { status: answer.status, content_type, body, head })
+}
+
+/// Releases a claim whose outcome is unknown: the same claim again tells its number.
+async fn retract(context: Arc<Context>, command: Command, key: Key) {
+    for _ in 0..STEPS {
+        match context.keepers.submit(&command, STEP).await {
+            Ok(Outcome::Claimed { claim }) => {
+                release(&context, &key, claim).await;
+                return;
+            }
+            Ok(_) => return,
+            Err(_) => {}
+        }
+    }
+}
+
+/// Records an answer; false if it could not be recorded.
+pub(crate) async fn finish(context: &Context, key: &Key, claim: u64, whole: &Whole) -> bool {
+    let fits = whole.body.len() <= context.config.journal.answer_bytes;
+    let answer = Answer {
+        status: whole.status,
+        content_type: whole.content_type.clone().unwrap_or_default(),
+        body: fits.then(|| whole.body.clone()),
+    };
+    let command = Command::Finish { key: key.clone(), claim, answer, now_ms: now_ms() };
+    commit(context, &command, Event::KeyFinished).await
+}
+
+/// Releases a claim of a request that did not run; false if it could not be released.
+pub(crate) async fn release(context: &Context, key: &Key, claim: u64) -> bool {
+    let command = Command::Release { key: key.clone(), claim };
+    commit(context, &command, Event::KeyReleased).await
+}
+
+async fn commit(context: &Context, command: &Command, event: Event) -> bool {
+    let began = Instant::now();
+    for _ in 0..STEPS {
+        match context.keepers.submit(command, STEP).await {
+            Ok(Outcome::Refused { code, detail, .. }) => {
+                base::event!(WARN, Event::Fault, code = code.number(), detail);
+                return false;
+            }
+            Ok(_) => {
+                context.metrics.journal.observe(began.elapsed().as_secs_f64());
+                base::event!(INFO, event);
+                return true;
+            }
+            Err(_) => {}
+        }
+    }
+    false
+}
+
+/// Returns when a key was made, if it is a UUID that tells it.
+fn created_ms(key: &Name) -> Option<u64> {
+    let uuid = Uuid::parse_str(key).ok().filter(|uuid| uuid.get_version_num() == 7)?;
+    let (seconds, nanoseconds) = uuid.get_timestamp()?.to_unix();
+    Some(seconds * 1_000 + u64::from(nanoseconds) / 1_000_000)
+}
--- a/crates/gate/src/main.rs
+++ b/crates/gate/src/main.rs
@@ -1,3 +1,68 @@
-//! Placeholder of the program until its first version lands.
+//! The program `radish-gate`.
 
-fn main() {}
+use std::process::ExitCode;
+
+use gate::Gate;
+use gate::cli;
+use gate::cli::Command;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+/// The exit code of a wrong command line or wrong settings.
+const USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let command = match cli::parse(std::env::args_os().skip(1)) {
+        Ok(command) => command,
+        Err(error) => return fail(&error, USAGE),
+    };
+    match command {
+        Command::Help => print!("{}", cli::HELP),
+        Command::Version => println!("radish-gate {}", env!("CARGO_PKG_VERSION")),
+        Command::Check { config, host } => match conf::read(&config) {
+            Err(error) => return fail(&error, USAGE),
+            Ok(settings) => {
+                let unknown = host.filter(|host| settings.entry(host).is_none());
+                if let Some(host) = unknown {
+                    return fail(&gate::Error::Host(host.into()), USAGE);
+                }
+                println!("{}: the settings are correct", config.display());
+            }
+        },
+        Command::Run { config, host } => match conf::read(&config) {
+            Err(error) => return fail(&error, USAGE),
+            Ok(settings) => return run(settings, &host),
+        },
+    }
+    ExitCode::SUCCESS
+}
+
+fn fail(error: &dyn std::error::Error, code: u8) -> ExitCode {
+    eprintln!("radish-gate: {error}");
+    ExitCode::from(code)
+}
+
+#[tokio::main]
+async fn run(settings: conf::Config, host: &str) -> ExitCode {
+    base::start_log(settings.log.format, &settings.log.filter);
+    match Gate::bind(settings, host).await {
+        Err(error) => fail(&error, 1),
+        Ok(gate) => {
+            gate.run(stopped()).await;
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+/// Waits for the signal to stop.
+async fn stopped() {
+    let (Ok(mut term), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        return;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- /dev/null
+++ b/crates/gate/src/models.rs
@@ -0,0 +1,58 @@
+//! The list of models.
+
+use std::sync::Arc;
+
+use axum::Json;
+use axum::extract::Query;
+use axum::extract::State;
+use base::Name;
+use serde::Deserialize;
+use state::view::Adapter;
+use wire::http::Model;
+use wire::http::Models;
+
+use crate::context::Context;
+
+/// The models of a page, if the caller states none.
+const PAGE: usize = 100;
+/// The most models of a page.
+const PAGE_LIMIT: usize = 1_000;
+
+/// The query of `GET /v1/models`.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Page {
+    /// The model behind which the page starts.
+    after: Option<Name>,
+    /// The most models of the page.
+    limit: Option<usize>,
+}
+
+/// Answers `GET /v1/models`.
+pub(crate) async fn handle(
+    State(context): State<Arc<Context>>,
+    Query(page): Query<Page>,
+) -> Json<Models> {
+    let limit = page.limit.unwrap_or(PAGE).clamp(1, PAGE_LIMIT);
+    let view = context.board.view.read();
+    let mut all: Vec<Model> =
+        view.adapters.iter().flat_map(|(name, adapter)| versions(name, adapter)).collect();
+    drop(view);
+    all.sort_by(|one, other| one.id.cmp(&other.id));
+    if let Some(after) = page.after {
+        all.retain(|model| model.id > after);
+    }
+    let has_more = all.len() > limit;
+    all.truncate(limit);
+    Json(Models { object: Name::from("list"), data: all, has_more })
+}
+
+fn versions(name: &Name, adapter: &Adapter) -> Vec<Model> {
+    let model = |version: &state::view::Version| Model {
+        id: Name::from(format!("{name}@{}", version.name)),
+        object: Name::from("model"),
+        base: adapter.base.clone(),
+        default: adapter.default.as_ref() == Some(&version.name),
+        deprecated: version.deprecated,
+    };
+    adapter.versions.iter().map(model).collect()
+}
--- /dev/null
+++ b/crates/gate/src/order.rs
@@ -0,0 +1,54 @@
+//! Orders to endpoints.
+
+use std::time::Duration;
+
+use base::Name;
+use wire::endpoint::Action;
+use wire::endpoint::Fault;
+use wire::endpoint::Order;
+use wire::endpoint::State;
+
+use crate::context::Context;
+use crate::request;
+
+/// How long an endpoint may take to carry an order out.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Why an order was not carried out.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    /// The gate may give no orders to this endpoint now; none was sent.
+    #[error("the gate does not own the endpoint now")]
+    NotOwner,
+    /// The endpoint refused.
+    #[error("refused: {0:?}")]
+    Refused(Fault),
+    /// The endpoint may have carried it out.
+    #[error("no answer")]
+    Unknown,
+}
+
+/// Sends an order, and checks the lease immediately before.
+pub(crate) async fn send(
+    context: &Context,
+    endpoint: &Name,
+    address: &Name,
+    fence: u64,
+    action: Action,
+) -> Result<State, Error> {
+    let order = Order { id: request::id(), fence, action };
+    let body = serde_json::to_vec(&order).map_err(|_| Error::NotOwner)?;
+    if !context.board.owns(endpoint, fence) {
+        return Err(Error::NotOwner);
+    }
+    let (status, body) = context
+        .client
+        .post(address, "/v1/orders", body.into(), fence, PATIENCE)
+        .await
+        .ok_or(Error::Unknown)?;
+    if status == 200 {
+        return serde_json::from_slice(&body).map_err(|_| Error::Unknown);
+    }
+    let fault = serde_json::from_slice(&body).map_err(|_| Error::Unknown)?;
+    Err(Error::Refused(fault))
+}
--- /dev/null
+++ b/crates/gate/src/parse.rs
@@ -0,0 +1,129 @@
+//! Reads requests of callers and of gates that pass them on.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use axum::body::Body;
+use axum::body::Bytes;
+use axum::http::HeaderMap;
+use axum::http::header::CONTENT_TYPE;
+use axum::http::request::Parts;
+use base::Code;
+use base::Name;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use tokio::time::Instant;
+use wire::endpoint::Model;
+use wire::header;
+use wire::http::Completion;
+
+use crate::context::Context;
+use crate::refusal::Refusal;
+use crate::request::Ask;
+use crate::request::Parsed;
+use crate::request::Request;
+
+/// The path of calls of plain services.
+pub(crate) const SERVICES: &str = "/v1/services/";
+/// The time in which the body of a request has to arrive.
+const BODY_TIME: Duration = Duration::from_secs(30);
+/// The priority of a request that states none.
+const PRIORITY: u8 = 5;
+/// The highest priority.
+const PRIORITY_LIMIT: u8 = 9;
+/// The longest key, in bytes.
+const KEY_LIMIT: usize = 256;
+
+/// Reads the body of a request up to the limit of the settings.
+pub(crate) async fn body(context: &Context, body: Body) -> Result<Bytes, Refusal> {
+    let limited = Limited::new(body, context.config.limits.body_bytes);
+    let read = tokio::time::timeout(BODY_TIME, limited.collect()).await;
+    let read = read.map_err(|_| Refusal::with(Code::BadRequest, "the body did not arrive"))?;
+    read.map(|collected| collected.to_bytes()).map_err(|error| {
+        if error.is::<LengthLimitError>() {
+            Refusal::new(Code::TooLarge)
+        } else {
+            Refusal::with(Code::BadRequest, "the body cannot be read")
+        }
+    })
+}
+
+/// Reads what a request asks for.
+pub(crate) fn request(
+    id: Name,
+    parts: &Parts,
+    body: Bytes,
+    caller: Name,
+    received: Instant,
+) -> Result<Request<Parsed>, Refusal> {
+    let headers = &parts.headers;
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+    let ask = ask(&path, &body)?;
+    let priority = number::<u8>(headers, header::PRIORITY)?.unwrap_or(PRIORITY);
+    if priority > PRIORITY_LIMIT {
+        return Err(bad(header::PRIORITY));
+    }
+    let key = text(headers, header::IDEMPOTENCY_KEY)?;
+    if key.as_ref().is_some_and(|key| key.is_empty() || key.len() > KEY_LIMIT) {
+        return Err(bad(header::IDEMPOTENCY_KEY));
+    }
+    Ok(Request {
+        id,
+        method: parts.method.clone(),
+        path,
+        content_type: text(headers, CONTENT_TYPE.as_str())?,
+        body,
+        priority,
+        received,
+        deadline_ms: number(headers, header::DEADLINE)?,
+        caller,
+        key,
+        marked: flag(headers, header::NON_IDEMPOTENT)?,
+        ask,
+        stage: Parsed,
+    })
+}
+
+fn ask(path: &str, body: &[u8]) -> Result<Ask, Refusal> {
+    if let Some(rest) = path.strip_prefix(SERVICES) {
+        let end = rest.find(['/', '?']).unwrap_or(rest.len());
+        let (kind, tail) = rest.split_at(end);
+        let path = if tail.starts_with('/') { tail.to_owned() } else { format!("/{tail}") };
+        return Ok(Ask::Service { kind: Name::from(kind), path });
+    }
+    let completion: Completion = serde_json::from_slice(body)
+        .map_err(|error| Refusal::with(Code::BadRequest, error.to_string()))?;
+    Ok(Ask::Completion { model: completion.model, stream: completion.stream })
+}
+
+/// Returns the adapter and version that another gate settled.
+pub(crate) fn settled(headers: &HeaderMap) -> Result<Option<Model>, Refusal> {
+    let adapter = text(headers, header::ADAPTER)?;
+    let version = text(headers, header::VERSION)?;
+    Ok(adapter.zip(version).map(|(adapter, version)| Model { adapter, version }))
+}
+
+/// Returns a header's text.
+pub(crate) fn text(headers: &HeaderMap, name: &str) -> Result<Option<Name>, Refusal> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    value.to_str().map(|text| Some(Name::from(text))).map_err(|_| bad(name))
+}
+
+/// Returns whether a header says `true`.
+pub(crate) fn flag(headers: &HeaderMap, name: &str) -> Result<bool, Refusal> {
+    match text(headers, name)?.as_deref() {
+        None | Some("false") => Ok(false),
+        Some("true") => Ok(true),
+        Some(_) => Err(bad(name)),
+    }
+}
+
+fn number<T: FromStr>(headers: &HeaderMap, name: &str) -> Result<Option<T>, Refusal> {
+    let Some(text) = text(headers, name)? else { return Ok(None) };
+    text.parse().map(Some).map_err(|_| bad(name))
+}
+
+fn bad(name: &str) -> Refusal {
+    Refusal::with(Code::BadHeader, format!("the header {name} has a wrong value"))
+}
--- /dev/null
+++ b/crates/gate/src/peer.rs
@@ -0,0 +1,122 @@
+//! Calls between gates: the server's side and the connections to others.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Map;
+use base::Name;
+use futures::StreamExt;
+use parking_lot::Mutex;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+use wire::endpoint::Announcement;
+use wire::gate::Gate;
+use wire::gate::GateClient;
+use wire::gate::Summary;
+
+use crate::announce;
+use crate::context::Context;
+
+/// The pause after a connection could not be accepted.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// The connections to other gates by address.
+pub(crate) struct Links {
+    clients: Mutex<Map<Name, GateClient>>,
+    call: Duration,
+}
+
+impl Links {
+    /// Returns a table without connections; `call` is how long a call may take.
+    pub(crate) fn new(call: Duration) -> Links {
+        Links { clients: Mutex::default(), call }
+    }
+
+    /// Sends a summary; false if the other gate did not take it.
+    pub(crate) async fn summary(&self, address: &Name, summary: Summary) -> bool {
+        let Some(client) = self.link(address).await else { return false };
+        let sent = client.summary(self.context(), summary).await;
+        self.check(address, sent.is_ok())
+    }
+
+    /// Passes an announcement on; false if the other gate did not take it.
+    pub(crate) async fn announce(&self, address: &Name, announcement: Announcement) -> bool {
+        let Some(client) = self.link(address).await else { return false };
+        let sent = client.announce(self.context(), announcement).await;
+        self.check(address, sent.is_ok())
+    }
+
+    /// Asks for the decisions on a request.
+    pub(crate) async fn explain(&self, address: &Name, request: Name) -> Vec<String> {
+        let Some(client) = self.link(address).await else { return Vec::new() };
+        let lines = client.explain(self.context(), request).await;
+        self.check(address, lines.is_ok());
+        lines.unwrap_or_default()
+    }
+
+    fn check(&self, address: &Name, answered: bool) -> bool {
+        if !answered {
+            self.clients.lock().remove(address);
+        }
+        answered
+    }
+
+    async fn link(&self, address: &Name) -> Option<GateClient> {
+        if let Some(client) = self.clients.lock().get(address) {
+            return Some(client.clone());
+        }
+        let opening = wire::frame::connect(address);
+        let transport = tokio::time::timeout(self.call, opening).await.ok()?.ok()?;
+        let client = GateClient::new(tarpc::client::Config::default(), transport).spawn();
+        self.clients.lock().insert(address.clone(), client.clone());
+        Some(client)
+    }
+
+    fn context(&self) -> tarpc::context::Context {
+        let mut context = tarpc::context::current();
+        context.deadline = std::time::Instant::now() + self.call;
+        context
+    }
+}
+
+/// Answers other gates' calls.
+#[derive(Clone)]
+struct Server {
+    context: Arc<Context>,
+}
+
+impl Gate for Server {
+    async fn summary(self, _: tarpc::context::Context, summary: Summary) {
+        self.context.board.peers.lock().put(summary, Instant::now());
+    }
+
+    async fn announce(self, _: tarpc::context::Context, announcement: Announcement) {
+        announce::heard(&self.context, &announcement);
+    }
+
+    async fn explain(self, _: tarpc::context::Context, request: Name) -> Vec<String> {
+        self.context.trace.find(&request)
+    }
+}
+
+/// Accepts other gates' connections.
+pub(crate) async fn run(context: Arc<Context>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        let server = Server { context: Arc::clone(&context) };
+        tokio::spawn(async move {
+            let channel = BaseChannel::with_defaults(wire::frame::transport(stream));
+            let calls = channel.execute(server.serve());
+            calls
+                .for_each(|call| async move {
+                    tokio::spawn(call);
+                })
+                .await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/gate/src/relay.rs
@@ -0,0 +1,62 @@
+//! The face for requests that other gates pass on.
+
+use std::sync::Arc;
+
+use axum::Router;
+use axum::extract::Request;
+use axum::extract::State;
+use axum::response::Response;
+use base::Code;
+use base::Name;
+use tokio::time::Instant;
+use wire::header;
+
+use crate::attempt;
+use crate::context::Context;
+use crate::once;
+use crate::parse;
+use crate::refusal::Refusal;
+use crate::request;
+use crate::token;
+
+/// Returns the routes for other gates.
+pub(crate) fn router(context: Arc<Context>) -> Router {
+    Router::new().fallback(handle).with_state(context)
+}
+
+async fn handle(State(context): State<Arc<Context>>, message: Request) -> Response {
+    let given = parse::text(message.headers(), header::REQUEST).ok().flatten();
+    let id = given.unwrap_or_else(request::id);
+    match answer(&context, &id, message).await {
+        Ok(response) => response,
+        Err(refusal) => refusal.response(&context, &id),
+    }
+}
+
+async fn answer(context: &Arc<Context>, id: &Name, message: Request) -> Result<Response, Refusal> {
+    let received = Instant::now();
+    let (parts, body) = message.into_parts();
+    let headers = &parts.headers;
+    if !token::header(headers, header::SITE_TOKEN, context.config.tokens.site.as_ref()) {
+        return Err(Refusal::new(Code::Unauthorized));
+    }
+    if !context.board.serving() {
+        return Err(Refusal::new(Code::NotServing));
+    }
+    let guard = context.progress.hold();
+    let body = parse::body(context, body).await?;
+    let caller = parse::text(headers, header::CALLER)?.unwrap_or_default();
+    let parsed = parse::request(id.clone(), &parts, body, caller, received)?;
+    let settled = parse::settled(headers)?;
+    let limit = context.config.limits.deadline_ms;
+    let mut request = parsed.resolve(&context.board.view.read(), settled, limit)?;
+    let suspect = context.suspects.lock().contains(&request.stage.fingerprint);
+    request.stage.suspect = suspect || parse::flag(headers, header::SUSPECT)?;
+    let endpoint = parse::text(headers, header::ENDPOINT)?;
+    let answer = match request.stage.key.clone() {
+        Some(key) => once::here(context, &request, &key, endpoint.as_ref()).await,
+        None => attempt::local(context, &request, endpoint.as_ref()).await,
+    };
+    let answer = answer.map_err(|failure| failure.refusal())?;
+    Ok(answer.response(context, &request, guard))
+}
--- /dev/null
+++ b/crates/gate/src/request.rs
@@ -0,0 +1,280 @@
+//! A request on its way: parsed, then resolved against the configuration.
+
+use std::collections::BTreeMap;
+
+use axum::body::Bytes;
+use axum::http::Method;
+use base::Code;
+use base::Name;
+use board::Target;
+use serde_json::value::RawValue;
+use state::View;
+use state::journal::Key;
+use state::view::Rule;
+use tokio::time::Instant;
+use uuid::Uuid;
+use wire::endpoint::Model;
+
+use crate::refusal::Refusal;
+
+/// The scope of the keys of completions.
+const MODEL_SCOPE: &str = "model";
+
+/// A request in a stage of its life.
+#[derive(Clone, Debug)]
+pub(crate) struct Request<Stage> {
+    /// The id.
+    pub(crate) id: Name,
+    /// The method.
+    pub(crate) method: Method,
+    /// The path with the query, as the caller sent it.
+    pub(crate) path: String,
+    /// The content type of the body.
+    pub(crate) content_type: Option<Name>,
+    /// The body, as the caller sent it.
+    pub(crate) body: Bytes,
+    /// The priority from 0 (low) to 9 (high).
+    pub(crate) priority: u8,
+    /// When it was received.
+    pub(crate) received: Instant,
+    /// The time that the caller gave, in milliseconds.
+    pub(crate) deadline_ms: Option<u64>,
+    /// The caller.
+    pub(crate) caller: Name,
+    /// The caller's key.
+    pub(crate) key: Option<Name>,
+    /// Whether the caller marked it non-idempotent.
+    pub(crate) marked: bool,
+    /// What it asks for.
+    pub(crate) ask: Ask,
+    /// The stage.
+    pub(crate) stage: Stage,
+}
+
+/// What a request asks for.
+#[derive(Clone, Debug)]
+pub(crate) enum Ask {
+    /// A completion.
+    Completion {
+        /// `ADAPTER` or `ADAPTER@VERSION`.
+        model: Name,
+        /// Whether the answer is a stream of events.
+        stream: bool,
+    },
+    /// A call of a plain service.
+    Service {
+        /// The kind of the service.
+        kind: Name,
+        /// The path behind the kind, with the query.
+        path: String,
+    },
+}
+
+/// The stage of a request that was read and not yet compared with the configuration.
+#[derive(Clone, Debug)]
+pub(crate) struct Parsed;
+
+/// The stage of a request whose adapter, version and rules are settled.
+#[derive(Clone, Debug)]
+pub(crate) struct Resolved {
+    /// What it runs on.
+    pub(crate) target: Target,
+    /// When its answer is needed.
+    pub(crate) deadline: Instant,
+    /// Whether the version is deprecated.
+    pub(crate) deprecated: bool,
+    /// The requests that may wait for the target.
+    pub(crate) queue_limit: usize,
+    /// The key under which it may run once; none if it is idempotent.
+    pub(crate) key: Option<Key>,
+    /// The digest of method, path and body.
+    pub(crate) digest: u64,
+    /// The digest of adapter, version and body.
+    pub(crate) fingerprint: u64,
+    /// Whether it has to run alone because an endpoint crashed that ran it.
+    pub(crate) suspect: bool,
+}
+
+impl Request<Parsed> {
+    /// Settles adapter, version and rules; `version` is given when another gate settled it.
+    pub(crate) fn resolve(
+        self,
+        view: &View,
+        version: Option<Model>,
+        deadline_limit_ms: u64,
+    ) -> Result<Request<Resolved>, Refusal> {
+        let (target, deprecated) = match (&self.ask, version) {
+            (Ask::Completion { .. }, Some(model)) => known(view, model)?,
+            (Ask::Completion { model, .. }, None) => known(view, parse_model(view, model)?)?,
+            (Ask::Service { kind, .. }, _) => {
+                if !view.services.contains_key(kind) {
+                    return Err(Refusal::new(Code::UnknownService));
+                }
+                (Target::Service(kind.clone()), false)
+            }
+        };
+        let key = self.journal_key(view)?;
+        let limit_ms = self.deadline_ms.unwrap_or(view.defaults.deadline_ms).min(deadline_limit_ms);
+        let deadline = self.received + std::time::Duration::from_millis(limit_ms);
+        let queue_limit = queue_limit(view, &target);
+        let digest = base::digest(&self.content(self.path.as_bytes()));
+        let fingerprint = fingerprint(&target, &self.body);
+        if view.quarantine.contains_key(&fingerprint) {
+            return Err(Refusal::new(Code::Quarantined));
+        }
+        let stage = Resolved {
+            target,
+            deadline,
+            deprecated,
+            queue_limit,
+            key,
+            digest,
+            fingerprint,
+            suspect: false,
+        };
+        Ok(self.advance(stage))
+    }
+
+    fn journal_key(&self, view: &View) -> Result<Option<Key>, Refusal> {
+        let (scope, once) = match &self.ask {
+            Ask::Completion { .. } => (Name::from(MODEL_SCOPE), self.marked),
+            Ask::Service { kind, path } => {
+                let rules = view.services.get(kind).map(|service| &service.non_idempotent[..]);
+                let once =
+                    rules.unwrap_or_default().iter().any(|rule| covers(rule, &self.method, path));
+                (kind.clone(), once || self.marked)
+            }
+        };
+        if !once {
+            return Ok(None);
+        }
+        let key = self.key.clone().ok_or_else(|| Refusal::new(Code::KeyRequired))?;
+        Ok(Some(Key { scope, key }))
+    }
+
+    fn content(&self, path: &[u8]) -> Vec<u8> {
+        let method = self.method.as_str().as_bytes();
+        [method, b"\0", path, b"\0", &self.body].concat()
+    }
+
+    fn advance<Stage>(self, stage: Stage) -> Request<Stage> {
+        Request {
+            id: self.id,
+            method: self.method,
+            path: self.path,
+            content_type: self.content_type,
+            body: self.body,
+            priority: self.priority,
+            received: self.received,
+            deadline_ms: self.deadline_ms,
+            caller: self.caller,
+            key: self.key,
+            marked: self.marked,
+            ask: self.ask,
+            stage,
+        }
+    }
+}
+
+impl Request<Resolved> {
+    /// Returns the version of an adapter that it runs on, if it is a completion.
+    pub(crate) fn model(&self) -> Option<&Model> {
+        self.stage.target.model()
+    }
+
+    /// Returns whether the answer is a stream of events.
+    pub(crate) fn stream(&self) -> bool {
+        matches!(self.ask, Ask::Completion { stream: true, .. })
+    }
+
+    /// Returns the path at the endpoint.
+    pub(crate) fn endpoint_path(&self) -> &str {
+        match &self.ask {
+            Ask::Completion { .. } => &self.path,
+            Ask::Service { path, .. } => path,
+        }
+    }
+
+    /// Returns the body for the endpoint, whose `model` names adapter and version.
+    pub(crate) fn endpoint_body(&self) -> Bytes {
+        let Some(model) = self.model() else { return self.body.clone() };
+        rewrite(&self.body, &spell(model)).unwrap_or_else(|| self.body.clone())
+    }
+}
+
+/// Returns a new id of a request or an order.
+pub(crate) fn id() -> Name {
+    Name::from(Uuid::now_v7().to_string())
+}
+
+/// Returns `ADAPTER@VERSION`.
+pub(crate) fn spell(model: &Model) -> String {
+    format!("{}@{}", model.adapter, model.version)
+}
+
+fn parse_model(view: &View, model: &Name) -> Result<Model, Refusal> {
+    if let Some((adapter, version)) = model.split_once('@') {
+        if adapter.is_empty() || version.is_empty() || version.contains('@') {
+            return Err(Refusal::new(Code::BadModel));
+        }
+        return Ok(Model { adapter: Name::from(adapter), version: Name::from(version) });
+    }
+    if model.is_empty() {
+        return Err(Refusal::new(Code::BadModel));
+    }
+    let adapter = view.adapters.get(model).ok_or_else(|| Refusal::new(Code::UnknownAdapter))?;
+    let version = adapter.default.clone().ok_or_else(|| Refusal::new(Code::NoDefaultVersion))?;
+    Ok(Model { adapter: model.clone(), version })
+}
+
+fn known(view: &View, model: Model) -> Result<(Target, bool), Refusal> {
+    let adapter = view.adapters.get(&model.adapter);
+    let adapter = adapter.ok_or_else(|| Refusal::new(Code::UnknownAdapter))?;
+    let version = adapter.versions.iter().find(|version| version.name == model.version);
+    let version = version.ok_or_else(|| Refusal::new(Code::UnknownVersion))?;
+    if let Some(exception) = view.exceptions.get(&model.adapter)
+        && exception.rule == Rule::Never
+    {
+        return Err(Refusal::with(Code::NeverLoaded, exception.reason.as_str()));
+    }
+    let deprecated = version.deprecated;
+    Ok((Target::Model(model), deprecated))
+}
+
+fn queue_limit(view: &View, target: &Target) -> usize {
+    let exception = target.model().and_then(|model| view.exceptions.get(&model.adapter));
+    match exception.map(|exception| &exception.rule) {
+        Some(Rule::QueueLimit(limit)) => *limit as usize,
+        _ => view.defaults.queue_limit as usize,
+    }
+}
+
+fn fingerprint(target: &Target, body: &[u8]) -> u64 {
+    let name = match target {
+        Target::Model(model) => spell(model),
+        Target::Service(kind) => kind.to_string(),
+    };
+    let body = base::digest(body).to_le_bytes();
+    base::digest(&[name.as_bytes(), b"\0", &body].concat())
+}
+
+/// Returns whether a rule `METHOD /path-prefix` covers a call.
+///
+/// A path that a service might read in another way is covered by any rule for its method.
+fn covers(rule: &str, method: &Method, path: &str) -> bool {
+    let (verb, prefix) = rule.split_once(' ').unwrap_or(("*", rule));
+    if verb != "*" && !verb.eq_ignore_ascii_case(method.as_str()) {
+        return false;
+    }
+    let path = path.split('?').next().unwrap_or_default();
+    let ambiguous = path.contains("//") || path.contains("/.") || path.contains(['%', '\\', ';']);
+    let folded = path.to_ascii_lowercase();
+    ambiguous || folded.starts_with(&prefix.trim().to_ascii_lowercase())
+}
+
+fn rewrite(body: &[u8], model: &str) -> Option<Bytes> {
+    let mut fields: BTreeMap<String, Box<RawValue>> = serde_json::from_slice(body).ok()?;
+    let spelled = serde_json::value::to_raw_value(model).ok()?;
+    fields.insert(String::from("model"), spelled);
+    serde_json::to_vec(&fields).ok().map(Bytes::from)
+}
--- /dev/null
+++ b/crates/gate/src/serve.rs
@@ -0,0 +1,152 @@
+//! Starts a gate, and stops it without cutting a request off.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use axum::Router;
+use base::Event;
+use base::Name;
+use board::Abandoned;
+use board::Board;
+use conf::Config;
+use conf::Entry;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::admin;
+use crate::caller;
+use crate::cleanup;
+use crate::context::Context;
+use crate::peer;
+use crate::placement;
+use crate::relay;
+use crate::session;
+use crate::summary;
+use crate::survey;
+use crate::sweep;
+
+/// How much longer than callers keep addresses a gate that stops goes on serving.
+const MARGIN: Duration = Duration::from_millis(1_000);
+/// How long connections may take to end after the last request.
+const CLOSING: Duration = Duration::from_secs(2);
+
+/// Why a gate did not start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The settings name no such host.
+    #[error("the settings have no entry for the host '{0}'")]
+    Host(Name),
+    /// An address cannot be listened on.
+    #[error("{address}: {source}")]
+    Listen {
+        /// The address.
+        address: Name,
+        /// The cause.
+        source: io::Error,
+    },
+    /// A metric cannot be set up.
+    #[error("metrics: {0}")]
+    Metrics(#[from] prometheus::Error),
+}
+
+/// A gate that listens.
+pub struct Gate {
+    context: Arc<Context>,
+    given_up: UnboundedReceiver<Abandoned>,
+    callers: TcpListener,
+    peers: TcpListener,
+    relays: TcpListener,
+    operators: TcpListener,
+}
+
+impl Gate {
+    /// Listens on the addresses of `host`; the port 0 is replaced by one of the system's.
+    pub async fn bind(config: Config, host: &str) -> Result<Gate, Error> {
+        let entry = config.entry(host).ok_or_else(|| Error::Host(Name::from(host)))?;
+        let mut entry = entry.clone();
+        let callers = listen(&mut entry.gate).await?;
+        let peers = listen(&mut entry.peer).await?;
+        let relays = listen(&mut entry.relay).await?;
+        let operators = listen(&mut entry.gate_admin).await?;
+        let silent = Duration::from_millis(config.timing.silent_ms);
+        let (board, given_up) = Board::new(entry.host.clone(), silent);
+        board.lease.lock().incarnation = session::incarnation();
+        let context = Arc::new(Context::new(config, entry, board)?);
+        Ok(Gate { context, given_up, callers, peers, relays, operators })
+    }
+
+    /// Returns the entry with the addresses that are listened on.
+    pub fn entry(&self) -> &Entry {
+        &self.context.entry
+    }
+
+    /// Serves until `stop` ends, then drains: no request in progress is cut off.
+    pub async fn run(self, stop: impl Future<Output = ()>) {
+        let context = self.context;
+        let closing = CancellationToken::new();
+        let faces = vec![
+            face(self.callers, caller::router(Arc::clone(&context)), &closing),
+            face(self.relays, relay::router(Arc::clone(&context)), &closing),
+            face(self.operators, admin::router(Arc::clone(&context)), &closing),
+        ];
+        let session = tokio::spawn(session::run(Arc::clone(&context)));
+        let controllers = vec![
+            tokio::spawn(peer::run(Arc::clone(&context), self.peers)),
+            tokio::spawn(summary::run(Arc::clone(&context))),
+            tokio::spawn(survey::run(Arc::clone(&context))),
+            tokio::spawn(cleanup::run(Arc::clone(&context), self.given_up)),
+            tokio::spawn(placement::run(Arc::clone(&context))),
+            tokio::spawn(sweep::run(Arc::clone(&context))),
+        ];
+        base::event!(INFO, Event::Started, host = %context.entry.host);
+        stop.await;
+        drain(&context).await;
+        session.abort();
+        session::leave(&context).await;
+        closing.cancel();
+        tokio::time::timeout(CLOSING, futures::future::join_all(faces)).await.ok();
+        for controller in controllers {
+            controller.abort();
+        }
+        base::event!(INFO, Event::Stopped, host = %context.entry.host);
+    }
+}
+
+async fn listen(address: &mut Name) -> Result<TcpListener, Error> {
+    let failed = |source| Error::Listen { address: address.clone(), source };
+    let listener = TcpListener::bind(address.as_str()).await.map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    *address = Name::from(bound.to_string());
+    Ok(listener)
+}
+
+fn face(listener: TcpListener, router: Router, closing: &CancellationToken) -> JoinHandle<()> {
+    let closing = closing.clone();
+    let service = router.into_make_service_with_connect_info::<SocketAddr>();
+    let listener = axum::serve::ListenerExt::tap_io(listener, |stream| {
+        stream.set_nodelay(true).ok();
+    });
+    tokio::spawn(async move {
+        let served =
+            axum::serve(listener, service).with_graceful_shutdown(closing.cancelled_owned()).await;
+        if let Err(error) = served {
+            base::event!(ERROR, Event::Fault, %error);
+        }
+    })
+}
+
+/// Leaves the callers' addresses, waits until no caller keeps them, and finishes what is in progress.
+async fn drain(context: &Context) {
+    base::event!(INFO, Event::Stopping, host = %context.entry.host);
+    context.draining.store(true, Ordering::Relaxed);
+    let kept = Duration::from_millis(context.config.timing.addresses_ms);
+    tokio::time::sleep(kept + MARGIN).await;
+    context.closed.store(true, Ordering::Relaxed);
+    context.progress.idle().await;
+}
--- /dev/null
+++ b/crates/gate/src/stream.rs
@@ -0,0 +1,105 @@
+//! Streams of server-sent events, each compared with what was asked.
+
+use axum::body::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::exchange;
+use crate::exchange::Expect;
+use crate::failure::Failure;
+use crate::refusal::Refusal;
+
+/// The largest event, in bytes.
+const EVENT_LIMIT: usize = 1 << 20;
+/// The data of the event that ends a stream.
+const DONE: &[u8] = b"[DONE]";
+
+/// A stream of events from an endpoint or another gate.
+#[derive(Debug)]
+pub(crate) struct Source {
+    body: Incoming,
+    buffer: Vec<u8>,
+    expect: Expect,
+}
+
+/// An event that belongs to the request.
+#[derive(Clone, Debug)]
+pub(crate) struct Event {
+    /// The event as it came, its blank line included.
+    pub(crate) bytes: Bytes,
+    /// Whether it ends the stream.
+    pub(crate) last: bool,
+}
+
+impl Source {
+    /// Returns the events of `body`.
+    pub(crate) fn new(body: Incoming, expect: Expect) -> Source {
+        Source { body, buffer: Vec::new(), expect }
+    }
+
+    /// Waits for the next event and compares it; comments are passed over.
+    pub(crate) async fn next(&mut self) -> Result<Event, Failure> {
+        loop {
+            if let Some(event) = self.split()? {
+                return Ok(event);
+            }
+            if self.buffer.len() > EVENT_LIMIT {
+                return Err(Failure::Wrong(String::from("an event is too large")));
+            }
+            let frame = tokio::time::timeout_at(self.expect.deadline, self.body.frame()).await;
+            match frame {
+                Err(_) => return Err(Failure::Timeout),
+                Ok(None) => return Err(Failure::Short),
+                Ok(Some(Err(_))) => return Err(Failure::Lost),
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.buffer.extend_from_slice(&data);
+                    }
+                }
+            }
+        }
+    }
+
+    fn split(&mut self) -> Result<Option<Event>, Failure> {
+        while let Some(end) = boundary(&self.buffer) {
+            let bytes: Vec<u8> = self.buffer.drain(..end).collect();
+            let data = data(&bytes);
+            if data.is_empty() {
+                continue;
+            }
+            let last = data == DONE;
+            if !last {
+                self.compare(&data)?;
+            }
+            return Ok(Some(Event { bytes: Bytes::from(bytes), last }));
+        }
+        Ok(None)
+    }
+
+    fn compare(&self, data: &[u8]) -> Result<(), Failure> {
+        if self.expect.relayed
+            && let Ok(refusal) = serde_json::from_slice::<wire::http::Refusal>(data)
+        {
+            return Err(Failure::Refused(Refusal::from(refusal.error)));
+        }
+        exchange::check_mark(data, &self.expect)
+    }
+}
+
+/// Returns the length of the first event with its blank line.
+fn boundary(buffer: &[u8]) -> Option<usize> {
+    let plain = buffer.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2);
+    let long = buffer.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4);
+    match (plain, long) {
+        (Some(one), Some(other)) => Some(one.min(other)),
+        (one, other) => one.or(other),
+    }
+}
+
+/// Returns the data of an event, its lines joined.
+fn data(event: &[u8]) -> Vec<u8> {
+    let lines = event.split(|byte| *byte == b'\n');
+    let data = lines.filter_map(|line| line.strip_prefix(b"data:"));
+    let trimmed: Vec<&[u8]> = data.map(|line| line.trim_ascii()).collect();
+    trimmed.join(&b'\n')
+}
--- /dev/null
+++ b/crates/gate/src/survey.rs
@@ -0,0 +1,100 @@
+//! Reads the state of the endpoints that this gate owns.
+//!
+//! The first reading after a change of owner tells what the former owner left; the later ones show
+//! that the endpoint answers, and bring the table of its adapters back in line.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Event;
+use base::Map;
+use base::Name;
+use tokio::task::JoinHandle;
+use wire::endpoint::State;
+
+use crate::context::Context;
+
+/// The pause between readings of an endpoint that is not yet surveyed.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// One reading.
+struct Probe {
+    endpoint: Name,
+    address: Name,
+    fence: u64,
+    orders: u64,
+    surveyed: bool,
+}
+
+/// Reads states for as long as the gate runs.
+pub(crate) async fn run(context: Arc<Context>) {
+    let every = Duration::from_millis(context.config.timing.announce_ms);
+    let mut tasks: Map<Name, (u64, JoinHandle<()>)> = Map::default();
+    loop {
+        let gained = context.board.gained.notified();
+        let fences = fences(&context);
+        context.metrics.owned.set(i64::try_from(fences.len()).unwrap_or(i64::MAX));
+        tasks.retain(|name, (fence, task)| {
+            let kept = fences.get(name) == Some(fence);
+            if !kept {
+                task.abort();
+                base::event!(INFO, Event::Disowned, endpoint = %name, fence = *fence);
+            }
+            kept
+        });
+        for (name, fence) in fences {
+            if tasks.contains_key(&name) {
+                continue;
+            }
+            base::event!(INFO, Event::Owned, endpoint = %name, fence);
+            let task = tokio::spawn(watch(Arc::clone(&context), name.clone(), fence, every));
+            tasks.insert(name, (fence, task));
+        }
+        gained.await;
+    }
+}
+
+fn fences(context: &Context) -> Map<Name, u64> {
+    let floor = context.board.floor.lock();
+    floor.endpoints.iter().map(|(name, own)| (name.clone(), own.fence)).collect()
+}
+
+async fn watch(context: Arc<Context>, endpoint: Name, fence: u64, every: Duration) {
+    while let Some(probe) = prepare(&context, &endpoint, fence) {
+        let done = read(&context, &probe).await;
+        if done && !probe.surveyed {
+            context.board.dispatch();
+            context.board.changed.notify_one();
+        }
+        tokio::time::sleep(if done { every } else { PAUSE }).await;
+    }
+}
+
+fn prepare(context: &Context, endpoint: &Name, fence: u64) -> Option<Probe> {
+    let floor = context.board.floor.lock();
+    let own = floor.endpoints.get(endpoint).filter(|own| own.fence == fence)?;
+    Some(Probe {
+        endpoint: endpoint.clone(),
+        address: own.info.address.clone(),
+        fence,
+        orders: own.orders,
+        surveyed: own.surveyed,
+    })
+}
+
+async fn read(context: &Context, probe: &Probe) -> bool {
+    if let Some(state) = state(context, &probe.address).await {
+        return context.board.survey(&probe.endpoint, probe.fence, probe.orders, &state);
+    }
+    let mut floor = context.board.floor.lock();
+    if let Some(own) = floor.endpoints.get_mut(&probe.endpoint) {
+        own.timeouts = own.timeouts.saturating_add(1);
+    }
+    false
+}
+
+/// Reads the state of an endpoint; none if it does not answer in time.
+pub(crate) async fn state(context: &Context, address: &str) -> Option<State> {
+    let body = context.client.get(address, "/v1/state", context.call()).await?;
+    serde_json::from_slice(&body).ok()
+}
--- /dev/null
+++ b/crates/gate/src/token.rs
@@ -0,0 +1,27 @@
+//! Comparison of secrets.
+
+use axum::http::HeaderMap;
+use axum::http::header::AUTHORIZATION;
+use base::Name;
+
+/// Compares two secrets in a time that depends on their lengths alone.
+pub(crate) fn equal(one: &[u8], other: &[u8]) -> bool {
+    if one.len() != other.len() {
+        return false;
+    }
+    let difference = one.iter().zip(other).fold(0, |sum, (a, b)| sum | (a ^ b));
+    std::hint::black_box(difference) == 0
+}
+
+/// Returns whether `headers` carry `Authorization: Bearer TOKEN`; without a token all are let in.
+pub(crate) fn bearer(headers: &HeaderMap, token: Option<&Name>) -> bool {
+    let Some(token) = token else { return true };
+    let value = headers.get(AUTHORIZATION).map(|value| value.as_bytes()).unwrap_or_default();
+    value.strip_prefix(b"Bearer ").is_some_and(|given| equal(given, token.as_bytes()))
+}
+
+/// Returns whether `headers` carry the site's token under `name`; without a token all are let in.
+pub(crate) fn header(headers: &HeaderMap, name: &str, token: Option<&Name>) -> bool {
+    let Some(token) = token else { return true };
+    headers.get(name).is_some_and(|given| equal(given.as_bytes(), token.as_bytes()))
+}
--- /dev/null
+++ b/crates/gate/src/trace.rs
@@ -0,0 +1,36 @@
+//! The last decisions on requests, kept for `explain`.
+
+use std::collections::VecDeque;
+
+use base::Event;
+use base::Name;
+use parking_lot::Mutex;
+
+/// The lines that are kept.
+const LINES: usize = 20_000;
+
+/// The last decisions on requests in order.
+#[derive(Debug, Default)]
+pub(crate) struct Trace {
+    lines: Mutex<VecDeque<(Name, String)>>,
+}
+
+impl Trace {
+    /// Keeps a line and logs it.
+    pub(crate) fn note(&self, request: &Name, event: Event, line: impl Into<String>) {
+        let line = line.into();
+        base::event!(INFO, event, request = %request, "{line}");
+        let mut lines = self.lines.lock();
+        if lines.len() == LINES {
+            lines.pop_front();
+        }
+        lines.push_back((request.clone(), format!("{} {}: {line}", event.number(), event.name())));
+    }
+
+    /// Returns the lines kept for a request, in order.
+    pub(crate) fn find(&self, request: &str) -> Vec<String> {
+        let lines = self.lines.lock();
+        let own = lines.iter().filter(|(id, _)| id.as_str() == request);
+        own.map(|(_, line)| line.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/gate/tests/path.rs
@@ -0,0 +1,94 @@
+//! The path of a request through one gate and through two.
+
+mod fake;
+
+use fake::engine::Engine;
+use fake::keeper::Keeper;
+use fake::site;
+use fake::site::send;
+
+#[tokio::test]
+async fn completion_is_loaded_on_demand_and_answered_by_its_version() {
+    let keeper = Keeper::start(site::view()).await;
+    let gate = site::start(&site::config(&["h1"], &keeper), "h1").await;
+    let engine = Engine::start("e1", site::engine_role(2, 4)).await;
+    let announcing = site::announce(&engine, &gate);
+    site::owns(&gate, 1).await;
+    let http = site::http();
+    let url = format!("http://{}/v1/completions", gate.entry.gate);
+    for (model, version) in [("a", "v1"), ("a@v2", "v2"), ("b1", "v1"), ("b2@v1", "v1")] {
+        let body = format!("{{\"model\":\"{model}\",\"stream\":true}}");
+        let reply = send(&http, "POST", &url, &[], &body).await;
+        assert_eq!(reply.status, 200, "{}", reply.body);
+        assert_eq!(reply.header("x-version"), version);
+        assert!(reply.body.ends_with("data: [DONE]\n\n") && reply.complete);
+        assert_eq!(reply.body.matches("word").count(), 5);
+    }
+    let reply = send(&http, "POST", &url, &[], "{\"model\":\"a@v1\"}").await;
+    assert!(reply.body.contains("word") && reply.status == 200, "{reply:?}");
+    assert!(engine.tables.lock().violations.is_empty());
+    announcing.abort();
+}
+
+#[tokio::test]
+async fn refusals_are_numbered() {
+    let keeper = Keeper::start(site::view()).await;
+    let gate = site::start(&site::config(&["h1"], &keeper), "h1").await;
+    site::owns(&gate, 0).await;
+    let http = site::http();
+    let address = &gate.entry.gate;
+    let large = "x".repeat(2 << 20);
+    let cases = [
+        ("POST", "/v1/completions", "{", &[][..], 1000),
+        ("POST", "/v1/completions", &large, &[], 1001),
+        ("GET", "/nothing", "", &[], 1002),
+        ("GET", "/v1/completions", "", &[], 1003),
+        ("POST", "/v1/completions", "{\"model\":\"a\"}", &[("x-priority", "10")], 1004),
+        ("POST", "/v1/completions", "{\"model\":\"a@\"}", &[], 1006),
+        ("POST", "/v1/completions", "{\"model\":\"z\"}", &[], 1100),
+        ("POST", "/v1/completions", "{\"model\":\"a@v9\"}", &[], 1101),
+        ("GET", "/v1/services/none/x", "", &[], 1104),
+        ("POST", "/v1/services/ledger/orders", "x", &[], 1200),
+        ("POST", "/v1/completions", "{\"model\":\"a\"}", &[], 1302),
+    ];
+    for (method, path, body, headers, code) in cases {
+        let reply = send(&http, method, &format!("http://{address}{path}"), headers, body).await;
+        assert_eq!(reply.code(), code, "{method} {path}: {}", reply.body);
+        assert_eq!(reply.ran(), "no");
+        assert!(!reply.header("x-request-id").is_empty());
+    }
+}
+
+#[tokio::test]
+async fn non_idempotent_call_runs_once_through_two_gates() {
+    let keeper = Keeper::start(site::view()).await;
+    let config = site::config(&["h1", "h2"], &keeper);
+    let one = site::start(&config, "h1").await;
+    site::owns(&one, 0).await;
+    let two = site::start(&config, "h2").await;
+    let ledger = Engine::start("l1", site::service_role()).await;
+    let announcing = site::announce(&ledger, &two);
+    site::owns(&one, 1).await;
+    let http = site::http();
+    let key = [("idempotency-key", "k1")];
+    for (number, gate) in [&two, &one, &two].into_iter().enumerate() {
+        let url = format!("http://{}/v1/services/ledger/orders", gate.entry.gate);
+        let mut reply = send(&http, "POST", &url, &key, "pay").await;
+        if number == 0 {
+            // The second gate may not have heard of the endpoint yet.
+            site::until("the endpoint is known", async || {
+                reply = send(&http, "POST", &url, &key, "pay").await;
+                reply.status == 200
+            })
+            .await;
+        }
+        assert_eq!(reply.body, "run 1 of 3 bytes");
+    }
+    let url = format!("http://{}/v1/services/ledger/orders", one.entry.gate);
+    let replay = send(&http, "POST", &url, &key, "pay").await;
+    assert_eq!(replay.header("x-replayed"), "true");
+    let other = send(&http, "POST", &url, &key, "pay twice").await;
+    assert_eq!(other.code(), 1201);
+    assert_eq!(ledger.runs(), 1);
+    announcing.abort();
+}
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -28,3 +28,7 @@
 pub const SITE_TOKEN: &str = "x-site-token";
 /// On an answer: the version is deprecated.
 pub const DEPRECATED: &str = "x-deprecated";
+/// On an answer: how long the request waited for its adapter to load, in milliseconds.
+pub const LOAD_STALL: &str = "x-load-stall-ms";
+/// On a relayed request: `true` if it was in progress when an endpoint crashed and must run alone.
+pub const SUSPECT: &str = "x-suspect";
