conf: faults with file, line, column and setting; checks; the table

Cause: a settings file that contradicts itself has to be refused before a program starts, with the place of the fault.

Ruled out: stopping at the first contradiction (an operator would mend them one start at a time); a table written beside the types (the two drift apart).

Change: sections are defined by one macro that yields the type, its defaults and its rows of the table; docs/SETTINGS.md is printed from it and a test compares them. Unknown and repeated names are found in the syntax tree, types by the deserializer, contradictions by conf::check; all are conf::Fault. Only comments and trailing commas go beyond JSON.

--- /dev/null
+++ b/crates/conf/examples/settings.rs
@@ -0,0 +1,5 @@
+//! Prints the page `docs/SETTINGS.md`.
+
+fn main() {
+    print!("{}", conf::page());
+}
--- a/crates/conf/src/config.rs
+++ b/crates/conf/src/config.rs
@@ -7,6 +7,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::table::section;
+
+/// The meaning of [`Config::site`] in the table of settings.
+pub(crate) const SITE: &str = "The name of the site.";
+
 /// All settings of a site; each program reads what it needs, so that one file serves all.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -33,176 +38,132 @@
     pub log: Log,
 }
 
-/// An entry host.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Entry {
-    /// The name of the host.
-    pub host: Name,
-    /// The failure domain of the host.
-    pub domain: Name,
-    /// The gate's address for callers and endpoints, `IP:PORT`.
-    pub gate: Name,
-    /// The gate's address for calls of other gates.
-    pub peer: Name,
-    /// The gate's address for requests that other gates pass on.
-    pub relay: Name,
-    /// The gate's address for operators: metrics, health, explain.
-    pub gate_admin: Name,
-    /// The keeper's address for calls.
-    pub keeper: Name,
-    /// The keeper's address for operators: metrics, health.
-    pub keeper_admin: Name,
-    /// The keeper's data folder; without one its replica lasts as long as its process.
-    pub data: Option<PathBuf>,
-}
-
-/// The secrets; a face without a token is open to all who reach it.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Tokens {
-    /// What operators send as `Authorization: Bearer`.
-    pub operator: Option<Name>,
-    /// What endpoints send as `Authorization: Bearer`.
-    pub endpoint: Option<Name>,
-    /// What gates send each other.
-    pub site: Option<Name>,
+section! {
+    /// An entry host.
+    Entry {
+        /// The name of the host.
+        host: Name = Name::default(),
+        /// The failure domain of the host.
+        domain: Name = Name::default(),
+        /// The gate's address for callers and endpoints, `IP:PORT`.
+        gate: Name = Name::default(),
+        /// The gate's address for calls of other gates.
+        peer: Name = Name::default(),
+        /// The gate's address for requests that other gates pass on.
+        relay: Name = Name::default(),
+        /// The gate's address for operators: metrics, health, explain.
+        gate_admin: Name = Name::default(),
+        /// The keeper's address for calls.
+        keeper: Name = Name::default(),
+        /// The keeper's address for operators: metrics, health.
+        keeper_admin: Name = Name::default(),
+        /// The keeper's data folder; without one its replica lasts as long as its process.
+        data: Option<PathBuf> = None,
+    }
 }
 
-/// Times that must fit each other: heartbeat < election < lease, and lease with drift < 3 s.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Timing {
-    /// The time between heartbeats of the leading keeper, in milliseconds.
-    pub heartbeat_ms: u64,
-    /// The shortest time without heartbeats before an election, in milliseconds.
-    pub election_ms: u64,
-    /// How long a gate's lease lasts, in milliseconds.
-    pub lease_ms: u64,
-    /// The time between renewals of a gate's lease, in milliseconds.
-    pub renew_ms: u64,
-    /// The bound on the drift between two hosts' clocks, in parts of a thousand.
-    pub drift_permille: u64,
-    /// The time between announcements of an endpoint, in milliseconds.
-    pub announce_ms: u64,
-    /// The time after which a silent endpoint gets no new work, in milliseconds.
-    pub silent_ms: u64,
-    /// The time after which a silent endpoint is forgotten, in milliseconds.
-    pub forget_ms: u64,
-    /// How long callers may keep a list of addresses, in milliseconds.
-    pub addresses_ms: u64,
-    /// The time between a gate's summaries for the other gates, in milliseconds.
-    pub summary_ms: u64,
-    /// How long a call between processes may take, in milliseconds.
-    pub call_ms: u64,
+section! {
+    /// The secrets; a face without a token is open to all who reach it.
+    Tokens {
+        /// What operators send as `Authorization: Bearer`.
+        operator: Option<Name> = None,
+        /// What endpoints send as `Authorization: Bearer`.
+        endpoint: Option<Name> = None,
+        /// What gates send each other.
+        site: Option<Name> = None,
+    }
 }
 
-impl Default for Timing {
-    fn default() -> Timing {
-        Timing {
-            heartbeat_ms: 100,
-            election_ms: 400,
-            lease_ms: 2_000,
-            renew_ms: 400,
-            drift_permille: 50,
-            announce_ms: 500,
-            silent_ms: 1_800,
-            forget_ms: 600_000,
-            addresses_ms: 5_000,
-            summary_ms: 100,
-            call_ms: 800,
-        }
+section! {
+    /// Times that must fit each other: heartbeat < election < lease, and lease with drift < 3 s.
+    Timing {
+        /// The time between heartbeats of the leading keeper, in milliseconds.
+        heartbeat_ms: u64 = 100,
+        /// The shortest time without heartbeats before an election, in milliseconds.
+        election_ms: u64 = 400,
+        /// How long a gate's lease lasts, in milliseconds.
+        lease_ms: u64 = 2_000,
+        /// The time between renewals of a gate's lease, in milliseconds.
+        renew_ms: u64 = 400,
+        /// The bound on the drift between two hosts' clocks, in parts of a thousand.
+        drift_permille: u64 = 50,
+        /// The time between announcements of an endpoint, in milliseconds.
+        announce_ms: u64 = 500,
+        /// The time after which a silent endpoint gets no new work, in milliseconds.
+        silent_ms: u64 = 1_800,
+        /// The time after which a silent endpoint is forgotten, in milliseconds.
+        forget_ms: u64 = 600_000,
+        /// How long callers may keep a list of addresses, in milliseconds.
+        addresses_ms: u64 = 5_000,
+        /// The time between a gate's summaries for the other gates, in milliseconds.
+        summary_ms: u64 = 100,
+        /// How long a call between processes may take, in milliseconds.
+        call_ms: u64 = 800,
     }
 }
 
 impl Timing {
     /// Returns the time after which the leader may end a lease: its length plus the drift.
     pub fn lease_end(&self) -> Duration {
-        Duration::from_millis(self.lease_ms + self.lease_ms * self.drift_permille / 1_000)
+        let drift = self.lease_ms.saturating_mul(self.drift_permille) / 1_000;
+        Duration::from_millis(self.lease_ms.saturating_add(drift))
     }
 }
 
-/// The weight store's limits.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Store {
-    /// The address of the weight store, `IP:PORT`; only stand-ins use it.
-    pub address: Name,
-    /// The loads a second that the store allows.
-    pub loads_per_second: f64,
-    /// The loads in flight that run at full speed.
-    pub in_flight: u32,
-}
-
-impl Default for Store {
-    fn default() -> Store {
-        Store { address: Name::default(), loads_per_second: 5.0, in_flight: 8 }
+section! {
+    /// The weight store's limits.
+    Store {
+        /// The address of the weight store, `IP:PORT`; only stand-ins use it.
+        address: Name = Name::default(),
+        /// The loads a second that the store allows.
+        loads_per_second: f64 = 5.0,
+        /// The loads in flight that run at full speed.
+        in_flight: u32 = 8,
     }
 }
 
-/// The limits of requests.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Limits {
-    /// The largest body of a request, in bytes.
-    pub body_bytes: usize,
-    /// The longest deadline that a caller may ask for, in milliseconds.
-    pub deadline_ms: u64,
-    /// The requests in progress at one gate.
-    pub in_progress: usize,
-    /// The retries allowed for each hundred requests.
-    pub retry_percent: u32,
-}
-
-impl Default for Limits {
-    fn default() -> Limits {
-        Limits { body_bytes: 1 << 20, deadline_ms: 300_000, in_progress: 10_000, retry_percent: 10 }
+section! {
+    /// The limits of requests.
+    Limits {
+        /// The largest body of a request, in bytes.
+        body_bytes: usize = 1 << 20,
+        /// The longest deadline that a caller may ask for, in milliseconds.
+        deadline_ms: u64 = 300_000,
+        /// The requests in progress at one gate.
+        in_progress: usize = 10_000,
+        /// The retries allowed for each hundred requests.
+        retry_percent: u32 = 10,
     }
 }
 
-/// The journal of non-idempotent requests.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Journal {
-    /// How long answers are kept, in milliseconds.
-    pub retention_ms: u64,
-    /// The largest answer that is kept, in bytes.
-    pub answer_bytes: usize,
-    /// The keys that are kept at once; more are refused.
-    pub keys: usize,
-}
-
-impl Default for Journal {
-    fn default() -> Journal {
-        Journal { retention_ms: 86_400_000, answer_bytes: 64 << 10, keys: 1_000_000 }
+section! {
+    /// The journal of non-idempotent requests.
+    Journal {
+        /// How long answers are kept, in milliseconds.
+        retention_ms: u64 = 86_400_000,
+        /// The largest answer that is kept, in bytes.
+        answer_bytes: usize = 64 << 10,
+        /// The keys that are kept at once; more are refused.
+        keys: usize = 1_000_000,
     }
 }
 
-/// The weights of placement.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Placement {
-    /// The half-life of an adapter's popularity, in milliseconds.
-    pub half_life_ms: u64,
-    /// The slots of each engine kept for adapters that are asked for once.
-    pub spare_slots: u32,
-    /// The share of a batch, in percent, from which a second copy of an adapter is worth a load.
-    pub full_percent: u32,
-    /// The policy; all but `worth` are baselines for experiments.
-    pub policy: Scheme,
-    /// The parts of the policy `worth` that are turned off, for experiments.
-    pub off: Vec<Part>,
-}
-
-impl Default for Placement {
-    fn default() -> Placement {
-        Placement {
-            half_life_ms: 300_000,
-            spare_slots: 1,
-            full_percent: 90,
-            policy: Scheme::Worth,
-            off: Vec::new(),
-        }
+section! {
+    /// The weights of placement.
+    Placement {
+        /// The half-life of an adapter's popularity, in milliseconds.
+        half_life_ms: u64 = 300_000,
+        /// The slots of each engine kept for adapters that are asked for once.
+        spare_slots: u32 = 1,
+        /// The share of a batch, in percent, from which a second copy of an adapter is worth a load.
+        full_percent: u32 = 90,
+        /// The policy of routing and placement: `worth`, or for experiments the baselines `least_lru`
+        /// (least in flight, oldest load first, least recently used evicted) and `random_lru`
+        /// (random engine, the rest as before).
+        policy: Scheme = Scheme::Worth,
+        /// The parts of the policy `worth` that are turned off, for experiments: `fill`, `affinity`,
+        /// `worth`, `aging`, `popularity`, `spare_slots`, `copies`, `reload`, `prefetch`.
+        off: Vec<Part> = Vec::new(),
     }
 }
 
@@ -243,29 +204,23 @@
     Prefetch,
 }
 
-/// The certificate of the callers' and operators' face.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Tls {
-    /// The file with the certificates, PEM.
-    pub certificate: PathBuf,
-    /// The file with the key, PEM.
-    pub key: PathBuf,
-}
-
-/// The log.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Log {
-    /// The form of the lines.
-    pub format: base::Format,
-    /// The filter, in the syntax of `RUST_LOG`.
-    pub filter: Name,
+section! {
+    /// The certificate of the callers' and operators' face.
+    Tls {
+        /// The file with the certificates, PEM.
+        certificate: PathBuf = PathBuf::new(),
+        /// The file with the key, PEM.
+        key: PathBuf = PathBuf::new(),
+    }
 }
 
-impl Default for Log {
-    fn default() -> Log {
-        Log { format: base::Format::Json, filter: Name::from("info") }
+section! {
+    /// The log.
+    Log {
+        /// The form of the lines.
+        format: base::Format = base::Format::Json,
+        /// The filter, in the syntax of `RUST_LOG`.
+        filter: Name = Name::from("info"),
     }
 }
 
--- a/crates/conf/src/error.rs
+++ b/crates/conf/src/error.rs
@@ -1,5 +1,6 @@
 //! What can be wrong with settings.
 
+use std::fmt;
 use std::io;
 use std::path::PathBuf;
 
@@ -14,22 +15,54 @@
         /// The cause.
         source: io::Error,
     },
-    /// The text is no JSON with comments, or a setting is unknown or has a value of another type.
-    #[error("{path}: {message}", path = path.display())]
-    Parse {
+    /// The text is no JSON with comments, a setting is unknown or of another type, or settings
+    /// contradict each other.
+    #[error("{}", list(path, faults))]
+    Faults {
         /// The file.
         path: PathBuf,
-        /// What is wrong, with line and column.
-        message: String,
-    },
-    /// Settings contradict each other.
-    #[error("{path}: {setting}: {message}", path = path.display())]
-    Contradiction {
-        /// The file.
-        path: PathBuf,
-        /// The setting.
-        setting: String,
-        /// What is wrong.
-        message: String,
+        /// All that was found, in the order of the file; never empty.
+        faults: Vec<Fault>,
     },
 }
+
+/// Something wrong with one setting.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Where it stands; none if the setting is missing and so is its section.
+    pub position: Option<Position>,
+    /// The path of the setting, such as `entries[1].gate`; empty if the text cannot be parsed.
+    pub setting: String,
+    /// What is wrong.
+    pub message: String,
+}
+
+/// A place in a file; both numbers start at 1.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Position {
+    /// The line.
+    pub line: usize,
+    /// The column, in characters.
+    pub column: usize,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(Position { line, column }) = self.position {
+            write!(f, "{line}:{column}: ")?;
+        }
+        if !self.setting.is_empty() {
+            write!(f, "{}: ", self.setting)?;
+        }
+        f.write_str(&self.message)
+    }
+}
+
+/// Lists the faults, one a line.
+fn list(path: &std::path::Path, faults: &[Fault]) -> String {
+    let line = |fault: &Fault| match fault.position {
+        Some(_) => format!("{}:{fault}", path.display()),
+        None => format!("{}: {fault}", path.display()),
+    };
+    faults.iter().map(line).collect::<Vec<_>>().join("\n")
+}
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -1,14 +1,23 @@
 //! Settings of all programs, written in JSON with comments.
 
+mod check;
 mod config;
 mod error;
 mod read;
+mod source;
+mod table;
 
+pub use crate::check::check;
 pub use crate::config::Config;
 pub use crate::config::Entry;
 pub use crate::error::Error;
+pub use crate::error::Fault;
+pub use crate::error::Position;
 pub use crate::read::parse;
 pub use crate::read::read;
+pub use crate::table::Setting;
+pub use crate::table::page;
+pub use crate::table::table;
 
 /// The sections of [`Config`].
 pub mod section {
--- /dev/null
+++ b/crates/conf/src/source.rs
@@ -0,0 +1,150 @@
+//! Where each setting stands in the text of a file.
+
+use base::Map;
+use jsonc_parser::CollectOptions;
+use jsonc_parser::ParseOptions;
+use jsonc_parser::ast::ObjectPropName;
+use jsonc_parser::ast::Value;
+use jsonc_parser::common::Ranged;
+use jsonc_parser::errors::ParseError;
+
+use crate::error::Fault;
+use crate::error::Position;
+use crate::table;
+
+/// JSON with comments and trailing commas, and nothing looser.
+pub(crate) fn options() -> ParseOptions {
+    ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
+
+/// The settings of a text with their places.
+#[derive(Debug, Default)]
+pub(crate) struct Source {
+    /// The places of the values, in bytes, in the order of the text.
+    values: Vec<(String, usize, usize)>,
+    /// The places of the names, in bytes.
+    names: Map<String, usize>,
+    /// Names that stand twice in one object.
+    repeated: Vec<(String, usize)>,
+}
+
+impl Source {
+    /// Reads the places; an error if the text is no JSON with comments.
+    pub(crate) fn new(text: &str) -> Result<Source, ParseError> {
+        let parsed = jsonc_parser::parse_to_ast(text, &CollectOptions::default(), &options())?;
+        let mut source = Source::default();
+        if let Some(value) = &parsed.value {
+            source.add(String::new(), value);
+        }
+        Ok(source)
+    }
+
+    fn add(&mut self, path: String, value: &Value<'_>) {
+        let range = value.range();
+        self.values.push((path.clone(), range.start, range.end));
+        match value {
+            Value::Object(object) => {
+                for property in &object.properties {
+                    let path = join(&path, name(&property.name));
+                    let start = property.range.start;
+                    if self.names.insert(path.clone(), start).is_some() {
+                        self.repeated.push((path.clone(), start));
+                    }
+                    self.add(path, &property.value);
+                }
+            }
+            Value::Array(array) => {
+                for (index, element) in array.elements.iter().enumerate() {
+                    self.add(format!("{path}[{index}]"), element);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Finds the names that are no setting or stand twice.
+    pub(crate) fn faults(&self, text: &str) -> Vec<Fault> {
+        let known: Vec<String> = table::table().into_iter().map(|setting| setting.path).collect();
+        let is_known = |path: &str| {
+            let path = general(path);
+            known.iter().any(|known| {
+                known.strip_prefix(&path).is_some_and(|rest| {
+                    rest.is_empty() || rest.starts_with('.') || rest.starts_with("[]")
+                })
+            })
+        };
+        let unknown = self.names.iter().filter(|(path, _)| !is_known(path));
+        let unknown = unknown.map(|(path, start)| (path, *start, "no such setting"));
+        let repeated = self.repeated.iter();
+        let repeated = repeated.map(|(path, start)| (path, *start, "stands twice"));
+        let faults = unknown.chain(repeated).map(|(path, start, message)| Fault {
+            position: Some(position(text, start)),
+            setting: path.clone(),
+            message: message.to_owned(),
+        });
+        faults.collect()
+    }
+
+    /// Returns the path of the innermost setting that covers a place.
+    pub(crate) fn path_at(&self, at: usize) -> &str {
+        let covers = |(_, start, end): &&(String, usize, usize)| *start <= at && at < *end;
+        self.values.iter().rfind(covers).map_or("", |(path, ..)| path)
+    }
+
+    /// Returns the place of a setting, or of the nearest section that the text has.
+    pub(crate) fn position(&self, text: &str, path: &str) -> Option<Position> {
+        let mut path = path;
+        loop {
+            let value = self.values.iter().find(|(known, ..)| known == path);
+            let start = self.names.get(path).copied().or(value.map(|(_, start, _)| *start));
+            if let Some(start) = start {
+                return Some(position(text, start));
+            }
+            path = &path[..path.rfind(['.', '['])?];
+        }
+    }
+}
+
+/// Returns the line and column of a place given in bytes.
+fn position(text: &str, at: usize) -> Position {
+    let before = &text[..at];
+    let line = before.matches('\n').count() + 1;
+    let start = before.rfind('\n').map_or(0, |newline| newline + 1);
+    Position { line, column: before[start..].chars().count() + 1 }
+}
+
+fn join(path: &str, name: &str) -> String {
+    if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") }
+}
+
+fn name<'a>(name: &'a ObjectPropName<'_>) -> &'a str {
+    match name {
+        ObjectPropName::String(text) => &text.value,
+        ObjectPropName::Word(word) => word.value,
+    }
+}
+
+/// Replaces the index of an entry by `[]`, as the table has it.
+fn general(path: &str) -> String {
+    let mut general = String::new();
+    let mut inside = false;
+    for character in path.chars() {
+        inside &= character != ']';
+        if !inside {
+            general.push(character);
+        }
+        inside |= character == '[';
+    }
+    general
+}
--- /dev/null
+++ b/crates/conf/tests/table.rs
@@ -0,0 +1,58 @@
+//! The table of settings against the settings themselves and their page.
+
+use std::fs;
+use std::path::Path;
+
+use conf::Config;
+use conf::Entry;
+use conf::section::Tls;
+
+#[test]
+fn the_table_has_the_settings_and_their_defaults() {
+    let mut config = Config { entries: vec![Entry::default()], ..Config::default() };
+    config.tls = Some(Tls::default());
+    let value = serde_json::to_value(&config).unwrap();
+    let mut expected = Vec::new();
+    flatten("", &value, &mut expected);
+    let table = conf::table().into_iter().map(|setting| (setting.path, setting.default));
+    let mut table: Vec<_> = table.collect();
+    expected.sort();
+    table.sort();
+    assert_eq!(table, expected);
+}
+
+fn flatten(path: &str, value: &serde_json::Value, into: &mut Vec<(String, String)>) {
+    match value {
+        serde_json::Value::Object(object) => {
+            for (name, value) in object {
+                let path = if path.is_empty() { name.clone() } else { format!("{path}.{name}") };
+                flatten(&path, value, into);
+            }
+        }
+        serde_json::Value::Array(array) if path == "entries" => {
+            flatten("entries[]", &array[0], into);
+        }
+        _ => into.push((path.to_owned(), value.to_string())),
+    }
+}
+
+#[test]
+fn each_setting_is_explained() {
+    for setting in conf::table() {
+        assert!(setting.doc.ends_with('.'), "{}: '{}'", setting.path, setting.doc);
+        let has_unit = !setting.path.ends_with("_ms") || setting.doc.contains("milliseconds");
+        assert!(has_unit, "{} does not say its unit", setting.path);
+    }
+}
+
+#[test]
+fn the_page_is_in_step() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/SETTINGS.md");
+    let page = fs::read_to_string(&path).unwrap();
+    assert_eq!(page, conf::page(), "cargo run -p conf --example settings > docs/SETTINGS.md");
+}
+
+#[test]
+fn the_defaults_contradict_nothing() {
+    assert_eq!(conf::check(&Config::default()), []);
+}
