board: changes of the view are applied by the view itself

Ruled out: adding the patch to both. Change: board uses View::apply and keeps only the rule that a change it has already is passed over. Conclusion: one place applies changes.

--- a/crates/board/src/board.rs
+++ b/crates/board/src/board.rs
@@ -7,6 +7,7 @@
 use base::Name;
 use parking_lot::Mutex;
 use parking_lot::RwLock;
+use state::Delta;
 use state::View;
 use state::view::Ownership;
 use tokio::sync::Notify;
@@ -23,7 +24,6 @@
 use crate::floor::Target;
 use crate::floor::Waiter;
 use crate::lease::Lease;
-use crate::patch;
 use crate::peers::Peers;
 use crate::ticket::Abandoned;
 use crate::ticket::Ticket;
@@ -85,7 +85,7 @@
     pub fn update(&self, update: &Update) -> bool {
         let mut view = self.view.write();
         let complete = match update {
-            Update::Deltas(deltas) => deltas.iter().all(|delta| patch::apply(&mut view, delta)),
+            Update::Deltas(deltas) => deltas.iter().all(|delta| follow(&mut view, delta)),
             Update::Whole(whole) if whole.revision >= view.revision => {
                 *view = (**whole).clone();
                 true
@@ -246,3 +246,8 @@
         foreign.map(|run| (run.request.clone(), run.model.clone())).collect()
     }
 }
+
+/// Applies `delta` unless the view has it already; returns false if a change before it is missing.
+fn follow(view: &mut View, delta: &Delta) -> bool {
+    delta.revision <= view.revision || view.apply(delta)
+}
--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -7,7 +7,6 @@
 mod endpoint;
 mod floor;
 mod lease;
-mod patch;
 mod peers;
 mod ticket;
 
@@ -20,7 +19,6 @@
 pub use crate::floor::Target;
 pub use crate::floor::Waiter;
 pub use crate::lease::Lease;
-pub use crate::patch::apply;
 pub use crate::peers::Peer;
 pub use crate::peers::Peers;
 pub use crate::ticket::Abandoned;
