Stand-ins: engine, plain service and weight store

Cause: gates and placement need endpoints to be tried against before the real ones are at hand.

Change: radish-stub engine, service and store, each also a library. They announce themselves, inject faults on demand and record what ran. Answers are a function of adapter, version, request and prompt, so that callers can check them. Connections are reset as by a crash through an own stream type that sets a zero linger time.

Ruled out: refusing requests without a fencing number. A direct call to an engine, as for a baseline, has no owner; only a number that is present is compared.

--- /dev/null
+++ b/crates/stub/src/cli.rs
@@ -0,0 +1,321 @@
+//! The command line of `radish-stub`.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+use std::time::Duration;
+
+use base::Name;
+use lexopt::Arg;
+use lexopt::Parser;
+use lexopt::ValueExt;
+
+use crate::engine;
+use crate::fault::Faults;
+use crate::service;
+use crate::store;
+
+/// The text of `--help`.
+pub const HELP: &str = "\
+radish-stub: stand-ins for model engines, plain services, the weight store and a faulty network
+
+Usage: radish-stub engine  --address IP:PORT [OPTIONS]
+       radish-stub service --address IP:PORT --kind KIND [OPTIONS]
+       radish-stub store   --address IP:PORT [OPTIONS]
+       radish-stub proxy   --settings FILE
+       radish-stub proxy   --listen IP:PORT --to IP:PORT [--control IP:PORT] [--udp]
+
+Options of all:
+  --address IP:PORT      the address to listen on
+  --seed N               the seed of the faults [1]
+  --fault NAME=VALUE     a fault to begin with, such as cut_percent=10; repeatable
+  --log FORMAT           json or text [json]
+  --help, --version
+
+Options of engine and service:
+  --name NAME            the name of the endpoint
+  --announce A[,A...]    the gates to announce to
+  --advertise IP:PORT    the address to announce, where a proxy stands in front
+  --host NAME            the host that it says it runs on
+  --domain NAME          the failure domain of the host
+  --batch N              the requests it takes at once [16]
+  --ignore-fence         carries out orders with old fencing numbers
+  --endpoint-token TEXT  the token to show gates
+
+Options of engine:
+  --base NAME            the base model [base]
+  --slots N              the adapters it holds at once [6]
+  --queue N              the requests that may wait for the batch [16]
+  --store IP:PORT        the weight store; without one a load takes --load-ms
+  --load-ms N            the time of a load without a store [250]
+  --poison TEXT          crashes on a body with this text
+  --down-ms N            how long it is down after a crash [500]
+  --first-ms N           the time to the first token [60]
+  --first-each-ms N      what each running request adds to it [4]
+  --token-ms N           the time between tokens [20]
+  --token-each-ms N      what each running request adds to it [1]
+  --prefix-percent N     the share of the first time left when the prefix is cached [50]
+
+Options of service:
+  --kind KIND            the kind of the service
+  --work-ms N            the time of a call [5]
+
+Options of store:
+  --rate N               the loads a second that are allowed [5]
+  --burst N              the loads that may come at once after a pause [5]
+  --in-flight N          the loads in flight that run at full speed [8]
+  --load-ms N            the time of a load at full speed [250]
+  --fail-percent N       the loads that fail half way [0]
+  --refuse               refuses all loads
+
+Options of proxy:
+  --settings FILE        links in JSON with comments
+  --listen, --to         one link named 'link'
+  --control IP:PORT      where GET /links and PUT /links/NAME are answered
+  --udp                  the link carries datagrams
+";
+
+/// What the command line asks for.
+pub enum Command {
+    /// Print [`HELP`].
+    Help,
+    /// Print the version.
+    Version,
+    /// Run an engine.
+    Engine(Common, engine::Settings),
+    /// Run a service.
+    Service(Common, service::Settings),
+    /// Run a store.
+    Store(Common, store::Settings),
+    /// Run a proxy.
+    Proxy(Proxy),
+}
+
+/// What all stand-ins take.
+#[derive(Clone, Debug)]
+pub struct Common {
+    /// The address to listen on.
+    pub address: SocketAddr,
+    /// The form of the log.
+    pub format: base::Format,
+}
+
+/// What a proxy takes.
+#[derive(Clone, Debug, Default)]
+pub struct Proxy {
+    /// The file with its links.
+    pub settings: Option<PathBuf>,
+    /// The address of its only link.
+    pub listen: Option<SocketAddr>,
+    /// The target of its only link.
+    pub to: Option<SocketAddr>,
+    /// The address of its control face.
+    pub control: Option<SocketAddr>,
+    /// Whether its only link carries datagrams.
+    pub udp: bool,
+    /// The seed of its losses.
+    pub seed: u64,
+    /// The form of the log.
+    pub format: base::Format,
+}
+
+/// Parses the arguments behind the program's name.
+pub fn parse(args: impl IntoIterator<Item = OsString>) -> Result<Command, lexopt::Error> {
+    let mut parser = Parser::from_args(args);
+    match parser.next()? {
+        Some(Arg::Long("help") | Arg::Short('h')) => Ok(Command::Help),
+        Some(Arg::Long("version") | Arg::Short('V')) => Ok(Command::Version),
+        Some(Arg::Value(name)) => match name.to_string_lossy().as_ref() {
+            "engine" => parse_engine(parser),
+            "service" => parse_service(parser),
+            "store" => parse_store(parser),
+            "proxy" => parse_proxy(parser),
+            other => Err(format!("unknown command '{other}', see --help").into()),
+        },
+        Some(other) => Err(other.unexpected()),
+        None => Err("a command is missing, see --help".into()),
+    }
+}
+
+/// What is gathered before a [`Common`] can be made.
+#[derive(Default)]
+struct Shared {
+    address: Option<SocketAddr>,
+    format: base::Format,
+    seed: u64,
+    faults: Vec<String>,
+}
+
+impl Shared {
+    fn new() -> Shared {
+        Shared { seed: 1, ..Shared::default() }
+    }
+
+    /// Takes an option that all have; `false` if it is another.
+    fn take(&mut self, option: &str, parser: &mut Parser) -> Result<bool, lexopt::Error> {
+        match option {
+            "address" => self.address = Some(value(parser)?),
+            "seed" => self.seed = value(parser)?,
+            "log" => self.format = value(parser)?,
+            "fault" => self.faults.push(parser.value()?.string()?),
+            _ => return Ok(false),
+        }
+        Ok(true)
+    }
+
+    fn finish(self) -> Result<(Common, u64, Faults), lexopt::Error> {
+        let address = self.address.ok_or("--address is missing")?;
+        let faults = Faults::parse(self.faults)?;
+        Ok((Common { address, format: self.format }, self.seed, faults))
+    }
+}
+
+fn parse_engine(mut parser: Parser) -> Result<Command, lexopt::Error> {
+    let mut settings = engine::Settings::default();
+    let mut shared = Shared::new();
+    while let Some(option) = option(&mut parser)? {
+        let parser = &mut parser;
+        if shared.take(&option, parser)? {
+            continue;
+        }
+        match option.as_str() {
+            "help" => return Ok(Command::Help),
+            "name" => settings.name = name(parser)?,
+            "announce" => settings.announce = names(parser)?,
+            "advertise" => settings.advertise = Some(name(parser)?),
+            "host" => settings.host = name(parser)?,
+            "domain" => settings.domain = name(parser)?,
+            "base" => settings.base = name(parser)?,
+            "slots" => settings.slots = value(parser)?,
+            "batch" => settings.batch = value(parser)?,
+            "queue" => settings.queue = value(parser)?,
+            "store" => settings.store = Some(name(parser)?),
+            "load-ms" => settings.load = millis(parser)?,
+            "poison" => settings.poison = Some(parser.value()?.string()?),
+            "down-ms" => settings.down = millis(parser)?,
+            "first-ms" => settings.pace.first_ms = value(parser)?,
+            "first-each-ms" => settings.pace.first_each_ms = value(parser)?,
+            "token-ms" => settings.pace.token_ms = value(parser)?,
+            "token-each-ms" => settings.pace.token_each_ms = value(parser)?,
+            "prefix-percent" => settings.pace.prefix_percent = value(parser)?,
+            "ignore-fence" => settings.fenced = false,
+            "endpoint-token" => settings.token = Some(name(parser)?),
+            _ => return Err(unknown(&option)),
+        }
+    }
+    let (common, seed, faults) = shared.finish()?;
+    Ok(Command::Engine(common, engine::Settings { seed, faults, ..settings }))
+}
+
+fn parse_service(mut parser: Parser) -> Result<Command, lexopt::Error> {
+    let mut settings = service::Settings::default();
+    let mut shared = Shared::new();
+    let mut kind = None;
+    while let Some(option) = option(&mut parser)? {
+        let parser = &mut parser;
+        if shared.take(&option, parser)? {
+            continue;
+        }
+        match option.as_str() {
+            "help" => return Ok(Command::Help),
+            "name" => settings.name = name(parser)?,
+            "kind" => kind = Some(name(parser)?),
+            "announce" => settings.announce = names(parser)?,
+            "advertise" => settings.advertise = Some(name(parser)?),
+            "host" => settings.host = name(parser)?,
+            "domain" => settings.domain = name(parser)?,
+            "batch" => settings.batch = value(parser)?,
+            "work-ms" => settings.work = millis(parser)?,
+            "ignore-fence" => settings.fenced = false,
+            "endpoint-token" => settings.token = Some(name(parser)?),
+            _ => return Err(unknown(&option)),
+        }
+    }
+    let kind = kind.ok_or("--kind is missing")?;
+    let (common, seed, faults) = shared.finish()?;
+    Ok(Command::Service(common, service::Settings { kind, seed, faults, ..settings }))
+}
+
+fn parse_store(mut parser: Parser) -> Result<Command, lexopt::Error> {
+    let mut settings = store::Settings::default();
+    let mut shared = Shared::new();
+    let mut fail_percent = None;
+    let mut refuse = false;
+    while let Some(option) = option(&mut parser)? {
+        let parser = &mut parser;
+        if shared.take(&option, parser)? {
+            continue;
+        }
+        match option.as_str() {
+            "help" => return Ok(Command::Help),
+            "rate" => settings.rate = value(parser)?,
+            "burst" => settings.burst = value(parser)?,
+            "in-flight" => settings.in_flight = value(parser)?,
+            "load-ms" => settings.load = millis(parser)?,
+            "fail-percent" => fail_percent = Some(value(parser)?),
+            "refuse" => refuse = true,
+            _ => return Err(unknown(&option)),
+        }
+    }
+    let (common, seed, mut faults) = shared.finish()?;
+    faults.load_fail_percent = fail_percent.unwrap_or(faults.load_fail_percent);
+    faults.refuse |= refuse;
+    Ok(Command::Store(common, store::Settings { seed, faults, ..settings }))
+}
+
+fn parse_proxy(mut parser: Parser) -> Result<Command, lexopt::Error> {
+    let mut proxy = Proxy { seed: 1, ..Proxy::default() };
+    while let Some(option) = option(&mut parser)? {
+        let parser = &mut parser;
+        match option.as_str() {
+            "help" => return Ok(Command::Help),
+            "settings" => proxy.settings = Some(PathBuf::from(parser.value()?)),
+            "listen" => proxy.listen = Some(value(parser)?),
+            "to" => proxy.to = Some(value(parser)?),
+            "control" => proxy.control = Some(value(parser)?),
+            "udp" => proxy.udp = true,
+            "seed" => proxy.seed = value(parser)?,
+            "log" => proxy.format = value(parser)?,
+            _ => return Err(unknown(&option)),
+        }
+    }
+    match (&proxy.settings, proxy.listen, proxy.to) {
+        (Some(_), None, None) | (None, Some(_), Some(_)) => Ok(Command::Proxy(proxy)),
+        _ => Err("either --settings or both --listen and --to are needed".into()),
+    }
+}
+
+/// Returns the name of the next option; a value in its place is an error.
+fn option(parser: &mut Parser) -> Result<Option<String>, lexopt::Error> {
+    match parser.next()? {
+        None => Ok(None),
+        Some(Arg::Long(name)) => Ok(Some(name.to_owned())),
+        Some(other) => Err(other.unexpected()),
+    }
+}
+
+fn unknown(option: &str) -> lexopt::Error {
+    lexopt::Error::UnexpectedOption(format!("--{option}"))
+}
+
+fn value<T>(parser: &mut Parser) -> Result<T, lexopt::Error>
+where
+    T: FromStr,
+    T::Err: Into<Box<dyn std::error::Error + Send + Sync + 'static>>,
+{
+    parser.value()?.parse()
+}
+
+fn millis(parser: &mut Parser) -> Result<Duration, lexopt::Error> {
+    Ok(Duration::from_millis(value(parser)?))
+}
+
+fn name(parser: &mut Parser) -> Result<Name, lexopt::Error> {
+    Ok(Name::from(parser.value()?.string()?))
+}
+
+fn names(parser: &mut Parser) -> Result<Vec<Name>, lexopt::Error> {
+    let text = parser.value()?.string()?;
+    Ok(text.split(',').filter(|part| !part.is_empty()).map(Name::from).collect())
+}
--- /dev/null
+++ b/crates/stub/src/engine/batch.rs
@@ -0,0 +1,80 @@
+//! The seats of a batch and the requests that wait for one, the highest priority first.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+
+/// The seats of a batch.
+pub(crate) struct Batch {
+    queue: Mutex<Queue>,
+}
+
+struct Queue {
+    /// The free seats; invariant: 0 while a request waits.
+    free: u32,
+    /// The requests that may wait.
+    limit: usize,
+    /// Numbers the requests that wait, so that the oldest of a priority is first.
+    next: u64,
+    waiting: BTreeMap<(Reverse<u64>, u64), oneshot::Sender<Seat>>,
+}
+
+/// A seat in the batch; it is handed on when dropped.
+pub(crate) struct Seat {
+    batch: Option<Arc<Batch>>,
+}
+
+impl Batch {
+    pub(crate) fn new(seats: u32, limit: u32) -> Batch {
+        let waiting = BTreeMap::new();
+        Batch { queue: Mutex::new(Queue { free: seats, limit: limit as usize, next: 0, waiting }) }
+    }
+
+    /// Waits for a seat; none if too many wait already.
+    pub(crate) async fn seat(self: &Arc<Batch>, priority: u64) -> Option<Seat> {
+        let waiter = {
+            let mut queue = self.queue.lock();
+            if queue.free > 0 {
+                queue.free -= 1;
+                return Some(Seat { batch: Some(self.clone()) });
+            }
+            queue.waiting.retain(|_, waiter| !waiter.is_closed());
+            if queue.waiting.len() >= queue.limit {
+                return None;
+            }
+            let (sender, receiver) = oneshot::channel();
+            queue.next += 1;
+            let key = (Reverse(priority), queue.next);
+            queue.waiting.insert(key, sender);
+            receiver
+        };
+        waiter.await.ok()
+    }
+
+    /// Returns the number of requests that wait.
+    pub(crate) fn waiting(&self) -> u32 {
+        let queue = self.queue.lock();
+        let waiting = queue.waiting.values().filter(|waiter| !waiter.is_closed()).count();
+        u32::try_from(waiting).unwrap_or(u32::MAX)
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        let Some(batch) = self.batch.take() else { return };
+        let mut seat = Seat { batch: Some(batch.clone()) };
+        loop {
+            let next = batch.queue.lock().waiting.pop_first();
+            let Some((_, waiter)) = next else { break };
+            match waiter.send(seat) {
+                Ok(()) => return,
+                Err(back) => seat = back,
+            }
+        }
+        seat.batch = None;
+        batch.queue.lock().free += 1;
+    }
+}
--- /dev/null
+++ b/crates/stub/src/engine/order.rs
@@ -0,0 +1,152 @@
+//! Orders of the owner: load, unload, change role.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Json;
+use axum::extract::State;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use hyper::Method;
+use state::view;
+use tokio::sync::OnceCell;
+use wire::endpoint::Action;
+use wire::endpoint::Model;
+use wire::endpoint::Order;
+use wire::endpoint::Reason;
+
+use crate::clock;
+use crate::engine::shared::Shared;
+use crate::engine::shared::Slot;
+use crate::record::Change;
+use crate::record::End;
+use crate::record::Offence;
+use crate::service::refusal;
+
+/// How long the store may take for a load.
+const STORE_LIMIT: Duration = Duration::from_secs(60);
+
+/// The outcome of an order, so that its repetition is not carried out again.
+pub(crate) type Outcome = Arc<OnceCell<Result<(), Reason>>>;
+
+pub(crate) async fn order(State(shared): State<Arc<Shared>>, Json(order): Json<Order>) -> Response {
+    if let Err(reason) = shared.check_fence(order.fence, "order") {
+        return refusal(reason);
+    }
+    let cell = shared.table.lock().orders.entry(order.id.clone()).or_default().clone();
+    let carrier = shared.clone();
+    let work = async move { *cell.get_or_init(|| carry_out(&carrier, order.action)).await };
+    // The order is carried out also when its sender goes away.
+    let outcome = tokio::spawn(work).await;
+    match outcome.unwrap_or(Err(Reason::LoadFailed)) {
+        Ok(()) => Json(shared.state()).into_response(),
+        Err(reason) => refusal(reason),
+    }
+}
+
+async fn carry_out(shared: &Shared, action: Action) -> Result<(), Reason> {
+    match action {
+        Action::Load(model) => load(shared, model).await,
+        Action::Unload(model) => unload(shared, &model),
+        Action::Role(role) => change_role(shared, role),
+    }
+}
+
+async fn load(shared: &Shared, model: Model) -> Result<(), Reason> {
+    let mut loads = shared.loads.subscribe();
+    if !reserve(shared, &model)? {
+        return other_load(shared, &model, &mut loads).await;
+    }
+    let start_ms = clock::now();
+    let generation = shared.table.lock().book.generation();
+    let fetched = fetch(shared, &model).await;
+    let mut table = shared.table.lock();
+    if table.book.generation() != generation {
+        return Err(Reason::LoadFailed);
+    }
+    let end = if fetched { End::Complete } else { End::Failed };
+    if fetched {
+        table.slots.insert(model.clone(), Slot { loaded: true, users: 0 });
+    } else {
+        table.slots.remove(&model);
+    }
+    table.book.change(Change { model, load: true, start_ms, end_ms: clock::now(), end });
+    drop(table);
+    shared.loads.send_modify(|count| *count += 1);
+    if fetched { Ok(()) } else { Err(Reason::LoadFailed) }
+}
+
+/// Takes a slot for a load; `false` if the adapter has one.
+fn reserve(shared: &Shared, model: &Model) -> Result<bool, Reason> {
+    let mut table = shared.table.lock();
+    if table.slots.contains_key(model) {
+        return Ok(false);
+    }
+    let view::Role::Engine { slots, .. } = &table.role else { return Err(Reason::NoSlot) };
+    if table.slots.len() >= *slots as usize {
+        return Err(Reason::NoSlot);
+    }
+    table.slots.insert(model.clone(), Slot::default());
+    Ok(true)
+}
+
+/// Waits for the load of the same adapter by another order.
+async fn other_load(
+    shared: &Shared,
+    model: &Model,
+    loads: &mut tokio::sync::watch::Receiver<u64>,
+) -> Result<(), Reason> {
+    loop {
+        let slot = shared.table.lock().slots.get(model).copied();
+        match slot {
+            Some(slot) if slot.loaded => return Ok(()),
+            Some(_) => loads.changed().await.map_err(|_| Reason::LoadFailed)?,
+            None => return Err(Reason::LoadFailed),
+        }
+    }
+}
+
+/// Fetches the weights; returns whether they came.
+async fn fetch(shared: &Shared, model: &Model) -> bool {
+    let fails = shared.injector.strikes(|faults| faults.load_fail_percent);
+    if fails {
+        tokio::time::sleep(shared.settings.load / 2).await;
+        return false;
+    }
+    let Some(store) = &shared.settings.store else {
+        tokio::time::sleep(shared.settings.load).await;
+        return true;
+    };
+    let path = format!("/v1/weights/{}/{}", model.adapter, model.version);
+    let answer = shared.client.send(Method::GET, store, &path, "", STORE_LIMIT).await;
+    answer.is_ok_and(|answer| answer.status().is_success())
+}
+
+fn unload(shared: &Shared, model: &Model) -> Result<(), Reason> {
+    let mut table = shared.table.lock();
+    let Some(slot) = table.slots.get(model).copied() else { return Ok(()) };
+    if slot.users > 0 {
+        let what = format!("unload of {}@{} in use", model.adapter, model.version);
+        table.book.violate(Offence::UnloadInUse, what);
+        return Err(Reason::InUse);
+    }
+    if !slot.loaded {
+        return Err(Reason::InUse);
+    }
+    table.slots.remove(model);
+    let now = clock::now();
+    let model = model.clone();
+    let end = End::Complete;
+    table.book.change(Change { model, load: false, start_ms: now, end_ms: now, end });
+    Ok(())
+}
+
+fn change_role(shared: &Shared, role: view::Role) -> Result<(), Reason> {
+    let mut table = shared.table.lock();
+    if table.slots.values().any(|slot| slot.users > 0) {
+        return Err(Reason::InUse);
+    }
+    table.slots.clear();
+    table.role = role;
+    Ok(())
+}
--- /dev/null
+++ b/crates/stub/src/engine/shared.rs
@@ -0,0 +1,200 @@
+//! The tables of an engine.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Event;
+use base::Map;
+use base::Name;
+use parking_lot::Mutex;
+use state::view;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use wire::endpoint::Announcement;
+use wire::endpoint::Model;
+use wire::endpoint::Reason;
+use wire::endpoint::Running;
+use wire::endpoint::State;
+
+use crate::client::Client;
+use crate::clock;
+use crate::engine::Settings;
+use crate::engine::batch::Batch;
+use crate::engine::order::Outcome;
+use crate::engine::prefix::Cache;
+use crate::fault::Injector;
+use crate::record::Book;
+use crate::record::Offence;
+use crate::server::Switch;
+
+/// The reports that are kept, to give old ones out.
+const REPORTS: usize = 64;
+
+/// What the handlers of an engine share.
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) address: Name,
+    pub(crate) injector: Injector,
+    pub(crate) switch: Switch,
+    pub(crate) client: Client,
+    pub(crate) batch: Arc<Batch>,
+    /// Changes whenever a load ends.
+    pub(crate) loads: watch::Sender<u64>,
+    pub(crate) table: Mutex<Table>,
+}
+
+/// What changes; one lock for all of it.
+pub(crate) struct Table {
+    pub(crate) role: view::Role,
+    /// The highest fencing number seen in this run.
+    pub(crate) fence: u64,
+    pub(crate) leaving: bool,
+    pub(crate) slots: Map<Model, Slot>,
+    pub(crate) orders: Map<Name, Outcome>,
+    /// The requests that wait or run, by id, with a number of their own.
+    pub(crate) cancels: Map<Name, (u64, CancellationToken)>,
+    pub(crate) arrivals: u64,
+    pub(crate) prefixes: Cache,
+    pub(crate) book: Book,
+    reports: VecDeque<(Instant, State)>,
+}
+
+/// An adapter's slot.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Slot {
+    /// Whether the load is over.
+    pub(crate) loaded: bool,
+    /// The requests that wait or run on it; invariant: 0 while it is not loaded.
+    pub(crate) users: u32,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: Settings, address: Name) -> Shared {
+        let role = view::Role::Engine {
+            base: settings.base.clone(),
+            slots: settings.slots,
+            batch: settings.batch,
+        };
+        let table = Table {
+            role,
+            fence: 0,
+            leaving: false,
+            slots: Map::default(),
+            orders: Map::default(),
+            cancels: Map::default(),
+            arrivals: 0,
+            prefixes: Cache::default(),
+            book: Book::new(settings.name.clone(), clock::now(), settings.batch),
+            reports: VecDeque::new(),
+        };
+        Shared {
+            address,
+            injector: Injector::new(settings.faults.clone(), settings.seed),
+            switch: Switch::default(),
+            client: Client::default(),
+            batch: Arc::new(Batch::new(settings.batch, settings.queue)),
+            loads: watch::Sender::new(0),
+            table: Mutex::new(table),
+            settings,
+        }
+    }
+
+    /// Checks the fencing number of an order or a request.
+    pub(crate) fn check_fence(&self, fence: u64, what: &str) -> Result<(), Reason> {
+        let mut table = self.table.lock();
+        if fence >= table.fence {
+            table.fence = fence;
+            return Ok(());
+        }
+        if self.settings.fenced {
+            return Err(Reason::StaleFence);
+        }
+        let what = format!("{what} with fence {fence} after {}", table.fence);
+        table.book.violate(Offence::StaleFence, what);
+        Ok(())
+    }
+
+    /// Restarts cold; the engine is down for `down`.
+    pub(crate) fn restart(self: Arc<Shared>, down: Duration) {
+        self.switch.set_down(true);
+        {
+            let mut table = self.table.lock();
+            let generation = clock::now().max(table.book.generation() + 1);
+            table.book.restart(generation);
+            table.fence = 0;
+            table.slots.clear();
+            table.orders.clear();
+            table.cancels.clear();
+            table.prefixes.clear();
+            table.reports.clear();
+        }
+        self.loads.send_modify(|count| *count += 1);
+        self.switch.reset();
+        base::event!(WARN, Event::FaultInjected, engine = %self.settings.name, "restart");
+        tokio::spawn(async move {
+            tokio::time::sleep(down).await;
+            self.switch.set_down(false);
+        });
+    }
+
+    /// Returns the number of requests that wait or run.
+    pub(crate) fn in_progress(&self) -> usize {
+        self.table.lock().cancels.len()
+    }
+
+    /// Returns what the engine holds and does now.
+    pub(crate) fn state(&self) -> State {
+        let table = self.table.lock();
+        let loaded = table.slots.iter().filter(|(_, slot)| slot.loaded);
+        let mut loaded: Vec<Model> = loaded.map(|(model, _)| model.clone()).collect();
+        loaded.sort();
+        let running = table.book.live();
+        let running = running
+            .map(|run| Running { request: run.request.clone(), model: run.model.clone() })
+            .collect();
+        let generation = table.book.generation();
+        State { generation, loaded, running, waiting: self.batch.waiting() }
+    }
+
+    /// Returns the next announcement; none while the engine is down or silent.
+    pub(crate) fn announcement(&self) -> Option<Announcement> {
+        if self.switch.is_down() || self.injector.faults().silent {
+            return None;
+        }
+        let state = self.report();
+        let table = self.table.lock();
+        let endpoint = view::Endpoint {
+            name: self.settings.name.clone(),
+            address: self.address.clone(),
+            host: self.settings.host.clone(),
+            domain: self.settings.domain.clone(),
+            role: table.role.clone(),
+            fenced: self.settings.fenced,
+            generation: table.book.generation(),
+        };
+        Some(Announcement { endpoint, state, leaving: table.leaving })
+    }
+
+    /// Returns a state as late and with such gaps as the faults want.
+    fn report(&self) -> State {
+        let faults = self.injector.faults();
+        let now = self.state();
+        let lag = Duration::from_millis(faults.report_lag_ms);
+        let mut state = {
+            let mut table = self.table.lock();
+            table.reports.push_back((Instant::now(), now.clone()));
+            if table.reports.len() > REPORTS {
+                table.reports.pop_front();
+            }
+            let old = table.reports.iter().rev().find(|(at, _)| at.elapsed() >= lag);
+            old.map_or_else(
+                || State { generation: now.generation, ..State::default() },
+                |(_, old)| old.clone(),
+            )
+        };
+        state.loaded.retain(|_| !self.injector.draw(faults.report_gap_percent));
+        state
+    }
+}
--- /dev/null
+++ b/crates/stub/src/server.rs
@@ -0,0 +1,171 @@
+//! An HTTP server whose connections can be reset as by a crash.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+
+use axum::Extension;
+use axum::Router;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use hyper_util::server::conn::auto;
+use hyper_util::service::TowerToHyperService;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// Resets connections and turns a server off and on.
+#[derive(Clone, Debug)]
+pub struct Switch {
+    state: Arc<watch::Sender<State>>,
+}
+
+/// What a [`Switch`] tells connections.
+#[derive(Clone, Copy, Debug, Default)]
+struct State {
+    /// Grows with each reset; a connection of an older epoch is reset.
+    epoch: u64,
+    /// Whether new connections are reset at once.
+    down: bool,
+}
+
+impl Default for Switch {
+    fn default() -> Switch {
+        Switch { state: Arc::new(watch::Sender::new(State::default())) }
+    }
+}
+
+impl Switch {
+    /// Resets every connection but those that were [kept](Link::keep).
+    pub fn reset(&self) {
+        self.state.send_modify(|state| state.epoch += 1);
+    }
+
+    /// Sets whether new connections are reset at once.
+    pub fn set_down(&self, down: bool) {
+        self.state.send_modify(|state| state.down = down);
+    }
+
+    /// Returns whether new connections are reset at once.
+    pub fn is_down(&self) -> bool {
+        self.state.borrow().down
+    }
+}
+
+/// The connection that a request came through.
+#[derive(Clone, Debug, Default)]
+pub struct Link {
+    kept: Arc<AtomicBool>,
+    cut: Arc<tokio::sync::Notify>,
+}
+
+impl Link {
+    /// Keeps the connection open over a [`Switch::reset`].
+    pub fn keep(&self) {
+        self.kept.store(true, Ordering::Relaxed);
+    }
+
+    /// Resets the connection now.
+    pub fn cut(&self) {
+        self.cut.notify_one();
+    }
+}
+
+/// Accepts connections until the future is dropped; connections in progress go on.
+pub async fn serve(listener: TcpListener, router: Router, switch: Switch) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::task::yield_now().await;
+            continue;
+        };
+        if switch.is_down() {
+            reset(&stream);
+            continue;
+        }
+        tokio::spawn(connection(stream, router.clone(), switch.clone()));
+    }
+}
+
+async fn connection(stream: TcpStream, router: Router, switch: Switch) {
+    stream.set_nodelay(true).ok();
+    let link = Link::default();
+    let abort = Arc::new(AtomicBool::new(false));
+    let io = TokioIo::new(Stream { inner: stream, abort: abort.clone() });
+    let service = TowerToHyperService::new(router.layer(Extension(link.clone())));
+    let builder = auto::Builder::new(TokioExecutor::new());
+    let serving = builder.serve_connection(io, service);
+    tokio::pin!(serving);
+    tokio::select! {
+        _ = &mut serving => return,
+        () = ended(&switch, &link) => {}
+        () = link.cut.notified() => {}
+    }
+    abort.store(true, Ordering::Relaxed);
+}
+
+/// Waits for a reset that is meant for the connection.
+async fn ended(switch: &Switch, link: &Link) {
+    let mut state = switch.state.subscribe();
+    let mut epoch = state.borrow_and_update().epoch;
+    while state.changed().await.is_ok() {
+        let now = state.borrow_and_update().epoch;
+        if now != epoch && !link.kept.load(Ordering::Relaxed) {
+            return;
+        }
+        epoch = now;
+    }
+    std::future::pending::<()>().await;
+}
+
+fn reset(stream: &TcpStream) {
+    stream.set_zero_linger().ok();
+}
+
+/// A connection that is closed by a reset if `abort` is set.
+struct Stream {
+    inner: TcpStream,
+    abort: Arc<AtomicBool>,
+}
+
+impl Drop for Stream {
+    fn drop(&mut self) {
+        if self.abort.load(Ordering::Relaxed) {
+            reset(&self.inner);
+        }
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/crates/stub/src/service.rs
@@ -0,0 +1,371 @@
+//! A stand-in for a plain service: counts its runs by idempotency key.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Extension;
+use axum::Json;
+use axum::Router;
+use axum::extract::Request;
+use axum::extract::State;
+use axum::http::HeaderMap;
+use axum::http::StatusCode;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use axum::routing::get;
+use axum::routing::post;
+use base::Name;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use parking_lot::Mutex;
+use serde::Deserialize;
+use serde::Serialize;
+use state::view;
+use tokio::net::TcpListener;
+use wire::endpoint;
+use wire::endpoint::Announcement;
+use wire::endpoint::Fault;
+use wire::endpoint::Reason;
+use wire::endpoint::Running;
+use wire::header;
+
+use crate::announce;
+use crate::client::Client;
+use crate::clock;
+use crate::fault::Faults;
+use crate::fault::Injector;
+use crate::record::Book;
+use crate::record::End;
+use crate::record::Record;
+use crate::record::Start;
+use crate::server;
+use crate::server::Link;
+use crate::server::Switch;
+
+/// How a service behaves.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Its name.
+    pub name: Name,
+    /// Its kind.
+    pub kind: Name,
+    /// The host that it runs on.
+    pub host: Name,
+    /// The failure domain of the host.
+    pub domain: Name,
+    /// The gates to announce to; none announces nothing.
+    pub announce: Vec<Name>,
+    /// The address to announce, where it is not the one it listens on.
+    pub advertise: Option<Name>,
+    /// The requests it takes at once.
+    pub batch: u32,
+    /// How long a call takes.
+    pub work: Duration,
+    /// Whether it refuses old fencing numbers.
+    pub fenced: bool,
+    /// What it sends gates as `Authorization: Bearer`.
+    pub token: Option<Name>,
+    /// The faults to begin with.
+    pub faults: Faults,
+    /// The seed of the faults.
+    pub seed: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            name: Name::from("ledger-1"),
+            kind: Name::from("ledger"),
+            host: Name::from("ledger-host-1"),
+            domain: Name::from("a"),
+            announce: Vec::new(),
+            advertise: None,
+            batch: 16,
+            work: Duration::from_millis(5),
+            fenced: true,
+            token: None,
+            faults: Faults::default(),
+            seed: 1,
+        }
+    }
+}
+
+/// The answer of a call.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Receipt {
+    /// The service's name.
+    pub service: Name,
+    /// The id of the request.
+    pub request: Name,
+    /// The idempotency key, where it had one.
+    pub key: Option<Name>,
+    /// The method and the path.
+    pub call: String,
+    /// The digest of the body.
+    pub digest: u64,
+    /// The number of the run at this service.
+    pub run: u64,
+}
+
+/// A running service; it stops when dropped.
+pub struct Service {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+struct Shared {
+    settings: Settings,
+    address: Name,
+    generation: u64,
+    injector: Injector,
+    switch: Switch,
+    table: Mutex<Table>,
+}
+
+struct Table {
+    /// The highest fencing number seen.
+    fence: u64,
+    leaving: bool,
+    book: Book,
+}
+
+impl Service {
+    /// Starts a service on a listener.
+    pub fn start(listener: TcpListener, settings: Settings) -> io::Result<Service> {
+        let address = listener.local_addr()?;
+        let injector = Injector::new(settings.faults.clone(), settings.seed);
+        let generation = clock::now();
+        let book = Book::new(settings.name.clone(), generation, settings.batch);
+        let table = Table { fence: 0, leaving: false, book };
+        let shared = Arc::new(Shared {
+            address: advertised(&settings.advertise, address),
+            generation,
+            injector,
+            switch: Switch::default(),
+            table: Mutex::new(table),
+            settings,
+        });
+        let router = router(shared.clone());
+        let mut tasks = Vec::new();
+        tasks.push(tokio::spawn(server::serve(listener, router, shared.switch.clone())));
+        if !shared.settings.announce.is_empty() {
+            let current = shared.clone();
+            let client = Client::new(shared.settings.token.clone());
+            let seeds = shared.settings.announce.clone();
+            tasks.push(tokio::spawn(announce::run(seeds, client, move || current.announcement())));
+        }
+        Ok(Service { address, shared, tasks })
+    }
+
+    /// Returns the address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns what it saw.
+    pub fn record(&self) -> Record {
+        self.shared.table.lock().book.snapshot()
+    }
+
+    /// Replaces its faults.
+    pub fn set_faults(&self, faults: Faults) {
+        self.shared.injector.set(faults);
+    }
+
+    /// Tells a gate that it leaves and waits until no call is in progress.
+    pub async fn leave(&self) {
+        self.shared.table.lock().leaving = true;
+        if let Some(announcement) = self.shared.announcement() {
+            let client = Client::new(self.shared.settings.token.clone());
+            announce::send(&client, self.shared.settings.announce.iter(), &announcement).await;
+        }
+        while !self.shared.state().running.is_empty() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+impl Drop for Service {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+fn router(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/v1/state", get(read_state))
+        .route("/control/record", get(read_record).delete(reset_record))
+        .route("/control/faults", post(set_faults).get(read_faults))
+        .route("/control/leave", post(leave))
+        .fallback(call)
+        .with_state(shared)
+}
+
+async fn call(
+    State(shared): State<Arc<Shared>>,
+    Extension(link): Extension<Link>,
+    request: Request,
+) -> Response {
+    if shared.injector.faults().deaf {
+        std::future::pending::<()>().await;
+    }
+    let (parts, body) = request.into_parts();
+    let Ok(body) = body.collect().await else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let fence = number(&parts.headers, header::FENCE);
+    if let Err(reason) = shared.admit(fence) {
+        return refusal(reason);
+    }
+    let call = format!("{} {}", parts.method, parts.uri);
+    let receipt = shared.begin(call, &parts.headers, fence, &body.to_bytes());
+    let late = shared.injector.strikes(|faults| faults.late_percent);
+    let delay = if late { shared.injector.faults().late_ms } else { 0 };
+    let guard = Guard { shared: &shared, number: receipt.run, end: End::Cancelled };
+    tokio::time::sleep(shared.settings.work + Duration::from_millis(delay)).await;
+    if shared.injector.strikes(|faults| faults.hang_percent) {
+        guard.finish(End::Cut);
+        std::future::pending::<()>().await;
+    } else if shared.injector.strikes(|faults| faults.cut_percent) {
+        guard.finish(End::Cut);
+        link.cut();
+        std::future::pending::<()>().await;
+    } else {
+        guard.finish(End::Complete);
+    }
+    let id = receipt.request.to_string();
+    ([(header::REQUEST, id)], Json(receipt)).into_response()
+}
+
+async fn read_state(State(shared): State<Arc<Shared>>) -> Json<endpoint::State> {
+    if shared.injector.faults().deaf {
+        std::future::pending::<()>().await;
+    }
+    Json(shared.state())
+}
+
+async fn read_record(State(shared): State<Arc<Shared>>) -> Json<Record> {
+    Json(shared.table.lock().book.snapshot())
+}
+
+async fn reset_record(State(shared): State<Arc<Shared>>) {
+    shared.table.lock().book.reset();
+}
+
+async fn read_faults(State(shared): State<Arc<Shared>>) -> Json<Faults> {
+    Json(shared.injector.faults())
+}
+
+async fn set_faults(State(shared): State<Arc<Shared>>, Json(faults): Json<Faults>) {
+    shared.injector.set(faults);
+}
+
+async fn leave(State(shared): State<Arc<Shared>>) {
+    shared.table.lock().leaving = true;
+}
+
+impl Shared {
+    fn admit(&self, fence: u64) -> Result<(), Reason> {
+        if self.injector.faults().refuse {
+            return Err(Reason::Busy);
+        }
+        let mut table = self.table.lock();
+        if fence != 0 && fence < table.fence && self.settings.fenced {
+            return Err(Reason::StaleFence);
+        }
+        table.fence = table.fence.max(fence);
+        if table.book.live().count() >= self.settings.batch as usize {
+            table.book.totals().busy += 1;
+            return Err(Reason::Busy);
+        }
+        Ok(())
+    }
+
+    /// Records that a call runs; from here on it counts as run.
+    fn begin(&self, call: String, headers: &HeaderMap, fence: u64, body: &Bytes) -> Receipt {
+        let request = text(headers, header::REQUEST).unwrap_or_default();
+        let key = text(headers, header::IDEMPOTENCY_KEY);
+        let digest = base::digest(body);
+        let start =
+            Start { request: request.clone(), model: None, key: key.clone(), digest, fence };
+        let number = self.table.lock().book.begin(start);
+        let service = self.settings.name.clone();
+        Receipt { service, request, key, call, digest, run: number }
+    }
+
+    fn state(&self) -> endpoint::State {
+        let table = self.table.lock();
+        let running =
+            table.book.live().map(|run| Running { request: run.request.clone(), model: None });
+        endpoint::State {
+            generation: self.generation,
+            loaded: Vec::new(),
+            running: running.collect(),
+            waiting: 0,
+        }
+    }
+
+    fn announcement(&self) -> Option<Announcement> {
+        if self.injector.faults().silent {
+            return None;
+        }
+        let role =
+            view::Role::Service { kind: self.settings.kind.clone(), batch: self.settings.batch };
+        let endpoint = view::Endpoint {
+            name: self.settings.name.clone(),
+            address: self.address.clone(),
+            host: self.settings.host.clone(),
+            domain: self.settings.domain.clone(),
+            role,
+            fenced: self.settings.fenced,
+            generation: self.generation,
+        };
+        let leaving = self.table.lock().leaving;
+        Some(Announcement { endpoint, state: self.state(), leaving })
+    }
+}
+
+/// Records the end of a run, also when its caller went away.
+struct Guard<'a> {
+    shared: &'a Shared,
+    number: u64,
+    end: End,
+}
+
+impl Guard<'_> {
+    fn finish(mut self, end: End) {
+        self.end = end;
+    }
+}
+
+impl Drop for Guard<'_> {
+    fn drop(&mut self) {
+        self.shared.table.lock().book.end(self.number, self.end);
+    }
+}
+
+/// Returns the address to announce.
+pub(crate) fn advertised(advertise: &Option<Name>, address: SocketAddr) -> Name {
+    advertise.clone().unwrap_or_else(|| Name::from(address.to_string()))
+}
+
+pub(crate) fn refusal(error: Reason) -> Response {
+    let status = match error {
+        Reason::BadRequest => StatusCode::BAD_REQUEST,
+        _ => StatusCode::CONFLICT,
+    };
+    (status, Json(Fault { error, message: String::new() })).into_response()
+}
+
+pub(crate) fn text(headers: &HeaderMap, name: &str) -> Option<Name> {
+    headers.get(name).and_then(|value| value.to_str().ok()).map(Name::from)
+}
+
+pub(crate) fn number(headers: &HeaderMap, name: &str) -> u64 {
+    text(headers, name).and_then(|text| text.parse().ok()).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/stub/tests/engine.rs
@@ -0,0 +1,222 @@
+//! The engine: answers that can be checked, orders, faults, restarts.
+
+use std::time::Duration;
+
+use base::Name;
+use hyper::Method;
+use serde_json::Value;
+use serde_json::json;
+use stub::Engine;
+use stub::Faults;
+use stub::answer;
+use stub::client::Client;
+use stub::engine::Settings;
+use stub::record::End;
+use stub::record::Offence;
+use tokio::net::TcpListener;
+use wire::endpoint::Action;
+use wire::endpoint::Fault;
+use wire::endpoint::Model;
+use wire::endpoint::Order;
+use wire::endpoint::Reason;
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+async fn engine(settings: Settings) -> (Engine, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let engine = Engine::start(listener, settings).unwrap();
+    let address = engine.address().to_string();
+    (engine, address)
+}
+
+fn fast() -> Settings {
+    let mut settings = Settings { load: Duration::from_millis(5), ..Settings::default() };
+    settings.pace.first_ms = 2.0;
+    settings.pace.token_ms = 2.0;
+    settings
+}
+
+fn model(adapter: &str) -> Model {
+    Model { adapter: Name::from(adapter), version: Name::from("v1") }
+}
+
+async fn order(address: &str, id: &str, fence: u64, action: Action) -> Result<(), Reason> {
+    let order = Order { id: Name::from(id), fence, action };
+    let body = serde_json::to_vec(&order).unwrap();
+    let answer = Client::default().send(Method::POST, address, "/v1/orders", body, LIMIT).await;
+    let answer = answer.unwrap();
+    if answer.status().is_success() {
+        return Ok(());
+    }
+    Err(serde_json::from_slice::<Fault>(answer.body()).unwrap().error)
+}
+
+async fn complete(address: &str, body: &Value) -> std::io::Result<hyper::Response<bytes::Bytes>> {
+    let body = body.to_string();
+    Client::default().send(Method::POST, address, "/v1/completions", body, LIMIT).await
+}
+
+fn ask(adapter: &str, tokens: u32, stream: bool) -> Value {
+    json!({ "model": format!("{adapter}@v1"), "prompt": "p", "max_tokens": tokens, "stream": stream })
+}
+
+async fn until(mut condition: impl FnMut() -> bool) {
+    while !condition() {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+#[tokio::test]
+async fn answers_depend_on_model_request_and_prompt() {
+    let (engine, address) = engine(fast()).await;
+    let refused = complete(&address, &ask("a", 4, false)).await.unwrap();
+    assert_eq!(refused.status(), 409);
+    order(&address, "1", 1, Action::Load(model("a"))).await.unwrap();
+    let answer = complete(&address, &ask("a", 4, false)).await.unwrap();
+    assert_eq!(answer.headers()["x-adapter"], "a");
+    assert_eq!(answer.headers()["x-version"], "v1");
+    let body: Value = serde_json::from_slice(answer.body()).unwrap();
+    let prompt = answer::prompt_digest(&ask("a", 4, false));
+    let expected = answer::text(&model("a"), "", prompt, 4);
+    assert_eq!(body["choices"][0]["text"], expected);
+    assert_eq!(body["model"], "a@v1");
+    let stream = complete(&address, &ask("a", 4, true)).await.unwrap();
+    let text = String::from_utf8(stream.body().to_vec()).unwrap();
+    assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+    assert_eq!(text.matches("data: ").count(), 6);
+    let record = engine.record();
+    assert_eq!(record.totals.complete, 2);
+    assert_eq!(record.totals.not_loaded, 1);
+    assert!(record.runs.iter().all(|run| run.end == End::Complete));
+}
+
+#[tokio::test]
+async fn an_order_is_carried_out_once_and_old_fences_are_refused() {
+    let (engine, address) = engine(Settings { slots: 1, ..fast() }).await;
+    let load = || Action::Load(model("a"));
+    let (first, second) =
+        tokio::join!(order(&address, "1", 5, load()), order(&address, "1", 5, load()));
+    assert_eq!((first, second), (Ok(()), Ok(())));
+    assert_eq!(engine.record().totals.loads, 1);
+    assert_eq!(order(&address, "2", 5, Action::Load(model("b"))).await, Err(Reason::NoSlot));
+    let stale = order(&address, "3", 4, Action::Unload(model("a"))).await;
+    assert_eq!(stale, Err(Reason::StaleFence));
+    order(&address, "4", 6, Action::Unload(model("a"))).await.unwrap();
+    order(&address, "5", 6, Action::Load(model("b"))).await.unwrap();
+}
+
+#[tokio::test]
+async fn an_engine_that_ignores_fences_records_the_offence() {
+    let (engine, address) = engine(Settings { fenced: false, ..fast() }).await;
+    order(&address, "1", 5, Action::Load(model("a"))).await.unwrap();
+    order(&address, "2", 4, Action::Load(model("b"))).await.unwrap();
+    assert_eq!(engine.record().violations[0].kind, Offence::StaleFence);
+}
+
+#[tokio::test]
+async fn an_unload_in_use_is_refused_and_recorded() {
+    let (engine, address) = engine(fast()).await;
+    order(&address, "1", 1, Action::Load(model("a"))).await.unwrap();
+    let running = tokio::spawn({
+        let address = address.clone();
+        async move { complete(&address, &ask("a", 200, false)).await }
+    });
+    until(|| engine.record().totals.begun == 1).await;
+    assert_eq!(order(&address, "2", 1, Action::Unload(model("a"))).await, Err(Reason::InUse));
+    assert_eq!(engine.record().violations[0].kind, Offence::UnloadInUse);
+    assert_eq!(running.await.unwrap().unwrap().status(), 200);
+    order(&address, "3", 1, Action::Unload(model("a"))).await.unwrap();
+}
+
+#[tokio::test]
+async fn a_caller_that_goes_away_cancels() {
+    let (engine, address) = engine(fast()).await;
+    order(&address, "1", 1, Action::Load(model("a"))).await.unwrap();
+    for stream in [false, true] {
+        let begun = engine.record().totals.begun;
+        let running = tokio::spawn({
+            let address = address.clone();
+            async move { complete(&address, &ask("a", 100_000, stream)).await }
+        });
+        until(|| engine.record().totals.begun == begun + 1).await;
+        running.abort();
+        until(|| engine.record().runs.iter().all(|run| run.end == End::Cancelled)).await;
+    }
+    order(&address, "2", 1, Action::Unload(model("a"))).await.unwrap();
+}
+
+#[tokio::test]
+async fn a_request_is_cancelled_by_its_id() {
+    let (engine, address) = engine(fast()).await;
+    order(&address, "1", 1, Action::Load(model("a"))).await.unwrap();
+    let running = tokio::spawn({
+        let address = address.clone();
+        let pool =
+            hyper_util::client::legacy::Client::builder(hyper_util::rt::TokioExecutor::new())
+                .build_http();
+        let request = hyper::Request::post(format!("http://{address}/v1/completions"))
+            .header("x-request-id", "r1")
+            .body(http_body_util::Full::new(bytes::Bytes::from(
+                ask("a", 100_000, false).to_string(),
+            )))
+            .unwrap();
+        async move { pool.request(request).await.unwrap().status() }
+    });
+    until(|| engine.record().totals.begun == 1).await;
+    let client = Client::default();
+    let answer = client.send(Method::DELETE, &address, "/v1/requests/r1", "", LIMIT).await.unwrap();
+    assert_eq!(answer.status(), 204);
+    assert_eq!(running.await.unwrap(), 410);
+    assert_eq!(engine.record().totals.cancelled, 1);
+    let answer = client.send(Method::DELETE, &address, "/v1/requests/r1", "", LIMIT).await.unwrap();
+    assert_eq!(answer.status(), 404);
+}
+
+#[tokio::test]
+async fn poison_crashes_all_and_restarts_cold() {
+    let poison = Some("deadly".to_owned());
+    let settings = Settings { poison, down: Duration::from_millis(50), ..fast() };
+    let (engine, address) = engine(settings).await;
+    order(&address, "1", 1, Action::Load(model("a"))).await.unwrap();
+    let generation = engine.record().generation;
+    let innocent = tokio::spawn({
+        let address = address.clone();
+        async move { complete(&address, &ask("a", 100_000, false)).await }
+    });
+    until(|| engine.record().totals.begun == 1).await;
+    let mut body = ask("a", 4, false);
+    body["prompt"] = Value::from("a deadly prompt");
+    assert!(complete(&address, &body).await.is_err());
+    assert!(innocent.await.unwrap().is_err());
+    let record = engine.record();
+    assert!(record.generation > generation);
+    assert!(record.runs.iter().all(|run| run.end == End::Crashed));
+    let mut answer = complete(&address, &ask("a", 4, false)).await;
+    while answer.is_err() {
+        answer = complete(&address, &ask("a", 4, false)).await;
+    }
+    assert_eq!(answer.unwrap().status(), 409);
+}
+
+#[tokio::test]
+async fn faults_strike_as_often_as_told() {
+    let (engine, address) = engine(fast()).await;
+    order(&address, "1", 1, Action::Load(model("a"))).await.unwrap();
+    let once = Some(1);
+    engine.set_faults(Faults { wrong_version_percent: 100, times: once, ..Faults::default() });
+    let wrong = complete(&address, &ask("a", 4, false)).await.unwrap();
+    assert_eq!(wrong.headers()["x-version"], "v1-wrong");
+    let right = complete(&address, &ask("a", 4, false)).await.unwrap();
+    assert_eq!(right.headers()["x-version"], "v1");
+    engine.set_faults(Faults { short_percent: 100, ..Faults::default() });
+    let short = complete(&address, &ask("a", 4, true)).await.unwrap();
+    assert!(!String::from_utf8_lossy(short.body()).contains("[DONE]"));
+    engine.set_faults(Faults { cut_percent: 100, ..Faults::default() });
+    assert!(complete(&address, &ask("a", 4, true)).await.is_err());
+    engine.set_faults(Faults { load_fail_percent: 100, ..Faults::default() });
+    let failed = order(&address, "2", 1, Action::Load(model("b"))).await;
+    assert_eq!(failed, Err(Reason::LoadFailed));
+    engine.set_faults(Faults { crossed_percent: 100, ..Faults::default() });
+    let crossed = complete(&address, &ask("a", 4, false)).await.unwrap();
+    assert_eq!(crossed.headers()["x-request-id"], "-crossed");
+}
