A proxy that injects faults into TCP and UDP links

Cause: partitions, cuts at each step and lost datagrams have to be caused on purpose.

Change: radish-stub proxy and stub::Proxy. Rules by link: delay, reset, silent drop in one or both directions, hold and release, cut after a number of bytes, bandwidth, loss and duplication of datagrams. They change over HTTP, a trailing * sets all links with a prefix.

Ruled out: forwarding again after a silent drop ended. Bytes of the stream are missing then, so that a connection which lost some is reset; hold is the rule that delivers late.

Conclusion: a process in between accepts a connect that a real partition would leave unanswered; the module says so.

--- a/crates/stub/src/lib.rs
+++ b/crates/stub/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod engine;
 pub mod fault;
 pub mod program;
+pub mod proxy;
 pub mod record;
 pub mod server;
 pub mod service;
@@ -20,5 +21,6 @@
 
 pub use crate::engine::Engine;
 pub use crate::fault::Faults;
+pub use crate::proxy::Proxy;
 pub use crate::service::Service;
 pub use crate::store::Store;
--- /dev/null
+++ b/crates/stub/src/proxy/link.rs
@@ -0,0 +1,145 @@
+//! A link: its rules, which change while it runs, and its counters.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use parking_lot::Mutex;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::watch;
+
+use crate::proxy::rule::Direction;
+use crate::proxy::rule::Rules;
+
+/// A link from an address to a target.
+#[derive(Debug)]
+pub struct Link {
+    address: SocketAddr,
+    to: SocketAddr,
+    rules: watch::Sender<Version>,
+    rng: Mutex<StdRng>,
+    connections: AtomicU64,
+    cuts: AtomicU64,
+    request_bytes: AtomicU64,
+    answer_bytes: AtomicU64,
+}
+
+/// Rules with a number that grows with each change.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Version {
+    pub(crate) number: u64,
+    pub(crate) rules: Rules,
+}
+
+/// A link as its control face shows it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// The address that it listens on.
+    pub address: SocketAddr,
+    /// The target.
+    pub to: SocketAddr,
+    /// The rules in force.
+    pub rules: Rules,
+    /// The connections accepted, or the senders of datagrams seen.
+    pub connections: u64,
+    /// The connections that ended by a reset, through a rule or either end.
+    pub cuts: u64,
+    /// The bytes passed towards the target.
+    pub request_bytes: u64,
+    /// The bytes passed back.
+    pub answer_bytes: u64,
+}
+
+impl Link {
+    pub(crate) fn new(address: SocketAddr, to: SocketAddr, seed: u64) -> Link {
+        Link {
+            address,
+            to,
+            rules: watch::Sender::new(Version::default()),
+            rng: Mutex::new(StdRng::seed_from_u64(seed)),
+            connections: AtomicU64::new(0),
+            cuts: AtomicU64::new(0),
+            request_bytes: AtomicU64::new(0),
+            answer_bytes: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns the address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the target.
+    pub fn to(&self) -> SocketAddr {
+        self.to
+    }
+
+    /// Replaces the rules; connections that are open follow at once.
+    pub fn set(&self, rules: Rules) {
+        self.rules.send_modify(|version| {
+            version.number += 1;
+            version.rules = rules;
+        });
+    }
+
+    /// Returns the rules and the counters.
+    pub fn status(&self) -> Status {
+        Status {
+            address: self.address,
+            to: self.to,
+            rules: self.rules.borrow().rules.clone(),
+            connections: self.connections.load(Ordering::Relaxed),
+            cuts: self.cuts.load(Ordering::Relaxed),
+            request_bytes: self.request_bytes.load(Ordering::Relaxed),
+            answer_bytes: self.answer_bytes.load(Ordering::Relaxed),
+        }
+    }
+
+    pub(crate) fn version(&self) -> Version {
+        self.rules.borrow().clone()
+    }
+
+    /// Waits until the rules meet a condition.
+    pub(crate) async fn until(&self, condition: impl Fn(&Rules) -> bool) {
+        let mut changes = self.rules.subscribe();
+        changes.wait_for(|version| condition(&version.rules)).await.ok();
+    }
+
+    /// Counts down [`Rules::times`]; `false` if they are used up.
+    pub(crate) fn take_cut(&self) -> bool {
+        let mut taken = true;
+        self.rules.send_if_modified(|version| {
+            match &mut version.rules.times {
+                Some(0) => taken = false,
+                Some(times) => *times -= 1,
+                None => {}
+            }
+            false
+        });
+        taken
+    }
+
+    pub(crate) fn draw(&self, percent: u8) -> bool {
+        percent > 0 && self.rng.lock().random_range(0..100) < percent
+    }
+
+    pub(crate) fn count_connection(&self) {
+        self.connections.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_cut(&self) {
+        self.cuts.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count(&self, direction: Direction, bytes: usize) {
+        let counter = match direction {
+            Direction::Request => &self.request_bytes,
+            Direction::Answer => &self.answer_bytes,
+        };
+        counter.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+}
