raft: schedules that topple leaders, and checks of the members

Change: half of the schedules have five disks, half stop the leader often, hosts come back sooner, removals come in bursts. New checks: the last members in the log are in force, a leader has one uncommitted change.

--- a/crates/raft/tests/log/sim/mod.rs
+++ b/crates/raft/tests/log/sim/mod.rs
@@ -22,7 +22,7 @@
 
 /// The hosts of a schedule.
 pub(crate) const HOSTS: usize = 5;
-/// The hosts from this one on have no disk.
+/// The hosts with a disk, in half of the schedules; all in the others.
 const DISKS: usize = 3;
 const STEP: Duration = Duration::from_millis(5);
 /// The steps within which a healed group must agree: 30 s.
@@ -46,6 +46,9 @@
     late: u32,
     slow_sync: u32,
     crash: u32,
+    /// Of the leader.
+    topple: u32,
+    revive: u32,
     wipe: u32,
     split: u32,
     remove: u32,
@@ -73,6 +76,8 @@
     parcels: BTreeMap<(Duration, u64), Parcel>,
     sent: u64,
     sides: Vec<u8>,
+    /// The hosts from this one on have no disk.
+    disks: usize,
     rates: Rates,
     faulty: bool,
     /// The voters whose removal was asked for, and until when it may still be made.
@@ -91,10 +96,13 @@
             late: random.random_range(0..100),
             slow_sync: random.random_range(0..60),
             crash: random.random_range(0..10),
+            topple: random.random_range(0..2) * random.random_range(0..60),
+            revive: random.random_range(10..300),
             wipe: random.random_range(0..4),
             split: random.random_range(0..8),
-            remove: random.random_range(0..4),
+            remove: random.random_range(0..2) * random.random_range(0..30),
         };
+        let disks = if random.random_bool(0.5) { DISKS } else { hosts };
         let replicas = (0..hosts).map(|host| Replica::new(random.random(), host)).collect();
         let mut world = World {
             seed,
@@ -104,6 +112,7 @@
             parcels: BTreeMap::new(),
             sent: 0,
             sides: vec![0; hosts],
+            disks,
             rates,
             faulty: false,
             leaving: Vec::new(),
@@ -361,20 +370,29 @@
         if self.chance(8) {
             self.sides.fill(0);
         }
+        if let Some(leader) = self.leader().filter(|_| self.chance(self.rates.topple)) {
+            self.stop(leader);
+        }
         let host = self.random.random_range(0..self.replicas.len());
         if self.replicas[host].node.is_none() {
-            if self.chance(40) {
+            if self.chance(self.rates.revive) {
                 self.start(host);
             }
-        } else if self.chance(self.rates.crash)
-            && (host < DISKS || self.expendable(self.replicas[host].id))
-        {
-            self.crash(host, host >= DISKS);
+        } else if self.chance(self.rates.crash) {
+            self.stop(host);
         } else if self.chance(self.rates.wipe) && self.expendable(self.replicas[host].id) {
             self.crash(host, true);
         }
     }
 
+    /// Stops a host; one without a disk only if the group survives it.
+    fn stop(&mut self, host: usize) {
+        let keeps = host < self.disks;
+        if keeps || self.expendable(self.replicas[host].id) {
+            self.crash(host, !keeps);
+        }
+    }
+
     /// Stops a host; a wiped one is another replica when it starts again.
     pub(crate) fn crash(&mut self, host: usize, wiped: bool) {
         let writes = self.random.random_range(0..6);
--- a/crates/raft/tests/log/sim/replica.rs
+++ b/crates/raft/tests/log/sim/replica.rs
@@ -17,6 +17,7 @@
 use raft::message::Term;
 use raft::node::Config;
 use raft::node::Ready;
+use raft::node::Role;
 use raft::node::Stored;
 
 use super::check::Check;
@@ -124,10 +125,22 @@
             assert!(self.applied >= before, "a read at {} misses {before}", self.applied);
             self.confirmed += 1;
         }
+        self.check_members();
         self.compact();
         ready.messages
     }
 
+    /// The last members in the log are in force, and a leader has one uncommitted change at most.
+    fn check_members(&self) {
+        let node = self.node.as_ref().expect("a running node");
+        assert_eq!(*node.members(), self.stored_members().unwrap_or_default());
+        let changes = self.stored.entries.iter().filter(|entry| {
+            entry.index > node.commit() && matches!(entry.payload, Payload::Members(_))
+        });
+        let changes = changes.count();
+        assert!(node.role() != Role::Leader || changes <= 1, "{changes} changes at once");
+    }
+
     fn compact(&mut self) {
         let index = self.stored.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
         if self.applied < index + SNAPSHOT_EVERY {
@@ -158,6 +171,10 @@
         if let Some(node) = &self.node {
             return Some(node.members().clone());
         }
+        self.stored_members()
+    }
+
+    fn stored_members(&self) -> Option<Members> {
         let latest = self.stored.entries.iter().rev().find_map(|entry| match &entry.payload {
             Payload::Members(members) => Some(members.clone()),
             _ => None,
