--- a/crates/keeper/src/driver.rs
+++ b/crates/keeper/src/driver.rs
@@ -5,6 +5,7 @@
 use base::Map;
 use base::Name;
 use conf::Config;
+use disk::Identity;
 use raft::message::Entry;
 use raft::message::Id;
 use raft::message::Index;
@@ -38,13 +39,14 @@
 const TICKS: u32 = 4;
 
 /// The task that owns the replica, the state and the files.
-#[derive(Debug)]
 pub(crate) struct Driver {
     pub(crate) config: Config,
     pub(crate) limits: Limits,
     pub(crate) host: Name,
     /// The group; 0 until a fresh replica has been enrolled.
     pub(crate) group: u64,
+    /// Whether `group` is on disk.
+    pub(crate) identified: bool,
     pub(crate) clock: Clock,
     pub(crate) node: Node,
     pub(crate) machine: Machine,
@@ -106,13 +108,14 @@
 
     /// Carries out what the replica wants until it wants nothing more.
     async fn pump(&mut self) -> Result<(), Error> {
+        self.identify().await?;
         loop {
             let mut ready = self.node.ready();
             if is_empty(&ready) {
                 return self.compact().await;
             }
             let timer = self.metrics.sync.start_timer();
-            if self.storage.write(&ready).await? {
+            if self.storage.write(&mut ready).await? {
                 timer.observe_duration();
             } else {
                 timer.stop_and_discard();
@@ -131,6 +134,17 @@
         }
     }
 
+    /// Writes the group to disk before this replica takes part in it.
+    async fn identify(&mut self) -> Result<(), Error> {
+        if self.identified {
+            return Ok(());
+        }
+        let (group, replica, host) = (self.group, self.node.id(), self.host.clone());
+        self.storage.identify(Identity { group, replica, host }).await?;
+        self.identified = true;
+        Ok(())
+    }
+
     /// Sends the messages, in one parcel for each replica.
     fn send(&mut self, messages: Vec<(Id, Message)>) {
         let members = self.node.members();
@@ -182,7 +196,7 @@
         }
         self.compacted = self.applied;
         match self.node.compact(self.applied, self.machine.snapshot()) {
-            Some(snapshot) => self.storage.compact(&snapshot).await,
+            Some(snapshot) => self.storage.compact(snapshot).await,
             None => Ok(()),
         }
     }
@@ -214,6 +228,7 @@
         }
         if self.group == 0 {
             self.group = parcel.group;
+            self.identified = false;
         }
         if parcel.group != self.group {
             return;
--- a/crates/keeper/src/enroll.rs
+++ b/crates/keeper/src/enroll.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
+use base::Event;
 use base::Name;
 use conf::Config;
 use raft::message::Member;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::keeper::Options;
 use crate::peer;
 use crate::request::Request;
 
@@ -26,6 +28,28 @@
     }
 }
 
+/// Returns whether another keeper that can be reached now has a group already; a second one must not
+/// be founded beside it.
+pub(crate) async fn group_exists(options: &Options) -> bool {
+    let config = &options.config;
+    let call = Duration::from_millis(config.timing.call_ms);
+    let others = config.entries.iter().filter(|entry| entry.host != options.host);
+    let asked = others.map(|entry| group(&entry.keeper, call));
+    let groups = futures::future::join_all(asked).await;
+    let known = groups.into_iter().flatten().find(|group| *group != 0);
+    if let Some(group) = known {
+        base::event!(WARN, Event::Settings, group, "no group is founded, since there is one");
+    }
+    known.is_some()
+}
+
+/// Asks one keeper for its group; 0 if it has none yet.
+async fn group(address: &Name, call: Duration) -> Option<u64> {
+    let client = peer::connect(address, call).await?;
+    let status = client.status(peer::context(call)).await.ok()?;
+    Some(status.group)
+}
+
 /// Asks one keeper; only the leader does what is asked.
 async fn ask(address: &Name, member: &Member, call: Duration) {
     if let Some(client) = peer::connect(address, call).await {
--- a/crates/keeper/src/error.rs
+++ b/crates/keeper/src/error.rs
@@ -31,6 +31,12 @@
     /// A snapshot cannot be decoded.
     #[error(transparent)]
     Snapshot(#[from] state::Damaged),
+    /// The files cannot be read or written.
+    #[error("data: {0}")]
+    Disk(#[from] disk::Error),
+    /// The data folder belongs to another host.
+    #[error("data: the folder belongs to host '{0}'")]
+    OtherHost(Name),
     /// The metrics cannot be registered.
     #[error("metrics: {0}")]
     Metrics(#[from] prometheus::Error),
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -152,9 +152,10 @@
         None => Machine::new(limits),
     };
     let applied = found.stored.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+    let founds = options.bootstrap && found.is_empty() && !enroll::group_exists(options).await;
     let mut node = Node::new(found.id, times, found.stored, clock.now());
     let mut group = found.group;
-    if options.bootstrap && found.fresh {
+    if founds {
         group = rand::random_range(1..=u64::MAX);
         node.bootstrap(Member { id: found.id, host: options.host.to_string() });
     }
@@ -163,6 +164,7 @@
         limits,
         host: options.host.clone(),
         group,
+        identified: !founds,
         clock,
         node,
         machine,
--- /dev/null
+++ b/crates/keeper/tests/balance.rs
@@ -0,0 +1,73 @@
+//! Even shares of the endpoints.
+
+use base::Name;
+use keeper::balance;
+use state::Command;
+use state::Limits;
+use state::Machine;
+use state::View;
+use state::view::Endpoint;
+use state::view::Gate;
+use state::view::Role;
+
+fn gate(name: &str) -> Command {
+    let text = Name::from("127.0.0.1:1");
+    let (name, domain) = (Name::from(name), Name::from("d"));
+    let (address, peer, relay) = (text.clone(), text.clone(), text);
+    Command::Join { gate: Gate { name, incarnation: 1, domain, address, peer, relay } }
+}
+
+fn engine(name: &str) -> Command {
+    let text = Name::from(name);
+    Command::Register {
+        endpoint: Endpoint {
+            name: text.clone(),
+            address: Name::from("127.0.0.1:2"),
+            host: text.clone(),
+            domain: text,
+            role: Role::Engine { base: Name::from("b"), slots: 1, batch: 1 },
+            fenced: true,
+            generation: 1,
+        },
+    }
+}
+
+fn owned(view: &View, gate: &str) -> usize {
+    view.endpoints.values().filter(|known| known.owner.as_deref() == Some(gate)).count()
+}
+
+#[test]
+fn shares_become_even_and_then_rest() {
+    let mut machine = Machine::new(Limits::default());
+    machine.apply(gate("g1"));
+    for index in 0..7 {
+        machine.apply(engine(&format!("e{index}")));
+    }
+    machine.apply(gate("g2"));
+    machine.apply(gate("g3"));
+    let mut moves = 0;
+    while let Some(command) = balance::next(machine.view()) {
+        machine.apply(command);
+        moves += 1;
+        assert!(moves < 10);
+    }
+    let view = machine.view();
+    assert_eq!((owned(view, "g1"), owned(view, "g2"), owned(view, "g3")), (3, 2, 2));
+    assert_eq!(moves, 4);
+}
+
+#[test]
+fn a_draining_gate_gives_all_away_if_there_is_another() {
+    let mut machine = Machine::new(Limits::default());
+    for command in [gate("g1"), engine("e1"), engine("e2")] {
+        machine.apply(command);
+    }
+    let mut view = machine.view().clone();
+    view.draining.insert(Name::from("g1"));
+    assert_eq!(balance::next(&view), None);
+    machine.apply(gate("g2"));
+    let mut view = machine.view().clone();
+    view.draining.insert(Name::from("g1"));
+    let Some(Command::Assign { gate, .. }) = balance::next(&view) else { panic!() };
+    assert_eq!(gate.as_str(), "g2");
+}
--- /dev/null
+++ b/crates/keeper/tests/leases.rs
@@ -0,0 +1,158 @@
+//! Leases of gates: expiry, ends, and what is in force.
+
+mod site;
+
+use std::time::Duration;
+
+use base::Name;
+use keeper::lease::Leases;
+use keeper::lease::Refused;
+use site::*;
+use state::Outcome;
+use state::View;
+use wire::keeper::Fault;
+use wire::keeper::Renewal;
+use wire::keeper::Update;
+
+const END: Duration = Duration::from_millis(2_100);
+
+fn view(gates: &[(&str, u64)]) -> View {
+    let mut view = View::default();
+    for (name, run) in gates {
+        view.gates.insert(Name::from(*name), renewal(name, *run, 0).gate);
+    }
+    view
+}
+
+#[test]
+fn a_lease_ends_only_after_its_length_with_drift() {
+    let gate = Name::from("g1");
+    let mut leases = Leases::new(END);
+    leases.follow(&view(&[("g1", 1)]), Duration::ZERO);
+    let renewed = Duration::from_millis(1_000);
+    leases.renew(&gate, 1, 5, renewed).unwrap();
+    assert_eq!(leases.expired(renewed + END - Duration::from_millis(1)), []);
+    assert_eq!(leases.expired(renewed + END), [(gate.clone(), 1)]);
+    assert_eq!(leases.expired(renewed + END), []);
+    assert_eq!(leases.renew(&gate, 1, 5, renewed + END), Err(Refused::Ended));
+    assert!(!leases.holds(&gate, 1));
+}
+
+#[test]
+fn a_new_leader_counts_every_gate_as_renewed_at_its_election() {
+    let elected = Duration::from_secs(100);
+    let mut leases = Leases::new(END);
+    leases.follow(&view(&[("g1", 1)]), elected);
+    assert_eq!(leases.expired(elected + END - Duration::from_millis(1)), []);
+    assert_eq!(leases.expired(elected + END).len(), 1);
+}
+
+#[test]
+fn a_renewal_of_a_former_run_is_not_recorded() {
+    let mut leases = Leases::new(END);
+    leases.follow(&view(&[("g1", 1)]), Duration::ZERO);
+    leases.follow(&view(&[("g1", 2)]), Duration::ZERO);
+    assert_eq!(leases.renew(&Name::from("g1"), 1, 0, Duration::ZERO), Err(Refused::Unknown));
+    assert!(leases.holds(&Name::from("g1"), 2));
+}
+
+#[test]
+fn a_revision_is_in_force_when_every_gate_applied_it() {
+    let mut leases = Leases::new(END);
+    leases.follow(&view(&[("g1", 1), ("g2", 1)]), Duration::ZERO);
+    assert_eq!(leases.in_force(9), 0);
+    leases.renew(&Name::from("g1"), 1, 9, Duration::ZERO).unwrap();
+    assert_eq!(leases.in_force(9), 0);
+    leases.renew(&Name::from("g2"), 1, 7, Duration::ZERO).unwrap();
+    assert_eq!(leases.in_force(9), 7);
+    leases.follow(&view(&[("g1", 1)]), Duration::ZERO);
+    assert_eq!(leases.in_force(9), 9);
+    leases.follow(&view(&[]), Duration::ZERO);
+    assert_eq!(leases.in_force(9), 9);
+}
+
+/// Renews a gate until `done` says so, with what it was given applied at once.
+async fn renew_until(site: &Site, gate: &str, run: u64, done: impl Fn(&View, u64) -> bool) {
+    let mut known = View::default();
+    until("the gate has what it waits for", async || {
+        let grant = site.renew(&renewal(gate, run, known.revision)).await.unwrap();
+        match grant.update {
+            Update::Whole(view) => known = *view,
+            Update::Deltas(deltas) => deltas.iter().for_each(|delta| assert!(known.apply(delta))),
+        }
+        done(&known, grant.in_force).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_silent_gate_loses_its_endpoints_and_its_run() {
+    let site = Site::started(3).await;
+    site.renew(&renewal("g1", 1, 0)).await.unwrap();
+    site.submit(&register("e1")).await;
+    assert_eq!(site.view().await.endpoints["e1"].owner, Some(Name::from("g1")));
+    let fence = site.view().await.endpoints["e1"].fence;
+    let moved = |view: &View, _| view.endpoints["e1"].owner == Some(Name::from("g2"));
+    renew_until(&site, "g2", 1, moved).await;
+    assert!(site.view().await.endpoints["e1"].fence > fence);
+    assert_eq!(site.renew(&renewal("g1", 1, 0)).await, Err(Fault::LeaseEnded));
+    site.renew(&renewal("g1", 2, 0)).await.unwrap();
+}
+
+#[tokio::test]
+async fn a_lease_outlives_the_loss_of_the_leader() {
+    let mut site = Site::started(3).await;
+    let grant = site.renew(&renewal("g1", 1, 0)).await.unwrap();
+    assert_eq!(grant.lease_ms, site.config.timing.lease_ms);
+    let leader = site.settled().await;
+    site.kill(&leader);
+    let grant = site.renew(&renewal("g1", 1, 1)).await.unwrap();
+    assert!(matches!(grant.update, Update::Deltas(_) | Update::Whole(_)));
+    assert_eq!(site.view().await.gates["g1"].incarnation, 1);
+}
+
+#[tokio::test]
+async fn a_gate_that_leaves_hands_over_at_once() {
+    let site = Site::started(3).await;
+    site.renew(&renewal("g1", 1, 0)).await.unwrap();
+    site.submit(&register("e1")).await;
+    site.renew(&renewal("g2", 1, 0)).await.unwrap();
+    let leave = Renewal { leave: true, ..renewal("g1", 1, 0) };
+    assert_eq!(site.renew(&leave).await.unwrap().lease_ms, 0);
+    assert_eq!(site.view().await.endpoints["e1"].owner, Some(Name::from("g2")));
+    assert_eq!(site.renew(&leave).await, Err(Fault::LeaseEnded));
+}
+
+#[tokio::test]
+async fn a_change_is_in_force_when_each_gate_has_it_or_has_lost_its_lease() {
+    let site = Site::started(3).await;
+    site.renew(&renewal("g1", 1, 0)).await.unwrap();
+    site.renew(&renewal("g2", 1, 0)).await.unwrap();
+    let Outcome::Done { revision } = site.submit(&create("a")).await else { panic!() };
+    let grant = site.renew(&renewal("g1", 1, revision)).await.unwrap();
+    assert!(grant.in_force < revision);
+    renew_until(&site, "g1", 1, |view, in_force| {
+        let silent = view.gates.contains_key("g2");
+        assert!(!silent || in_force < revision);
+        in_force >= revision
+    })
+    .await;
+    assert!(!site.view().await.gates.contains_key("g2"));
+}
+
+#[tokio::test]
+async fn a_gate_that_joins_gets_a_fair_share_slowly() {
+    let site = Site::started(1).await;
+    site.renew(&renewal("g1", 1, 0)).await.unwrap();
+    for index in 0..4 {
+        site.submit(&register(&format!("e{index}"))).await;
+    }
+    let owned = |view: &View, gate: &str| {
+        let owned = view.endpoints.values().filter(|known| known.owner.as_deref() == Some(gate));
+        owned.count()
+    };
+    tokio::join!(
+        renew_until(&site, "g1", 1, |view, _| owned(view, "g1") == 2),
+        renew_until(&site, "g2", 1, |view, _| owned(view, "g2") == 2),
+    );
+}
--- a/crates/keeper/tests/site/mod.rs
+++ b/crates/keeper/tests/site/mod.rs
@@ -2,7 +2,6 @@
 
 #![allow(dead_code)]
 
-use std::future::Future;
 use std::net::TcpListener;
 use std::path::Path;
 use std::time::Duration;
@@ -169,10 +168,7 @@
 }
 
 /// Waits until there is a value.
-pub(crate) async fn until<T, F: Future<Output = Option<T>>>(
-    what: &str,
-    mut look: impl FnMut() -> F,
-) -> T {
+pub(crate) async fn until<T>(what: &str, mut look: impl AsyncFnMut() -> Option<T>) -> T {
     let wait = async {
         loop {
             if let Some(value) = look().await {
