keeper: tests of a leader that is cut off without a sign

The balance waits for the revision of its own move. Join and Expire by submit are refused: a lease has one way to start and end.

--- a/crates/keeper/src/driver.rs
+++ b/crates/keeper/src/driver.rs
@@ -37,6 +37,10 @@
 const BATCH: usize = 512;
 /// The ticks in the time between two heartbeats.
 const TICKS: u32 = 4;
+/// The fewest bytes of commands after which a snapshot is taken.
+pub(crate) const COMPACT_BYTES: usize = 8 << 20;
+/// The replicas whose hosts are remembered beside those of the members.
+const HOSTS: usize = 256;
 
 /// The task that owns the replica, the state and the files.
 pub(crate) struct Driver {
@@ -56,6 +60,11 @@
     pub(crate) compacted: Index,
     /// The entries after which a snapshot is taken.
     pub(crate) compact_entries: u64,
+    /// The bytes of the commands applied since the last snapshot.
+    pub(crate) log_bytes: usize,
+    /// The bytes of commands after which a snapshot is taken; at least those of the last snapshot, so
+    /// that snapshots take no more writes than the log does.
+    pub(crate) compact_bytes: usize,
     pub(crate) ring: Ring,
     pub(crate) storage: Storage,
     pub(crate) peers: Peers,
@@ -147,6 +156,9 @@
 
     /// Sends the messages, in one parcel for each replica.
     fn send(&mut self, messages: Vec<(Id, Message)>) {
+        if self.hosts.len() > HOSTS {
+            self.hosts.clear();
+        }
         let members = self.node.members();
         for member in members.voters.iter().chain(&members.learners) {
             self.hosts.insert(member.id, Name::from(member.host.as_str()));
@@ -168,6 +180,7 @@
         self.machine = Machine::restore(self.limits, &snapshot.data)?;
         self.applied = snapshot.index;
         self.compacted = snapshot.index;
+        self.log_bytes = 0;
         self.ring.clear();
         Ok(())
     }
@@ -176,6 +189,7 @@
     fn apply(&mut self, entry: Entry) -> Result<(), Error> {
         self.applied = entry.index;
         let Payload::Data(bytes) = &entry.payload else { return Ok(()) };
+        self.log_bytes += bytes.len();
         let command: Command = postcard::from_bytes(bytes)
             .map_err(|error| Error::Command { index: entry.index, message: error.to_string() })?;
         let (outcome, deltas) = self.machine.apply(command);
@@ -191,11 +205,15 @@
 
     /// Takes a snapshot if enough entries were applied since the last one.
     async fn compact(&mut self) -> Result<(), Error> {
-        if self.applied < self.compacted + self.compact_entries {
+        let many = self.applied >= self.compacted + self.compact_entries;
+        if !many && self.log_bytes < self.compact_bytes {
             return Ok(());
         }
+        let snapshot = self.machine.snapshot();
         self.compacted = self.applied;
-        match self.node.compact(self.applied, self.machine.snapshot()) {
+        self.log_bytes = 0;
+        self.compact_bytes = snapshot.len().max(COMPACT_BYTES);
+        match self.node.compact(self.applied, snapshot) {
             Some(snapshot) => self.storage.compact(snapshot).await,
             None => Ok(()),
         }
--- a/crates/keeper/src/handle.rs
+++ b/crates/keeper/src/handle.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use base::Code;
 use base::Event;
 use base::Name;
 use bytes::Bytes;
@@ -73,13 +74,16 @@
     fn balance(&mut self, now: Duration) {
         let view = self.machine.view();
         let Some(leading) = &mut self.leading else { return };
-        if now < leading.balance || leading.leases.in_force(view.revision) < leading.moved {
+        let in_force = leading.leases.in_force(view.revision);
+        let rests = leading.moved.is_some_and(|moved| in_force >= moved);
+        if now < leading.balance || !rests {
             return;
         }
         leading.balance = now + BALANCE;
-        let Some(command) = balance::next(view) else { return };
-        leading.moved = view.revision + 1;
-        self.propose(&command);
+        if let Some(command) = balance::next(view) {
+            leading.moved = None;
+            self.propose_for(&command, Proposal::Move);
+        }
     }
 
     fn enroll(&mut self, member: Member, reply: Reply<()>) {
@@ -97,6 +101,12 @@
             reply.send(Err(Fault::Busy)).ok();
             return;
         }
+        if matches!(command, Command::Join { .. } | Command::Expire { .. }) {
+            let revision = self.machine.view().configuration;
+            let detail = "only the leader starts and ends leases".to_owned();
+            reply.send(Ok(Outcome::Refused { code: Code::Invalid, detail, revision })).ok();
+            return;
+        }
         let stamped = stamp(command, self.clock.wall_ms());
         self.propose_for(&stamped, Proposal::Submit(reply));
     }
@@ -179,6 +189,12 @@
                 reply.send(Ok(Grant { lease_ms: 0, update, in_force })).ok();
             }
             Proposal::Join(renewal, reply) => self.joined(*renewal, reply, &outcome),
+            Proposal::Move => {
+                let revision = self.machine.view().revision;
+                if let Some(leading) = &mut self.leading {
+                    leading.moved = Some(revision);
+                }
+            }
         }
     }
 
@@ -211,6 +227,7 @@
                     Proposal::Join(_, reply) | Proposal::Leave(reply) => {
                         reply.send(Err(fault)).ok();
                     }
+                    Proposal::Move => {}
                 }
             }
         }
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -18,6 +18,7 @@
 
 use crate::admin;
 use crate::clock::Clock;
+use crate::driver::COMPACT_BYTES;
 use crate::driver::Driver;
 use crate::enroll;
 use crate::error::Error;
@@ -171,6 +172,8 @@
         applied,
         compacted: applied,
         compact_entries: options.compact_entries,
+        log_bytes: 0,
+        compact_bytes: COMPACT_BYTES,
         ring: Ring::default(),
         storage,
         peers,
--- a/crates/keeper/src/leading.rs
+++ b/crates/keeper/src/leading.rs
@@ -32,6 +32,8 @@
     Join(Box<Renewal>, Reply<Grant>),
     /// A gate that gives its lease back.
     Leave(Reply<Grant>),
+    /// The balance of the shares; nobody else moves an endpoint meanwhile.
+    Move,
 }
 
 /// Who waits for a read to be confirmed.
@@ -60,8 +62,8 @@
     pub(crate) permits: Permits<Reply<Permit>>,
     /// When the shares of the gates are looked at next.
     pub(crate) balance: Duration,
-    /// The revision that must be in force before an endpoint is moved.
-    pub(crate) moved: u64,
+    /// The revision that must be in force before an endpoint is moved; none while a move is proposed.
+    pub(crate) moved: Option<u64>,
     /// The configuration's revision that was last reported in force.
     reported: u64,
 }
@@ -85,7 +87,7 @@
             leases,
             permits: Permits::new(rate, term, open),
             balance: now + end,
-            moved: view.revision,
+            moved: Some(view.revision),
             reported: 0,
         }
     }
@@ -148,6 +150,7 @@
                 Proposal::Join(_, reply) | Proposal::Leave(reply) => {
                     reply.send(Err(Fault::NotLeader { leader: leader.clone() })).ok();
                 }
+                Proposal::Move => {}
             }
         }
         for read in self.reads.into_values() {
--- a/crates/keeper/src/permit.rs
+++ b/crates/keeper/src/permit.rs
@@ -11,7 +11,7 @@
 /// The time of waiting that raises a wish by a worth of 1.
 const AGE: Duration = Duration::from_millis(100);
 /// The time after which a permit that was not given back is free again.
-const LIFE: Duration = Duration::from_secs(60);
+const LIFE: Duration = Duration::from_secs(30);
 /// The bits of a permit's number that count within a term.
 const COUNT_BITS: u32 = 32;
 
--- a/crates/keeper/tests/site/mod.rs
+++ b/crates/keeper/tests/site/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+mod link;
+
 use std::net::TcpListener;
 use std::path::Path;
 use std::time::Duration;
@@ -26,6 +28,8 @@
 use wire::keeper::Renewal;
 use wire::keeper::Status;
 
+use link::Link;
+
 /// The time after which a test gives up waiting for a condition.
 const PATIENCE: Duration = Duration::from_secs(20);
 /// The pause between two looks at a condition.
@@ -38,6 +42,8 @@
     pub(crate) config: Config,
     pub(crate) keepers: Map<Name, Keeper>,
     pub(crate) compact_entries: u64,
+    /// The links by the hosts that they lead from and to.
+    links: Map<(Name, Name), Link>,
 }
 
 impl Site {
@@ -60,7 +66,7 @@
                 ..Entry::default()
             });
         }
-        Site { config, keepers: Map::default(), compact_entries: 8_192 }
+        Site { config, keepers: Map::default(), compact_entries: 8_192, links: Map::default() }
     }
 
     /// Starts all keepers and waits until all vote.
@@ -77,8 +83,38 @@
         self.settled().await;
     }
 
+    /// Puts a link that can be cut between each two keepers.
+    pub(crate) fn link(&mut self) {
+        for from in self.hosts() {
+            for entry in self.config.entries.iter().filter(|entry| entry.host != from) {
+                let link = Link::start(entry.keeper.clone());
+                self.links.insert((from.clone(), entry.host.clone()), link);
+            }
+        }
+    }
+
+    /// Cuts a keeper off from the others without a sign, or mends its links.
+    pub(crate) fn cut(&self, host: &str, cut: bool) {
+        for ((from, to), link) in &self.links {
+            if from.as_str() == host || to.as_str() == host {
+                link.set_open(!cut);
+            }
+        }
+    }
+
+    /// Returns the settings of one keeper: the others are behind its links.
+    fn settings(&self, host: &str) -> Config {
+        let mut config = self.config.clone();
+        for entry in &mut config.entries {
+            if let Some(link) = self.links.get(&(Name::from(host), entry.host.clone())) {
+                entry.keeper = link.address.clone();
+            }
+        }
+        config
+    }
+
     pub(crate) async fn start(&mut self, host: &str, bootstrap: bool) {
-        let mut options = Options::new(self.config.clone(), Name::from(host));
+        let mut options = Options::new(self.settings(host), Name::from(host));
         options.bootstrap = bootstrap;
         options.compact_entries = self.compact_entries;
         // The former keeper's socket may take a moment to close.
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -106,8 +106,9 @@
             Some(&FORM) => {}
             form => return Err(Damaged(format!("form {form:?} instead of {FORM}"))),
         }
-        let (_, state): (u8, State) =
+        let (_, mut state): (u8, State) =
             postcard::from_bytes(snapshot).map_err(|error| Damaged(error.to_string()))?;
+        state.records.restore();
         Ok(Machine { limits, state })
     }
 
--- a/crates/state/src/record.rs
+++ b/crates/state/src/record.rs
@@ -31,7 +31,9 @@
     records: Map<Key, Record>,
     /// When each record that is no tombstone is due to expire, in milliseconds since 1970.
     ///
-    /// Invariant: has the keys of `records` whose stage is not [`Stage::Expired`], each once.
+    /// Invariant: has the keys of `records` whose stage is not [`Stage::Expired`], each once. It is no
+    /// part of a snapshot.
+    #[serde(skip)]
     due: BTreeSet<(u64, Key)>,
     /// The number of the last claim.
     claims: u64,
@@ -147,6 +149,12 @@
         }
     }
 
+    /// Makes the order of expiry anew after a snapshot was decoded.
+    pub(crate) fn restore(&mut self) {
+        let pending = self.records.iter().filter(|(_, record)| record.stage != Stage::Expired);
+        self.due = pending.map(|(key, record)| (record.due_ms, key.clone())).collect();
+    }
+
     /// Returns the number of keys.
     pub(crate) fn len(&self) -> usize {
         self.records.len()
--- a/crates/state/tests/replica.rs
+++ b/crates/state/tests/replica.rs
@@ -2,7 +2,9 @@
 
 mod common;
 
+use base::Map;
 use base::Name;
+use base::Set;
 use common::*;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -10,7 +12,9 @@
 use state::Change;
 use state::Command;
 use state::Machine;
+use state::Outcome;
 use state::View;
+use state::journal::Key;
 
 const SEEDS: u64 = 50;
 const STEPS: usize = 400;
@@ -71,6 +75,32 @@
     }
 }
 
+#[test]
+fn a_key_is_claimed_once_unless_it_was_released() {
+    for seed in 0..SEEDS {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut machine = machine();
+        let mut claims: Map<Key, (u64, Name)> = Map::default();
+        let mut numbers = Set::default();
+        for step in 0..STEPS {
+            let command = any(&mut random, step as u64);
+            match (machine.apply(command.clone()).0, command) {
+                (Outcome::Claimed { claim: number }, Command::Claim { claim, .. }) => {
+                    let now = (number, claim.request);
+                    let before = claims.entry(claim.key).or_insert_with(|| {
+                        assert!(numbers.insert(number), "seed {seed}: number {number} again");
+                        now.clone()
+                    });
+                    assert_eq!(*before, now, "seed {seed}, step {step}");
+                }
+                (Outcome::Done { .. }, Command::Release { key, .. }) => drop(claims.remove(&key)),
+                _ => {}
+            }
+        }
+        assert!(!numbers.is_empty(), "seed {seed}");
+    }
+}
+
 #[test]
 fn a_damaged_snapshot_is_refused() {
     let snapshot = machine().snapshot();
