--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -18,6 +18,7 @@
 
 use crate::admin;
 use crate::clock::Clock;
+use crate::driver::COMPACT_BYTES;
 use crate::driver::Driver;
 use crate::enroll;
 use crate::error::Error;
@@ -152,9 +153,10 @@
         None => Machine::new(limits),
     };
     let applied = found.stored.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+    let founds = options.bootstrap && found.is_empty() && !enroll::group_exists(options).await;
     let mut node = Node::new(found.id, times, found.stored, clock.now());
     let mut group = found.group;
-    if options.bootstrap && found.fresh {
+    if founds {
         group = rand::random_range(1..=u64::MAX);
         node.bootstrap(Member { id: found.id, host: options.host.to_string() });
     }
@@ -163,12 +165,15 @@
         limits,
         host: options.host.clone(),
         group,
+        identified: !founds,
         clock,
         node,
         machine,
         applied,
         compacted: applied,
         compact_entries: options.compact_entries,
+        log_bytes: 0,
+        compact_bytes: COMPACT_BYTES,
         ring: Ring::default(),
         storage,
         peers,
