--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -204,7 +204,8 @@
         .header(header::REQUEST, request.id.as_str())
         .header(header::FENCE, ticket.fence)
         .header(header::PRIORITY, u16::from(request.priority));
-    if let Some(content_type) = &request.content_type {
+    let json = request.model().map(|_| Name::from("application/json"));
+    if let Some(content_type) = json.as_ref().or(request.content_type.as_ref()) {
         message = message.header(CONTENT_TYPE, content_type.as_str());
     }
     if let Some(key) = &request.key {
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -36,6 +36,8 @@
 const IDLE: Duration = Duration::from_secs(20);
 /// The status of a request that an endpoint refused.
 const CONFLICT: u16 = 409;
+/// The status of a completion whose body an engine cannot parse.
+const BAD_REQUEST: u16 = 400;
 
 /// The HTTP client towards endpoints and other gates.
 pub(crate) struct Client {
@@ -156,11 +158,12 @@
     }
     let body = collect(body, &expect).await?;
     refused(status, &body, &expect)?;
+    let completion = expect.model.is_some() && !head.replayed;
+    if completion && status != 200 {
+        return Err(Failure::Failed(status));
+    }
     check_headers(&parts.headers, &expect)?;
-    if expect.model.is_some() && !head.replayed {
-        if status != 200 {
-            return Err(Failure::Failed(status));
-        }
+    if completion {
         check_mark(&body, &expect)?;
     }
     Ok(Answer::Whole(Whole { status, content_type, body, head }))
@@ -187,10 +190,9 @@
         }
         return Ok(());
     }
-    if status == CONFLICT || expect.model.is_some() {
-        if let Ok(fault) = serde_json::from_slice::<Fault>(body) {
-            return Err(Failure::Rejected(fault));
-        }
+    let refuses = status == CONFLICT || (status == BAD_REQUEST && expect.model.is_some());
+    if refuses && let Ok(fault) = serde_json::from_slice::<Fault>(body) {
+        return Err(Failure::Rejected(fault));
     }
     Ok(())
 }
