--- a/crates/gate/tests/fake/engine.rs
+++ b/crates/gate/tests/fake/engine.rs
@@ -37,7 +37,7 @@
 
 /// How the fake answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub enum Mode {
+pub(crate) enum Mode {
     #[default]
     Right,
     /// The answer names another version.
@@ -55,28 +55,28 @@
 }
 
 #[derive(Default)]
-pub struct Tables {
-    pub mode: Mode,
-    pub report: Report,
+pub(crate) struct Tables {
+    pub(crate) mode: Mode,
+    pub(crate) report: Report,
     /// Requests that ran, by key or id.
-    pub runs: HashMap<Name, u32>,
-    pub orders: Vec<Action>,
-    pub cancelled: Vec<Name>,
-    pub violations: Vec<String>,
-    pub load_failures: u32,
-    pub max_running: usize,
+    pub(crate) runs: HashMap<Name, u32>,
+    pub(crate) orders: Vec<Action>,
+    pub(crate) cancelled: Vec<Name>,
+    pub(crate) violations: Vec<String>,
+    pub(crate) load_failures: u32,
+    pub(crate) max_running: usize,
 }
 
 /// A running fake.
 #[derive(Clone)]
-pub struct Engine {
-    pub endpoint: view::Endpoint,
-    pub tables: Arc<Mutex<Tables>>,
-    pub resume: Arc<Notify>,
+pub(crate) struct Engine {
+    pub(crate) endpoint: view::Endpoint,
+    pub(crate) tables: Arc<Mutex<Tables>>,
+    pub(crate) resume: Arc<Notify>,
 }
 
 impl Engine {
-    pub async fn start(name: &str, role: Role) -> Engine {
+    pub(crate) async fn start(name: &str, role: Role) -> Engine {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address").to_string();
         let endpoint = view::Endpoint {
@@ -102,15 +102,15 @@
         engine
     }
 
-    pub fn mode(&self, mode: Mode) {
+    pub(crate) fn mode(&self, mode: Mode) {
         self.tables.lock().mode = mode;
     }
 
-    pub fn runs(&self) -> u32 {
+    pub(crate) fn runs(&self) -> u32 {
         self.tables.lock().runs.values().sum()
     }
 
-    pub fn announcement(&self) -> Announcement {
+    pub(crate) fn announcement(&self) -> Announcement {
         let state = self.tables.lock().report.clone();
         Announcement { endpoint: self.endpoint.clone(), state, leaving: false }
     }
--- a/crates/gate/tests/fake/keeper.rs
+++ b/crates/gate/tests/fake/keeper.rs
@@ -31,30 +31,30 @@
 
 /// The keeper's tables.
 #[derive(Default)]
-pub struct Tables {
-    pub view: View,
-    pub journal: HashMap<Key, (Claim, u64, Option<Answer>)>,
-    pub implicated: Vec<(Name, Vec<u64>)>,
-    pub ended: HashSet<u64>,
-    pub permits: u64,
+pub(crate) struct Tables {
+    pub(crate) view: View,
+    pub(crate) journal: HashMap<Key, (Claim, u64, Option<Answer>)>,
+    pub(crate) implicated: Vec<(Name, Vec<u64>)>,
+    pub(crate) ended: HashSet<u64>,
+    pub(crate) permits: u64,
     /// Claims that are committed while the answer is lost.
-    pub lose_claims: usize,
+    pub(crate) lose_claims: usize,
     /// Whether no renewal is answered.
-    pub cut: bool,
+    pub(crate) cut: bool,
     count: u64,
 }
 
 /// A running fake.
 #[derive(Clone)]
-pub struct Keeper {
-    pub address: Name,
-    pub tables: Arc<Mutex<Tables>>,
+pub(crate) struct Keeper {
+    pub(crate) address: Name,
+    pub(crate) tables: Arc<Mutex<Tables>>,
 }
 
-pub const LEASE_MS: u64 = 1_000;
+pub(crate) const LEASE_MS: u64 = 1_000;
 
 impl Keeper {
-    pub async fn start(view: View) -> Keeper {
+    pub(crate) async fn start(view: View) -> Keeper {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = Name::from(listener.local_addr().expect("an address").to_string());
         let tables = Arc::new(Mutex::new(Tables { view, ..Tables::default() }));
@@ -74,7 +74,7 @@
     }
 
     /// Gives an endpoint to a gate under a new fencing number.
-    pub fn assign(&self, endpoint: &str, gate: &str) {
+    pub(crate) fn assign(&self, endpoint: &str, gate: &str) {
         let mut tables = self.tables.lock();
         tables.count += 1;
         let fence = tables.count;
@@ -85,7 +85,7 @@
     }
 
     /// Changes the view.
-    pub fn change(&self, change: impl FnOnce(&mut View)) {
+    pub(crate) fn change(&self, change: impl FnOnce(&mut View)) {
         let mut tables = self.tables.lock();
         change(&mut tables.view);
         tables.view.revision += 1;
--- a/crates/gate/tests/fake/mod.rs
+++ b/crates/gate/tests/fake/mod.rs
@@ -2,6 +2,6 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the fakes")]
 
-pub mod engine;
-pub mod keeper;
-pub mod site;
+pub(crate) mod engine;
+pub(crate) mod keeper;
+pub(crate) mod site;
--- a/crates/gate/tests/fake/site.rs
+++ b/crates/gate/tests/fake/site.rs
@@ -28,44 +28,44 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 
 /// A running gate.
-pub struct Running {
-    pub entry: Entry,
-    pub stop: Option<oneshot::Sender<()>>,
-    pub task: JoinHandle<()>,
+pub(crate) struct Running {
+    pub(crate) entry: Entry,
+    pub(crate) stop: Option<oneshot::Sender<()>>,
+    pub(crate) task: JoinHandle<()>,
 }
 
 /// An answer in full; `complete` is false if the connection was cut.
 #[derive(Debug)]
-pub struct Reply {
-    pub status: u16,
-    pub headers: hyper::HeaderMap,
-    pub body: String,
-    pub complete: bool,
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) headers: hyper::HeaderMap,
+    pub(crate) body: String,
+    pub(crate) complete: bool,
 }
 
 impl Reply {
-    pub fn code(&self) -> u64 {
+    pub(crate) fn code(&self) -> u64 {
         let body: Value = serde_json::from_str(&self.body).unwrap_or_default();
         body["error"]["code"].as_u64().unwrap_or_default()
     }
 
-    pub fn ran(&self) -> String {
+    pub(crate) fn ran(&self) -> String {
         let body: Value = serde_json::from_str(&self.body).unwrap_or_default();
         body["error"]["ran"].as_str().unwrap_or_default().to_owned()
     }
 
-    pub fn header(&self, name: &str) -> &str {
+    pub(crate) fn header(&self, name: &str) -> &str {
         self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
     }
 }
 
-pub type Http = Client<HttpConnector, Full<Bytes>>;
+pub(crate) type Http = Client<HttpConnector, Full<Bytes>>;
 
-pub fn http() -> Http {
+pub(crate) fn http() -> Http {
     Client::builder(TokioExecutor::new()).build_http()
 }
 
-pub async fn send(
+pub(crate) async fn send(
     http: &Http,
     method: &str,
     url: &str,
@@ -95,7 +95,7 @@
 }
 
 /// Returns a view with the adapter `a` of two versions, adapters `b0`…`b9`, and the service `ledger`.
-pub fn view() -> View {
+pub(crate) fn view() -> View {
     let mut view = View::default();
     let adapter = |versions: &[&str]| Adapter {
         base: Name::from("base"),
@@ -115,15 +115,15 @@
     view
 }
 
-pub fn engine_role(slots: u32, batch: u32) -> Role {
+pub(crate) fn engine_role(slots: u32, batch: u32) -> Role {
     Role::Engine { base: Name::from("base"), slots, batch }
 }
 
-pub fn service_role() -> Role {
+pub(crate) fn service_role() -> Role {
     Role::Service { kind: Name::from("ledger"), batch: 4 }
 }
 
-pub fn config(hosts: &[&str], keeper: &Keeper) -> Config {
+pub(crate) fn config(hosts: &[&str], keeper: &Keeper) -> Config {
     let mut config = Config::default();
     let free = Name::from("127.0.0.1:0");
     for host in hosts {
@@ -148,7 +148,7 @@
 }
 
 /// Starts a gate; it learns the other gates' addresses from the view.
-pub async fn start(config: &Config, host: &str) -> Running {
+pub(crate) async fn start(config: &Config, host: &str) -> Running {
     let mut config = config.clone();
     let own = config.entries.iter().find(|entry| entry.host.as_str() == host).cloned();
     config.entries.retain(|entry| entry.host.as_str() == host || !entry.keeper.is_empty());
@@ -167,7 +167,7 @@
 }
 
 /// Announces an engine to a gate again and again.
-pub fn announce(engine: &Engine, gate: &Running) -> JoinHandle<()> {
+pub(crate) fn announce(engine: &Engine, gate: &Running) -> JoinHandle<()> {
     let engine = engine.clone();
     let url = format!("http://{}/v1/announce", gate.entry.gate);
     tokio::spawn(async move {
@@ -182,7 +182,7 @@
 }
 
 /// Waits until `met` returns true.
-pub async fn until(what: &str, mut met: impl AsyncFnMut() -> bool) {
+pub(crate) async fn until(what: &str, mut met: impl AsyncFnMut() -> bool) {
     let end = tokio::time::Instant::now() + PATIENCE;
     while !met().await {
         assert!(tokio::time::Instant::now() < end, "in vain: {what}");
@@ -191,7 +191,7 @@
 }
 
 /// Waits until the gate owns `count` ready endpoints.
-pub async fn owns(gate: &Running, count: usize) {
+pub(crate) async fn owns(gate: &Running, count: usize) {
     let http = http();
     let url = format!("http://{}/v1/status", gate.entry.gate_admin);
     let host = gate.entry.host.clone();
