gate: routing and placement by the decision crates; a handover time after an assignment

Cause: an owner from which an endpoint is moved goes on until it applies the change; a new owner that evicted at once could hit a request that was sent after its survey. Change: nothing is evicted at an endpoint until the former owner's lease must have ended, unless the keepers ended that lease before; until then requests that are not ours are counted anew each reading. Ruled out: a no-op order to raise the fencing number, which endpoints that ignore it do not heed.

--- a/crates/board/src/board.rs
+++ b/crates/board/src/board.rs
@@ -7,8 +7,11 @@
 use base::Name;
 use parking_lot::Mutex;
 use parking_lot::RwLock;
+use state::Delta;
 use state::View;
+use state::command::Incarnation;
 use state::view::Ownership;
+use state::view::Patch;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -35,6 +38,9 @@
     pub host: Name,
     /// The longest time between signs of an endpoint that takes work.
     pub silent: Duration,
+    /// How long a gate that an endpoint was taken from may go on to send work there: until it applies
+    /// the change or its lease ends.
+    pub handover: Duration,
     /// The replicated view; its revision never goes back.
     pub view: RwLock<View>,
     /// The lease of this gate.
@@ -52,11 +58,16 @@
 
 impl Board {
     /// Returns an empty board and the stream of requests that were given up.
-    pub fn new(host: Name, silent: Duration) -> (Arc<Board>, mpsc::UnboundedReceiver<Abandoned>) {
+    pub fn new(
+        host: Name,
+        silent: Duration,
+        handover: Duration,
+    ) -> (Arc<Board>, mpsc::UnboundedReceiver<Abandoned>) {
         let (abandoned, given_up) = mpsc::unbounded_channel();
         let board = Board {
             host,
             silent,
+            handover,
             view: RwLock::default(),
             lease: Mutex::default(),
             floor: Mutex::default(),
@@ -84,20 +95,35 @@
     /// Brings the view up to date; returns false if it cannot be done without a whole view.
     pub fn update(&self, update: &Update) -> bool {
         let mut view = self.view.write();
-        let complete = match update {
-            Update::Deltas(deltas) => deltas.iter().all(|delta| patch::apply(&mut view, delta)),
+        match update {
+            Update::Deltas(deltas) => deltas.iter().all(|delta| self.step(&mut view, delta)),
             Update::Whole(whole) if whole.revision >= view.revision => {
                 *view = (**whole).clone();
+                self.sync(&view, |_| true);
                 true
             }
             Update::Whole(_) => false,
+        }
+    }
+
+    fn step(&self, view: &mut View, delta: &Delta) -> bool {
+        let owners = match &delta.patch {
+            Patch::Endpoint(name, _) => owner(view, name),
+            _ => None,
         };
-        self.sync(&view);
-        complete
+        if !patch::apply(view, delta) {
+            return false;
+        }
+        if matches!(&delta.patch, Patch::Endpoint(..) | Patch::Draining(..)) {
+            self.sync(view, |view| lives(view, owners.as_ref()));
+        }
+        true
     }
 
     /// Takes over the endpoints that the view gives to this gate and drops the others.
-    fn sync(&self, view: &View) {
+    ///
+    /// `contested` tells whether the owner before may still hold its lease.
+    fn sync(&self, view: &View, contested: impl Fn(&View) -> bool) {
         let now = Instant::now();
         let mut floor = self.floor.lock();
         let mine = |owned: &&Ownership| owned.owner.as_ref() == Some(&self.host);
@@ -117,6 +143,9 @@
                 _ => {
                     let mut own = Endpoint::new(info.clone(), owned.fence, now);
                     own.draining = draining;
+                    if contested(view) {
+                        own.settled = now + self.handover;
+                    }
                     floor.endpoints.insert(info.name.clone(), own);
                 }
             }
@@ -195,7 +224,7 @@
         slots.extend(own.slots.drain().filter(|(_, slot)| slot.phase != Phase::Ready));
         own.slots = slots;
         own.timeouts = 0;
-        if own.surveyed {
+        if own.surveyed && now >= own.settled {
             // A request that ended since the state was taken is no stranger, so the table only shrinks.
             own.foreign.retain(|id, _| state.running.iter().any(|run| run.request == *id));
         } else {
@@ -225,6 +254,19 @@
     }
 }
 
+/// Returns the owner of an endpoint with its run.
+fn owner(view: &View, endpoint: &Name) -> Option<(Name, Incarnation)> {
+    let owner = view.endpoints.get(endpoint)?.owner.as_ref()?;
+    let gate = view.gates.get(owner)?;
+    Some((gate.name.clone(), gate.incarnation))
+}
+
+/// Returns whether a run of a gate holds its lease in the view.
+fn lives(view: &View, run: Option<&(Name, Incarnation)>) -> bool {
+    let Some((name, incarnation)) = run else { return false };
+    view.gates.get(name).is_some_and(|gate| gate.incarnation == *incarnation)
+}
+
 impl Endpoint {
     /// Forgets everything that ended with the former generation.
     fn restart(&mut self, generation: u64) {
--- a/crates/board/src/endpoint.rs
+++ b/crates/board/src/endpoint.rs
@@ -30,6 +30,8 @@
     pub draining: bool,
     /// Whether its state was read since this gate owns it; before, it gets no work and no orders.
     pub surveyed: bool,
+    /// When no former owner can send it work any more; nothing is evicted before.
+    pub settled: Instant,
     /// Counts the starts and ends of orders: a state read across one is not applied.
     pub orders: u64,
     /// The consecutive reads of its state that it did not answer in time.
@@ -89,6 +91,7 @@
             leaving: false,
             draining: false,
             surveyed: false,
+            settled: now,
             orders: 0,
             timeouts: 0,
             slots: Map::default(),
@@ -138,8 +141,9 @@
     /// Returns whether adapters that no request uses may be evicted.
     ///
     /// An endpoint that ignores fencing numbers may yet get requests of a former owner while some run.
-    pub fn evictable(&self) -> bool {
-        self.surveyed && (self.info.fenced || self.foreign.is_empty())
+    pub fn evictable(&self, now: Instant) -> bool {
+        let alone = self.info.fenced || self.foreign.is_empty();
+        self.surveyed && now >= self.settled && alone
     }
 
     /// Returns whether it can run `target` without a load.
--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -14,6 +14,7 @@
 use base::Name;
 use board::Ticket;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use wire::header;
 
 use crate::context::Context;
@@ -185,12 +186,14 @@
     sender: mpsc::Sender<io::Result<Bytes>>,
     guard: Guard,
 ) {
+    let began = Instant::now();
     let mut event = live.first.clone();
     loop {
         if event.last
             && let Some(ticket) = &mut live.ticket
         {
             ticket.finish();
+            context.served(began.elapsed());
         }
         if sender.send(Ok(event.bytes)).await.is_err() {
             context.metrics.requests.with_label_values(&["cancelled"]).inc();
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -42,34 +42,39 @@
 ) -> Result<Answer, Failure> {
     let mut tried = Tried::default();
     let mut crashes = 0;
-    let mut last = Failure::from(Code::NoEndpoint);
+    let mut last = None;
     for attempt in 0..ATTEMPTS {
-        let Some(choice) = pick::choose(context, &request.stage.target, &tried) else { break };
+        let choice = match pick::choose(context, &request, &tried) {
+            Ok(choice) => choice,
+            Err(refusal) => return Err(last.unwrap_or(Failure::Refused(refusal))),
+        };
         if attempt > 0 {
             context.trace.note(&request.id, Event::Retried, choice.reason.as_str());
             context.metrics.requests.with_label_values(&["retried"]).inc();
         }
-        match once(context, &request, &choice).await {
+        let failure = match once(context, &request, &choice).await {
             Ok(answer) => return Ok(answer),
-            Err(failure) => last = failure,
-        }
-        if last.crash() {
+            Err(failure) => failure,
+        };
+        if failure.crash() {
             crashes += 1;
             request.stage.suspect = true;
             suspect(context, request.stage.fingerprint);
         }
-        if !last.retriable() || crashes >= CRASHES || Instant::now() >= request.stage.deadline {
-            break;
+        let late = Instant::now() >= request.stage.deadline;
+        if !failure.retriable() || crashes >= CRASHES || late {
+            return Err(failure);
         }
         if quarantined(context, &request) {
             return Err(Failure::from(Code::Quarantined));
         }
-        if !last.not_run() && !context.spend() {
-            break;
+        if !failure.not_run() && !context.spend() {
+            return Err(failure);
         }
-        tried.add(&choice, &last);
+        tried.add(&choice, &failure);
+        last = Some(failure);
     }
-    Err(last)
+    Err(last.unwrap_or_else(|| Failure::from(Code::NoEndpoint)))
 }
 
 /// Sends a request to the chosen endpoint through its owner.
@@ -126,6 +131,9 @@
     if !served(context, &stage.target) {
         return Err(Failure::from(Code::NoEndpoint));
     }
+    if let Some(model) = stage.target.model() {
+        context.memory.lock().hit(model);
+    }
     let (reply, ticket) = oneshot::channel();
     let waiter = Waiter {
         request: request.id.clone(),
@@ -171,6 +179,9 @@
     );
     if request.model().is_some() {
         context.metrics.stalled(ticket.stall);
+        if !ticket.stall.is_zero() {
+            context.stalled(ticket.stall);
+        }
         context.metrics.batch_fill.observe(ticket.fill);
     }
     let message = compose(request, &ticket)?;
--- a/crates/gate/src/context.rs
+++ b/crates/gate/src/context.rs
@@ -6,18 +6,20 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use base::Map;
 use base::Name;
 use base::Set;
 use board::Board;
 use conf::Config;
 use conf::Entry;
 use parking_lot::Mutex;
+use route::Pace;
 use state::journal::Key;
 use state::view;
 
 use crate::exchange::Client;
+use crate::inputs::Memory;
 use crate::keepers::Keepers;
+use crate::load::Failures;
 use crate::metrics::Metrics;
 use crate::peer::Links;
 use crate::progress::Progress;
@@ -25,6 +27,8 @@
 
 /// The retries that may be made before any request was counted.
 const RETRY_BURST: u64 = 20;
+/// The measurements over which a mean moves.
+const PACE_SHARE: u32 = 16;
 /// The share of a retry that one percent of the retry limit adds for a request.
 const RETRY_UNIT: u64 = 100;
 
@@ -56,8 +60,14 @@
     pub(crate) claims: Mutex<Set<Key>>,
     /// The fingerprints of requests in progress at an endpoint that crashed.
     pub(crate) suspects: Mutex<Set<u64>>,
-    /// The consecutive failures to load by adapter and version, with the time of the last one.
-    pub(crate) failures: Mutex<Map<wire::endpoint::Model, (u32, tokio::time::Instant)>>,
+    /// The consecutive failures to load.
+    pub(crate) failures: Failures,
+    /// What placement remembers.
+    ///
+    /// Lock order: behind the tables of the board.
+    pub(crate) memory: Mutex<Memory>,
+    /// The times that waits are estimated from.
+    pub(crate) pace: Mutex<Pace>,
     /// The hundredths of retries that may be made.
     pub(crate) retries: AtomicU64,
     /// The sequence number of the last summary.
@@ -74,6 +84,7 @@
         board: Arc<Board>,
     ) -> prometheus::Result<Context> {
         let call = Duration::from_millis(config.timing.call_ms);
+        let half_life = Duration::from_millis(config.placement.half_life_ms);
         Ok(Context {
             keepers: Keepers::new(&config),
             links: Links::new(call),
@@ -86,6 +97,8 @@
             claims: Mutex::default(),
             suspects: Mutex::default(),
             failures: Mutex::default(),
+            memory: Mutex::new(Memory::new(half_life)),
+            pace: Mutex::default(),
             retries: AtomicU64::new(RETRY_BURST * RETRY_UNIT),
             sequence: AtomicU64::new(0),
             in_force: AtomicU64::new(0),
@@ -122,6 +135,18 @@
         Duration::from_millis(self.config.timing.call_ms)
     }
 
+    /// Moves the mean time that a request occupies a place of a batch towards a measured one.
+    pub(crate) fn served(&self, took: Duration) {
+        let mut pace = self.pace.lock();
+        pace.service = mean(pace.service, took);
+    }
+
+    /// Moves the mean time that a request waits for a load towards a measured one.
+    pub(crate) fn stalled(&self, took: Duration) {
+        let mut pace = self.pace.lock();
+        pace.load = mean(pace.load, took);
+    }
+
     /// Adds the share of a request to the budget of retries.
     pub(crate) fn earn(&self) {
         let share = u64::from(self.config.limits.retry_percent);
@@ -137,6 +162,11 @@
     }
 }
 
+/// Returns a moving mean.
+fn mean(old: Duration, new: Duration) -> Duration {
+    (old * (PACE_SHARE - 1) + new) / PACE_SHARE
+}
+
 /// The addresses of another gate.
 #[derive(Clone, Debug)]
 pub(crate) struct Remote {
--- /dev/null
+++ b/crates/gate/src/inputs.rs
@@ -0,0 +1,172 @@
+//! The tables of placement, read from the blackboard.
+
+use std::time::Duration;
+
+use base::Map;
+use base::Name;
+use base::Set;
+use board::Endpoint;
+use board::Floor;
+use board::Phase;
+use board::Target;
+use place::Backoff;
+use place::Engine;
+use place::Held;
+use place::Plan;
+use place::Policy;
+use place::Popularity;
+use place::Tables;
+use place::Waiting;
+use state::View;
+use state::view::Role;
+use tokio::time::Instant;
+use wire::endpoint::Model;
+
+use crate::context::Context;
+
+/// The adapters whose popularity is counted.
+const COUNTED: usize = 200_000;
+
+/// What placement remembers between decisions.
+pub(crate) struct Memory {
+    /// The instant that all times are counted from.
+    epoch: Instant,
+    /// How often adapters are asked for.
+    pub(crate) popularity: Popularity,
+    /// The adapters whose last load failed.
+    pub(crate) backoff: Backoff,
+    /// Whether the last permit was granted without a wait.
+    pub(crate) spare: bool,
+}
+
+impl Memory {
+    /// Returns an empty memory.
+    pub(crate) fn new(half_life: Duration) -> Memory {
+        Memory {
+            epoch: Instant::now(),
+            popularity: Popularity::new(half_life, COUNTED),
+            backoff: Backoff::default(),
+            spare: true,
+        }
+    }
+
+    /// Returns the time of placement for an instant.
+    pub(crate) fn time(&self, instant: Instant) -> Duration {
+        instant.saturating_duration_since(self.epoch)
+    }
+
+    /// Counts a request for an adapter.
+    pub(crate) fn hit(&mut self, model: &Model) {
+        let now = self.time(Instant::now());
+        self.popularity.hit(model, now);
+    }
+}
+
+/// Decides on the next loads of this gate, the one that is worth most first, at most `limit`.
+pub(crate) fn plans(context: &Context, limit: usize) -> Vec<Plan> {
+    let view = context.board.view.read();
+    let floor = context.board.floor.lock();
+    decide(context, &view, &floor, limit)
+}
+
+/// Decides as [`plans`] on tables that the caller has locked.
+pub(crate) fn decide(context: &Context, view: &View, floor: &Floor, limit: usize) -> Vec<Plan> {
+    let memory = context.memory.lock();
+    let policy = Policy::new(&context.config.placement, view.defaults.stall_weight);
+    let held = elsewhere(context, view);
+    let elsewhere = |model: &Model| held.contains(model);
+    let now = memory.time(Instant::now());
+    let mut plans = Vec::new();
+    for (base, engines) in engines(context, floor, &memory) {
+        let mut engines = engines;
+        let mut waiting = waiting(view, floor, &memory, &base);
+        while plans.len() < limit {
+            let tables = Tables {
+                engines: &engines,
+                waiting: &waiting,
+                popularity: &memory.popularity,
+                exceptions: &view.exceptions,
+                backoff: &memory.backoff,
+                policy: &policy,
+                elsewhere: &elsewhere,
+                spare: memory.spare,
+            };
+            let Some(plan) = place::next(&tables, now) else { break };
+            waiting.retain(|one| one.model != plan.load);
+            assume(&mut engines, &plan, now);
+            plans.push(plan);
+        }
+    }
+    plans.sort_by_key(|plan| std::cmp::Reverse(plan.worth));
+    plans
+}
+
+/// Notes a plan in the tables as if it were carried out.
+fn assume(engines: &mut [Engine], plan: &Plan, now: Duration) {
+    let Some(engine) = engines.iter_mut().find(|engine| engine.name == plan.endpoint) else {
+        return;
+    };
+    engine.held.retain(|held| Some(&held.model) != plan.evict.as_ref());
+    engine.held.push(Held { model: plan.load.clone(), in_use: 0, loading: true, used: now });
+}
+
+/// Returns what other gates' engines hold.
+fn elsewhere(context: &Context, view: &View) -> Set<Model> {
+    let peers = context.board.peers.lock();
+    let summaries = peers.all();
+    drop(peers);
+    let live = summaries.iter().filter(|summary| view.gates.contains_key(&summary.gate));
+    let endpoints = live.flat_map(|summary| &summary.endpoints);
+    endpoints.flat_map(|endpoint| endpoint.loaded.iter().cloned()).collect()
+}
+
+fn engines(context: &Context, floor: &Floor, memory: &Memory) -> Map<Name, Vec<Engine>> {
+    let now = Instant::now();
+    let mut engines: Map<Name, Vec<Engine>> = Map::default();
+    for own in floor.endpoints.values() {
+        let Role::Engine { base, slots, batch } = &own.info.role else { continue };
+        let engine = Engine {
+            name: own.info.name.clone(),
+            ready: own.ready(now, context.board.silent),
+            slots: *slots,
+            batch: *batch,
+            in_flight: u32::try_from(own.busy()).unwrap_or(u32::MAX),
+            held: own.slots.keys().map(|model| held(own, model, floor, memory)).collect(),
+        };
+        engines.entry(base.clone()).or_default().push(engine);
+    }
+    engines
+}
+
+/// Returns an adapter in a slot; one that must not be evicted now counts as in use.
+fn held(own: &Endpoint, model: &Model, floor: &Floor, memory: &Memory) -> Held {
+    let slot = &own.slots[model];
+    let wanted = floor.queues.contains_key(&Target::Model(model.clone()));
+    let kept = wanted || own.pinned(model) || !own.evictable(Instant::now());
+    Held {
+        model: model.clone(),
+        in_use: u32::from(kept),
+        loading: slot.phase != Phase::Ready,
+        used: memory.time(slot.used),
+    }
+}
+
+fn waiting(view: &View, floor: &Floor, memory: &Memory, base: &Name) -> Vec<Waiting> {
+    let mut all = Vec::new();
+    for (target, queue) in &floor.queues {
+        let Some(model) = target.model() else { continue };
+        if view.adapters.get(&model.adapter).is_none_or(|adapter| adapter.base != *base) {
+            continue;
+        }
+        let arrivals = queue.iter().map(|waiter| memory.time(waiter.arrived));
+        let deadlines = queue.iter().map(|waiter| memory.time(waiter.deadline));
+        all.push(Waiting {
+            model: model.clone(),
+            requests: u32::try_from(queue.len()).unwrap_or(u32::MAX),
+            weight: queue.iter().map(|waiter| Waiting::weight(waiter.priority)).sum(),
+            oldest: arrivals.min().unwrap_or_default(),
+            deadline: deadlines.max().unwrap_or_default(),
+        });
+    }
+    all
+}
--- a/crates/gate/src/once.rs
+++ b/crates/gate/src/once.rs
@@ -36,7 +36,7 @@
 ) -> Result<Answer, Failure> {
     let mut tried = Tried::default();
     for _ in 0..ATTEMPTS {
-        let Some(choice) = pick::choose(context, &request.stage.target, &tried) else { break };
+        let Ok(choice) = pick::choose(context, request, &tried) else { break };
         if choice.owner == context.entry.host {
             return here(context, request, key, Some(&choice.endpoint)).await;
         }
--- a/crates/gate/src/pick.rs
+++ b/crates/gate/src/pick.rs
@@ -3,8 +3,14 @@
 use std::time::Duration;
 
 use base::Code;
+use base::Map;
 use base::Name;
+use board::Floor;
+use board::Phase;
 use board::Target;
+use route::Ask;
+use route::Candidate;
+use route::Holding;
 use state::View;
 use state::view::Ownership;
 use state::view::Role;
@@ -12,10 +18,12 @@
 
 use crate::context::Context;
 use crate::failure::Failure;
+use crate::refusal::Refusal;
+use crate::request::Request;
+use crate::request::Resolved;
 
 /// The age from which another gate's summary says nothing of its endpoints any more.
 const SUMMARY_AGE: Duration = Duration::from_millis(1_500);
-
 /// The refusals that all endpoints of an owner share.
 const OWNER: &[Code] = &[Code::NotServing, Code::Draining, Code::OwnerUnreachable, Code::OwnerLost];
 
@@ -47,57 +55,67 @@
             self.owners.push(choice.owner.clone());
         }
     }
-
-    fn has(&self, owned: &Ownership) -> bool {
-        let owner = owned.owner.as_ref();
-        self.endpoints.contains(&owned.endpoint.name)
-            || owner.is_some_and(|owner| self.owners.contains(owner))
-    }
 }
 
-/// An endpoint that may be chosen.
-struct Candidate {
+/// What is known of an endpoint that may be chosen.
+struct Known {
     endpoint: Name,
     owner: Name,
-    holds: bool,
-    load: usize,
-    batch: usize,
+    ready: bool,
+    holding: Holding,
+    in_flight: u32,
+    waiting: u32,
+    batch: u32,
+    free_slots: u32,
 }
 
-/// Chooses an endpoint outside of `tried`; none if no endpoint takes new work.
-pub(crate) fn choose(context: &Context, target: &Target, tried: &Tried) -> Option<Choice> {
-    let candidates = candidates(context, target, tried);
-    let count = candidates.len();
-    let room = |candidate: &&Candidate| candidate.load < candidate.batch;
-    let holders = || candidates.iter().filter(|candidate| candidate.holds);
-    let model = target.model().is_some();
-    let (best, why) = if model {
-        let full = holders().filter(room).max_by_key(|one| (one.load, one.endpoint.clone()));
-        let spread = || candidates.iter().filter(room).max_by_key(|one| weight(target, one));
-        match full {
-            Some(best) => (Some(best), "holds the adapter, fullest batch with room"),
-            None if holders().next().is_none() => (spread(), "no endpoint holds the adapter"),
-            None => (holders().min_by_key(|one| one.load), "all holders are full, shortest queue"),
-        }
-    } else {
-        let least = candidates.iter().min_by_key(|one| (one.load, !weight(target, one)));
-        (least, "least load")
+/// Chooses an endpoint outside of `tried`.
+pub(crate) fn choose(
+    context: &Context,
+    request: &Request<Resolved>,
+    tried: &Tried,
+) -> Result<Choice, Refusal> {
+    let target = &request.stage.target;
+    let known = known(context, target, tried);
+    let candidates = known.iter().map(|one| candidate(one, &context.entry.host));
+    let remaining = request.stage.deadline.saturating_duration_since(Instant::now());
+    let weight = context.board.view.read().defaults.stall_weight;
+    let ask = Ask::new(target.model(), remaining).configured(&context.config.placement, weight);
+    let ask = Ask {
+        seed: base::digest(request.id.as_bytes()),
+        priority: request.priority,
+        excluded: &tried.endpoints,
+        pace: *context.pace.lock(),
+        ..ask
     };
-    let best = best.or_else(|| candidates.iter().min_by_key(|one| one.load))?;
-    Some(Choice {
-        endpoint: best.endpoint.clone(),
-        owner: best.owner.clone(),
-        reason: format!("{why}; load {} of {}, {count} candidates", best.load, best.batch),
-    })
+    let choice = route::choose(&ask, candidates).map_err(|refusal| {
+        let mut told = Refusal::new(refusal.code);
+        told.retry_after = refusal.retry_after.or(told.retry_after);
+        told
+    })?;
+    let losers: Vec<String> = choice.losers.iter().map(ToString::to_string).collect();
+    let reason = format!(
+        "{} wait={}ms losers=[{}]",
+        choice.reason,
+        choice.wait.as_millis(),
+        losers.join(" ")
+    );
+    Ok(Choice { endpoint: choice.endpoint, owner: choice.gate, reason })
 }
 
-/// Returns the rendezvous weight of a target at an endpoint.
-fn weight(target: &Target, candidate: &Candidate) -> u64 {
-    let name = match target {
-        Target::Model(model) => format!("{}@{}", model.adapter, model.version),
-        Target::Service(kind) => kind.to_string(),
-    };
-    base::digest(format!("{name}|{}", candidate.endpoint).as_bytes())
+fn candidate<'a>(known: &'a Known, host: &Name) -> Candidate<'a> {
+    Candidate {
+        endpoint: &known.endpoint,
+        gate: &known.owner,
+        own: known.owner == *host,
+        ready: known.ready,
+        holding: known.holding,
+        in_flight: known.in_flight,
+        waiting: known.waiting,
+        batch: known.batch,
+        free_slots: known.free_slots,
+        prefix_hit: false,
+    }
 }
 
 /// Returns whether an endpoint of a role can serve a target; `base` is the base model of its adapter.
@@ -109,49 +127,94 @@
     }
 }
 
-fn candidates(context: &Context, target: &Target, tried: &Tried) -> Vec<Candidate> {
+fn known(context: &Context, target: &Target, tried: &Tried) -> Vec<Known> {
     let view = context.board.view.read();
     let base = target.model().and_then(|model| view.adapters.get(&model.adapter));
     let base = base.map(|adapter| &adapter.base);
-    let suitable = view
-        .endpoints
-        .values()
-        .filter(|owned| suits(&owned.endpoint.role, target, base) && !tried.has(owned));
-    suitable.filter_map(|owned| candidate(context, &view, target, owned)).collect()
+    let floor = context.board.floor.lock();
+    let waiting = waiting(&floor);
+    let suitable =
+        view.endpoints.values().filter(|owned| suits(&owned.endpoint.role, target, base));
+    let all = suitable.filter_map(|owned| {
+        let owner = owned.owner.clone().filter(|owner| !tried.owners.contains(owner))?;
+        if owner == context.entry.host {
+            return ours(context, &floor, &waiting, target, owned);
+        }
+        theirs(context, &view, target, owned, owner)
+    });
+    all.collect()
+}
+
+/// Returns how many requests wait for each endpoint of this gate.
+fn waiting(floor: &Floor) -> Map<Name, u32> {
+    let mut waiting: Map<Name, u32> = Map::default();
+    for waiter in floor.queues.values().flatten() {
+        if let Some(endpoint) = &waiter.endpoint {
+            *waiting.entry(endpoint.clone()).or_default() += 1;
+        }
+    }
+    waiting
+}
+
+/// Returns the requests of a full batch and the slots of a role.
+fn size(role: &Role) -> (u32, u32) {
+    match role {
+        Role::Engine { batch, slots, .. } => (*batch, *slots),
+        Role::Service { batch, .. } => (*batch, 0),
+    }
 }
 
-fn candidate(
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
+
+fn ours(
+    context: &Context,
+    floor: &Floor,
+    waiting: &Map<Name, u32>,
+    target: &Target,
+    owned: &Ownership,
+) -> Option<Known> {
+    let own = floor.endpoints.get(&owned.endpoint.name)?;
+    let slot = target.model().and_then(|model| own.slots.get(model));
+    let holding = match (target, slot.map(|slot| slot.phase)) {
+        (Target::Service(_), _) | (_, Some(Phase::Ready)) => Holding::Loaded,
+        (_, Some(Phase::Loading)) => Holding::Loading,
+        _ => Holding::Absent,
+    };
+    let (batch, slots) = size(&owned.endpoint.role);
+    Some(Known {
+        endpoint: owned.endpoint.name.clone(),
+        owner: context.entry.host.clone(),
+        ready: own.ready(Instant::now(), context.board.silent),
+        holding,
+        in_flight: count(own.busy()),
+        waiting: waiting.get(&owned.endpoint.name).copied().unwrap_or(0),
+        batch,
+        free_slots: slots.saturating_sub(count(own.slots.len())),
+    })
+}
+
+fn theirs(
     context: &Context,
     view: &View,
     target: &Target,
     owned: &Ownership,
-) -> Option<Candidate> {
-    let owner = owned.owner.clone()?;
+    owner: Name,
+) -> Option<Known> {
+    let peers = context.board.peers.lock();
     let name = &owned.endpoint.name;
-    if view.draining.contains(&owned.endpoint.host) {
-        return None;
-    }
-    let batch = match &owned.endpoint.role {
-        Role::Engine { batch, .. } | Role::Service { batch, .. } => *batch as usize,
-    };
-    let now = Instant::now();
-    let (holds, load) = if owner == context.entry.host {
-        let floor = context.board.floor.lock();
-        let own = floor.endpoints.get(name)?;
-        if !own.ready(now, context.board.silent) {
-            return None;
-        }
-        let holds = target.model().is_some_and(|model| own.slots.contains_key(model));
-        let waiting = floor.queues.get(target).map_or(0, |queue| queue.len());
-        (holds, own.busy() + waiting)
-    } else {
-        let peers = context.board.peers.lock();
-        let told = peers.endpoint(&owner, name, now, SUMMARY_AGE)?;
-        if !told.ready {
-            return None;
-        }
-        let holds = target.model().is_some_and(|model| told.loaded.contains(model));
-        (holds, (told.in_flight + told.waiting) as usize)
-    };
-    Some(Candidate { endpoint: name.clone(), owner, holds, load, batch })
+    let told = peers.endpoint(&owner, name, Instant::now(), SUMMARY_AGE)?;
+    let holds = target.model().is_none_or(|model| told.loaded.contains(model));
+    let (batch, slots) = size(&owned.endpoint.role);
+    Some(Known {
+        endpoint: name.clone(),
+        owner,
+        ready: told.ready && !view.draining.contains(&owned.endpoint.host),
+        holding: if holds { Holding::Loaded } else { Holding::Absent },
+        in_flight: told.in_flight,
+        waiting: told.waiting,
+        batch,
+        free_slots: slots.saturating_sub(count(told.loaded.len())),
+    })
 }
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -75,7 +75,7 @@
         let relays = listen(&mut entry.relay).await?;
         let operators = listen(&mut entry.gate_admin).await?;
         let silent = Duration::from_millis(config.timing.silent_ms);
-        let (board, given_up) = Board::new(entry.host.clone(), silent);
+        let (board, given_up) = Board::new(entry.host.clone(), silent, config.timing.lease_end());
         board.lease.lock().incarnation = session::incarnation();
         let context = Arc::new(Context::new(config, entry, board)?);
         Ok(Gate { context, given_up, callers, peers, relays, operators })
