--- a/crates/board/src/board.rs
+++ b/crates/board/src/board.rs
@@ -22,6 +22,7 @@
 use crate::endpoint::Endpoint;
 use crate::endpoint::Phase;
 use crate::endpoint::Slot;
+use crate::floor::Crash;
 use crate::floor::Floor;
 use crate::floor::Target;
 use crate::floor::Waiter;
@@ -128,6 +129,7 @@
         let mut floor = self.floor.lock();
         let mine = |owned: &&Ownership| owned.owner.as_ref() == Some(&self.host);
         floor.endpoints.retain(|name, _| view.endpoints.get(name).filter(mine).is_some());
+        let mut crashes = Vec::new();
         for owned in view.endpoints.values().filter(mine) {
             let info = &owned.endpoint;
             let known = floor.endpoints.get_mut(&info.name);
@@ -136,7 +138,9 @@
                 Some(own) if own.fence == owned.fence => {
                     own.draining = draining;
                     if own.info.generation < info.generation {
+                        let crash = own.crash(true);
                         own.restart(info.generation);
+                        crashes.extend(crash);
                     }
                     own.info = info.clone();
                 }
@@ -150,6 +154,7 @@
                 }
             }
         }
+        floor.crashes.extend(crashes);
         drop(floor);
         self.gained.notify_one();
         self.changed.notify_one();
@@ -223,6 +228,8 @@
         // Orders under way decide on their adapters, whatever the state says.
         slots.extend(own.slots.drain().filter(|(_, slot)| slot.phase != Phase::Ready));
         own.slots = slots;
+        // The generation lives, so the broken connections were no crash.
+        own.broken.clear();
         own.timeouts = 0;
         if own.surveyed && now >= own.settled {
             // A request that ended since the state was taken is no stranger, so the table only shrinks.
@@ -268,6 +275,23 @@
 }
 
 impl Endpoint {
+    /// Returns the crash of this generation, if requests were in progress.
+    ///
+    /// `ended` tells whether the generation is over, so that all requests in flight went down with it.
+    pub fn crash(&mut self, ended: bool) -> Option<Crash> {
+        let mut fingerprints = std::mem::take(&mut self.broken);
+        if ended {
+            fingerprints.extend(self.in_flight.values().map(|flight| flight.fingerprint));
+        }
+        fingerprints.sort_unstable();
+        fingerprints.dedup();
+        if fingerprints.is_empty() {
+            return None;
+        }
+        let generation = self.info.generation;
+        Some(Crash { endpoint: self.info.name.clone(), generation, fingerprints })
+    }
+
     /// Forgets everything that ended with the former generation.
     fn restart(&mut self, generation: u64) {
         self.info.generation = generation;
--- a/crates/board/src/floor.rs
+++ b/crates/board/src/floor.rs
@@ -41,6 +41,8 @@
     pub request: Name,
     /// The endpoint that the router chose.
     pub endpoint: Option<Name>,
+    /// Whether no other endpoint may take it, because one failed it before.
+    pub bound: bool,
     /// The priority from 0 (low) to 9 (high).
     pub priority: u8,
     /// When it began to wait.
@@ -75,9 +77,22 @@
     pub batch: usize,
 }
 
+/// A crash of an endpoint.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Crash {
+    /// The endpoint.
+    pub endpoint: Name,
+    /// The generation that crashed.
+    pub generation: u64,
+    /// The fingerprints of the requests in progress.
+    pub fingerprints: Vec<u64>,
+}
+
 /// The endpoints that this gate owns and the requests that wait for them.
 #[derive(Debug, Default)]
 pub struct Floor {
+    /// The crashes that the keepers are not yet told of.
+    pub crashes: Vec<Crash>,
     /// The endpoints by name.
     pub endpoints: Map<Name, Endpoint>,
     /// The waiting requests, the highest priority first and in order of arrival within it.
@@ -149,7 +164,8 @@
         silent: Duration,
     ) -> Option<Name> {
         let fit = self.endpoints.values().filter(|endpoint| {
-            endpoint.serves(target) && endpoint.ready(now, silent) && endpoint.room(waiter)
+            let open = !waiter.bound || waiter.endpoint.as_ref() == Some(&endpoint.info.name);
+            open && endpoint.serves(target) && endpoint.ready(now, silent) && endpoint.room(waiter)
         });
         let model = target.model().is_some();
         let best = fit.max_by_key(|endpoint| {
@@ -169,7 +185,10 @@
             return;
         }
         let fit = self.endpoints.values_mut().filter(|endpoint| {
-            endpoint.serves(target) && endpoint.ready(now, silent) && endpoint.reserved.is_none()
+            let open = !waiter.bound || waiter.endpoint.as_ref() == Some(&endpoint.info.name);
+            open && endpoint.serves(target)
+                && endpoint.ready(now, silent)
+                && endpoint.reserved.is_none()
         });
         if let Some(endpoint) = fit.min_by_key(|endpoint| endpoint.busy()) {
             endpoint.reserved = Some(waiter.request.clone());
@@ -226,6 +245,45 @@
         })
     }
 
+    /// Takes the requests out of their queues whose only endpoint takes no work.
+    pub fn strand(&mut self, now: Instant, silent: Duration) -> Vec<Waiter> {
+        let endpoints = &self.endpoints;
+        let stranded = |waiter: &Waiter| {
+            let endpoint = waiter.endpoint.as_ref().and_then(|name| endpoints.get(name));
+            waiter.bound && endpoint.is_none_or(|endpoint| !endpoint.ready(now, silent))
+        };
+        let mut taken = Vec::new();
+        for queue in self.queues.values_mut() {
+            let (out, kept) = queue.drain(..).partition(&stranded);
+            *queue = kept;
+            let out: VecDeque<Waiter> = out;
+            taken.extend(out);
+        }
+        self.queues.retain(|_, queue| !queue.is_empty());
+        for waiter in &taken {
+            self.unreserve(&waiter.request);
+        }
+        taken
+    }
+
+    /// Returns the adapters that requests wait for at one endpoint only, which lacks them.
+    pub fn bound(&self) -> Vec<(Model, Name)> {
+        let mut wanted = Vec::new();
+        for (target, queue) in &self.queues {
+            let Some(model) = target.model() else { continue };
+            for waiter in queue.iter().filter(|waiter| waiter.bound) {
+                let Some(name) = &waiter.endpoint else { continue };
+                let lacks = self.endpoints.get(name).filter(|own| !own.slots.contains_key(model));
+                if lacks.is_some() {
+                    wanted.push((model.clone(), name.clone()));
+                }
+            }
+        }
+        wanted.sort();
+        wanted.dedup();
+        wanted
+    }
+
     /// Takes all requests that wait for `target` out of their queue.
     pub fn drain(&mut self, target: &Target) -> Vec<Waiter> {
         let waiters: Vec<Waiter> = self.queues.remove(target).unwrap_or_default().into();
--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -16,6 +16,7 @@
 pub use crate::endpoint::Flight;
 pub use crate::endpoint::Phase;
 pub use crate::endpoint::Slot;
+pub use crate::floor::Crash;
 pub use crate::floor::Floor;
 pub use crate::floor::Target;
 pub use crate::floor::Waiter;
--- a/crates/gate/src/announce.rs
+++ b/crates/gate/src/announce.rs
@@ -19,7 +19,6 @@
 
 use crate::addresses;
 use crate::context::Context;
-use crate::crash;
 use crate::refusal::Refusal;
 use crate::request;
 use crate::token;
@@ -103,8 +102,5 @@
         own.surveyed = false;
     }
     drop(floor);
-    if restarted {
-        crash::crashed(context, name);
-    }
     context.board.dispatch();
 }
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -59,7 +59,7 @@
         if failure.crash() {
             crashes += 1;
             request.stage.suspect = true;
-            suspect(context, request.stage.fingerprint);
+            context.suspects.add(request.stage.fingerprint);
         }
         let late = Instant::now() >= request.stage.deadline;
         if !failure.retriable() || crashes >= CRASHES || late {
@@ -71,7 +71,8 @@
         if !failure.not_run() && !context.spend() {
             return Err(failure);
         }
-        tried.add(&choice, &failure);
+        tried.add(&choice, &request.stage.visited, &failure);
+        request.stage.bound = true;
         last = Some(failure);
     }
     Err(last.unwrap_or_else(|| Failure::from(Code::NoEndpoint)))
@@ -89,10 +90,6 @@
     relay(context, request, choice).await
 }
 
-fn suspect(context: &Context, fingerprint: u64) {
-    context.suspects.lock().insert(fingerprint);
-}
-
 fn quarantined(context: &Context, request: &Request<Resolved>) -> bool {
     context.board.view.read().quarantine.contains_key(&request.stage.fingerprint)
 }
@@ -138,6 +135,7 @@
     let waiter = Waiter {
         request: request.id.clone(),
         endpoint: endpoint.cloned(),
+        bound: stage.bound && endpoint.is_some(),
         priority: request.priority,
         arrived: Instant::now(),
         deadline: stage.deadline,
@@ -188,6 +186,7 @@
     if !context.board.owns(&ticket.endpoint, ticket.fence) {
         return Err(Failure::from(Code::NotServing));
     }
+    request.stage.visited.add(ticket.endpoint.clone());
     ticket.send();
     let answer = match context.client.send(message, deadline).await {
         Ok(response) => exchange::receive(response, expect(request, deadline, false)).await,
@@ -277,7 +276,11 @@
     let deadline = request.stage.deadline;
     let sent = Instant::now();
     let answer = match context.client.send(message, deadline).await {
-        Ok(response) => exchange::receive(response, expect(request, deadline, true)).await,
+        Ok(response) => {
+            let sent_to = exchange::text(response.headers(), header::ENDPOINT);
+            sent_to.into_iter().for_each(|endpoint| request.stage.visited.add(endpoint));
+            exchange::receive(response, expect(request, deadline, true)).await
+        }
         Err(failure) => Err(failure),
     };
     context.metrics.relay.observe(sent.elapsed().as_secs_f64());
@@ -318,6 +321,9 @@
     if request.stage.key.is_some() {
         message = message.header(header::NON_IDEMPOTENT, "true");
     }
+    if request.stage.bound {
+        message = message.header(header::BOUND, "true");
+    }
     if request.stage.suspect {
         message = message.header(header::SUSPECT, "true");
     }
--- a/crates/gate/src/caller.rs
+++ b/crates/gate/src/caller.rs
@@ -101,6 +101,6 @@
 ) -> Result<request::Request<Resolved>, Refusal> {
     let limit = context.config.limits.deadline_ms;
     let mut request = parsed.resolve(&context.board.view.read(), None, limit)?;
-    request.stage.suspect = context.suspects.lock().contains(&request.stage.fingerprint);
+    request.stage.suspect = context.suspects.has(request.stage.fingerprint);
     Ok(request)
 }
--- a/crates/gate/src/context.rs
+++ b/crates/gate/src/context.rs
@@ -16,6 +16,7 @@
 use state::journal::Key;
 use state::view;
 
+use crate::crash::Suspects;
 use crate::exchange::Client;
 use crate::inputs::Memory;
 use crate::keepers::Keepers;
@@ -58,8 +59,8 @@
     pub(crate) closed: AtomicBool,
     /// The keys that this process is working on.
     pub(crate) claims: Mutex<Set<Key>>,
-    /// The fingerprints of requests in progress at an endpoint that crashed.
-    pub(crate) suspects: Mutex<Set<u64>>,
+    /// The requests that were in progress at an endpoint that crashed.
+    pub(crate) suspects: Suspects,
     /// The consecutive failures to load.
     pub(crate) failures: Failures,
     /// What placement remembers.
@@ -95,7 +96,7 @@
             draining: AtomicBool::new(false),
             closed: AtomicBool::new(false),
             claims: Mutex::default(),
-            suspects: Mutex::default(),
+            suspects: Suspects::default(),
             failures: Mutex::default(),
             memory: Mutex::new(Memory::new(half_life)),
             pace: Mutex::default(),
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -224,6 +224,7 @@
     Err(Failure::Wrong(format!("{field} is {found} in place of {wanted}")))
 }
 
-fn text(headers: &HeaderMap, name: &str) -> Option<Name> {
+/// Returns a header's text.
+pub(crate) fn text(headers: &HeaderMap, name: &str) -> Option<Name> {
     headers.get(name).and_then(|value| value.to_str().ok()).map(Name::from)
 }
--- a/crates/gate/src/inputs.rs
+++ b/crates/gate/src/inputs.rs
@@ -24,6 +24,8 @@
 
 use crate::context::Context;
 
+/// The worth of a load for a request that may go to one engine only: one of middle priority.
+const BOUND_WORTH: u32 = 100;
 /// The adapters whose popularity is counted.
 const COUNTED: usize = 200_000;
 
@@ -79,6 +81,13 @@
     let mut plans = Vec::new();
     for (base, engines) in engines(context, floor, &memory) {
         let mut engines = engines;
+        for (model, endpoint) in floor.bound() {
+            let engine = engines.iter().find(|engine| engine.name == endpoint && engine.ready);
+            if let Some(plan) = engine.and_then(|engine| bound(engine, model)) {
+                assume(&mut engines, &plan, now);
+                plans.push(plan);
+            }
+        }
         let mut waiting = waiting(view, floor, &memory, &base);
         while plans.len() < limit {
             let tables = Tables {
@@ -101,6 +110,21 @@
     plans
 }
 
+/// Decides on the load of an adapter at the only engine that its requests may go to.
+fn bound(engine: &Engine, load: Model) -> Option<Plan> {
+    let idle = engine.held.iter().filter(|held| held.in_use == 0 && !held.loading);
+    let victim = idle.min_by_key(|held| held.used).map(|held| held.model.clone());
+    let evict = if engine.free() > 0 { None } else { Some(victim?) };
+    Some(Plan {
+        endpoint: engine.name.clone(),
+        load,
+        evict,
+        worth: BOUND_WORTH,
+        reason: place::Reason::Waiting,
+        losers: Vec::new(),
+    })
+}
+
 /// Notes a plan in the tables as if it were carried out.
 fn assume(engines: &mut [Engine], plan: &Plan, now: Duration) {
     let Some(engine) = engines.iter_mut().find(|engine| engine.name == plan.endpoint) else {
--- a/crates/gate/src/once.rs
+++ b/crates/gate/src/once.rs
@@ -42,7 +42,7 @@
         }
         match attempt::relay(context, request, &choice).await {
             Err(failure) if failure.not_run() && failure.retriable() => {
-                tried.add(&choice, &failure);
+                tried.add(&choice, &request.stage.visited, &failure);
             }
             other => return other,
         }
--- a/crates/gate/src/pick.rs
+++ b/crates/gate/src/pick.rs
@@ -21,6 +21,7 @@
 use crate::refusal::Refusal;
 use crate::request::Request;
 use crate::request::Resolved;
+use crate::request::Visited;
 
 /// The age from which another gate's summary says nothing of its endpoints any more.
 const SUMMARY_AGE: Duration = Duration::from_millis(1_500);
@@ -46,9 +47,17 @@
 }
 
 impl Tried {
-    /// Notes that `choice` ended with `failure`.
-    pub(crate) fn add(&mut self, choice: &Choice, failure: &Failure) {
-        self.endpoints.push(choice.endpoint.clone());
+    /// Notes that `choice` ended with `failure` after the request was sent to `visited`.
+    pub(crate) fn add(&mut self, choice: &Choice, visited: &Visited, failure: &Failure) {
+        let known = self.endpoints.len();
+        for endpoint in visited.list() {
+            if !self.endpoints.contains(&endpoint) {
+                self.endpoints.push(endpoint);
+            }
+        }
+        if self.endpoints.len() == known {
+            self.endpoints.push(choice.endpoint.clone());
+        }
         if let Failure::Refused(refusal) = failure
             && OWNER.contains(&refusal.code)
         {
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -5,6 +5,7 @@
 use axum::Router;
 use axum::extract::Request;
 use axum::extract::State;
+use axum::http::HeaderValue;
 use axum::response::Response;
 use base::Code;
 use base::Name;
@@ -50,13 +51,21 @@
     let settled = parse::settled(headers)?;
     let limit = context.config.limits.deadline_ms;
     let mut request = parsed.resolve(&context.board.view.read(), settled, limit)?;
-    let suspect = context.suspects.lock().contains(&request.stage.fingerprint);
+    let suspect = context.suspects.has(request.stage.fingerprint);
     request.stage.suspect = suspect || parse::flag(headers, header::SUSPECT)?;
+    request.stage.bound = parse::flag(headers, header::BOUND)?;
     let endpoint = parse::text(headers, header::ENDPOINT)?;
     let answer = match request.stage.key.clone() {
         Some(key) => once::here(context, &request, &key, endpoint.as_ref()).await,
         None => attempt::local(context, &request, endpoint.as_ref()).await,
     };
-    let answer = answer.map_err(|failure| failure.refusal())?;
-    Ok(answer.response(context, &request, guard))
+    let mut response = match answer {
+        Ok(answer) => answer.response(context, &request, guard),
+        Err(failure) => failure.refusal().response(context, id),
+    };
+    let visited = request.stage.visited.list().pop();
+    if let Some(value) = visited.and_then(|name| HeaderValue::from_str(&name).ok()) {
+        response.headers_mut().insert(header::ENDPOINT, value);
+    }
+    Ok(response)
 }
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -1,12 +1,14 @@
 //! A request on its way: parsed, then resolved against the configuration.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use axum::body::Bytes;
 use axum::http::Method;
 use base::Code;
 use base::Name;
 use board::Target;
+use parking_lot::Mutex;
 use serde_json::value::RawValue;
 use state::View;
 use state::journal::Key;
@@ -51,6 +53,24 @@
     pub(crate) stage: Stage,
 }
 
+/// The endpoints that a request was sent to, here or by the gate that it was passed to.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Visited {
+    endpoints: Arc<Mutex<Vec<Name>>>,
+}
+
+impl Visited {
+    /// Adds an endpoint.
+    pub(crate) fn add(&self, endpoint: Name) {
+        self.endpoints.lock().push(endpoint);
+    }
+
+    /// Returns the endpoints in order.
+    pub(crate) fn list(&self) -> Vec<Name> {
+        self.endpoints.lock().clone()
+    }
+}
+
 /// What a request asks for.
 #[derive(Clone, Debug)]
 pub(crate) enum Ask {
@@ -93,6 +113,10 @@
     pub(crate) fingerprint: u64,
     /// Whether it has to run alone because an endpoint crashed that ran it.
     pub(crate) suspect: bool,
+    /// Whether only the chosen endpoint may answer it, because another one failed it.
+    pub(crate) bound: bool,
+    /// The endpoints that it was sent to.
+    pub(crate) visited: Visited,
 }
 
 impl Request<Parsed> {
@@ -131,6 +155,8 @@
             digest,
             fingerprint,
             suspect: false,
+            bound: false,
+            visited: Visited::default(),
         };
         Ok(self.advance(stage))
     }
--- a/crates/gate/src/sweep.rs
+++ b/crates/gate/src/sweep.rs
@@ -35,6 +35,7 @@
         let code = if serving { None } else { Some(Code::NotServing) };
         refuse(&context, code);
         hush(&context, &mut silent);
+        crash::report(&context);
         forget(&context, &mut forgotten);
         context.board.dispatch();
     }
@@ -59,6 +60,8 @@
             refused.extend(floor.drain(&target).into_iter().map(|waiter| (waiter, code)));
         }
     }
+    let stranded = floor.strand(now, silent);
+    refused.extend(stranded.into_iter().map(|waiter| (waiter, Code::NoEndpoint)));
     drop(floor);
     drop(view);
     for (waiter, code) in refused {
@@ -76,7 +79,7 @@
     drop(floor);
     for name in quiet.difference(known) {
         base::event!(WARN, Event::EndpointSilent, endpoint = %name);
-        crash::crashed(context, name);
+        crash::silent(context, name);
     }
     *known = quiet;
 }
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -20,7 +20,8 @@
 pub const NON_IDEMPOTENT: &str = "x-non-idempotent";
 /// On an answer: `true` if it is a recorded one.
 pub const REPLAYED: &str = "x-replayed";
-/// On a relayed request: the endpoint that the sender chose.
+/// On a relayed request: the endpoint that the sender chose; on its answer: the last endpoint that
+/// it was sent to.
 pub const ENDPOINT: &str = "x-endpoint";
 /// On a relayed request: the host name of the gate that passes it on.
 pub const RELAYED_BY: &str = "x-relayed-by";
@@ -32,3 +33,5 @@
 pub const LOAD_STALL: &str = "x-load-stall-ms";
 /// On a relayed request: `true` if it was in progress when an endpoint crashed and must run alone.
 pub const SUSPECT: &str = "x-suspect";
+/// On a relayed request: `true` if only the endpoint in [`ENDPOINT`] may answer it.
+pub const BOUND: &str = "x-bound";
