--- a/crates/keeper/src/driver.rs
+++ b/crates/keeper/src/driver.rs
@@ -33,8 +33,6 @@
 use crate::ring::Ring;
 use crate::storage::Storage;
 
-/// The requests taken before the log is written once for all of them.
-const BATCH: usize = 512;
 /// The ticks in the time between two heartbeats.
 const TICKS: u32 = 4;
 /// The fewest bytes of commands after which a snapshot is taken.
@@ -58,6 +56,8 @@
     pub(crate) applied: Index,
     /// The last entry in the latest snapshot.
     pub(crate) compacted: Index,
+    /// The most requests that share one write of the log.
+    pub(crate) batch: usize,
     /// The entries after which a snapshot is taken.
     pub(crate) compact_entries: u64,
     /// The bytes of the commands applied since the last snapshot.
@@ -93,7 +93,7 @@
             self.node.tick(self.clock.now());
             self.follow_role();
             let more = std::iter::from_fn(|| inbox.try_recv().ok());
-            for request in first.into_iter().chain(more.take(BATCH)) {
+            for request in first.into_iter().chain(more).take(self.batch) {
                 self.handle(request);
             }
             self.lead();
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -35,6 +35,8 @@
 const BATCH_BYTES: usize = 1 << 20;
 /// The entries after which a snapshot is taken.
 const COMPACT_ENTRIES: u64 = 8_192;
+/// The requests taken before the log is written once for all of them.
+const BATCH: usize = 512;
 /// The time in which the last answers leave after the driver has ended.
 const LINGER: Duration = Duration::from_millis(50);
 
@@ -49,12 +51,14 @@
     pub bootstrap: bool,
     /// The entries after which a snapshot is taken.
     pub compact_entries: u64,
+    /// The most requests that share one write of the log.
+    pub batch: usize,
 }
 
 impl Options {
     /// Makes the usual options.
     pub fn new(config: Config, host: Name) -> Options {
-        Options { config, host, bootstrap: false, compact_entries: COMPACT_ENTRIES }
+        Options { config, host, bootstrap: false, compact_entries: COMPACT_ENTRIES, batch: BATCH }
     }
 }
 
@@ -172,6 +176,7 @@
         applied,
         compacted: applied,
         compact_entries: options.compact_entries,
+        batch: options.batch,
         log_bytes: 0,
         compact_bytes: COMPACT_BYTES,
         ring: Ring::default(),
--- a/crates/state/tests/journal.rs
+++ b/crates/state/tests/journal.rs
@@ -111,9 +111,10 @@
 #[test]
 fn time_does_not_go_back_with_another_leader() {
     let mut machine = claimed();
-    apply(&mut machine, finish("k", 1, 200));
-    apply(&mut machine, claim("other", "r2", G2, 1_500));
-    assert_eq!(refuse(&mut machine, claim("k", "r3", G2, 300)), Code::KeyExpired);
+    apply(&mut machine, made_at("t", "r1", 150, 150));
+    apply(&mut machine, finish("t", 2, 200));
+    apply(&mut machine, claim("other", "r2", G2, 5_000));
+    assert_eq!(refuse(&mut machine, made_at("t", "r3", 150, 300)), Code::KeyExpired);
 }
 
 #[test]
