--- a/crates/keeper/src/driver.rs
+++ b/crates/keeper/src/driver.rs
@@ -32,6 +32,7 @@
 use crate::request::Request;
 use crate::ring::Ring;
 use crate::storage::Storage;
+use crate::transfer::Assembly;
 
 /// The ticks in the time between two heartbeats.
 const TICKS: u32 = 4;
@@ -70,6 +71,8 @@
     pub(crate) peers: Peers,
     /// The hosts of the replicas that were heard of.
     pub(crate) hosts: Map<Id, Name>,
+    /// A snapshot that arrives in pieces.
+    pub(crate) assembly: Assembly,
     /// Present while this replica leads.
     pub(crate) leading: Option<Leading>,
     pub(crate) metrics: Metrics,
--- a/crates/keeper/src/handle.rs
+++ b/crates/keeper/src/handle.rs
@@ -35,6 +35,11 @@
     pub(crate) fn handle(&mut self, request: Request) {
         match request {
             Request::Deliver(parcel) => self.deliver(parcel),
+            Request::Install(piece) => {
+                if let Some(parcel) = self.assembly.add(*piece) {
+                    self.deliver(parcel);
+                }
+            }
             Request::Status(reply) => drop(reply.send(self.status())),
             Request::Member(reply) => drop(reply.send(self.is_member())),
             Request::Stop => self.stopping = Some(self.clock.now()),
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -28,6 +28,7 @@
 use crate::ring::Ring;
 use crate::server;
 use crate::storage::Storage;
+use crate::transfer::Assembly;
 
 /// The requests that wait for the driver; more are answered as busy.
 const INBOX: usize = 8_192;
@@ -183,6 +184,7 @@
         storage,
         peers,
         hosts: Map::default(),
+        assembly: Assembly::default(),
         leading: None,
         metrics,
         stopping: None,
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod lease;
 pub mod permit;
 pub mod ring;
+pub mod transfer;
 
 pub use crate::error::Error;
 pub use crate::keeper::Keeper;
--- a/crates/keeper/src/peer.rs
+++ b/crates/keeper/src/peer.rs
@@ -13,6 +13,9 @@
 use tokio::time::Instant;
 use wire::keeper::KeeperClient;
 use wire::keeper::Parcel;
+use wire::keeper::Piece;
+
+use crate::transfer;
 
 /// The parcels that wait for one keeper; more are dropped, and the replicas send again.
 const QUEUE: usize = 256;
@@ -83,8 +86,12 @@
 }
 
 /// Sends what is queued until the connection fails or the queue is closed.
+///
+/// A large snapshot goes in pieces beside the other parcels, so that heartbeats do not wait for it;
+/// while one is on its way, another one is dropped.
 async fn pass(client: &KeeperClient, queue: &mut mpsc::Receiver<Parcel>, call: Duration) {
     let mut sent = FuturesUnordered::new();
+    let mut installs = FuturesUnordered::new();
     loop {
         tokio::select! {
             Some(result) = sent.next() => {
@@ -93,14 +100,33 @@
                     return;
                 }
             }
-            parcel = queue.recv(), if sent.len() < IN_FLIGHT => match parcel {
-                Some(parcel) => sent.push(deliver(client, parcel, call)),
-                None => return,
-            },
+            Some(result) = installs.next() => {
+                let result: Result<(), RpcError> = result;
+                if result.is_err() {
+                    return;
+                }
+            }
+            parcel = queue.recv(), if sent.len() < IN_FLIGHT => {
+                let Some(mut parcel) = parcel else { return };
+                let large = transfer::split(&mut parcel).pop();
+                if let Some(pieces) = large.filter(|_| installs.is_empty()) {
+                    installs.push(install(client, pieces, call));
+                }
+                if !parcel.messages.is_empty() {
+                    sent.push(client.deliver(context(call), parcel));
+                }
+            }
         }
     }
 }
 
-async fn deliver(client: &KeeperClient, parcel: Parcel, call: Duration) -> Result<(), RpcError> {
-    client.deliver(context(call), parcel).await
+async fn install(
+    client: &KeeperClient,
+    pieces: Vec<Piece>,
+    call: Duration,
+) -> Result<(), RpcError> {
+    for piece in pieces {
+        client.install(context(call), piece).await?;
+    }
+    Ok(())
 }
--- a/crates/keeper/src/request.rs
+++ b/crates/keeper/src/request.rs
@@ -8,6 +8,7 @@
 use wire::keeper::Grant;
 use wire::keeper::Parcel;
 use wire::keeper::Permit;
+use wire::keeper::Piece;
 use wire::keeper::Renewal;
 use wire::keeper::Status;
 use wire::keeper::Wish;
@@ -20,6 +21,8 @@
 pub(crate) enum Request {
     /// Messages of another replica.
     Deliver(Parcel),
+    /// A piece of a snapshot.
+    Install(Box<Piece>),
     /// A new replica wants to become a member.
     Enroll(raft::message::Member, Reply<()>),
     /// A gate renews its lease or gives it back.
--- a/crates/keeper/src/server.rs
+++ b/crates/keeper/src/server.rs
@@ -22,6 +22,7 @@
 use wire::keeper::Keeper;
 use wire::keeper::Parcel;
 use wire::keeper::Permit;
+use wire::keeper::Piece;
 use wire::keeper::Renewal;
 use wire::keeper::Status;
 use wire::keeper::Wish;
@@ -57,6 +58,10 @@
         self.driver.try_send(Request::Deliver(parcel)).ok();
     }
 
+    async fn install(self, _: Context, piece: Piece) {
+        self.driver.send(Request::Install(Box::new(piece))).await.ok();
+    }
+
     async fn enroll(self, _: Context, member: Member) -> Result<(), Fault> {
         self.ask(|reply| Request::Enroll(member, reply)).await
     }
--- a/crates/keeper/tests/group.rs
+++ b/crates/keeper/tests/group.rs
@@ -2,8 +2,13 @@
 
 mod site;
 
+use base::Name;
 use site::*;
+use state::Command;
 use state::Outcome;
+use state::journal::Answer;
+use state::journal::Claim;
+use state::journal::Key;
 
 #[tokio::test]
 async fn one_keeper_founds_the_group_and_the_others_join() {
@@ -60,6 +65,43 @@
     .await;
 }
 
+/// Records a large answer for a new key.
+async fn record(site: &Site, number: usize) {
+    let key = Key { scope: Name::from("ledger"), key: Name::from(number.to_string()) };
+    let claim = Claim {
+        key: key.clone(),
+        digest: 1,
+        request: Name::from(number.to_string()),
+        gate: Name::from("g1"),
+        incarnation: 1,
+        created_ms: None,
+    };
+    let claimed = site.submit(&Command::Claim { claim, now_ms: 0 }).await;
+    let Outcome::Claimed { claim } = claimed else { panic!("{claimed:?}") };
+    let body = Some(vec![0; 60_000].into());
+    let answer = Answer { status: 200, content_type: Name::from("text/plain"), body };
+    let finish = Command::Finish { key, claim, answer, now_ms: 0 };
+    assert!(matches!(site.submit(&finish).await, Outcome::Done { .. }));
+}
+
+#[tokio::test]
+async fn a_new_replica_catches_up_from_a_large_snapshot() {
+    let mut site = Site::new(3, None);
+    site.config.timing.lease_ms = 60_000;
+    site.compact_entries = 16;
+    site.start_all().await;
+    site.renew(&renewal("g1", 1, 0)).await.unwrap();
+    // More entries than a replica keeps in memory behind a snapshot.
+    for number in 0..150 {
+        record(&site, number).await;
+    }
+    site.kill("h1");
+    site.start("h1", false).await;
+    site.settled().await;
+    site.kill("h2");
+    record(&site, 150).await;
+}
+
 #[tokio::test]
 async fn a_leader_that_stops_leaves_no_call_without_its_answer() {
     let mut site = Site::started(3).await;
--- /dev/null
+++ b/crates/keeper/tests/transfer.rs
@@ -0,0 +1,65 @@
+//! Snapshots that are too large for one parcel.
+
+use base::Name;
+use bytes::Bytes;
+use keeper::transfer;
+use keeper::transfer::Assembly;
+use keeper::transfer::PIECE_BYTES;
+use raft::Message;
+use raft::message::Body;
+use raft::message::Members;
+use raft::message::Snapshot;
+use wire::keeper::Parcel;
+use wire::keeper::Piece;
+
+/// The length of the snapshot, in bytes.
+const LENGTH: usize = 2 * PIECE_BYTES + 7;
+
+fn parcel(length: usize) -> Parcel {
+    let data: Vec<u8> = (0..length).map(|index| (index % 251) as u8).collect();
+    let members = Members::default();
+    let snapshot = Snapshot { index: 9, term: 2, members, data: Bytes::from(data) };
+    let message = Message { term: 2, body: Body::Install { snapshot, round: 1 } };
+    let host = Name::from("h0");
+    Parcel { group: 1, from: 2, host, to: 3, messages: vec![message] }
+}
+
+fn pieces(parcel: &Parcel) -> Vec<Piece> {
+    let mut rest = parcel.clone();
+    let pieces = transfer::split(&mut rest).remove(0);
+    assert!(rest.messages.is_empty());
+    pieces
+}
+
+#[test]
+fn a_small_snapshot_stays_in_its_parcel() {
+    let mut parcel = parcel(PIECE_BYTES);
+    assert!(transfer::split(&mut parcel).is_empty());
+    assert_eq!(parcel.messages.len(), 1);
+}
+
+#[test]
+fn the_pieces_make_the_message_again() {
+    let parcel = parcel(LENGTH);
+    let mut assembly = Assembly::default();
+    let mut whole: Vec<Parcel> =
+        pieces(&parcel).into_iter().filter_map(|piece| assembly.add(piece)).collect();
+    assert_eq!(whole.len(), 1);
+    assert_eq!(whole.remove(0).messages, parcel.messages);
+}
+
+#[test]
+fn a_gap_or_another_sender_ends_the_transfer() {
+    let sent = pieces(&parcel(LENGTH));
+    let mut assembly = Assembly::default();
+    assert!(assembly.add(sent[0].clone()).is_none());
+    assert!(assembly.add(sent[2].clone()).is_none());
+    assert!(assembly.add(sent[1].clone()).is_none());
+    let mut other = sent[1].clone();
+    other.parcel.from = 8;
+    assert!(assembly.add(sent[0].clone()).is_none());
+    assert!(assembly.add(other).is_none());
+    assert!(assembly.add(sent[2].clone()).is_none());
+    let whole: Vec<_> = sent.into_iter().filter_map(|piece| assembly.add(piece)).collect();
+    assert_eq!(whole.len(), 1);
+}
--- a/crates/wire/src/keeper.rs
+++ b/crates/wire/src/keeper.rs
@@ -1,6 +1,7 @@
 //! Calls to keepers.
 
 use base::Name;
+use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 use state::Command;
@@ -28,6 +29,8 @@
     async fn view() -> Result<View, Fault>;
     /// Tells how the keeper is.
     async fn status() -> Status;
+    /// Delivers a piece of a snapshot that is too large for one parcel.
+    async fn install(piece: Piece);
 }
 
 /// Messages of the replicated log.
@@ -45,6 +48,19 @@
     pub messages: Vec<raft::Message>,
 }
 
+/// A piece of a message with a snapshot; the pieces of one message are sent in order.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Piece {
+    /// The group, the replicas and the host, with the message alone; its snapshot has no data.
+    pub parcel: Parcel,
+    /// Where the piece begins in the data of the snapshot, in bytes.
+    pub offset: u64,
+    /// The length of the data of the snapshot, in bytes.
+    pub total: u64,
+    /// The piece.
+    pub bytes: Bytes,
+}
+
 /// Why a keeper did not carry out a call.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, thiserror::Error)]
 pub enum Fault {
@@ -83,7 +99,8 @@
     pub lease_ms: u64,
     /// The part of the view that the gate lacks; apply it before the lease is used.
     pub update: Update,
-    /// The fleet's configuration revision that is in force at every gate.
+    /// The revision of the view that every gate of the view has applied: a configuration up to it is in
+    /// force, and nobody acts on an older owner of an endpoint. A new leader starts with 0.
     pub in_force: u64,
 }
 
@@ -141,6 +158,6 @@
     pub learners: Vec<Name>,
     /// The revision of the configuration.
     pub configuration: u64,
-    /// The revision of the configuration in force at every gate; 0 on followers.
+    /// The revision of the view that every gate has applied; 0 on followers.
     pub in_force: u64,
 }
