--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -28,6 +28,7 @@
 use crate::ring::Ring;
 use crate::server;
 use crate::storage::Storage;
+use crate::transfer::Assembly;
 
 /// The requests that wait for the driver; more are answered as busy.
 const INBOX: usize = 8_192;
@@ -35,6 +36,8 @@
 const BATCH_BYTES: usize = 1 << 20;
 /// The entries after which a snapshot is taken.
 const COMPACT_ENTRIES: u64 = 8_192;
+/// The requests taken before the log is written once for all of them.
+const BATCH: usize = 512;
 /// The time in which the last answers leave after the driver has ended.
 const LINGER: Duration = Duration::from_millis(50);
 
@@ -49,12 +52,14 @@
     pub bootstrap: bool,
     /// The entries after which a snapshot is taken.
     pub compact_entries: u64,
+    /// The most requests that share one write of the log.
+    pub batch: usize,
 }
 
 impl Options {
     /// Makes the usual options.
     pub fn new(config: Config, host: Name) -> Options {
-        Options { config, host, bootstrap: false, compact_entries: COMPACT_ENTRIES }
+        Options { config, host, bootstrap: false, compact_entries: COMPACT_ENTRIES, batch: BATCH }
     }
 }
 
@@ -172,12 +177,14 @@
         applied,
         compacted: applied,
         compact_entries: options.compact_entries,
+        batch: options.batch,
         log_bytes: 0,
         compact_bytes: COMPACT_BYTES,
         ring: Ring::default(),
         storage,
         peers,
         hosts: Map::default(),
+        assembly: Assembly::default(),
         leading: None,
         metrics,
         stopping: None,
