--- a/crates/gate/tests/fake/keeper.rs
+++ b/crates/gate/tests/fake/keeper.rs
@@ -129,6 +129,8 @@
 }
 
 impl wire::keeper::Keeper for Keeper {
+    async fn install(self, _: tarpc::context::Context, _: wire::keeper::Piece) {}
+
     async fn deliver(self, _: Context, _: Parcel) {}
 
     async fn enroll(self, _: Context, _: raft::message::Member) -> Result<(), Fault> {
