gate: the lease also ends by the clock that counts suspension; a stop ends claims before the lease

Cause: a stopping gate under steady load of other gates never became idle, and a claim that outlived its lease would have been told as unknown. Change: it refuses new claims, waits for those in progress, gives the lease back, then finishes the rest.

--- a/crates/board/src/board.rs
+++ b/crates/board/src/board.rs
@@ -82,7 +82,7 @@
 
     /// Returns whether this gate may take requests, dispatch and give orders now.
     pub fn serving(&self) -> bool {
-        self.lease.lock().holds(Instant::now())
+        self.lease.lock().holds()
     }
 
     /// Returns whether this gate may send work and orders to an endpoint under `fence` now.
@@ -90,7 +90,7 @@
         let lease = self.lease.lock();
         let floor = self.floor.lock();
         let owned = floor.endpoints.get(endpoint).is_some_and(|own| own.fence == fence);
-        owned && lease.holds(Instant::now())
+        owned && lease.holds()
     }
 
     /// Brings the view up to date; returns false if it cannot be done without a whole view.
@@ -181,7 +181,7 @@
     pub fn dispatch(self: &Arc<Board>) {
         let now = Instant::now();
         let lease = self.lease.lock();
-        if !lease.holds(now) {
+        if !lease.holds() {
             return;
         }
         let mut floor = self.floor.lock();
--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -21,6 +21,7 @@
 pub use crate::floor::Target;
 pub use crate::floor::Waiter;
 pub use crate::lease::Lease;
+pub use crate::lease::Moment;
 pub use crate::patch::apply;
 pub use crate::peers::Peer;
 pub use crate::peers::Peers;
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -1,6 +1,7 @@
 //! The face for requests that other gates pass on.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use axum::Router;
 use axum::extract::Request;
@@ -55,6 +56,9 @@
     request.stage.suspect = suspect || parse::flag(headers, header::SUSPECT)?;
     request.stage.bound = parse::flag(headers, header::BOUND)?;
     let endpoint = parse::text(headers, header::ENDPOINT)?;
+    if request.stage.key.is_some() && context.closed.load(Ordering::Relaxed) {
+        return Err(Refusal::new(Code::Draining));
+    }
     let answer = match request.stage.key.clone() {
         Some(key) => once::here(context, &request, &key, endpoint.as_ref()).await,
         None => attempt::local(context, &request, endpoint.as_ref()).await,
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -33,6 +33,8 @@
 
 /// How much longer than callers keep addresses a gate that stops goes on serving.
 const MARGIN: Duration = Duration::from_millis(1_000);
+/// The time between two looks at the claims in progress.
+const CLAIM_PAUSE: Duration = Duration::from_millis(20);
 /// How long connections may take to end after the last request.
 const CLOSING: Duration = Duration::from_secs(2);
 
@@ -109,6 +111,7 @@
         drain(&context).await;
         session.abort();
         session::leave(&context).await;
+        context.progress.idle().await;
         closing.cancel();
         tokio::time::timeout(CLOSING, futures::future::join_all(faces)).await.ok();
         for controller in controllers {
@@ -141,12 +144,17 @@
     })
 }
 
-/// Leaves the callers' addresses, waits until no caller keeps them, and finishes what is in progress.
+/// Leaves the callers' addresses, waits until no caller keeps them, and finishes what needs the lease.
+///
+/// Requests of other gates are taken until the lease is given back, because the endpoints have no
+/// other owner yet; but no key is claimed, because a claim has to end under the same lease.
 async fn drain(context: &Context) {
     base::event!(INFO, Event::Stopping, host = %context.entry.host);
     context.draining.store(true, Ordering::Relaxed);
     let kept = Duration::from_millis(context.config.timing.addresses_ms);
     tokio::time::sleep(kept + MARGIN).await;
     context.closed.store(true, Ordering::Relaxed);
-    context.progress.idle().await;
+    while !context.claims.lock().is_empty() {
+        tokio::time::sleep(CLAIM_PAUSE).await;
+    }
 }
--- a/crates/gate/src/session.rs
+++ b/crates/gate/src/session.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use base::Event;
-use tokio::time::Instant;
+use board::Moment;
 use wire::keeper::Fault;
 use wire::keeper::Grant;
 use wire::keeper::Renewal;
@@ -20,7 +20,7 @@
     let every = Duration::from_millis(context.config.timing.renew_ms);
     let mut whole = false;
     loop {
-        let sent = Instant::now();
+        let sent = Moment::now();
         let applied = if whole { 0 } else { context.board.view.read().revision };
         let renewal = Renewal { gate: context.gate(), applied, leave: false };
         let patience = Duration::from_millis(context.config.timing.lease_ms);
@@ -28,7 +28,7 @@
             Ok(grant) => {
                 whole = !accept(&context, sent, &grant);
                 let pause = if whole { PAUSE } else { every };
-                tokio::time::sleep_until(sent + pause).await;
+                tokio::time::sleep_until(sent.instant() + pause).await;
             }
             Err(Fault::LeaseEnded) => {
                 restart(&context);
@@ -40,7 +40,7 @@
 }
 
 /// Applies a grant; returns false if the view could not be brought up to date.
-fn accept(context: &Context, sent: Instant, grant: &Grant) -> bool {
+fn accept(context: &Context, sent: Moment, grant: &Grant) -> bool {
     let before = context.board.view.read().revision;
     if !context.board.update(&grant.update) {
         return false;
@@ -53,11 +53,11 @@
         base::event!(INFO, Event::ConfigurationApplied, revision, configuration);
     }
     context.in_force.fetch_max(grant.in_force, Ordering::Relaxed);
-    let until = sent + Duration::from_millis(grant.lease_ms);
+    let until = sent.after(Duration::from_millis(grant.lease_ms));
     let mut lease = context.board.lease.lock();
-    let held = lease.holds(Instant::now());
-    lease.until = lease.until.max(Some(until));
-    let holds = lease.holds(Instant::now());
+    let held = lease.holds();
+    lease.extend(until);
+    let holds = lease.holds();
     drop(lease);
     context.metrics.lease.set(i64::from(holds));
     if holds && !held {
@@ -70,7 +70,7 @@
 /// Starts a new run because the keepers ended the lease of this one.
 fn restart(context: &Context) {
     let mut lease = context.board.lease.lock();
-    lease.until = None;
+    lease.end();
     lease.incarnation = incarnation();
     drop(lease);
     context.board.disown();
@@ -87,6 +87,6 @@
 pub(crate) async fn leave(context: &Context) {
     let applied = context.board.view.read().revision;
     let renewal = Renewal { gate: context.gate(), applied, leave: true };
-    context.board.lease.lock().until = None;
+    context.board.lease.lock().end();
     context.keepers.renew(&renewal, context.call() * 2).await.ok();
 }
