gate: requests and orders go out only under the lease at the moment of sending

Cause: the lease was checked before a connection was opened; a process frozen in between would have sent an order or a request of an owner that is no longer one. Ruled out: checking more often before the send, which leaves the same gap. Change: the body is handed over at the moment of writing and withheld without a lease, which counts as not run. A keeper's refusal after a try whose outcome is unknown is unknown. The entry gate waits a little longer than the owner, whose refusal knows whether the request ran. Settings with TLS are refused at the start, because this version would serve them in the clear. Not proved: no test freezes a process between connecting and writing.

--- a/crates/board/src/patch.rs
+++ b/crates/board/src/patch.rs
@@ -36,6 +36,9 @@
         Patch::Endpoint(name, ownership) => put(&mut view.endpoints, name, ownership),
         Patch::Gate(name, gate) => put(&mut view.gates, name, gate),
         Patch::Quarantine(fingerprint, since) => put(&mut view.quarantine, fingerprint, since),
+        // A change of an object that gates make no use of yet.
+        #[allow(unreachable_patterns, reason = "the state may have more objects than gates read")]
+        _ => {}
     }
 }
 
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -1,6 +1,7 @@
 //! Sends a request to an endpoint of this gate, or passes it to the gate that owns the endpoint.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use axum::http::Method;
 use axum::http::header::CONTENT_TYPE;
@@ -10,7 +11,6 @@
 use board::Target;
 use board::Ticket;
 use board::Waiter;
-use http_body_util::Full;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use wire::endpoint::Reason;
@@ -22,12 +22,17 @@
 use crate::exchange;
 use crate::exchange::Expect;
 use crate::failure::Failure;
+use crate::leased;
+use crate::leased::Leased;
+use crate::leased::Payload;
 use crate::pick;
 use crate::pick::Choice;
 use crate::pick::Tried;
 use crate::request::Request;
 use crate::request::Resolved;
 
+/// How long after a deadline the owner's refusal is awaited.
+const RELAY_MARGIN: Duration = Duration::from_millis(250);
 /// The endpoints that one request is sent to at most.
 const ATTEMPTS: usize = 3;
 /// The endpoints that may crash while one request runs there.
@@ -182,7 +187,9 @@
         }
         context.metrics.batch_fill.observe(ticket.fill);
     }
-    let message = compose(request, &ticket)?;
+    let (body, withheld) =
+        Leased::new(&context.board, &ticket.endpoint, ticket.fence, request.endpoint_body());
+    let message = compose(request, &ticket, body)?;
     if !context.board.owns(&ticket.endpoint, ticket.fence) {
         return Err(Failure::from(Code::NotServing));
     }
@@ -190,6 +197,7 @@
     ticket.send();
     let answer = match context.client.send(message, deadline).await {
         Ok(response) => exchange::receive(response, expect(request, deadline, false)).await,
+        Err(_) if withheld.get() => Err(Failure::from(Code::NotServing)),
         Err(failure) => Err(failure),
     };
     match answer {
@@ -208,7 +216,8 @@
 fn compose(
     request: &Request<Resolved>,
     ticket: &Ticket,
-) -> Result<axum::http::Request<Full<axum::body::Bytes>>, Failure> {
+    body: Payload,
+) -> Result<axum::http::Request<Payload>, Failure> {
     let path = request.endpoint_path();
     let mut message = exchange::build(request.method.clone(), &ticket.address, path)
         .header(header::REQUEST, request.id.as_str())
@@ -221,7 +230,6 @@
     if let Some(key) = &request.key {
         message = message.header(header::IDEMPOTENCY_KEY, key.as_str());
     }
-    let body = Full::new(request.endpoint_body());
     message.body(body).map_err(|_| Failure::from(Code::BadRequest))
 }
 
@@ -273,7 +281,8 @@
     );
     context.metrics.requests.with_label_values(&["relayed"]).inc();
     let message = pass_on(context, request, choice, &remote.relay)?;
-    let deadline = request.stage.deadline;
+    // The owner refuses at the deadline; its word, which knows whether the request ran, goes first.
+    let deadline = request.stage.deadline + RELAY_MARGIN;
     let sent = Instant::now();
     let answer = match context.client.send(message, deadline).await {
         Ok(response) => {
@@ -296,7 +305,7 @@
     request: &Request<Resolved>,
     choice: &Choice,
     address: &Name,
-) -> Result<axum::http::Request<Full<axum::body::Bytes>>, Failure> {
+) -> Result<axum::http::Request<Payload>, Failure> {
     let left = request.stage.deadline.saturating_duration_since(Instant::now()).as_millis();
     let mut message = exchange::build(Method::clone(&request.method), address, &request.path)
         .header(header::REQUEST, request.id.as_str())
@@ -327,6 +336,6 @@
     if request.stage.suspect {
         message = message.header(header::SUSPECT, "true");
     }
-    let body = Full::new(request.body.clone());
+    let body = leased::plain(request.body.clone());
     message.body(body).map_err(|_| Failure::from(Code::BadRequest))
 }
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -10,7 +10,6 @@
 use axum::http::header::CONTENT_TYPE;
 use base::Name;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -26,6 +25,8 @@
 use crate::answer::Head;
 use crate::answer::Whole;
 use crate::failure::Failure;
+use crate::leased;
+use crate::leased::Payload;
 use crate::refusal::Refusal;
 use crate::request;
 use crate::stream::Source;
@@ -41,7 +42,7 @@
 
 /// The HTTP client towards endpoints and other gates.
 pub(crate) struct Client {
-    inner: hyper_util::client::legacy::Client<HttpConnector, Full<Bytes>>,
+    inner: hyper_util::client::legacy::Client<HttpConnector, Payload>,
 }
 
 /// What an answer has to carry.
@@ -82,7 +83,7 @@
     /// Sends a request and waits until the head of its answer has come.
     pub(crate) async fn send(
         &self,
-        request: Request<Full<Bytes>>,
+        request: Request<Payload>,
         deadline: Instant,
     ) -> Result<Response<Incoming>, Failure> {
         let answer = tokio::time::timeout_at(deadline, self.inner.request(request)).await;
@@ -92,7 +93,7 @@
 
     /// Reads a resource; none if it cannot be had within `time`.
     pub(crate) async fn get(&self, address: &str, path: &str, time: Duration) -> Option<Bytes> {
-        let request = build(Method::GET, address, path).body(Full::default()).ok()?;
+        let request = build(Method::GET, address, path).body(leased::plain(Bytes::new())).ok()?;
         let (status, body) = tokio::time::timeout(time, self.whole(request)).await.ok()??;
         (status == 200).then_some(body)
     }
@@ -102,14 +103,14 @@
         &self,
         address: &str,
         path: &str,
-        body: Bytes,
+        body: Payload,
         fence: u64,
         time: Duration,
     ) -> Option<(u16, Bytes)> {
         let request = build(Method::POST, address, path)
             .header(CONTENT_TYPE, "application/json")
             .header(header::FENCE, fence)
-            .body(Full::new(body))
+            .body(body)
             .ok()?;
         tokio::time::timeout(time, self.whole(request)).await.ok()?
     }
@@ -123,12 +124,12 @@
         time: Duration,
     ) -> bool {
         let request = build(Method::DELETE, address, path).header(header::FENCE, fence);
-        let Ok(request) = request.body(Full::default()) else { return false };
+        let Ok(request) = request.body(leased::plain(Bytes::new())) else { return false };
         let answer = tokio::time::timeout(time, self.whole(request)).await;
         matches!(answer, Ok(Some(_)))
     }
 
-    async fn whole(&self, request: Request<Full<Bytes>>) -> Option<(u16, Bytes)> {
+    async fn whole(&self, request: Request<Payload>) -> Option<(u16, Bytes)> {
         let answer = self.inner.request(request).await.ok()?;
         let status = answer.status().as_u16();
         let body = Limited::new(answer.into_body(), ANSWER_LIMIT).collect().await.ok()?;
--- a/crates/gate/src/keepers.rs
+++ b/crates/gate/src/keepers.rs
@@ -152,7 +152,9 @@
                     Ok(Ok(Err(Fault::Unknown))) => unknown = true,
                     Ok(Ok(Err(fault))) => {
                         *self.leader.lock() = Some(host);
-                        return Err(fault);
+                        // An earlier try of the same call may have been committed.
+                        let settled = !unknown || fault == Fault::LeaseEnded;
+                        return Err(if settled { fault } else { Fault::Unknown });
                     }
                     Ok(Err(_)) | Err(_) => {
                         unknown = true;
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -16,6 +16,7 @@
 mod inputs;
 mod journal;
 mod keepers;
+mod leased;
 mod load;
 mod metrics;
 mod models;
--- a/crates/gate/src/order.rs
+++ b/crates/gate/src/order.rs
@@ -9,6 +9,7 @@
 use wire::endpoint::State;
 
 use crate::context::Context;
+use crate::leased::Leased;
 use crate::request;
 
 /// How long an endpoint may take to carry an order out.
@@ -41,11 +42,12 @@
     if !context.board.owns(endpoint, fence) {
         return Err(Error::NotOwner);
     }
-    let (status, body) = context
-        .client
-        .post(address, "/v1/orders", body.into(), fence, PATIENCE)
-        .await
-        .ok_or(Error::Unknown)?;
+    let (body, withheld) = Leased::new(&context.board, endpoint, fence, body.into());
+    let answer = context.client.post(address, "/v1/orders", body, fence, PATIENCE).await;
+    if withheld.get() {
+        return Err(Error::NotOwner);
+    }
+    let (status, body) = answer.ok_or(Error::Unknown)?;
     if status == 200 {
         return serde_json::from_slice(&body).map_err(|_| Error::Unknown);
     }
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -52,6 +52,9 @@
         /// The cause.
         source: io::Error,
     },
+    /// The settings ask for TLS, which this version does not serve.
+    #[error("tls: this version serves plain HTTP only; remove the setting to accept that")]
+    Tls,
     /// A metric cannot be set up.
     #[error("metrics: {0}")]
     Metrics(#[from] prometheus::Error),
@@ -72,6 +75,9 @@
     pub async fn bind(config: Config, host: &str) -> Result<Gate, Error> {
         let entry = config.entry(host).ok_or_else(|| Error::Host(Name::from(host)))?;
         let mut entry = entry.clone();
+        if config.tls.is_some() {
+            return Err(Error::Tls);
+        }
         let callers = listen(&mut entry.gate).await?;
         let peers = listen(&mut entry.peer).await?;
         let relays = listen(&mut entry.relay).await?;
--- a/crates/gate/tests/path.rs
+++ b/crates/gate/tests/path.rs
@@ -3,6 +3,7 @@
 mod fake;
 
 use fake::engine::Engine;
+use fake::engine::Mode;
 use fake::keeper::Keeper;
 use fake::site;
 use fake::site::send;
@@ -92,3 +93,56 @@
     assert_eq!(ledger.runs(), 1);
     announcing.abort();
 }
+
+#[tokio::test]
+async fn caller_over_its_limit_is_refused_and_others_are_not() {
+    let mut view = site::view();
+    view.defaults.caller_limit = 1;
+    let keeper = Keeper::start(view).await;
+    let gate = site::start(&site::config(&["h1"], &keeper), "h1").await;
+    let engine = Engine::start("e1", site::engine_role(2, 4)).await;
+    site::announce(&engine, &gate);
+    site::owns(&gate, 1).await;
+    engine.mode(Mode::Held);
+    let url = format!("http://{}/v1/completions", gate.entry.gate);
+    let body = "{\"model\":\"a\",\"stream\":true}";
+    let held = tokio::spawn({
+        let url = url.clone();
+        async move { send(&site::http(), "POST", &url, &[("x-caller", "one")], body).await }
+    });
+    site::until("the stream runs", async || engine.runs() == 1).await;
+    engine.mode(Mode::Right);
+    let http = site::http();
+    let reply = send(&http, "POST", &url, &[("x-caller", "one")], body).await;
+    assert_eq!((reply.code(), reply.ran().as_str()), (1307, "no"));
+    let reply = send(&http, "POST", &url, &[("x-caller", "two")], body).await;
+    assert_eq!(reply.status, 200);
+    engine.resume.notify_waiters();
+    assert!(held.await.expect("an answer").complete);
+}
+
+#[tokio::test]
+async fn request_is_explained_by_the_gates_that_decided() {
+    let keeper = Keeper::start(site::view()).await;
+    let config = site::config(&["h1", "h2"], &keeper);
+    let one = site::start(&config, "h1").await;
+    site::owns(&one, 0).await;
+    let two = site::start(&config, "h2").await;
+    let engine = Engine::start("e1", site::engine_role(2, 4)).await;
+    site::announce(&engine, &one);
+    site::owns(&one, 1).await;
+    site::owns(&two, 0).await;
+    let http = site::http();
+    let url = format!("http://{}/v1/completions", two.entry.gate);
+    let mut id = String::new();
+    site::until("the second gate passes it on", async || {
+        let reply = send(&http, "POST", &url, &[], "{\"model\":\"a\"}").await;
+        id = reply.header("x-request-id").to_owned();
+        reply.status == 200
+    })
+    .await;
+    let url = format!("http://{}/v1/explain/{id}", two.entry.gate_admin);
+    let lines = send(&http, "GET", &url, &[], "").await.body;
+    assert!(lines.contains("h2: 205 Forwarded: to h1 for e1"), "{lines}");
+    assert!(lines.contains("h1: 200 Routed: to e1"), "{lines}");
+}
