--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -20,6 +20,8 @@
 use crate::wait;
 
 const READY: Duration = Duration::from_secs(30);
+/// The lines of each log that a failed test shows.
+const TAIL: usize = 12;
 const SETTINGS: &str = "site.jsonc";
 
 /// What a site consists of.
@@ -309,3 +311,18 @@
 fn words(words: &[&str]) -> Vec<String> {
     words.iter().map(|word| (*word).to_owned()).collect()
 }
+
+/// Shows how the processes ended up when a test fails.
+impl Drop for Site {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        for (name, process) in &mut self.processes {
+            let log = process.log();
+            let lines: Vec<&str> = log.lines().collect();
+            let tail = lines[lines.len().saturating_sub(TAIL)..].join("\n");
+            eprintln!("--- {name}, runs: {}\n{tail}", process.runs());
+        }
+    }
+}
