state, keeper: bounds on what others can fill, and one holder of a gate's name

Cause: keys, endpoints and quarantined requests had no bound, and a second run of a gate at other addresses replaced the first at once, although that one may live and hold its lease.

Change: bounds with refusals; a run at other addresses is answered Busy until the lease of the first has run out. A run at the same addresses still replaces its predecessor at once: it could not listen there otherwise.

A test was red once: two keepers could not listen (partition, timed out: the keeper starts), since a port of a stopped keeper was given to a connection of another test.

--- a/crates/keeper/src/handle.rs
+++ b/crates/keeper/src/handle.rs
@@ -11,6 +11,7 @@
 use state::Command;
 use state::Outcome;
 use state::command::Incarnation;
+use state::view::Gate;
 use wire::keeper::Fault;
 use wire::keeper::Grant;
 use wire::keeper::Renewal;
@@ -130,6 +131,9 @@
         match leading.leases.renew(&gate, run, renewal.applied, now) {
             Ok(()) => self.read(reply, |reply| Read::Renew(gate, run, renewal.applied, reply)),
             Err(Refused::Ended) => drop(reply.send(Err(Fault::LeaseEnded))),
+            Err(Refused::Unknown) if self.is_taken(&renewal) => {
+                reply.send(Err(Fault::Busy)).ok();
+            }
             Err(Refused::Unknown) => {
                 let command = Command::Join { gate: renewal.gate.clone() };
                 self.propose_for(&command, Proposal::Join(Box::new(renewal), reply));
@@ -137,6 +141,16 @@
         }
     }
 
+    /// Returns whether a run at other addresses holds the lease of this gate.
+    ///
+    /// A run at the same addresses has ended, or the new one could not listen there; one at other
+    /// addresses may live, so that its lease has to run out first.
+    fn is_taken(&self, renewal: &Renewal) -> bool {
+        let place = |gate: &Gate| (gate.address.clone(), gate.peer.clone(), gate.relay.clone());
+        let known = self.machine.view().gates.get(&renewal.gate.name);
+        known.is_some_and(|known| place(known) != place(&renewal.gate))
+    }
+
     /// Ends a lease at the wish of its holder.
     fn leave(&mut self, renewal: &Renewal, reply: Reply<Grant>) {
         let (gate, incarnation) = (renewal.gate.name.clone(), renewal.gate.incarnation);
--- a/crates/keeper/tests/leases.rs
+++ b/crates/keeper/tests/leases.rs
@@ -4,10 +4,12 @@
 
 use std::time::Duration;
 
+use base::Code;
 use base::Name;
 use keeper::lease::Leases;
 use keeper::lease::Refused;
 use site::*;
+use state::Command;
 use state::Outcome;
 use state::View;
 use wire::keeper::Fault;
@@ -111,6 +113,29 @@
     assert_eq!(site.view().await.gates["g1"].incarnation, 1);
 }
 
+#[tokio::test]
+async fn a_run_at_other_addresses_waits_for_the_end_of_the_lease() {
+    let site = Site::started(3).await;
+    site.renew(&renewal("g1", 1, 0)).await.unwrap();
+    let mut other = renewal("g1", 2, 0);
+    other.gate.address = Name::from("127.0.0.1:9");
+    assert_eq!(site.renew(&other).await, Err(Fault::Busy));
+    until("the lease has run out", async || site.renew(&other).await.ok()).await;
+    assert_eq!(site.renew(&renewal("g1", 1, 0)).await, Err(Fault::Busy));
+}
+
+#[tokio::test]
+async fn a_lease_starts_and_ends_by_renewals_alone() {
+    let site = Site::started(1).await;
+    let gate = renewal("g1", 1, 0).gate;
+    let join = Command::Join { gate: gate.clone() };
+    let expire = Command::Expire { gate: gate.name, incarnation: 1 };
+    for command in [join, expire] {
+        let outcome = site.submit(&command).await;
+        assert!(matches!(outcome, Outcome::Refused { code: Code::Invalid, .. }), "{outcome:?}");
+    }
+}
+
 #[tokio::test]
 async fn a_gate_that_leaves_hands_over_at_once() {
     let site = Site::started(3).await;
--- a/crates/keeper/tests/site/mod.rs
+++ b/crates/keeper/tests/site/mod.rs
@@ -4,8 +4,11 @@
 
 mod link;
 
+use std::net::Ipv4Addr;
 use std::net::TcpListener;
 use std::path::Path;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use base::Map;
@@ -54,8 +57,9 @@
         config.timing.election_ms = 150;
         config.timing.lease_ms = 600;
         config.timing.call_ms = 400;
+        let ip = address();
         let sockets: Vec<TcpListener> =
-            (0..2 * count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+            (0..2 * count).map(|_| TcpListener::bind((ip, 0)).unwrap()).collect();
         let address = |at: usize| Name::from(sockets[at].local_addr().unwrap().to_string());
         for index in 0..count {
             config.entries.push(Entry {
@@ -196,6 +200,14 @@
     }
 }
 
+/// Returns a loopback address of this site's own: nobody else takes a port there while a keeper of
+/// the site is down.
+fn address() -> Ipv4Addr {
+    static SITES: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 1 + high % 250, low, SITES.fetch_add(1, Ordering::Relaxed))
+}
+
 /// Returns the context of a call.
 pub(crate) fn context() -> tarpc::context::Context {
     let mut context = tarpc::context::current();
--- a/crates/state/src/crash.rs
+++ b/crates/state/src/crash.rs
@@ -60,6 +60,7 @@
         if let Some(culprit) = self.culprit(at) {
             draft.set(Patch::Quarantine(culprit, Some(now_ms)));
             self.explain(culprit);
+            bound(draft, limits.quarantine);
         }
         while self.crashes.len() > limits.crashes {
             self.crashes.pop_front();
@@ -130,3 +131,15 @@
         }
     }
 }
+
+/// Lets the oldest quarantined request go if there are too many.
+fn bound(draft: &mut Draft, limit: usize) {
+    let quarantine = &draft.view().quarantine;
+    if quarantine.len() <= limit {
+        return;
+    }
+    let oldest = quarantine.iter().min_by_key(|(fingerprint, at_ms)| (**at_ms, **fingerprint));
+    if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
+        draft.set(Patch::Quarantine(fingerprint, None));
+    }
+}
--- a/crates/state/src/limits.rs
+++ b/crates/state/src/limits.rs
@@ -24,6 +24,10 @@
     pub runs: usize,
     /// The crashes that are remembered.
     pub crashes: usize,
+    /// The quarantined requests; the oldest are let go beyond.
+    pub quarantine: usize,
+    /// The endpoints; more are refused.
+    pub endpoints: usize,
     /// How long a crash is remembered, in milliseconds.
     pub crash_ms: u64,
 }
@@ -38,6 +42,8 @@
             commands: 10_000,
             runs: 4_096,
             crashes: 1_024,
+            quarantine: 10_000,
+            endpoints: 10_000,
             crash_ms: HOUR_MS,
         }
     }
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -161,7 +161,9 @@
             Command::Expire { gate, incarnation } => {
                 state.owners.expire(draft, &gate, incarnation, limits.runs)?;
             }
-            Command::Register { endpoint } => state.owners.register(draft, &endpoint)?,
+            Command::Register { endpoint } => {
+                state.owners.register(draft, &endpoint, limits.endpoints)?;
+            }
             Command::Forget { endpoint } => state.owners.forget(draft, &endpoint)?,
             Command::Assign { endpoint, fence, gate } => {
                 state.owners.assign(draft, &endpoint, fence, &gate)?;
--- a/crates/state/src/owner.rs
+++ b/crates/state/src/owner.rs
@@ -72,8 +72,16 @@
     }
 
     /// Takes an endpoint's properties; a new endpoint gets an owner.
-    pub(crate) fn register(&mut self, draft: &mut Draft, endpoint: &Endpoint) -> Result {
+    pub(crate) fn register(
+        &mut self,
+        draft: &mut Draft,
+        endpoint: &Endpoint,
+        limit: usize,
+    ) -> Result {
         let Some(known) = draft.view().endpoints.get(&endpoint.name) else {
+            if draft.view().endpoints.len() >= limit {
+                return Err(Refusal::new(Code::Invalid, format!("there are {limit} endpoints")));
+            }
             self.give(draft, endpoint.clone());
             return Ok(());
         };
--- a/crates/state/src/record.rs
+++ b/crates/state/src/record.rs
@@ -19,6 +19,8 @@
 
 /// How far a caller's clock may be ahead for its keys' times to be believed, in milliseconds.
 const SKEW_MS: u64 = 300_000;
+/// The longest key, in bytes.
+const KEY_BYTES: usize = 256;
 /// The records that one command may expire.
 const EXPIRE_BATCH: usize = 256;
 
@@ -92,6 +94,10 @@
             let detail = format!("gate '{}' holds no lease", claim.gate);
             return Err(Refusal::new(Code::StaleLease, detail));
         }
+        if claim.key.key.is_empty() || claim.key.key.len() > KEY_BYTES {
+            let detail = format!("the key is not 1 to {KEY_BYTES} bytes long");
+            return Err(Refusal::new(Code::Invalid, detail));
+        }
         self.expire_key(view, &claim.key, now_ms, limits);
         match self.records.get(&claim.key) {
             Some(record) => known(view, record, claim),
--- a/crates/state/tests/common/mod.rs
+++ b/crates/state/tests/common/mod.rs
@@ -26,6 +26,8 @@
     commands: 3,
     runs: 8,
     crashes: 16,
+    quarantine: 2,
+    endpoints: 6,
     crash_ms: 10_000,
 };
 
--- a/crates/state/tests/journal.rs
+++ b/crates/state/tests/journal.rs
@@ -148,3 +148,10 @@
         (200, None, Name::from("text/plain"))
     );
 }
+
+#[test]
+fn a_long_key_is_refused() {
+    let mut machine = claimed();
+    let long = "k".repeat(257);
+    assert_eq!(refuse(&mut machine, claim(&long, "r", G1, 100)), Code::Invalid);
+}
--- a/crates/state/tests/ownership.rs
+++ b/crates/state/tests/ownership.rs
@@ -127,3 +127,13 @@
     assert_eq!(after.endpoint.generation, 2);
     assert_eq!(refuse(&mut machine, register("e1")), Code::Invalid);
 }
+
+#[test]
+fn endpoints_are_bounded() {
+    let mut machine = site();
+    for name in ["e5", "e6"] {
+        apply(&mut machine, register(name));
+    }
+    assert_eq!(refuse(&mut machine, register("e7")), Code::Invalid);
+    apply(&mut machine, register("e6"));
+}
--- a/crates/state/tests/quarantine.rs
+++ b/crates/state/tests/quarantine.rs
@@ -95,3 +95,13 @@
     apply(&mut machine, configure("c1", None, pardon));
     assert_eq!((quarantined(&machine), suspects(&machine)), (vec![], Set::default()));
 }
+
+#[test]
+fn quarantined_requests_are_bounded() {
+    let mut machine = machine();
+    for fingerprint in 1..=3 {
+        apply(&mut machine, implicate("e1", 2 * fingerprint, &[fingerprint]));
+        apply(&mut machine, implicate("e1", 2 * fingerprint + 1, &[fingerprint]));
+    }
+    assert_eq!(quarantined(&machine), [2, 3]);
+}
