--- a/crates/keeper/src/driver.rs
+++ b/crates/keeper/src/driver.rs
@@ -1,5 +1,6 @@
 //! The task that owns the replica, the state and the files.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use base::Map;
@@ -19,10 +20,10 @@
 use state::Limits;
 use state::Machine;
 use tokio::sync::mpsc;
+use tokio::time::Interval;
 use tokio::time::MissedTickBehavior;
 use wire::keeper::Fault;
 use wire::keeper::Parcel;
-use wire::keeper::Status;
 
 use crate::clock::Clock;
 use crate::error::Error;
@@ -38,6 +39,8 @@
 const TICKS: u32 = 4;
 /// The fewest bytes of commands after which a snapshot is taken.
 pub(crate) const COMPACT_BYTES: usize = 8 << 20;
+/// The requests that may wait while the state is being encoded.
+const LATE: usize = 8_192;
 /// The replicas whose hosts are remembered beside those of the members.
 const HOSTS: usize = 256;
 
@@ -69,6 +72,10 @@
     pub(crate) ring: Ring,
     pub(crate) storage: Storage,
     pub(crate) peers: Peers,
+    /// What the replica wants done with the state while that is being encoded.
+    pub(crate) put_off: VecDeque<Ready>,
+    /// The requests that came while the state was being encoded.
+    pub(crate) late: Vec<Request>,
     /// The hosts of the replicas that were heard of.
     pub(crate) hosts: Map<Id, Name>,
     /// A snapshot that arrives in pieces.
@@ -95,12 +102,17 @@
             // A leader that was frozen steps down here, before it takes a request.
             self.node.tick(self.clock.now());
             self.follow_role();
-            let more = std::iter::from_fn(|| inbox.try_recv().ok());
-            for request in first.into_iter().chain(more).take(self.batch) {
+            let late = std::mem::take(&mut self.late);
+            let more = std::iter::from_fn(|| inbox.try_recv().ok()).take(self.batch - 1);
+            for request in late.into_iter().chain(first).chain(more) {
                 self.handle(request);
             }
             self.lead();
             self.pump().await?;
+            if self.wants_snapshot() {
+                self.compact(&mut inbox, &mut ticker).await?;
+                self.catch_up()?;
+            }
             self.measure();
         }
         self.lose_leadership();
@@ -120,21 +132,36 @@
 
     /// Carries out what the replica wants until it wants nothing more.
     async fn pump(&mut self) -> Result<(), Error> {
+        while self.write_log().await? {
+            self.catch_up()?;
+        }
+        Ok(())
+    }
+
+    /// Writes what the replica wants written, then sends its messages; what concerns the state is put
+    /// off. Returns whether there was anything.
+    async fn write_log(&mut self) -> Result<bool, Error> {
         self.identify().await?;
-        loop {
-            let mut ready = self.node.ready();
-            if is_empty(&ready) {
-                return self.compact().await;
-            }
-            let timer = self.metrics.sync.start_timer();
-            if self.storage.write(&mut ready).await? {
-                timer.observe_duration();
-            } else {
-                timer.stop_and_discard();
-            }
-            self.send(std::mem::take(&mut ready.messages));
-            if let Some(snapshot) = ready.install.take() {
-                self.install(&snapshot)?;
+        let mut ready = self.node.ready();
+        if is_empty(&ready) {
+            return Ok(false);
+        }
+        let timer = self.metrics.sync.start_timer();
+        if self.storage.write(&mut ready).await? {
+            timer.observe_duration();
+        } else {
+            timer.stop_and_discard();
+        }
+        self.send(std::mem::take(&mut ready.messages));
+        self.put_off.push_back(ready);
+        Ok(true)
+    }
+
+    /// Carries out what concerns the state and was put off.
+    fn catch_up(&mut self) -> Result<(), Error> {
+        while let Some(ready) = self.put_off.pop_front() {
+            if let Some(snapshot) = &ready.install {
+                self.install(snapshot)?;
             }
             for entry in ready.committed {
                 self.apply(entry)?;
@@ -144,6 +171,7 @@
                 self.confirm(token);
             }
         }
+        Ok(())
     }
 
     /// Writes the group to disk before this replica takes part in it.
@@ -206,13 +234,38 @@
         Ok(())
     }
 
-    /// Takes a snapshot if enough entries were applied since the last one.
-    async fn compact(&mut self) -> Result<(), Error> {
+    /// Returns whether enough was applied since the last snapshot.
+    fn wants_snapshot(&self) -> bool {
         let many = self.applied >= self.compacted + self.compact_entries;
-        if !many && self.log_bytes < self.compact_bytes {
-            return Ok(());
-        }
-        let snapshot = self.machine.snapshot();
+        many || self.log_bytes >= self.compact_bytes
+    }
+
+    /// Takes a snapshot on another thread. The replica goes on meanwhile, so that a large state costs
+    /// no leader its lead; what concerns the state waits.
+    async fn compact(
+        &mut self,
+        inbox: &mut mpsc::Receiver<Request>,
+        ticker: &mut Interval,
+    ) -> Result<(), Error> {
+        let machine = std::mem::replace(&mut self.machine, Machine::new(self.limits));
+        let mut encoding = tokio::task::spawn_blocking(move || {
+            let snapshot = machine.snapshot();
+            (machine, snapshot)
+        });
+        let encoded = loop {
+            tokio::select! {
+                encoded = &mut encoding => break encoded,
+                Some(request) = inbox.recv(), if self.late.len() < LATE => match request {
+                    Request::Deliver(parcel) => self.deliver(parcel),
+                    request => self.late.push(request),
+                },
+                _ = ticker.tick() => {}
+            }
+            self.node.tick(self.clock.now());
+            while self.write_log().await? {}
+        };
+        let (machine, snapshot) = encoded.map_err(|error| Error::Task(error.to_string()))?;
+        self.machine = machine;
         self.compacted = self.applied;
         self.log_bytes = 0;
         self.compact_bytes = snapshot.len().max(COMPACT_BYTES);
@@ -281,60 +334,6 @@
         let leader = self.leader().filter(|leader| *leader != self.host);
         Fault::NotLeader { leader }
     }
-
-    /// Returns how this keeper is.
-    pub(crate) fn status(&self) -> Status {
-        let names = |members: &[raft::message::Member]| {
-            members.iter().map(|member| Name::from(member.host.as_str())).collect()
-        };
-        let members = self.node.members();
-        let role = match self.node.role() {
-            Role::Leader => "leader",
-            Role::Follower => "follower",
-            Role::Candidate => "candidate",
-            Role::Learner => "learner",
-        };
-        Status {
-            host: self.host.clone(),
-            id: self.node.id(),
-            group: self.group,
-            role: Name::from(role),
-            term: self.node.term(),
-            leader: self.leader(),
-            commit: self.node.commit(),
-            applied: self.applied,
-            voters: names(&members.voters),
-            learners: names(&members.learners),
-            configuration: self.machine.view().configuration,
-            in_force: self.in_force(),
-        }
-    }
-
-    /// Returns the revision that is in force at every gate; 0 on followers.
-    pub(crate) fn in_force(&self) -> u64 {
-        let revision = self.machine.view().revision;
-        self.leading.as_ref().map_or(0, |leading| leading.leases.in_force(revision))
-    }
-
-    /// Brings the metrics up to date.
-    fn measure(&self) {
-        let metrics = &self.metrics;
-        metrics.term.set(self.node.term() as i64);
-        metrics.leader.set(i64::from(self.leading.is_some()));
-        metrics.commit.set(self.node.commit() as i64);
-        metrics.applied.set(self.applied as i64);
-        metrics.lag.set(self.node.last_index().saturating_sub(self.node.commit()) as i64);
-        metrics.voters.set(self.node.members().voters.len() as i64);
-        metrics.in_force.set(self.in_force() as i64);
-        metrics.revision.set(self.machine.view().revision as i64);
-        metrics.keys.set(self.machine.keys() as i64);
-        metrics.bytes.set(self.machine.bytes() as i64);
-        let count = |of: fn(&Leading) -> usize| self.leading.as_ref().map_or(0, of) as i64;
-        metrics.leases.set(count(|leading| leading.leases.len()));
-        metrics.proposals.set(count(|leading| leading.proposals.len()));
-        metrics.permits.set(count(|leading| leading.permits.in_flight()));
-        metrics.wishes.set(count(|leading| leading.permits.waiting()));
-    }
 }
 
 /// Returns whether nothing is to be carried out.
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -1,5 +1,6 @@
 //! A running keeper.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use base::Event;
@@ -177,12 +178,14 @@
         applied,
         compacted: applied,
         compact_entries: options.compact_entries,
-        batch: options.batch,
+        batch: options.batch.max(1),
         log_bytes: 0,
         compact_bytes: COMPACT_BYTES,
         ring: Ring::default(),
         storage,
         peers,
+        put_off: VecDeque::new(),
+        late: Vec::new(),
         hosts: Map::default(),
         assembly: Assembly::default(),
         leading: None,
--- a/crates/keeper/src/leading.rs
+++ b/crates/keeper/src/leading.rs
@@ -23,6 +23,9 @@
 use crate::permit::Waiting;
 use crate::request::Reply;
 
+/// The bits of a read's token that count within a term.
+const TOKEN_BITS: u32 = 32;
+
 /// Who waits for a proposal to be applied.
 #[derive(Debug)]
 pub(crate) enum Proposal {
@@ -54,7 +57,7 @@
     pub(crate) proposals: Map<Index, Proposal>,
     /// The reads that are not confirmed yet.
     pub(crate) reads: Map<u64, Read>,
-    /// The last token of a read.
+    /// The last token of a read: the term and a count within it, so that none is used twice.
     token: u64,
     /// The gates' leases.
     pub(crate) leases: Leases,
@@ -83,7 +86,7 @@
             term,
             proposals: Map::default(),
             reads: Map::default(),
-            token: 0,
+            token: term << TOKEN_BITS,
             leases,
             permits: Permits::new(rate, term, open),
             balance: now + end,
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -14,6 +14,7 @@
 mod leading;
 mod metrics;
 mod peer;
+mod report;
 mod request;
 mod server;
 mod storage;
--- /dev/null
+++ b/crates/keeper/src/report.rs
@@ -0,0 +1,64 @@
+//! What the driver tells of itself.
+
+use base::Name;
+use raft::node::Role;
+use wire::keeper::Status;
+
+use crate::driver::Driver;
+use crate::leading::Leading;
+
+impl Driver {
+    /// Returns how this keeper is.
+    pub(crate) fn status(&self) -> Status {
+        let names = |members: &[raft::message::Member]| {
+            members.iter().map(|member| Name::from(member.host.as_str())).collect()
+        };
+        let members = self.node.members();
+        let role = match self.node.role() {
+            Role::Leader => "leader",
+            Role::Follower => "follower",
+            Role::Candidate => "candidate",
+            Role::Learner => "learner",
+        };
+        Status {
+            host: self.host.clone(),
+            id: self.node.id(),
+            group: self.group,
+            role: Name::from(role),
+            term: self.node.term(),
+            leader: self.leader(),
+            commit: self.node.commit(),
+            applied: self.applied,
+            voters: names(&members.voters),
+            learners: names(&members.learners),
+            configuration: self.machine.view().configuration,
+            in_force: self.in_force(),
+        }
+    }
+
+    /// Returns the revision that is in force at every gate; 0 on followers.
+    pub(crate) fn in_force(&self) -> u64 {
+        let revision = self.machine.view().revision;
+        self.leading.as_ref().map_or(0, |leading| leading.leases.in_force(revision))
+    }
+
+    /// Brings the metrics up to date.
+    pub(crate) fn measure(&self) {
+        let metrics = &self.metrics;
+        metrics.term.set(self.node.term() as i64);
+        metrics.leader.set(i64::from(self.leading.is_some()));
+        metrics.commit.set(self.node.commit() as i64);
+        metrics.applied.set(self.applied as i64);
+        metrics.lag.set(self.node.last_index().saturating_sub(self.node.commit()) as i64);
+        metrics.voters.set(self.node.members().voters.len() as i64);
+        metrics.in_force.set(self.in_force() as i64);
+        metrics.revision.set(self.machine.view().revision as i64);
+        metrics.keys.set(self.machine.keys() as i64);
+        metrics.bytes.set(self.machine.bytes() as i64);
+        let count = |of: fn(&Leading) -> usize| self.leading.as_ref().map_or(0, of) as i64;
+        metrics.leases.set(count(|leading| leading.leases.len()));
+        metrics.proposals.set(count(|leading| leading.proposals.len()));
+        metrics.permits.set(count(|leading| leading.permits.in_flight()));
+        metrics.wishes.set(count(|leading| leading.permits.waiting()));
+    }
+}
