--- a/crates/raft/tests/log/basics.rs
+++ b/crates/raft/tests/log/basics.rs
@@ -11,10 +11,11 @@
 
 use super::sim::World;
 
-/// A group whose hosts all vote, and its leader.
+/// A group whose hosts all vote and know what is committed, and its leader.
 fn group(hosts: usize) -> (World, usize) {
     let mut world = World::new(1, hosts);
     world.heal();
+    world.run_for(500);
     let leader = world.leader().expect("one leads");
     (world, leader)
 }
