raft: half of the schedules write to the real files

Cause: log and files were tested apart; what a torn file gives back was only modelled. Change: in schedules with an odd seed each replica writes through disk::Store to files in memory that a crash tears at any call; after a crash without a write in progress the files must hold what was synced.

--- a/crates/raft/tests/log/sim/mod.rs
+++ b/crates/raft/tests/log/sim/mod.rs
@@ -1,8 +1,14 @@
 //! Five hosts in one process under a seeded schedule of faults.
 
 pub(crate) mod check;
+pub(crate) mod files;
 pub(crate) mod replica;
 
+// The tests of the files use the rest of it.
+#[allow(dead_code)]
+#[path = "../../../../disk/tests/store/memory.rs"]
+pub(crate) mod memory;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -103,7 +109,8 @@
             remove: random.random_range(0..2) * random.random_range(0..30),
         };
         let disks = if random.random_bool(0.5) { DISKS } else { hosts };
-        let replicas = (0..hosts).map(|host| Replica::new(random.random(), host)).collect();
+        let replicas =
+            (0..hosts).map(|host| Replica::new(random.random(), host, seed % 2 == 1)).collect();
         let mut world = World {
             seed,
             random,
@@ -395,14 +402,13 @@
 
     /// Stops a host; a wiped one is another replica when it starts again.
     pub(crate) fn crash(&mut self, host: usize, wiped: bool) {
-        let writes = self.random.random_range(0..6);
-        self.replicas[host].crash(writes);
+        self.replicas[host].crash(&mut self.random);
         self.report.crashes += 1;
         if wiped {
             self.report.wipes += 1;
             self.report.installs += self.replicas[host].installed;
             self.report.reads += self.replicas[host].confirmed;
-            self.replicas[host] = Replica::new(self.random.random(), host);
+            self.replicas[host] = Replica::new(self.random.random(), host, self.seed % 2 == 1);
         }
     }
 
--- a/crates/raft/tests/log/sim/replica.rs
+++ b/crates/raft/tests/log/sim/replica.rs
@@ -19,9 +19,12 @@
 use raft::node::Ready;
 use raft::node::Role;
 use raft::node::Stored;
+use rand::RngExt;
+use rand::rngs::SmallRng;
 
 use super::check::Check;
 use super::check::state_of;
+use super::files::Real;
 
 /// The applied entries after which a snapshot is taken.
 const SNAPSHOT_EVERY: Index = 40;
@@ -33,7 +36,10 @@
     pub(crate) id: Id,
     pub(crate) host: usize,
     pub(crate) node: Option<Node>,
+    /// What is synced.
     pub(crate) stored: Stored,
+    /// The files that must hold the same, in half of the schedules.
+    real: Option<Real>,
     /// What is being written, and until when.
     pub(crate) busy: Option<(Duration, Ready)>,
     pub(crate) inbox: VecDeque<(Id, Message)>,
@@ -46,12 +52,13 @@
 }
 
 impl Replica {
-    pub(crate) fn new(id: Id, host: usize) -> Replica {
+    pub(crate) fn new(id: Id, host: usize, real: bool) -> Replica {
         Replica {
             id,
             host,
             node: None,
             stored: Stored::default(),
+            real: real.then(Real::new),
             busy: None,
             inbox: VecDeque::new(),
             state: 0,
@@ -74,13 +81,18 @@
         self.node = Some(node);
     }
 
-    /// Stops at once; of what is being written only the first `writes` parts reach the disk.
-    pub(crate) fn crash(&mut self, writes: usize) {
+    /// Stops at once; of what is being written only a part reaches the disk.
+    pub(crate) fn crash(&mut self, random: &mut SmallRng) {
         self.node = None;
         self.inbox.clear();
         self.reads.clear();
-        if let Some((_, ready)) = self.busy.take() {
-            self.tear(ready, writes);
+        let writing = self.busy.take().map(|(_, ready)| ready);
+        if let Some(real) = &mut self.real {
+            let stored = real.crash(writing.as_ref(), random);
+            assert!(writing.is_some() || same(&stored, &self.stored), "files lost what was synced");
+            self.stored = stored;
+        } else if let Some(ready) = writing {
+            self.tear(ready, random.random_range(0..6));
         }
     }
 
@@ -102,6 +114,9 @@
 
     /// Carries out what the node wants; returns the messages to send.
     pub(crate) fn finish(&mut self, ready: Ready, check: &mut Check) -> Vec<(Id, Message)> {
+        if let Some(real) = &mut self.real {
+            real.write(&ready).expect("no write fails");
+        }
         if let Some(snapshot) = ready.snapshot {
             self.write_snapshot(snapshot);
         }
@@ -152,6 +167,10 @@
         let data = Bytes::copy_from_slice(&self.state.to_le_bytes());
         let node = self.node.as_mut().expect("a running node");
         let snapshot = node.compact(self.applied, data).expect("a later snapshot");
+        if let Some(real) = &mut self.real {
+            let ready = Ready { snapshot: Some(snapshot.clone()), ..Ready::default() };
+            real.write(&ready).expect("no write fails");
+        }
         self.write_snapshot(snapshot);
     }
 
@@ -198,6 +217,10 @@
     }
 }
 
+fn same(one: &Stored, other: &Stored) -> bool {
+    (&one.hard, &one.snapshot, &one.entries) == (&other.hard, &other.snapshot, &other.entries)
+}
+
 /// Returns the times that all tests use.
 pub(crate) fn config(seed: u64) -> Config {
     Config {
