raft: processes that stand still in the schedules

Change: replicas stand still for up to 1.5 s, and one step in ten a replica is used before it gets the time and the messages.

--- a/crates/raft/tests/log/sim/mod.rs
+++ b/crates/raft/tests/log/sim/mod.rs
@@ -56,6 +56,8 @@
     topple: u32,
     revive: u32,
     wipe: u32,
+    /// A process stands still for a while.
+    freeze: u32,
     split: u32,
     remove: u32,
 }
@@ -105,6 +107,7 @@
             topple: random.random_range(0..2) * random.random_range(0..60),
             revive: random.random_range(10..300),
             wipe: random.random_range(0..4),
+            freeze: random.random_range(0..10),
             split: random.random_range(0..8),
             remove: random.random_range(0..2) * random.random_range(0..30),
         };
@@ -257,18 +260,18 @@
     }
 
     fn run(&mut self, host: usize) {
-        if self.replicas[host].node.is_none() || !self.synced(host) {
+        let asleep = self.replicas[host].frozen > self.now;
+        if asleep || self.replicas[host].node.is_none() || !self.synced(host) {
             return;
         }
-        let now = self.now;
-        let replica = &mut self.replicas[host];
-        let node = replica.node.as_mut().expect("running");
-        node.tick(now);
-        while let Some((from, message)) = replica.inbox.pop_front() {
-            node.step(from, message, now);
+        let late = self.faulty && self.chance(100);
+        if !late {
+            self.replicas[host].take_in(self.now);
         }
-        if node.role() == Role::Leader {
-            self.check.leads(node.term(), node.id());
+        let node = self.node(host);
+        let (role, term, id) = (node.role(), node.term(), node.id());
+        if role == Role::Leader {
+            self.check.leads(term, id);
             self.use_leader(host);
         }
         let ready = self.node(host).ready();
@@ -377,6 +380,11 @@
         if self.chance(8) {
             self.sides.fill(0);
         }
+        if self.chance(self.rates.freeze) {
+            let frozen = self.random.random_range(0..self.replicas.len());
+            let wait = Duration::from_millis(self.random.random_range(50..1_500));
+            self.replicas[frozen].frozen = self.now + wait;
+        }
         if let Some(leader) = self.leader().filter(|_| self.chance(self.rates.topple)) {
             self.stop(leader);
         }
--- a/crates/raft/tests/log/sim/replica.rs
+++ b/crates/raft/tests/log/sim/replica.rs
@@ -42,6 +42,8 @@
     real: Option<Real>,
     /// What is being written, and until when.
     pub(crate) busy: Option<(Duration, Ready)>,
+    /// Until when the process stands still.
+    pub(crate) frozen: Duration,
     pub(crate) inbox: VecDeque<(Id, Message)>,
     pub(crate) state: u64,
     pub(crate) applied: Index,
@@ -60,6 +62,7 @@
             stored: Stored::default(),
             real: real.then(Real::new),
             busy: None,
+            frozen: Duration::ZERO,
             inbox: VecDeque::new(),
             state: 0,
             applied: 0,
@@ -81,6 +84,15 @@
         self.node = Some(node);
     }
 
+    /// Hands the time and the messages that came to the node.
+    pub(crate) fn take_in(&mut self, now: Duration) {
+        let node = self.node.as_mut().expect("a running node");
+        node.tick(now);
+        for (from, message) in self.inbox.drain(..) {
+            node.step(from, message, now);
+        }
+    }
+
     /// Stops at once; of what is being written only a part reaches the disk.
     pub(crate) fn crash(&mut self, random: &mut SmallRng) {
         self.node = None;
