--- a/crates/raft/tests/log/sim/mod.rs
+++ b/crates/raft/tests/log/sim/mod.rs
@@ -1,8 +1,14 @@
 //! Five hosts in one process under a seeded schedule of faults.
 
 pub(crate) mod check;
+pub(crate) mod files;
 pub(crate) mod replica;
 
+// The tests of the files use the rest of it.
+#[allow(dead_code)]
+#[path = "../../../../disk/tests/store/memory.rs"]
+pub(crate) mod memory;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -50,6 +56,8 @@
     topple: u32,
     revive: u32,
     wipe: u32,
+    /// A process stands still for a while.
+    freeze: u32,
     split: u32,
     remove: u32,
 }
@@ -99,11 +107,13 @@
             topple: random.random_range(0..2) * random.random_range(0..60),
             revive: random.random_range(10..300),
             wipe: random.random_range(0..4),
+            freeze: random.random_range(0..10),
             split: random.random_range(0..8),
             remove: random.random_range(0..2) * random.random_range(0..30),
         };
         let disks = if random.random_bool(0.5) { DISKS } else { hosts };
-        let replicas = (0..hosts).map(|host| Replica::new(random.random(), host)).collect();
+        let replicas =
+            (0..hosts).map(|host| Replica::new(random.random(), host, seed % 2 == 1)).collect();
         let mut world = World {
             seed,
             random,
@@ -250,18 +260,18 @@
     }
 
     fn run(&mut self, host: usize) {
-        if self.replicas[host].node.is_none() || !self.synced(host) {
+        let asleep = self.replicas[host].frozen > self.now;
+        if asleep || self.replicas[host].node.is_none() || !self.synced(host) {
             return;
         }
-        let now = self.now;
-        let replica = &mut self.replicas[host];
-        let node = replica.node.as_mut().expect("running");
-        node.tick(now);
-        while let Some((from, message)) = replica.inbox.pop_front() {
-            node.step(from, message, now);
+        let late = self.faulty && self.chance(100);
+        if !late {
+            self.replicas[host].take_in(self.now);
         }
-        if node.role() == Role::Leader {
-            self.check.leads(node.term(), node.id());
+        let node = self.node(host);
+        let (role, term, id) = (node.role(), node.term(), node.id());
+        if role == Role::Leader {
+            self.check.leads(term, id);
             self.use_leader(host);
         }
         let ready = self.node(host).ready();
@@ -370,6 +380,11 @@
         if self.chance(8) {
             self.sides.fill(0);
         }
+        if self.chance(self.rates.freeze) {
+            let frozen = self.random.random_range(0..self.replicas.len());
+            let wait = Duration::from_millis(self.random.random_range(50..1_500));
+            self.replicas[frozen].frozen = self.now + wait;
+        }
         if let Some(leader) = self.leader().filter(|_| self.chance(self.rates.topple)) {
             self.stop(leader);
         }
@@ -395,14 +410,13 @@
 
     /// Stops a host; a wiped one is another replica when it starts again.
     pub(crate) fn crash(&mut self, host: usize, wiped: bool) {
-        let writes = self.random.random_range(0..6);
-        self.replicas[host].crash(writes);
+        self.replicas[host].crash(&mut self.random);
         self.report.crashes += 1;
         if wiped {
             self.report.wipes += 1;
             self.report.installs += self.replicas[host].installed;
             self.report.reads += self.replicas[host].confirmed;
-            self.replicas[host] = Replica::new(self.random.random(), host);
+            self.replicas[host] = Replica::new(self.random.random(), host, self.seed % 2 == 1);
         }
     }
 
