--- a/crates/keeper/src/driver.rs
+++ b/crates/keeper/src/driver.rs
@@ -33,6 +33,7 @@
 use crate::request::Request;
 use crate::ring::Ring;
 use crate::storage::Storage;
+use crate::trace;
 use crate::transfer::Assembly;
 
 /// The ticks in the time between two heartbeats.
@@ -223,10 +224,15 @@
         self.log_bytes += bytes.len();
         let command: Command = postcard::from_bytes(bytes)
             .map_err(|error| Error::Command { index: entry.index, message: error.to_string() })?;
+        let traced = self.leading.is_some().then(|| command.clone());
         let (outcome, deltas) = self.machine.apply(command);
-        self.ring.extend(deltas);
+        self.ring.extend(deltas.iter().cloned());
         let now = self.clock.now();
         let Some(leading) = &mut self.leading else { return Ok(()) };
+        if let Some(command) = traced {
+            trace::command(&command, &outcome);
+        }
+        trace::deltas(&deltas);
         leading.leases.follow(self.machine.view(), now);
         if let Some(proposal) = leading.proposals.remove(&entry.index) {
             self.resolve(proposal, entry.term, outcome);
--- a/crates/keeper/src/leading.rs
+++ b/crates/keeper/src/leading.rs
@@ -105,7 +105,8 @@
     /// Queues a wish to load.
     pub(crate) fn wish(&mut self, wish: Wish, now: Duration, reply: Reply<Permit>) {
         if !self.leases.holds(&wish.gate, wish.incarnation) {
-            reply.send(Err(Fault::LeaseEnded)).ok();
+            // A leader that has just been elected may not have applied the join yet.
+            reply.send(Err(Fault::Busy)).ok();
             return;
         }
         let waiting = Waiting {
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -18,6 +18,7 @@
 mod request;
 mod server;
 mod storage;
+mod trace;
 
 pub mod balance;
 pub mod cli;
