--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -82,7 +82,8 @@
 }
 
 /// Only the leader takes this call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("not the leader")]
 pub struct NotLeader {
     /// The leader, where it is known.
     pub leader: Option<Id>,
