raft: recover a group from one replica

Cause: after the loss of all hosts and one of the three disks no majority is left; the design leaves that to an operator's explicit command, which had nothing to call. Change: raft::recover gives the entry and the hard state that make one replica's log that of a new group. Ruled out: doing it under the old group; a former replica that comes back could elect an old leader.

--- a/crates/raft/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -14,7 +14,9 @@
 mod membership;
 mod progress;
 mod read;
+mod recover;
 mod replication;
 
 pub use crate::message::Message;
 pub use crate::node::Node;
+pub use crate::recover::recover;
--- a/crates/raft/tests/log/basics.rs
+++ b/crates/raft/tests/log/basics.rs
@@ -194,3 +194,26 @@
     assert_eq!(sizes.iter().sum::<usize>(), 20);
     assert!(sizes.iter().all(|size| *size <= 2), "a batch has 200 bytes: {sizes:?}");
 }
+
+#[test]
+fn one_replica_of_five_can_start_a_new_group() {
+    let (mut world, leader) = group(5);
+    propose(&mut world, leader, 10);
+    world.run_for(500);
+    let last = world.replicas[leader].applied;
+    let left = follower(&world);
+    for host in 0..5 {
+        world.crash(host, host != left);
+    }
+    let replica = &mut world.replicas[left];
+    let state = replica.stored.clone();
+    replica.id = 4_242;
+    let (entry, hard) = raft::recover(&state, replica.member());
+    assert_eq!((entry.index, entry.term), (last + 1, state.hard.term + 1));
+    replica.stored.entries.push(entry);
+    replica.stored.hard = hard;
+    world.heal();
+    let leader = world.leader().expect("one leads");
+    assert!(world.replicas[leader].applied > last);
+    assert_eq!(world.node(leader).members().voters[0].id, 4_242);
+}
