Open-loop load and experiments; no reset of a stand-in is missed

Cause: the decisions have to be measured on real gates. While the load generator was tried, the poison test of the engine took 10 s in some runs.

Fault: a connection began to listen for resets only when it was first polled beside the request, so that a crash in the first request was missed and the request hung until the client gave up. The test took that for a crash.

Change: radish-load run and experiment. Poisson arrivals that wait for no answer, Zipf popularity with flips, addresses kept as long as the site says, other gates on NotServing and Draining, retries within a budget and at the time that a refusal names, each answer compared by text with its request, adapter and version, keys sent twice and their answers compared, HDR histograms, the engines' records, a table, JSON, and a page with plots.

Ruled out: comparing request ids behind gates. A gate makes the id; the text depends on the prompt, and no two prompts are alike. Without a gate the id is sent and compared.

Conclusion: run against a real site next.

--- /dev/null
+++ b/crates/load/src/endpoints.rs
@@ -0,0 +1,77 @@
+//! What the stand-in engines recorded during a run.
+
+use std::time::Duration;
+
+use base::Map;
+use base::Name;
+use futures::future;
+use hyper::Method;
+use stub::client::Client;
+use stub::record::Change;
+use stub::record::End;
+use stub::record::Record;
+use wire::endpoint::Model;
+
+use crate::report::Engines;
+
+/// How long an engine may take to show its record.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// An eviction is regretted if its adapter is loaded again within this time, in milliseconds.
+const REGRET_MS: u64 = 60_000;
+
+/// Reads the records of engines; one that does not answer gives an empty record.
+pub async fn read(engines: &[Name], summary: bool) -> Vec<Record> {
+    let client = Client::default();
+    let path = format!("/control/record?summary={summary}");
+    let one = async |engine: &Name| {
+        let answer = client.send(Method::GET, engine, &path, "", LIMIT).await;
+        let record = answer.ok().and_then(|answer| serde_json::from_slice(answer.body()).ok());
+        record.unwrap_or_default()
+    };
+    future::join_all(engines.iter().map(one)).await
+}
+
+/// Sums up what happened between two readings.
+pub fn sum(before: &[Record], after: &[Record], seconds: f64, answered: u64) -> Engines {
+    let mut engines = Engines::default();
+    let mut full_ms = 0.0;
+    let mut run_ms = 0.0;
+    let mut loads = 0;
+    for (before, after) in before.iter().zip(after) {
+        let (old, new) = (&before.totals, &after.totals);
+        let busy_ms = new.busy_ms - old.busy_ms;
+        engines.busy_seconds += busy_ms / 1_000.0;
+        full_ms += busy_ms * f64::from(new.batch);
+        run_ms += new.run_ms - old.run_ms;
+        loads += new.loads.saturating_sub(old.loads);
+        engines.failed_loads += new.failed_loads.saturating_sub(old.failed_loads);
+        engines.evictions += new.unloads.saturating_sub(old.unloads);
+        engines.violations +=
+            (after.violations.len() - before.violations.len().min(after.violations.len())) as u64;
+    }
+    engines.fill = if full_ms > 0.0 { run_ms / full_ms } else { 0.0 };
+    engines.loads_per_second = loads as f64 / seconds;
+    engines.seconds_per_answer = engines.busy_seconds / (answered as f64).max(1.0);
+    engines
+}
+
+/// Counts the evictions since `since_ms` whose adapter was loaded again within 60 s, anywhere.
+pub fn regretted(records: &[Record], since_ms: u64) -> u64 {
+    let changes = records.iter().flat_map(|record| &record.changes);
+    let mut loads: Map<&Model, Vec<u64>> = Map::default();
+    let mut evictions: Vec<&Change> = Vec::new();
+    for change in changes.filter(|change| change.start_ms >= since_ms) {
+        match (change.load, change.end) {
+            (true, End::Complete) => loads.entry(&change.model).or_default().push(change.start_ms),
+            (true, _) => {}
+            (false, _) => evictions.push(change),
+        }
+    }
+    let again = |eviction: &&&Change| {
+        let until = eviction.end_ms + REGRET_MS;
+        let times = loads.get(&eviction.model);
+        times.is_some_and(|times| times.iter().any(|at| (eviction.end_ms..=until).contains(at)))
+    };
+    evictions.iter().filter(again).count() as u64
+}
--- /dev/null
+++ b/crates/load/src/experiment.rs
@@ -0,0 +1,107 @@
+//! Runs variants interleaved, at several points and with several seeds.
+
+use std::path::Path;
+
+use base::Name;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Map;
+use serde_json::Value;
+
+use crate::report::Report;
+use crate::run as load;
+use crate::settings;
+use crate::settings::Run;
+
+/// The settings of an experiment.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Experiment {
+    /// What it is about.
+    pub title: Name,
+    /// The settings that all runs have.
+    pub run: Map<String, Value>,
+    /// What is compared: sites that run already, or switches.
+    pub variants: Vec<Change>,
+    /// At which loads it is compared.
+    pub points: Vec<Change>,
+    /// The seeds.
+    pub seeds: Vec<u64>,
+}
+
+/// What a variant or a point changes in the settings of the run.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Change {
+    /// Its name.
+    pub name: Name,
+    /// The settings it replaces, whole fields of [`Run`].
+    #[serde(default)]
+    pub set: Map<String, Value>,
+}
+
+/// One run of an experiment.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Cell {
+    /// The point.
+    pub point: Name,
+    /// The variant.
+    pub variant: Name,
+    /// The seed.
+    pub seed: u64,
+    /// What was measured.
+    pub report: Report,
+}
+
+impl Experiment {
+    /// Returns the settings of one run; the error names the variant and the point.
+    pub fn settings(&self, variant: &Change, point: &Change, seed: u64) -> Result<Run, String> {
+        let mut merged = self.run.clone();
+        merged.extend(variant.set.clone());
+        merged.extend(point.set.clone());
+        merged.insert("seed".to_owned(), Value::from(seed));
+        let place = |error| format!("variant '{}' at '{}': {error}", variant.name, point.name);
+        let run: Run = serde_json::from_value(Value::Object(merged))
+            .map_err(|error| place(error.to_string()))?;
+        run.check().map_err(place)?;
+        Ok(run)
+    }
+}
+
+/// Reads the settings of an experiment and checks each run of it.
+pub fn read(path: &Path) -> Result<Experiment, String> {
+    let experiment: Experiment = settings::parse(path)?;
+    let place = |error| format!("{}: {error}", path.display());
+    if experiment.variants.is_empty() || experiment.points.is_empty() || experiment.seeds.is_empty()
+    {
+        return Err(place("variants, points and seeds must not be empty".to_owned()));
+    }
+    for variant in &experiment.variants {
+        for point in &experiment.points {
+            experiment.settings(variant, point, experiment.seeds[0]).map_err(place)?;
+        }
+    }
+    Ok(experiment)
+}
+
+/// Runs all cells: the variants one after the other at each seed and point.
+///
+/// The order of the variants turns by one from seed to seed, so that none is always first.
+pub async fn run(experiment: &Experiment, progress: impl Fn(&str)) -> Result<Vec<Cell>, String> {
+    let mut cells = Vec::new();
+    for (turn, seed) in experiment.seeds.iter().enumerate() {
+        for point in &experiment.points {
+            let mut variants: Vec<&Change> = experiment.variants.iter().collect();
+            let first = turn % variants.len();
+            variants.rotate_left(first);
+            for variant in variants {
+                progress(&format!("seed {seed}, {}, {}", point.name, variant.name));
+                let settings = experiment.settings(variant, point, *seed)?;
+                let report = load::run(&settings).await;
+                let (point, variant) = (point.name.clone(), variant.name.clone());
+                cells.push(Cell { point, variant, seed: *seed, report });
+            }
+        }
+    }
+    Ok(cells)
+}
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,3 +1,21 @@
-//! Placeholder of the program until its first version lands.
+//! The program `radish-load`.
 
-fn main() {}
+use std::process::ExitCode;
+
+use load::cli;
+use load::program;
+
+/// The exit code of wrong arguments or settings.
+const USAGE: u8 = 2;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let outcome = match cli::parse(std::env::args_os().skip(1)) {
+        Ok(command) => program::run(command).await,
+        Err(error) => Err(error.to_string()),
+    };
+    outcome.unwrap_or_else(|message| {
+        eprintln!("radish-load: {message}");
+        ExitCode::from(USAGE)
+    })
+}
--- /dev/null
+++ b/crates/load/src/program.rs
@@ -0,0 +1,56 @@
+//! The commands of `radish-load`.
+
+use std::fs;
+use std::process::ExitCode;
+
+use crate::cli;
+use crate::cli::Command;
+use crate::experiment;
+use crate::page;
+use crate::run;
+use crate::settings;
+
+/// The exit code of a run with a wrong answer.
+const WRONG: u8 = 1;
+
+/// Carries out a command; the error is for people.
+pub async fn run(command: Command) -> Result<ExitCode, String> {
+    match command {
+        Command::Help => print!("{}", cli::HELP),
+        Command::Version => println!("radish-load {}", env!("CARGO_PKG_VERSION")),
+        Command::Run(options) => return load(options).await,
+        Command::Experiment(options) => compare(options).await?,
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn load(options: cli::Run) -> Result<ExitCode, String> {
+    let mut settings = settings::read(&options.file)?;
+    settings.rate = options.rate.unwrap_or(settings.rate);
+    settings.seconds = options.seconds.unwrap_or(settings.seconds);
+    settings.seed = options.seed.unwrap_or(settings.seed);
+    settings.check()?;
+    let report = run::run(&settings).await;
+    if options.json {
+        let json = serde_json::to_string_pretty(&report).map_err(|error| error.to_string())?;
+        println!("{json}");
+    } else {
+        print!("{report}");
+    }
+    Ok(if report.wrong > 0 { ExitCode::from(WRONG) } else { ExitCode::SUCCESS })
+}
+
+async fn compare(options: cli::Experiment) -> Result<(), String> {
+    let experiment = experiment::read(&options.file)?;
+    let cells = experiment::run(&experiment, |cell| eprintln!("{cell}")).await?;
+    print!("{}", page::table(&experiment, &cells));
+    let write = |name: &str, text: String| {
+        let path = options.output.join(name);
+        fs::write(&path, text).map_err(|error| format!("{}: {error}", path.display()))
+    };
+    fs::create_dir_all(&options.output)
+        .map_err(|error| format!("{}: {error}", options.output.display()))?;
+    let raw = serde_json::to_string_pretty(&cells).map_err(|error| error.to_string())?;
+    write("raw.json", raw)?;
+    write("report.html", page::html(&experiment, &cells)?)
+}
--- a/crates/stub/src/cli.rs
+++ b/crates/stub/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line of `radish-stub`.
 
 use std::ffi::OsString;
+use std::fmt;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::str::FromStr;
@@ -155,9 +156,9 @@
     /// Takes an option that all have; `false` if it is another.
     fn take(&mut self, option: &str, parser: &mut Parser) -> Result<bool, lexopt::Error> {
         match option {
-            "address" => self.address = Some(value(parser)?),
-            "seed" => self.seed = value(parser)?,
-            "log" => self.format = value(parser)?,
+            "address" => self.address = Some(value(parser, option)?),
+            "seed" => self.seed = value(parser, option)?,
+            "log" => self.format = value(parser, option)?,
             "fault" => self.faults.push(parser.value()?.string()?),
             _ => return Ok(false),
         }
@@ -187,18 +188,18 @@
             "host" => settings.host = name(parser)?,
             "domain" => settings.domain = name(parser)?,
             "base" => settings.base = name(parser)?,
-            "slots" => settings.slots = value(parser)?,
-            "batch" => settings.batch = value(parser)?,
-            "queue" => settings.queue = value(parser)?,
+            "slots" => settings.slots = value(parser, &option)?,
+            "batch" => settings.batch = value(parser, &option)?,
+            "queue" => settings.queue = value(parser, &option)?,
             "store" => settings.store = Some(name(parser)?),
-            "load-ms" => settings.load = millis(parser)?,
+            "load-ms" => settings.load = millis(parser, &option)?,
             "poison" => settings.poison = Some(parser.value()?.string()?),
-            "down-ms" => settings.down = millis(parser)?,
-            "first-ms" => settings.pace.first_ms = value(parser)?,
-            "first-each-ms" => settings.pace.first_each_ms = value(parser)?,
-            "token-ms" => settings.pace.token_ms = value(parser)?,
-            "token-each-ms" => settings.pace.token_each_ms = value(parser)?,
-            "prefix-percent" => settings.pace.prefix_percent = value(parser)?,
+            "down-ms" => settings.down = millis(parser, &option)?,
+            "first-ms" => settings.pace.first_ms = value(parser, &option)?,
+            "first-each-ms" => settings.pace.first_each_ms = value(parser, &option)?,
+            "token-ms" => settings.pace.token_ms = value(parser, &option)?,
+            "token-each-ms" => settings.pace.token_each_ms = value(parser, &option)?,
+            "prefix-percent" => settings.pace.prefix_percent = value(parser, &option)?,
             "ignore-fence" => settings.fenced = false,
             "endpoint-token" => settings.token = Some(name(parser)?),
             _ => return Err(unknown(&option)),
@@ -225,8 +226,8 @@
             "advertise" => settings.advertise = Some(name(parser)?),
             "host" => settings.host = name(parser)?,
             "domain" => settings.domain = name(parser)?,
-            "batch" => settings.batch = value(parser)?,
-            "work-ms" => settings.work = millis(parser)?,
+            "batch" => settings.batch = value(parser, &option)?,
+            "work-ms" => settings.work = millis(parser, &option)?,
             "ignore-fence" => settings.fenced = false,
             "endpoint-token" => settings.token = Some(name(parser)?),
             _ => return Err(unknown(&option)),
@@ -249,11 +250,11 @@
         }
         match option.as_str() {
             "help" => return Ok(Command::Help),
-            "rate" => settings.rate = value(parser)?,
-            "burst" => settings.burst = value(parser)?,
-            "in-flight" => settings.in_flight = value(parser)?,
-            "load-ms" => settings.load = millis(parser)?,
-            "fail-percent" => fail_percent = Some(value(parser)?),
+            "rate" => settings.rate = value(parser, &option)?,
+            "burst" => settings.burst = value(parser, &option)?,
+            "in-flight" => settings.in_flight = value(parser, &option)?,
+            "load-ms" => settings.load = millis(parser, &option)?,
+            "fail-percent" => fail_percent = Some(value(parser, &option)?),
             "refuse" => refuse = true,
             _ => return Err(unknown(&option)),
         }
@@ -271,12 +272,12 @@
         match option.as_str() {
             "help" => return Ok(Command::Help),
             "settings" => proxy.settings = Some(PathBuf::from(parser.value()?)),
-            "listen" => proxy.listen = Some(value(parser)?),
-            "to" => proxy.to = Some(value(parser)?),
-            "control" => proxy.control = Some(value(parser)?),
+            "listen" => proxy.listen = Some(value(parser, &option)?),
+            "to" => proxy.to = Some(value(parser, &option)?),
+            "control" => proxy.control = Some(value(parser, &option)?),
             "udp" => proxy.udp = true,
-            "seed" => proxy.seed = value(parser)?,
-            "log" => proxy.format = value(parser)?,
+            "seed" => proxy.seed = value(parser, &option)?,
+            "log" => proxy.format = value(parser, &option)?,
             _ => return Err(unknown(&option)),
         }
     }
@@ -299,16 +300,18 @@
     lexopt::Error::UnexpectedOption(format!("--{option}"))
 }
 
-fn value<T>(parser: &mut Parser) -> Result<T, lexopt::Error>
+/// Parses the value of an option; the error names the option.
+fn value<T>(parser: &mut Parser, option: &str) -> Result<T, lexopt::Error>
 where
     T: FromStr,
-    T::Err: Into<Box<dyn std::error::Error + Send + Sync + 'static>>,
+    T::Err: fmt::Display,
 {
-    parser.value()?.parse()
+    let text = parser.value()?.string()?;
+    text.parse().map_err(|error| format!("--{option} '{text}': {error}").into())
 }
 
-fn millis(parser: &mut Parser) -> Result<Duration, lexopt::Error> {
-    Ok(Duration::from_millis(value(parser)?))
+fn millis(parser: &mut Parser, option: &str) -> Result<Duration, lexopt::Error> {
+    Ok(Duration::from_millis(value(parser, option)?))
 }
 
 fn name(parser: &mut Parser) -> Result<Name, lexopt::Error> {
--- a/crates/stub/src/engine/generate.rs
+++ b/crates/stub/src/engine/generate.rs
@@ -170,7 +170,10 @@
                 identity.model = run.model.clone().unwrap_or(identity.model);
                 identity.prompt = run.digest;
             }
-            None => identity.request = Name::from(format!("{}-crossed", ask.request)),
+            None => {
+                identity.request = Name::from(format!("{}-crossed", ask.request));
+                identity.prompt = !ask.prompt;
+            }
         }
     }
     identity
--- a/crates/stub/src/proxy/link.rs
+++ b/crates/stub/src/proxy/link.rs
@@ -32,6 +32,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Version {
     pub(crate) number: u64,
+    /// Grows with each change to rules that cut.
+    pub(crate) cuts: u64,
     pub(crate) rules: Rules,
 }
 
@@ -82,6 +84,7 @@
     pub fn set(&self, rules: Rules) {
         self.rules.send_modify(|version| {
             version.number += 1;
+            version.cuts += u64::from(rules.cut);
             version.rules = rules;
         });
     }
@@ -109,6 +112,12 @@
         changes.wait_for(|version| condition(&version.rules)).await.ok();
     }
 
+    /// Waits for a cut behind the one with number `seen`, also if it has ended since.
+    pub(crate) async fn cut(&self, seen: u64) {
+        let mut changes = self.rules.subscribe();
+        changes.wait_for(|version| version.rules.cut || version.cuts > seen).await.ok();
+    }
+
     /// Counts down [`Rules::times`]; `false` if they are used up.
     pub(crate) fn take_cut(&self) -> bool {
         let mut taken = true;
--- a/crates/stub/src/proxy/stream.rs
+++ b/crates/stub/src/proxy/stream.rs
@@ -37,20 +37,21 @@
             continue;
         };
         link.count_connection();
-        tokio::spawn(connection(stream, link.clone()));
+        let cuts = link.version().cuts;
+        tokio::spawn(connection(stream, link.clone(), cuts));
     }
 }
 
-async fn connection(mut client: TcpStream, link: Arc<Link>) {
+async fn connection(mut client: TcpStream, link: Arc<Link>, cuts: u64) {
     client.set_nodelay(true).ok();
     let mut server = tokio::select! {
         server = connect(&mut client, &link) => server,
-        () = link.until(|rules| rules.cut) => None,
+        () = link.cut(cuts) => None,
     };
     if let Some(server) = &mut server {
         let passed = tokio::select! {
             passed = pass(&mut client, server, &link) => passed,
-            () = link.until(|rules| rules.cut) => Err(io::ErrorKind::ConnectionReset.into()),
+            () = link.cut(cuts) => Err(io::ErrorKind::ConnectionReset.into()),
         };
         if passed.is_ok() {
             return;
--- a/crates/stub/src/server.rs
+++ b/crates/stub/src/server.rs
@@ -89,11 +89,14 @@
             reset(&stream);
             continue;
         }
-        tokio::spawn(connection(stream, router.clone(), switch.clone()));
+        // Subscribed before the first byte is read, so that no reset is missed.
+        let resets = switch.state.subscribe();
+        let epoch = resets.borrow().epoch;
+        tokio::spawn(connection(stream, router.clone(), resets, epoch));
     }
 }
 
-async fn connection(stream: TcpStream, router: Router, switch: Switch) {
+async fn connection(stream: TcpStream, router: Router, resets: watch::Receiver<State>, epoch: u64) {
     stream.set_nodelay(true).ok();
     let link = Link::default();
     let abort = Arc::new(AtomicBool::new(false));
@@ -104,18 +107,16 @@
     tokio::pin!(serving);
     tokio::select! {
         _ = &mut serving => return,
-        () = ended(&switch, &link) => {}
+        () = ended(resets, epoch, &link) => {}
         () = link.cut.notified() => {}
     }
     abort.store(true, Ordering::Relaxed);
 }
 
 /// Waits for a reset that is meant for the connection.
-async fn ended(switch: &Switch, link: &Link) {
-    let mut state = switch.state.subscribe();
-    let mut epoch = state.borrow_and_update().epoch;
-    while state.changed().await.is_ok() {
-        let now = state.borrow_and_update().epoch;
+async fn ended(mut resets: watch::Receiver<State>, mut epoch: u64, link: &Link) {
+    while resets.changed().await.is_ok() {
+        let now = resets.borrow_and_update().epoch;
         if now != epoch && !link.kept.load(Ordering::Relaxed) {
             return;
         }
--- a/crates/stub/tests/engine.rs
+++ b/crates/stub/tests/engine.rs
@@ -186,8 +186,10 @@
     until(|| engine.record().totals.begun == 1).await;
     let mut body = ask("a", 4, false);
     body["prompt"] = Value::from("a deadly prompt");
-    assert!(complete(&address, &body).await.is_err());
-    assert!(innocent.await.unwrap().is_err());
+    let poisoned = complete(&address, &body).await.unwrap_err();
+    assert_ne!(poisoned.kind(), std::io::ErrorKind::TimedOut);
+    let innocent = innocent.await.unwrap().unwrap_err();
+    assert_ne!(innocent.kind(), std::io::ErrorKind::TimedOut);
     let record = engine.record();
     assert!(record.generation > generation);
     assert!(record.runs.iter().all(|run| run.end == End::Crashed));
--- a/crates/stub/tests/proxy.rs
+++ b/crates/stub/tests/proxy.rs
@@ -84,6 +84,19 @@
     assert!(fresh.is_err());
 }
 
+#[tokio::test]
+async fn a_cut_that_ends_at_once_still_resets_open_connections() {
+    let (_proxy, link) = link(Rules::default()).await;
+    let mut stream = TcpStream::connect(link.address()).await.unwrap();
+    exchange(&mut stream, b"hello").await.unwrap();
+    link.set(Rules { cut: true, ..Rules::default() });
+    link.set(Rules::default());
+    let error = stream.read_u8().await.unwrap_err();
+    assert_eq!(error.kind(), io::ErrorKind::ConnectionReset);
+    let mut fresh = TcpStream::connect(link.address()).await.unwrap();
+    exchange(&mut fresh, b"hello").await.unwrap();
+}
+
 #[tokio::test]
 async fn dropped_bytes_vanish_and_the_connection_is_reset_when_the_rule_ends() {
     for drop in [Drop::Request, Drop::Answer, Drop::Both] {
