radish-load asks for addresses again when all known ones failed

Cause: with every known address failing, requests went on to be sent to them until the list expired, up to the time that the site had said.

Change: the site is asked again then, at most every 500 ms, and a request waits for that no longer than its deadline. Actions of a run may carry a token.

Conclusion: a list is kept as told, but not against all evidence.

--- a/crates/load/src/directory.rs
+++ b/crates/load/src/directory.rs
@@ -17,6 +17,9 @@
 /// How long a gate may take to answer for addresses.
 const LIMIT: Duration = Duration::from_secs(2);
 
+/// The least time between two questions for addresses.
+const PAUSE: Duration = Duration::from_millis(500);
+
 /// How long an address that failed is left out.
 const AVOID: Duration = Duration::from_secs(1);
 
@@ -36,6 +39,8 @@
     addresses: Vec<Address>,
     /// When `addresses` must not be used any more.
     expires: Instant,
+    /// When the last question for addresses ended; none before the first.
+    asked: Option<Instant>,
     /// When an address that failed may be used again.
     avoided: Map<Name, Instant>,
 }
@@ -47,6 +52,7 @@
             rng: StdRng::seed_from_u64(seed),
             addresses: Vec::new(),
             expires: Instant::now(),
+            asked: None,
             avoided: Map::default(),
         };
         let client = Client::default();
@@ -55,11 +61,14 @@
     }
 
     /// Picks an address by weight; none if no gate tells any.
+    ///
+    /// The addresses are asked for again when they expire, or when all of them failed lately.
     pub async fn pick(&self) -> Option<Name> {
-        if self.expired() {
+        if self.table.lock().must_ask() {
             let _asking = self.asking.lock().await;
-            if self.expired() {
+            if self.table.lock().must_ask() {
                 self.ask().await;
+                self.table.lock().asked = Some(Instant::now());
             }
         }
         self.table.lock().draw()
@@ -78,11 +87,6 @@
         }
     }
 
-    fn expired(&self) -> bool {
-        let table = self.table.lock();
-        table.addresses.is_empty() || Instant::now() >= table.expires
-    }
-
     async fn ask(&self) {
         if self.direct {
             let addresses = self.seeds.iter().cloned();
@@ -123,6 +127,17 @@
 }
 
 impl Table {
+    fn must_ask(&self) -> bool {
+        let now = Instant::now();
+        if self.asked.is_some_and(|asked| now < asked + PAUSE) {
+            return false;
+        }
+        let failed = |address: &Address| {
+            self.avoided.get(&address.address).is_some_and(|until| *until > now)
+        };
+        now >= self.expires || self.addresses.iter().all(failed)
+    }
+
     fn draw(&mut self) -> Option<Name> {
         let now = Instant::now();
         self.avoided.retain(|_, until| *until > now);
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -99,7 +99,10 @@
     let Ok(method) = Method::from_bytes(action.method.as_bytes()) else {
         return Some(format!("{what}: no such method"));
     };
-    match Client::default().send(method, &action.address, &action.path, body, LIMIT).await {
+    match Client::new(action.token.clone())
+        .send(method, &action.address, &action.path, body, LIMIT)
+        .await
+    {
         Ok(answer) if answer.status().is_success() => None,
         Ok(answer) => Some(format!("{what}: {}", answer.status())),
         Err(error) => Some(format!("{what}: {error}")),
--- a/crates/load/src/send.rs
+++ b/crates/load/src/send.rs
@@ -188,7 +188,8 @@
     }
 
     async fn attempt(&self, message: &Message, deadline: Instant) -> End {
-        let Some(address) = self.directory.pick().await else { return End::Unreachable };
+        let picking = tokio::time::timeout_at(deadline, self.directory.pick());
+        let Ok(Some(address)) = picking.await else { return End::Unreachable };
         let left = deadline.saturating_duration_since(Instant::now());
         let mut builder = Request::post(attempt::uri(&address, &message.path));
         builder = builder.header("content-type", "application/json");
--- a/crates/load/src/settings.rs
+++ b/crates/load/src/settings.rs
@@ -142,6 +142,9 @@
     /// The body, where it has one.
     #[serde(default)]
     pub body: Option<Value>,
+    /// What is sent as `Authorization: Bearer`, where the target wants it.
+    #[serde(default)]
+    pub token: Option<Name>,
 }
 
 impl Run {
