radish-load: engines that died or were started anew no longer falsify sums

The engine's record read as empty, so that its former busy time was subtracted.

Change: an engine that misses a reading is left out and the report says how many are; one whose process was started anew counts from 0.

Tests: cargo test -p load, 32 passed; the new ones name both cases.

--- a/crates/load/src/endpoints.rs
+++ b/crates/load/src/endpoints.rs
@@ -10,6 +10,7 @@
 use stub::record::Change;
 use stub::record::End;
 use stub::record::Record;
+use stub::record::Totals;
 use wire::endpoint::Model;
 
 use crate::report::Engines;
@@ -20,26 +21,37 @@
 /// An eviction is regretted if its adapter is loaded again within this time, in milliseconds.
 const REGRET_MS: u64 = 60_000;
 
-/// Reads the records of engines; one that does not answer gives an empty record.
-pub async fn read(engines: &[Name], summary: bool) -> Vec<Record> {
+/// Reads the records of engines; none for one that does not answer.
+pub async fn read(engines: &[Name], summary: bool) -> Vec<Option<Record>> {
     let client = Client::default();
     let path = format!("/control/record?summary={summary}");
     let one = async |engine: &Name| {
         let answer = client.send(Method::GET, engine, &path, "", LIMIT).await;
-        let record = answer.ok().and_then(|answer| serde_json::from_slice(answer.body()).ok());
-        record.unwrap_or_default()
+        answer.ok().and_then(|answer| serde_json::from_slice(answer.body()).ok())
     };
     future::join_all(engines.iter().map(one)).await
 }
 
-/// Sums up what happened between two readings.
-pub fn sum(before: &[Record], after: &[Record], seconds: f64, answered: u64) -> Engines {
+/// Sums up what happened between two readings; engines that missed one of them are left out.
+pub fn sum(
+    before: &[Option<Record>],
+    after: &[Option<Record>],
+    seconds: f64,
+    answered: u64,
+) -> Engines {
     let mut engines = Engines::default();
     let mut full_ms = 0.0;
     let mut run_ms = 0.0;
     let mut loads = 0;
-    for (before, after) in before.iter().zip(after) {
-        let (old, new) = (&before.totals, &after.totals);
+    for pair in before.iter().zip(after) {
+        let (Some(before), Some(after)) = pair else {
+            engines.unread += 1;
+            continue;
+        };
+        let new = &after.totals;
+        // A process that was started anew counts from 0.
+        let anew = new.begun < before.totals.begun;
+        let old = if anew { &Totals::default() } else { &before.totals };
         let busy_ms = new.busy_ms - old.busy_ms;
         engines.busy_seconds += busy_ms / 1_000.0;
         full_ms += busy_ms * f64::from(new.batch);
@@ -47,8 +59,8 @@
         loads += new.loads.saturating_sub(old.loads);
         engines.failed_loads += new.failed_loads.saturating_sub(old.failed_loads);
         engines.evictions += new.unloads.saturating_sub(old.unloads);
-        engines.violations +=
-            (after.violations.len() - before.violations.len().min(after.violations.len())) as u64;
+        let violations = after.violations.len().saturating_sub(before.violations.len());
+        engines.violations += violations as u64;
     }
     engines.fill = if full_ms > 0.0 { run_ms / full_ms } else { 0.0 };
     engines.loads_per_second = loads as f64 / seconds;
@@ -57,8 +69,8 @@
 }
 
 /// Counts the evictions since `since_ms` whose adapter was loaded again within 60 s, anywhere.
-pub fn regretted(records: &[Record], since_ms: u64) -> u64 {
-    let changes = records.iter().flat_map(|record| &record.changes);
+pub fn regretted(records: &[Option<Record>], since_ms: u64) -> u64 {
+    let changes = records.iter().flatten().flat_map(|record| &record.changes);
     let mut loads: Map<&Model, Vec<u64>> = Map::default();
     let mut evictions: Vec<&Change> = Vec::new();
     for change in changes.filter(|change| change.start_ms >= since_ms) {
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -58,6 +58,8 @@
 /// What the engines recorded behind the warm-up.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Engines {
+    /// The engines that are left out because they did not answer for their records.
+    pub unread: u64,
     /// How full batches were while engines were busy, from 0 to 1.
     pub fill: f64,
     /// The time that engines were busy, in seconds.
@@ -151,6 +153,9 @@
 
 impl fmt::Display for Engines {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.unread > 0 {
+            writeln!(f, "engines left out      {} (no answer)", self.unread)?;
+        }
         writeln!(f, "batch fill while busy {:.1}%", self.fill * 100.0)?;
         writeln!(f, "engine-s per answer   {:.3}", self.seconds_per_answer)?;
         writeln!(
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -25,7 +25,7 @@
 /// What the engines had recorded at the end of the warm-up.
 struct Mark {
     at_ms: u64,
-    records: Vec<Record>,
+    records: Vec<Option<Record>>,
 }
 
 /// Sends the requests of a run at their times and reports what became of them.
