Stand-in engine in smaller modules; tests of its queue, silence and reports

Change: what a request asks, its admission and its answer are modules of their own. Plots have no vertical mesh.

--- a/crates/load/src/page.rs
+++ b/crates/load/src/page.rs
@@ -138,7 +138,12 @@
             .y_label_area_size(60)
             .build_cartesian_2d(-0.5..right, 0.0..top)?;
         let label = |x: &f64| point_label(experiment, *x);
-        chart.configure_mesh().x_labels(points * 2 + 1).x_label_formatter(&label).draw()?;
+        chart
+            .configure_mesh()
+            .disable_x_mesh()
+            .x_labels(points * 2 + 1)
+            .x_label_formatter(&label)
+            .draw()?;
         for (index, variant) in experiment.variants.iter().enumerate() {
             let color = Palette99::pick(index).to_rgba();
             let spreads: Vec<Spread> = experiment
--- a/crates/stub/src/engine/generate.rs
+++ b/crates/stub/src/engine/generate.rs
@@ -12,32 +12,26 @@
 use axum::http::StatusCode;
 use axum::response::IntoResponse;
 use axum::response::Response;
-use base::Name;
 use bytes::Bytes;
 use futures::Stream;
 use futures::stream;
 use serde_json::Value;
 use serde_json::json;
-use tokio_util::sync::CancellationToken;
-use wire::endpoint::Model;
 use wire::endpoint::Reason;
 use wire::header;
 
 use crate::answer;
-use crate::engine::batch::Seat;
+use crate::engine::ask::Ask;
+use crate::engine::ask::Identity;
+use crate::engine::ask::Shape;
+use crate::engine::ask::identity;
 use crate::engine::shared::Shared;
+use crate::engine::visit::Work;
+use crate::engine::visit::admit;
 use crate::record::End;
-use crate::record::Start;
 use crate::server::Link;
 use crate::service::number;
 use crate::service::refusal;
-use crate::service::text;
-
-/// The most tokens of an answer.
-const MOST_TOKENS: u64 = 100_000;
-
-/// The priority of a request that states none.
-const PRIORITY: u64 = 5;
 
 pub(crate) async fn completions(
     State(shared): State<Arc<Shared>>,
@@ -57,30 +51,6 @@
     run(shared, link, headers, body, Shape::Chat).await
 }
 
-/// The form of an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Shape {
-    Text,
-    Chat,
-}
-
-/// A request as the engine understands it.
-struct Ask {
-    request: Name,
-    model: Model,
-    prompt: u64,
-    tokens: u32,
-    stream: bool,
-    shape: Shape,
-}
-
-/// Whose answer is given; another's if a fault wants it.
-struct Identity {
-    request: Name,
-    model: Model,
-    prompt: u64,
-}
-
 async fn run(
     shared: Arc<Shared>,
     link: Link,
@@ -119,147 +89,6 @@
     !text.is_empty() && body.windows(text.len()).any(|window| window == text.as_bytes())
 }
 
-/// Admits a request: fencing number, loaded adapter, a seat in the batch.
-async fn admit(
-    shared: &Arc<Shared>,
-    ask: &Ask,
-    headers: &HeaderMap,
-    fence: u64,
-) -> Result<Work, Reason> {
-    if shared.injector.faults().refuse {
-        return Err(Reason::Busy);
-    }
-    if headers.contains_key(header::FENCE) {
-        shared.check_fence(fence, "request")?;
-    }
-    let visit = Visit::begin(shared, ask)?;
-    let priority =
-        text(headers, header::PRIORITY).map_or(PRIORITY, |_| number(headers, header::PRIORITY));
-    let seat = tokio::select! {
-        seat = shared.batch.seat(priority) => seat,
-        () = visit.cancel.cancelled() => None,
-    };
-    let Some(seat) = seat else {
-        shared.table.lock().book.totals().busy += 1;
-        return Err(Reason::Busy);
-    };
-    let start = Start {
-        request: ask.request.clone(),
-        model: Some(ask.model.clone()),
-        key: text(headers, header::IDEMPOTENCY_KEY),
-        digest: ask.prompt,
-        fence,
-    };
-    let run = shared.table.lock().book.begin(start);
-    Ok(Work { run, end: End::Cancelled, _seat: seat, visit })
-}
-
-/// Chooses whose answer is given.
-fn identity(shared: &Shared, ask: &Ask) -> Identity {
-    let mut identity =
-        Identity { request: ask.request.clone(), model: ask.model.clone(), prompt: ask.prompt };
-    if shared.injector.strikes(|faults| faults.wrong_version_percent) {
-        identity.model.version = Name::from(format!("{}-wrong", identity.model.version));
-    }
-    if shared.injector.strikes(|faults| faults.crossed_percent) {
-        let table = shared.table.lock();
-        let other = table.book.live().find(|run| run.request != ask.request);
-        match other {
-            Some(run) => {
-                identity.request = run.request.clone();
-                identity.model = run.model.clone().unwrap_or(identity.model);
-                identity.prompt = run.digest;
-            }
-            None => {
-                identity.request = Name::from(format!("{}-crossed", ask.request));
-                identity.prompt = !ask.prompt;
-            }
-        }
-    }
-    identity
-}
-
-impl Ask {
-    fn new(headers: &HeaderMap, body: &Value, shape: Shape) -> Option<Ask> {
-        let (adapter, version) = body.get("model")?.as_str()?.split_once('@')?;
-        let model = Model { adapter: Name::from(adapter), version: Name::from(version) };
-        let tokens = body.get("max_tokens").and_then(Value::as_u64);
-        let tokens = tokens.unwrap_or(u64::from(answer::DEFAULT_TOKENS)).clamp(1, MOST_TOKENS);
-        Some(Ask {
-            request: text(headers, header::REQUEST).unwrap_or_default(),
-            model,
-            prompt: answer::prompt_digest(body),
-            tokens: u32::try_from(tokens).ok()?,
-            stream: body.get("stream").and_then(Value::as_bool).unwrap_or(false),
-            shape,
-        })
-    }
-}
-
-/// A request's hold on its adapter while it waits or runs; let go when dropped.
-struct Visit {
-    shared: Arc<Shared>,
-    request: Name,
-    model: Model,
-    generation: u64,
-    arrival: u64,
-    cancel: CancellationToken,
-}
-
-impl Visit {
-    fn begin(shared: &Arc<Shared>, ask: &Ask) -> Result<Visit, Reason> {
-        let mut table = shared.table.lock();
-        match table.slots.get_mut(&ask.model) {
-            Some(slot) if slot.loaded => slot.users += 1,
-            _ => {
-                table.book.totals().not_loaded += 1;
-                return Err(Reason::NotLoaded);
-            }
-        }
-        table.arrivals += 1;
-        let arrival = table.arrivals;
-        let cancel = CancellationToken::new();
-        table.cancels.insert(ask.request.clone(), (arrival, cancel.clone()));
-        Ok(Visit {
-            shared: shared.clone(),
-            request: ask.request.clone(),
-            model: ask.model.clone(),
-            generation: table.book.generation(),
-            arrival,
-            cancel,
-        })
-    }
-}
-
-impl Drop for Visit {
-    fn drop(&mut self) {
-        let mut table = self.shared.table.lock();
-        if table.book.generation() != self.generation {
-            return;
-        }
-        if let Some(slot) = table.slots.get_mut(&self.model) {
-            slot.users -= 1;
-        }
-        if table.cancels.get(&self.request).is_some_and(|(arrival, _)| *arrival == self.arrival) {
-            table.cancels.remove(&self.request);
-        }
-    }
-}
-
-/// A request in the batch; its end is recorded when dropped.
-struct Work {
-    run: u64,
-    end: End,
-    _seat: Seat,
-    visit: Visit,
-}
-
-impl Drop for Work {
-    fn drop(&mut self) {
-        self.visit.shared.table.lock().book.end(self.run, self.end);
-    }
-}
-
 /// An answer in the making.
 struct Answer {
     work: Work,
--- a/crates/stub/src/engine/mod.rs
+++ b/crates/stub/src/engine/mod.rs
@@ -1,11 +1,13 @@
 //! A stand-in for a model engine: batches, adapter slots, orders, recorded runs.
 
+mod ask;
 mod batch;
 mod control;
 mod generate;
 mod order;
 mod prefix;
 mod shared;
+mod visit;
 
 use std::io;
 use std::net::SocketAddr;
--- a/crates/stub/tests/engine.rs
+++ b/crates/stub/tests/engine.rs
@@ -222,3 +222,85 @@
     let crossed = complete(&address, &ask("a", 4, false)).await.unwrap();
     assert_eq!(crossed.headers()["x-request-id"], "-crossed");
 }
+
+/// Sends a completion with an id and a priority and returns its status.
+async fn prioritised(address: String, id: &'static str, priority: u8, tokens: u32) -> u16 {
+    let pool = hyper_util::client::legacy::Client::builder(hyper_util::rt::TokioExecutor::new())
+        .build_http();
+    let body = http_body_util::Full::new(bytes::Bytes::from(ask("a", tokens, false).to_string()));
+    let request = hyper::Request::post(format!("http://{address}/v1/completions"))
+        .header("x-request-id", id)
+        .header("x-priority", u16::from(priority))
+        .body(body)
+        .unwrap();
+    pool.request(request).await.unwrap().status().as_u16()
+}
+
+#[tokio::test]
+async fn a_full_batch_queues_by_priority_and_refuses_beyond_its_queue() {
+    let (engine, address) = engine(Settings { batch: 1, queue: 2, ..fast() }).await;
+    order(&address, "1", 1, Action::Load(model("a"))).await.unwrap();
+    let first = tokio::spawn(prioritised(address.clone(), "first", 5, 100));
+    until(|| engine.record().totals.begun == 1).await;
+    let waiting = async |count: u64| {
+        loop {
+            let client = Client::default();
+            let answer = client.send(Method::GET, &address, "/v1/state", "", LIMIT).await.unwrap();
+            let state: Value = serde_json::from_slice(answer.body()).unwrap();
+            if state["waiting"] == count {
+                return;
+            }
+        }
+    };
+    let low = tokio::spawn(prioritised(address.clone(), "low", 1, 2));
+    waiting(1).await;
+    let high = tokio::spawn(prioritised(address.clone(), "high", 9, 2));
+    waiting(2).await;
+    assert_eq!(prioritised(address.clone(), "beyond", 9, 2).await, 409);
+    for request in [first, low, high] {
+        assert_eq!(request.await.unwrap(), 200);
+    }
+    let record = engine.record();
+    let order: Vec<&str> = record.runs.iter().map(|run| run.request.as_str()).collect();
+    assert_eq!(order, ["first", "high", "low"]);
+    assert_eq!(record.totals.busy, 1);
+}
+
+#[tokio::test]
+async fn a_deaf_engine_answers_control_alone_and_a_hanging_one_keeps_the_request() {
+    let (engine, address) = engine(fast()).await;
+    order(&address, "1", 1, Action::Load(model("a"))).await.unwrap();
+    let client = Client::default();
+    let short = Duration::from_millis(100);
+    engine.set_faults(Faults { hang_percent: 100, ..Faults::default() });
+    let body = ask("a", 2, false).to_string();
+    let hung = client.send(Method::POST, &address, "/v1/completions", body, short).await;
+    assert_eq!(hung.unwrap_err().kind(), std::io::ErrorKind::TimedOut);
+    assert_eq!(engine.record().totals.begun, 1);
+    engine.set_faults(Faults { deaf: true, ..Faults::default() });
+    let deaf = client.send(Method::GET, &address, "/v1/state", "", short).await;
+    assert_eq!(deaf.unwrap_err().kind(), std::io::ErrorKind::TimedOut);
+    let answer = client.send(Method::POST, &address, "/control/faults", "{}", LIMIT).await.unwrap();
+    assert_eq!(answer.status(), 200);
+    assert_eq!(
+        client.send(Method::GET, &address, "/v1/state", "", LIMIT).await.unwrap().status(),
+        200
+    );
+}
+
+#[tokio::test]
+async fn a_repeated_prefix_shortens_the_time_to_the_first_token() {
+    let mut settings = fast();
+    settings.pace.first_ms = 100.0;
+    settings.pace.prefix_percent = 10;
+    let (_engine, address) = engine(settings).await;
+    order(&address, "1", 1, Action::Load(model("a"))).await.unwrap();
+    let mut times = Vec::new();
+    for _ in 0..2 {
+        let start = tokio::time::Instant::now();
+        complete(&address, &ask("a", 1, false)).await.unwrap();
+        times.push(start.elapsed());
+    }
+    assert!(times[0] >= Duration::from_millis(100), "{times:?}");
+    assert!(times[1] < times[0], "{times:?}");
+}
--- a/crates/stub/tests/service.rs
+++ b/crates/stub/tests/service.rs
@@ -9,17 +9,22 @@
 use base::Name;
 use hyper::Method;
 use parking_lot::Mutex;
+use stub::Engine;
 use stub::Faults;
 use stub::Service;
 use stub::Store;
 use stub::client::Client;
+use stub::engine;
 use stub::record::End;
 use stub::record::Offence;
 use stub::service;
 use stub::store;
 use tokio::net::TcpListener;
+use wire::endpoint::Action;
 use wire::endpoint::Announced;
 use wire::endpoint::Announcement;
+use wire::endpoint::Model;
+use wire::endpoint::Order;
 
 const LIMIT: Duration = Duration::from_secs(10);
 
@@ -113,6 +118,48 @@
     assert_eq!(&*seen[0].1.endpoint.address, service.address().to_string());
 }
 
+#[tokio::test]
+async fn reports_come_late_with_gaps_or_not_at_all() {
+    let seen: Seen = Arc::default();
+    let announce = vec![gate(seen.clone(), "gate", Vec::new()).await];
+    let load = Duration::ZERO;
+    let settings = engine::Settings { announce, load, ..engine::Settings::default() };
+    let engine = Engine::start(listener().await, settings).unwrap();
+    let model = Model { adapter: Name::from("a"), version: Name::from("v1") };
+    let action = Action::Load(model.clone());
+    let body = serde_json::to_vec(&Order { id: Name::from("1"), fence: 1, action }).unwrap();
+    let address = engine.address().to_string();
+    let client = Client::default();
+    assert!(client.send(Method::POST, &address, "/v1/orders", body, LIMIT).await.is_ok());
+    let next = async || {
+        seen.lock().clear();
+        // The first may have been on its way before.
+        while seen.lock().len() < 2 {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        let last = seen.lock().last().cloned();
+        last.unwrap().1
+    };
+    assert_eq!(next().await.state.loaded, [model]);
+    engine.set_faults(Faults { report_gap_percent: 100, ..Faults::default() });
+    assert!(next().await.state.loaded.is_empty());
+    engine.set_faults(Faults { report_lag_ms: 600_000, ..Faults::default() });
+    assert!(next().await.state.loaded.is_empty());
+    engine.set_faults(Faults::default());
+    engine.leave().await;
+    let last = next().await;
+    assert!(last.leaving);
+    engine.set_faults(Faults { silent: true, ..Faults::default() });
+    let silence = async {
+        seen.lock().push(("", last.clone()));
+        while !seen.lock().is_empty() {
+            seen.lock().clear();
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, silence).await.unwrap();
+}
+
 type Seen = Arc<Mutex<Vec<(&'static str, Announcement)>>>;
 
 async fn gate(seen: Seen, name: &'static str, addresses: Vec<Name>) -> Name {
