route, place: loads join the fullest batch; a limit to stalls; trials

Change: of the first few engines by rendezvous hash the fullest one loads an adapter (two to four, by the site's weight), and a gate takes the slot whose regret and emptiness cost least; place::admit refuses requests that need one more load once the oldest has waited for placement.stall_limit_ms; half_life_ms is 120 s and spare_slots 0 by default.

--- a/crates/conf/src/config.rs
+++ b/crates/conf/src/config.rs
@@ -152,17 +152,22 @@
     /// The weights of placement.
     Placement {
         /// The half-life of an adapter's popularity, in milliseconds.
-        half_life_ms: u64 = 300_000,
-        /// The slots of each engine kept for adapters that are asked for once.
-        spare_slots: u32 = 1,
+        half_life_ms: u64 = 120_000,
+        /// The slots of each engine to which adapters asked for once are confined while others are
+        /// more popular; 0 leaves the choice to the popularity of what is evicted.
+        spare_slots: u32 = 0,
         /// The share of a batch, in percent, from which a second copy of an adapter is worth a load.
         full_percent: u32 = 90,
+        /// The wait for loads, in milliseconds, from which requests for further adapters that are not
+        /// loaded are refused at once; 0 for no limit but their deadlines.
+        stall_limit_ms: u64 = 4_000,
         /// The policy of routing and placement: `worth`, or for experiments the baselines `least_lru`
         /// (least in flight, oldest load first, least recently used evicted) and `random_lru`
         /// (random engine, the rest as before).
         policy: Scheme = Scheme::Worth,
         /// The parts of the policy `worth` that are turned off, for experiments: `fill`, `affinity`,
-        /// `worth`, `aging`, `popularity`, `spare_slots`, `copies`, `reload`, `prefetch`.
+        /// `worth`, `aging`, `popularity`, `spare_slots`, `copies`, `reload`, `prefetch`,
+        /// `stall_limit`.
         off: Vec<Part> = Vec::new(),
     }
 }
@@ -202,6 +207,8 @@
     Reload,
     /// Loads of adapters that wake.
     Prefetch,
+    /// Refusals at once while loads take too long.
+    StallLimit,
 }
 
 section! {
--- /dev/null
+++ b/crates/place/examples/cost.rs
@@ -0,0 +1,166 @@
+//! Measures what the decisions cost as engines and adapters grow.
+//!
+//! `cargo run --release -p place --example cost`
+
+use std::hint::black_box;
+use std::mem;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::Map;
+use base::Name;
+use place::Backoff;
+use place::Engine;
+use place::Held;
+use place::Policy;
+use place::Popularity;
+use place::Tables;
+use place::Waiting;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use route::Ask;
+use route::Candidate;
+use route::Holding;
+use wire::endpoint::Model;
+
+const ENGINES: [usize; 6] = [10, 20, 50, 100, 200, 400];
+const ADAPTERS: [usize; 4] = [1_000, 10_000, 50_000, 170_000];
+const WAITING: [usize; 4] = [1, 10, 100, 1_000];
+const SLOTS: usize = 6;
+const NOW: Duration = Duration::from_secs(1_000);
+/// How long each case is repeated at least.
+const REPEAT: Duration = Duration::from_millis(200);
+
+fn main() {
+    println!("route::choose, ns a call; the adapter is held by one engine, or by none");
+    println!("engines  held  absent");
+    for engines in ENGINES {
+        println!("{engines:7} {:5.0} {:7.0}", choose(engines, true), choose(engines, false));
+    }
+    println!("\nplace::next, ns a call, with the number of waiting adapters");
+    println!("engines {}", WAITING.map(|waiting| format!("{waiting:>9}")).concat());
+    for engines in ENGINES {
+        let cells = WAITING.map(|waiting| format!("{:9.0}", next(engines, waiting)));
+        println!("{engines:7} {}", cells.concat());
+    }
+    println!("\nplace::Popularity, Zipf 1.1");
+    println!("adapters  hit ns  value ns  bytes an adapter");
+    for adapters in ADAPTERS {
+        let (hit, value) = popularity(adapters);
+        println!("{adapters:8} {hit:7.0} {value:9.0} {:17}", entry_bytes());
+    }
+}
+
+/// The mean time of a call in nanoseconds.
+fn time(mut call: impl FnMut(usize)) -> f64 {
+    let start = Instant::now();
+    let mut calls = 0;
+    while start.elapsed() < REPEAT {
+        (calls..calls + 64).for_each(&mut call);
+        calls += 64;
+    }
+    start.elapsed().as_nanos() as f64 / calls as f64
+}
+
+fn model(number: usize) -> Model {
+    Model { adapter: Name::from(format!("adapter-{number:06}")), version: Name::from("1") }
+}
+
+fn choose(engines: usize, held: bool) -> f64 {
+    let names: Vec<Name> = (0..engines).map(|number| Name::from(format!("e{number:03}"))).collect();
+    let gate = Name::from("gate");
+    let models: Vec<Model> = (0..256).map(model).collect();
+    let mut random = StdRng::seed_from_u64(1);
+    let loads: Vec<u32> = (0..engines).map(|_| random.random_range(0..8)).collect();
+    time(|call| {
+        let ask = Ask::new(Some(&models[call % models.len()]), Duration::from_secs(10));
+        let candidates = names.iter().enumerate().map(|(number, endpoint)| Candidate {
+            endpoint,
+            gate: &gate,
+            own: number % 5 == 0,
+            ready: true,
+            holding: if held && number == call % engines {
+                Holding::Loaded
+            } else {
+                Holding::Absent
+            },
+            in_flight: loads[number],
+            waiting: 0,
+            batch: 8,
+            free_slots: 0,
+            prefix_hit: false,
+        });
+        black_box(route::choose(&ask, candidates).is_ok());
+    })
+}
+
+fn next(engines: usize, waiting: usize) -> f64 {
+    let mut popularity = Popularity::new(Duration::from_secs(120), 170_000);
+    let engines: Vec<Engine> = (0..engines).map(|number| engine(number, &mut popularity)).collect();
+    let waiting: Vec<Waiting> = (0..waiting)
+        .map(|number| Waiting {
+            model: model(100_000 + number),
+            requests: 1,
+            weight: Waiting::weight(5),
+            oldest: NOW - Duration::from_millis(number as u64),
+            deadline: NOW + Duration::from_secs(10),
+        })
+        .collect();
+    let (exceptions, backoff, policy) = (Map::default(), Backoff::default(), Policy::default());
+    let tables = Tables {
+        engines: &engines,
+        waiting: &waiting,
+        popularity: &popularity,
+        exceptions: &exceptions,
+        backoff: &backoff,
+        policy: &policy,
+        elsewhere: &|_| false,
+        spare: false,
+    };
+    time(|_| {
+        black_box(place::next(&tables, NOW));
+    })
+}
+
+fn engine(number: usize, popularity: &mut Popularity) -> Engine {
+    let held = (0..SLOTS).map(|slot| {
+        let model = model(number * SLOTS + slot);
+        popularity.hit(&model, NOW);
+        Held { model, in_use: 0, loading: false, used: NOW }
+    });
+    Engine {
+        name: Name::from(format!("e{number:03}")),
+        ready: true,
+        slots: SLOTS as u32,
+        batch: 8,
+        in_flight: (number % 8) as u32,
+        held: held.collect(),
+    }
+}
+
+fn popularity(adapters: usize) -> (f64, f64) {
+    let models: Vec<Model> = (0..adapters).map(model).collect();
+    let mut popularity = Popularity::new(Duration::from_secs(120), adapters);
+    let mut random = StdRng::seed_from_u64(1);
+    let draws: Vec<usize> = (0..65_536)
+        .map(|_| {
+            let uniform: f64 = random.random_range(f64::EPSILON..1.0);
+            (uniform.powf(-10.0) as usize).min(adapters) - 1
+        })
+        .collect();
+    models.iter().for_each(|model| popularity.hit(model, NOW));
+    let hit = time(|call| {
+        let now = NOW + Duration::from_micros(call as u64);
+        popularity.hit(&models[draws[call % draws.len()]], now);
+    });
+    let value = time(|call| {
+        black_box(popularity.value(&models[draws[call % draws.len()]], NOW));
+    });
+    (hit, value)
+}
+
+/// The bytes of an adapter's entry in a table that is filled by 7 of 8, names shared.
+fn entry_bytes() -> usize {
+    (mem::size_of::<(Model, f64)>() + 1) * 8 / 7
+}
--- /dev/null
+++ b/crates/place/examples/model/run.rs
@@ -0,0 +1,393 @@
+//! One run of the model: a loop over milliseconds.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use base::Map;
+use base::Name;
+use conf::section::Placement;
+use place::Backoff;
+use place::Engine;
+use place::Entry;
+use place::Held;
+use place::Plan;
+use place::Policy;
+use place::Popularity;
+use place::Queue;
+use place::Tables;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use route::Ask;
+use route::Candidate;
+use route::Holding;
+use route::Pace;
+use state::view::Exception;
+use wire::endpoint::Model;
+
+use crate::Trial;
+use crate::site;
+use crate::site::Site;
+use crate::stats::Stats;
+
+/// The requests that may wait for one adapter.
+const QUEUE_LIMIT: u32 = 64;
+/// The idle time of the store after which permits are spare, in milliseconds.
+const SPARE_AFTER_MS: u64 = 1_000;
+/// The rank from which an adapter counts as asked for once.
+const COLD_RANK: usize = 300;
+/// The time within which the reload of an evicted adapter is regretted, in milliseconds.
+const REGRET_MS: u64 = 60_000;
+
+/// The time between restarts of engines, in milliseconds.
+const RESTART_MS: u64 = 60_000;
+
+/// A request that waits.
+#[derive(Clone, Copy)]
+struct Ticket {
+    stalled: bool,
+    cold: bool,
+}
+
+/// A gate with the engines that it owns.
+struct Gate {
+    name: Name,
+    engines: Vec<Engine>,
+    queue: Queue<Model, Ticket>,
+    popularity: Popularity,
+    backoff: Backoff,
+    waiting: u32,
+}
+
+/// A load in progress.
+struct Load {
+    gate: usize,
+    engine: usize,
+    model: Model,
+    left_ms: f64,
+}
+
+struct Run<'a> {
+    site: &'a Site,
+    settings: &'a Placement,
+    policy: Policy,
+    exceptions: Map<Name, Exception>,
+    gates: Vec<Gate>,
+    models: Vec<Model>,
+    loads: Vec<Load>,
+    /// When requests end, at which gate and engine, on which model.
+    ends: BinaryHeap<Reverse<(u64, usize, usize, Model)>>,
+    evicted: Map<Model, u64>,
+    /// Load permits of the store.
+    permits: f64,
+    idle_ms: u64,
+    now_ms: u64,
+    random: StdRng,
+    stats: Stats,
+    counting: bool,
+}
+
+/// Runs a site at a share of its capacity for loads.
+pub(crate) fn run(site: &Site, settings: &Placement, load: f64, seed: u64, trial: &Trial) -> Stats {
+    let mut run = Run::new(site, settings, seed);
+    let weights = site.weights();
+    let cumulated: Vec<f64> = weights
+        .iter()
+        .scan(0.0, |sum, weight| {
+            *sum += weight;
+            Some(*sum)
+        })
+        .collect();
+    let rate = site.load_capacity() * load / 1_000.0;
+    let end_ms = trial.minutes * 60_000;
+    let mut arrival = 0.0;
+    while run.now_ms < end_ms {
+        run.counting = run.now_ms >= end_ms / 4;
+        if trial.restart && run.now_ms.is_multiple_of(RESTART_MS) {
+            run.restart();
+        }
+        run.end_requests();
+        run.progress_loads();
+        while arrival <= run.now_ms as f64 {
+            let draw: f64 = run.random.random();
+            let rank = cumulated.partition_point(|sum| *sum < draw).min(site::ADAPTERS - 1);
+            let flipped = trial.flip && run.now_ms >= end_ms / 2;
+            run.arrive(
+                if flipped { (rank + site::ADAPTERS / 2) % site::ADAPTERS } else { rank },
+                rank,
+            );
+            arrival += -(1.0 - run.random.random::<f64>()).ln() / rate;
+        }
+        run.expire();
+        run.dispatch();
+        run.permit();
+        run.count();
+        run.now_ms += 1;
+    }
+    run.stats
+}
+
+impl<'a> Run<'a> {
+    fn new(site: &'a Site, settings: &'a Placement, seed: u64) -> Run<'a> {
+        let policy = Policy::new(settings, site.stall_weight);
+        let half_life = Duration::from_millis(settings.half_life_ms);
+        let gates = (0..site.gates).map(|gate| Gate {
+            name: Name::from(format!("g{gate}")),
+            engines: (gate..site.engines).step_by(site.gates).map(engine).collect(),
+            queue: Queue::default(),
+            popularity: Popularity::new(half_life, site::ADAPTERS),
+            backoff: Backoff::default(),
+            waiting: 0,
+        });
+        let models = (0..site::ADAPTERS).map(|adapter| Model {
+            adapter: Name::from(format!("a{adapter}")),
+            version: Name::from("1"),
+        });
+        Run {
+            site,
+            settings,
+            policy,
+            exceptions: Map::default(),
+            gates: gates.collect(),
+            models: models.collect(),
+            loads: Vec::new(),
+            ends: BinaryHeap::new(),
+            evicted: Map::default(),
+            permits: 0.0,
+            idle_ms: 0,
+            now_ms: 0,
+            random: StdRng::seed_from_u64(seed),
+            stats: Stats::default(),
+            counting: false,
+        }
+    }
+
+    fn now(&self) -> Duration {
+        Duration::from_millis(self.now_ms)
+    }
+
+    /// Restarts an engine: it holds nothing, and what it ran is lost.
+    fn restart(&mut self) {
+        let gate = self.random.random_range(0..self.gates.len());
+        let engine = self.random.random_range(0..self.gates[gate].engines.len());
+        let restarted = &mut self.gates[gate].engines[engine];
+        restarted.held.clear();
+        restarted.in_flight = 0;
+        self.ends.retain(|Reverse((_, at, number, _))| (*at, *number) != (gate, engine));
+        self.loads.retain(|load| (load.gate, load.engine) != (gate, engine));
+    }
+
+    fn end_requests(&mut self) {
+        while self.ends.peek().is_some_and(|Reverse((at, ..))| *at <= self.now_ms) {
+            let Some(Reverse((_, gate, engine, model))) = self.ends.pop() else { break };
+            let engine = &mut self.gates[gate].engines[engine];
+            engine.in_flight -= 1;
+            if let Some(held) = engine.held.iter_mut().find(|held| held.model == model) {
+                held.in_use -= 1;
+            }
+        }
+    }
+
+    fn progress_loads(&mut self) {
+        let speed = (site::FULL_SPEED_LOADS as f64 / self.loads.len().max(1) as f64).min(1.0);
+        self.loads.iter_mut().for_each(|load| load.left_ms -= speed);
+        let gates = &mut self.gates;
+        self.loads.retain(|load| {
+            if load.left_ms > 0.0 {
+                return true;
+            }
+            let held = &mut gates[load.gate].engines[load.engine].held;
+            if let Some(held) = held.iter_mut().find(|held| held.model == load.model) {
+                held.loading = false;
+            }
+            false
+        });
+    }
+
+    fn arrive(&mut self, adapter: usize, rank: usize) {
+        let model = self.models[adapter].clone();
+        let cold = rank >= COLD_RANK;
+        if self.counting && cold {
+            self.stats.cold += 1;
+        }
+        let pace = Pace { service: Duration::from_secs(2), load: site::LOAD };
+        let ask =
+            Ask { pace, seed: self.random.random(), ..Ask::new(Some(&model), site::DEADLINE) };
+        let ask = ask.configured(self.settings, self.site.stall_weight);
+        let Ok(choice) = route::choose(&ask, candidates(&self.gates, &model)) else {
+            return self.refuse(cold);
+        };
+        let now = self.now();
+        let Some(gate) = self.gates.iter_mut().find(|gate| gate.name == choice.gate) else {
+            return;
+        };
+        gate.popularity.hit(&model, now);
+        if place::admit(&model, &gate.engines, &gate.queue, &self.policy, now).is_err() {
+            return self.refuse(cold);
+        }
+        let loaded = |engine: &Engine| engine.find(&model).is_some_and(|held| !held.loading);
+        let stalled = !gate.engines.iter().any(loaded);
+        let entry = Entry {
+            key: model.clone(),
+            caller: Name::default(),
+            priority: 5,
+            arrived: now,
+            deadline: now + site::DEADLINE,
+            cost: 1,
+            ticket: Ticket { stalled, cold },
+        };
+        match gate.queue.push(entry, QUEUE_LIMIT) {
+            Ok(_) => gate.waiting += 1,
+            Err(_) => self.refuse(cold),
+        }
+    }
+
+    fn refuse(&mut self, cold: bool) {
+        if self.counting {
+            self.stats.refused += 1;
+            self.stats.refused_cold += u64::from(cold);
+        }
+    }
+
+    fn expire(&mut self) {
+        let now = self.now();
+        for gate in 0..self.gates.len() {
+            while let Some(entry) = self.gates[gate].queue.expire(now) {
+                self.gates[gate].waiting -= 1;
+                self.refuse(entry.ticket.cold);
+            }
+        }
+    }
+
+    fn dispatch(&mut self) {
+        let now = self.now();
+        for (index, gate) in self.gates.iter_mut().enumerate() {
+            for number in 0..gate.engines.len() {
+                while gate.engines[number].in_flight < site::BATCH && !gate.queue.is_empty() {
+                    let engine = &mut gate.engines[number];
+                    let loaded = engine.held.iter().filter(|held| !held.loading);
+                    let keys = loaded.map(|held| &held.model);
+                    let Some(entry) = gate.queue.pop(keys, now) else { break };
+                    gate.waiting -= 1;
+                    engine.in_flight += 1;
+                    let held = engine.held.iter_mut().find(|held| held.model == entry.key);
+                    let Some(held) = held else { break };
+                    held.in_use += 1;
+                    held.used = now;
+                    let tokens = self.random.random_range(site::TOKENS / 2..site::TOKENS * 3 / 2);
+                    let end = self.now_ms + site::service_ms(tokens, engine.in_flight);
+                    self.ends.push(Reverse((end, index, number, entry.key)));
+                    if self.counting {
+                        let wait = (now - entry.arrived).as_millis() as u64;
+                        self.stats.stalls.push(if entry.ticket.stalled { wait } else { 0 });
+                    }
+                }
+            }
+        }
+    }
+
+    /// Spends a permit on the load that is worth most to any gate.
+    fn permit(&mut self) {
+        self.permits = (self.permits + self.site.loads_per_second / 1_000.0).min(1.0);
+        if self.permits < 1.0 {
+            return;
+        }
+        self.idle_ms += 1;
+        let spare = self.idle_ms >= SPARE_AFTER_MS;
+        let plans = (0..self.gates.len()).filter_map(|gate| Some((gate, self.plan(gate, spare)?)));
+        let Some((gate, plan)) = plans.max_by_key(|(_, plan)| plan.worth) else { return };
+        self.permits -= 1.0;
+        if matches!(plan.reason, place::Reason::Waiting | place::Reason::Copy) {
+            self.idle_ms = 0;
+        }
+        self.load(gate, plan);
+    }
+
+    fn plan(&self, gate: usize, spare: bool) -> Option<Plan> {
+        let others = &self.gates;
+        let gate = &self.gates[gate];
+        let elsewhere = |model: &Model| {
+            let engines = others.iter().flat_map(|gate| &gate.engines);
+            engines.filter(|engine| engine.find(model).is_some()).count() > 0
+        };
+        let waiting = gate.queue.waiting();
+        let tables = Tables {
+            engines: &gate.engines,
+            waiting: &waiting,
+            popularity: &gate.popularity,
+            exceptions: &self.exceptions,
+            backoff: &gate.backoff,
+            policy: &self.policy,
+            elsewhere: &elsewhere,
+            spare,
+        };
+        place::next(&tables, self.now())
+    }
+
+    fn load(&mut self, gate: usize, plan: Plan) {
+        let now = self.now();
+        let engines = &mut self.gates[gate].engines;
+        let Some(engine) = engines.iter().position(|engine| engine.name == plan.endpoint) else {
+            return;
+        };
+        if let Some(model) = plan.evict {
+            engines[engine].held.retain(|held| held.model != model);
+            self.evicted.insert(model, self.now_ms);
+        }
+        let model = plan.load;
+        let held = Held { model: model.clone(), in_use: 0, loading: true, used: now };
+        engines[engine].held.push(held);
+        if self.counting {
+            self.stats.loads += 1;
+            let evicted = self.evicted.get(&model);
+            let regretted = evicted.is_some_and(|at| self.now_ms - at < REGRET_MS);
+            self.stats.regretted += u64::from(regretted);
+        }
+        let left_ms = site::LOAD.as_millis() as f64;
+        self.loads.push(Load { gate, engine, model, left_ms });
+    }
+
+    fn count(&mut self) {
+        if !self.counting {
+            return;
+        }
+        self.stats.elapsed_ms += 1;
+        for engine in self.gates.iter().flat_map(|gate| &gate.engines) {
+            self.stats.busy_ms += u64::from(engine.in_flight > 0);
+            self.stats.batch_ms += u64::from(engine.in_flight);
+        }
+    }
+}
+
+fn engine(number: usize) -> Engine {
+    Engine {
+        name: Name::from(format!("e{number:02}")),
+        ready: true,
+        slots: site::SLOTS,
+        batch: site::BATCH,
+        in_flight: 0,
+        held: Vec::new(),
+    }
+}
+
+fn candidates<'a>(gates: &'a [Gate], model: &'a Model) -> impl Iterator<Item = Candidate<'a>> {
+    gates.iter().flat_map(move |gate| {
+        gate.engines.iter().map(move |engine| Candidate {
+            endpoint: &engine.name,
+            gate: &gate.name,
+            own: false,
+            ready: true,
+            holding: match engine.find(model) {
+                Some(held) if held.loading => Holding::Loading,
+                Some(_) => Holding::Loaded,
+                None => Holding::Absent,
+            },
+            in_flight: engine.in_flight,
+            waiting: gate.waiting / gate.engines.len().max(1) as u32,
+            batch: engine.batch,
+            free_slots: engine.free(),
+            prefix_hit: false,
+        })
+    })
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -3,6 +3,7 @@
 //! All is pure: times are [`Duration`](std::time::Duration)s since any fixed point on the clock of
 //! the gate, the tables go in as values, and decisions come out with their reasons.
 
+mod admit;
 mod backoff;
 mod engine;
 mod next;
@@ -10,9 +11,12 @@
 mod policy;
 mod popularity;
 mod queue;
+mod site;
 mod waiting;
 mod worth;
 
+pub use crate::admit::Late;
+pub use crate::admit::admit;
 pub use crate::backoff::Backoff;
 pub use crate::engine::Engine;
 pub use crate::engine::Held;
--- a/crates/place/src/next.rs
+++ b/crates/place/src/next.rs
@@ -10,15 +10,15 @@
 
 use crate::backoff::Backoff;
 use crate::engine::Engine;
-use crate::engine::Held;
 use crate::plan::LOSERS;
 use crate::plan::Loser;
 use crate::plan::Loss;
 use crate::plan::Plan;
 use crate::plan::Reason;
-use crate::policy::Evict;
 use crate::policy::Policy;
 use crate::popularity::Popularity;
+use crate::site::Site;
+use crate::site::site;
 use crate::waiting::Waiting;
 use crate::worth;
 
@@ -69,27 +69,6 @@
     pinned(tables, now).or_else(|| ahead(tables, now))
 }
 
-/// A slot for a load.
-#[derive(Clone, Copy)]
-struct Site<'a> {
-    engine: &'a Engine,
-    /// The adapter to evict and how popular it is; none for an empty slot.
-    victim: Option<(&'a Held, f64)>,
-}
-
-impl Site<'_> {
-    fn plan(self, load: Model, worth: f64, reason: Reason, losers: Vec<Loser>) -> Plan {
-        Plan {
-            endpoint: self.engine.name.clone(),
-            load,
-            evict: self.victim.map(|(held, _)| held.model.clone()),
-            worth: worth::round(worth),
-            reason,
-            losers,
-        }
-    }
-}
-
 /// The waiting adapters, those with the most worth first.
 fn ranked<'a>(tables: &Tables<'a>, now: Duration) -> Vec<(&'a Waiting, f64)> {
     let worth = |waiting: &'a Waiting| (waiting, worth::waiting(tables.policy, waiting, now));
@@ -111,7 +90,7 @@
     allowed(tables, &waiting.model, now)?;
     let reason = need(tables, waiting)?;
     let starved = now.saturating_sub(waiting.oldest) >= STARVED;
-    let site = site(tables, &waiting.model, starved).ok_or(Loss::NoSlot)?;
+    let site = site(tables, &waiting.model, starved, now).ok_or(Loss::NoSlot)?;
     Ok((site, reason))
 }
 
@@ -157,63 +136,6 @@
     (batch * (800 - 7 * weight) / 800).max(1)
 }
 
-/// The cheapest slot for an adapter: an empty one, else that of the least valued adapter.
-fn site<'a>(tables: &Tables<'a>, model: &Model, starved: bool) -> Option<Site<'a>> {
-    let newcomer = tables.popularity.score(model);
-    let open = tables.engines.iter().filter(|engine| engine.ready);
-    let sites = open.filter(|engine| engine.find(model).is_none()).filter_map(|engine| {
-        if engine.free() > 0 {
-            return Some(Site { engine, victim: None });
-        }
-        let victim = victim(tables, engine, newcomer, starved)?;
-        Some(Site { engine, victim: Some(victim) })
-    });
-    sites.min_by(|left, right| {
-        let value = |site: &Site<'_>| site.victim.map_or(f64::NEG_INFINITY, |(_, value)| value);
-        let empty = left.victim.is_some().cmp(&right.victim.is_some());
-        empty
-            .then_with(|| value(left).total_cmp(&value(right)))
-            .then_with(|| left.engine.in_flight.cmp(&right.engine.in_flight))
-            .then_with(|| left.engine.name.cmp(&right.engine.name))
-    })
-}
-
-/// The adapter that an engine would evict: never one that is in use, being loaded or pinned, and
-/// for a newcomer that is less popular only one of the engine's spare slots.
-fn victim<'a>(
-    tables: &Tables<'a>,
-    engine: &'a Engine,
-    newcomer: f64,
-    starved: bool,
-) -> Option<(&'a Held, f64)> {
-    let spare = tables.policy.spare_slots;
-    let idle = engine.held.iter().filter(|held| evictable(tables, held));
-    let (held, value) = idle
-        .map(|held| (held, value(tables, held)))
-        .min_by(|left, right| left.1.total_cmp(&right.1))?;
-    if spare == 0 || starved || tables.policy.evict == Evict::Recency || value <= newcomer {
-        return Some((held, value));
-    }
-    let colder = engine.held.iter().filter(|other| self::value(tables, other) < value).count();
-    (colder < spare as usize).then_some((held, value))
-}
-
-fn evictable(tables: &Tables<'_>, held: &Held) -> bool {
-    if held.in_use > 0 || held.loading {
-        return false;
-    }
-    let exception = tables.exceptions.get(&held.model.adapter);
-    exception.is_none_or(|exception| exception.rule != Rule::Pinned)
-}
-
-/// What an adapter in a slot is valued at; only comparable with others of the same policy.
-fn value(tables: &Tables<'_>, held: &Held) -> f64 {
-    match tables.policy.evict {
-        Evict::Popularity => tables.popularity.score(&held.model),
-        Evict::Recency => held.used.as_secs_f64(),
-    }
-}
-
 /// A load of an adapter that an exception pins and that no engine holds.
 fn pinned(tables: &Tables<'_>, now: Duration) -> Option<Plan> {
     if tables.exceptions.is_empty() {
@@ -225,7 +147,7 @@
     };
     let model = tables.popularity.hottest().filter(is_pinned).find(|model| lacks(tables, model))?;
     allowed(tables, model, now).ok()?;
-    let site = site(tables, model, true)?;
+    let site = site(tables, model, true, now)?;
     Some(site.plan(model.clone(), worth::UNIT, Reason::Pinned, Vec::new()))
 }
 
@@ -254,7 +176,7 @@
     };
     let model = tables.popularity.hottest().take(SEARCHED).find(missing)?;
     let worth = likely(tables, model, now);
-    Some(Site { engine, victim: None }.plan(model.clone(), worth, Reason::Reload, Vec::new()))
+    Some(Site::empty(engine).plan(model.clone(), worth, Reason::Reload, Vec::new()))
 }
 
 fn prefetch(tables: &Tables<'_>, now: Duration) -> Option<Plan> {
@@ -264,8 +186,8 @@
     let since = now.saturating_sub(WAKE_WINDOW);
     let missing = |model: &&Model| lacks(tables, model) && allowed(tables, model, now).is_ok();
     let model = tables.popularity.woken(since).find(missing)?;
-    let site = site(tables, model, false)?;
-    let victim = site.victim.map_or(0.0, |(held, _)| tables.popularity.value(&held.model, now));
+    let site = site(tables, model, false, now)?;
+    let victim = site.victim().map_or(0.0, |model| tables.popularity.value(model, now));
     if victim * PREFETCH_MARGIN > tables.popularity.value(model, now) {
         return None;
     }
--- a/crates/place/src/policy.rs
+++ b/crates/place/src/policy.rs
@@ -13,6 +13,8 @@
     pub order: Order,
     /// Which adapter is evicted.
     pub evict: Evict,
+    /// Whether adapters are loaded where batches are fullest, at the price of some evictions.
+    pub pack: bool,
     /// Whether a wait raises the worth of a load, so that adapters asked for once are not starved.
     pub aging: bool,
     /// Whether adapters that are hot are loaded into empty slots before a request asks for them.
@@ -27,6 +29,8 @@
     pub full_percent: u32,
     /// The weight of load stalls against batch efficiency, from 0 (batches) to 100 (stalls).
     pub stall_weight: u8,
+    /// The wait for loads from which requests for further adapters are refused; none for no limit.
+    pub stall_limit: Option<Duration>,
     /// How long a load takes once it has a permit.
     pub load_time: Duration,
 }
@@ -59,9 +63,12 @@
     pub fn new(settings: &Placement, stall_weight: u8) -> Policy {
         let ours = settings.policy == Scheme::Worth;
         let on = |part: Part| ours && !settings.off.contains(&part);
+        let stall_limit = Duration::from_millis(settings.stall_limit_ms);
+        let is_limited = on(Part::StallLimit) && !stall_limit.is_zero();
         Policy {
             order: if on(Part::Worth) { Order::Worth } else { Order::Oldest },
             evict: if on(Part::Popularity) { Evict::Popularity } else { Evict::Recency },
+            pack: on(Part::Fill),
             aging: on(Part::Aging),
             reload: on(Part::Reload),
             prefetch: on(Part::Prefetch),
@@ -69,6 +76,7 @@
             spare_slots: if on(Part::SpareSlots) { settings.spare_slots } else { 0 },
             full_percent: settings.full_percent,
             stall_weight,
+            stall_limit: is_limited.then_some(stall_limit),
             load_time: LOAD_TIME,
         }
     }
--- a/crates/place/src/queue.rs
+++ b/crates/place/src/queue.rs
@@ -201,6 +201,12 @@
         self.lanes.keys()
     }
 
+    /// Iterates over the keys that requests wait for, with the arrival of the oldest for each.
+    pub fn oldest(&self) -> impl Iterator<Item = (&K, Duration)> {
+        let lanes = self.lanes.iter();
+        lanes.filter_map(|(key, lane)| Some((key, lane.arrivals.first()?.0)))
+    }
+
     /// Compares two requests: the lesser goes first.
     fn compare(&self, left: u64, right: u64, now: Duration) -> Ordering {
         let (left, right) = (&self.entries[&left], &self.entries[&right]);
--- a/crates/place/tests/next.rs
+++ b/crates/place/tests/next.rs
@@ -6,11 +6,13 @@
 use base::Name;
 use place::Backoff;
 use place::Engine;
+use place::Entry;
 use place::Held;
 use place::Loss;
 use place::Plan;
 use place::Policy;
 use place::Popularity;
+use place::Queue;
 use place::Reason;
 use place::Tables;
 use place::Waiting;
@@ -158,6 +160,8 @@
     site.hits("hot", 9);
     site.hits("one-off", 1);
     site.wait("one-off", 1, 0);
+    assert_eq!(site.load(), evicts("one-off", "hot"));
+    site.policy.spare_slots = 1;
     assert_eq!(site.load(), None);
     site.waiting[0].oldest = NOW - Duration::from_secs(5);
     assert_eq!(site.load(), evicts("one-off", "hot"));
@@ -222,6 +226,46 @@
     assert!(waiting.worth > plan.worth);
 }
 
+#[test]
+fn loads_join_the_fullest_batch_unless_what_they_evict_is_popular() {
+    let mut site = Site::new(&[("a", 6), ("b", 0)]);
+    site.engines.push(engine("e2", &[("c", 1), ("d", 0)]));
+    site.wait("new", 1, 0);
+    assert_eq!(site.load(), evicts("new", "b"));
+    site.engines[0].in_flight = 8;
+    assert_eq!(site.load(), evicts("new", "d"));
+    site.engines[0].in_flight = 6;
+    site.hits("b", 100);
+    assert_eq!(site.load(), evicts("new", "d"));
+}
+
+#[test]
+fn refuses_further_adapters_while_loads_take_too_long() {
+    let mut queue = Queue::default();
+    let entry = |adapter: &str, age_ms: u64| Entry {
+        key: model(adapter),
+        caller: Name::from("caller"),
+        priority: 5,
+        arrived: NOW - Duration::from_millis(age_ms),
+        deadline: NOW + Duration::from_secs(10),
+        cost: 1,
+        ticket: (),
+    };
+    let engines = [engine("e1", &[("held", 8)])];
+    let policy = Policy::default();
+    let admit = |queue: &Queue<Model, ()>, adapter: &str| {
+        place::admit(&model(adapter), &engines, queue, &policy, NOW)
+            .map_err(|late| late.retry_after)
+    };
+    queue.push(entry("held", 9_000), 9).unwrap();
+    queue.push(entry("young", 3_000), 9).unwrap();
+    assert_eq!(admit(&queue, "other"), Ok(()));
+    queue.push(entry("old", 5_000), 9).unwrap();
+    assert_eq!(admit(&queue, "other"), Err(Duration::from_secs(5)));
+    assert_eq!(admit(&queue, "young"), Ok(()));
+    assert_eq!(admit(&queue, "held"), Ok(()));
+}
+
 #[test]
 fn baselines_load_the_oldest_and_evict_the_least_recent() {
     let mut site = Site::new(&[("a", 0), ("b", 0)]);
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -59,6 +59,8 @@
     ShortestWait,
     /// None holds the adapter and it is the first by rendezvous hash.
     Hash,
+    /// None holds the adapter and it is the fullest of the first few by rendezvous hash.
+    Packed,
     /// None holds the adapter and those before it by rendezvous hash are overloaded.
     Spill,
     /// All that hold the adapter are full and a second copy is worth a load.
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -69,18 +69,31 @@
     seed: u64,
     /// The best of those that hold or load the adapter.
     holder: Option<Entrant<'a>>,
-    /// The best of those that would have to load it.
-    loader: Option<Entrant<'a>>,
+    /// The first by rank of those that would have to load it and are not overloaded, in order.
+    ///
+    /// Invariant: at most [`choices`] long.
+    loaders: Vec<Entrant<'a>>,
+    /// The best of those that would have to load it and are overloaded.
+    overloaded: Option<Entrant<'a>>,
     /// Whether each holder is full enough for a second copy.
     full: bool,
-    /// The highest rank by hash of those that would have to load it.
+    /// The highest rank of those that would have to load it.
     first: f64,
     losers: Vec<Loser>,
 }
 
 impl<'r, 'a> Race<'r, 'a> {
     fn new(ask: &'r Ask<'a>, seed: u64) -> Race<'r, 'a> {
-        Race { ask, seed, holder: None, loader: None, full: true, first: 0.0, losers: Vec::new() }
+        Race {
+            ask,
+            seed,
+            holder: None,
+            loaders: Vec::new(),
+            overloaded: None,
+            full: true,
+            first: 0.0,
+            losers: Vec::new(),
+        }
     }
 
     fn enter(&mut self, candidate: Candidate<'a>) {
@@ -92,14 +105,47 @@
         }
         let entrant = self.entrant(candidate);
         if candidate.holding == Holding::Absent {
-            self.first = self.first.max(entrant.score);
-            self.loader = self.better(self.loader, entrant);
+            self.enter_loader(entrant);
         } else {
             self.full &= wait::is_full(self.ask, &candidate);
             self.holder = self.better(self.holder, entrant);
         }
     }
 
+    fn enter_loader(&mut self, entrant: Entrant<'a>) {
+        self.first = self.first.max(entrant.score);
+        if entrant.tier == Tier::Overloaded {
+            self.overloaded = self.better(self.overloaded, entrant);
+            return;
+        }
+        let ahead = |other: &Entrant<'_>| compare(self.ask, other, &entrant).is_gt();
+        let index = self.loaders.partition_point(ahead);
+        self.loaders.insert(index, entrant);
+        if self.loaders.len() > choices(self.ask)
+            && let Some(last) = self.loaders.pop()
+        {
+            self.lose(&last.candidate, Loss::LowerRank);
+        }
+    }
+
+    /// The best of those that would have to load the adapter: of the first by rank the one with the
+    /// fullest batch, so that batches fill and yet all gates look at the same few.
+    fn loader(&mut self) -> Option<Entrant<'a>> {
+        let loaders = std::mem::take(&mut self.loaders);
+        let mut best: Option<Entrant<'a>> = None;
+        for entrant in loaders {
+            let Some(before) = best else {
+                best = Some(entrant);
+                continue;
+            };
+            let fuller = entrant.candidate.in_flight > before.candidate.in_flight;
+            let (winner, loser) = if fuller { (entrant, before) } else { (before, entrant) };
+            self.lose(&loser.candidate, if fuller { Loss::Emptier } else { Loss::LowerRank });
+            best = Some(winner);
+        }
+        best.or(self.overloaded)
+    }
+
     fn entrant(&self, candidate: Candidate<'a>) -> Entrant<'a> {
         let wait = wait::start(self.ask, &candidate);
         let (tier, score) = match self.ask.policy {
@@ -122,7 +168,8 @@
         match candidate.holding {
             Holding::Absent => {
                 let rank = hash::rank(self.seed, candidate.endpoint, candidate.batch);
-                let busy = candidate.in_flight + candidate.waiting >= candidate.batch;
+                let knee = wait::knee(self.ask, candidate.batch);
+                let busy = candidate.in_flight + 2 * candidate.waiting >= knee;
                 (if busy { Tier::Overloaded } else { Tier::Loads }, rank)
             }
             Holding::Loaded if wait.is_zero() => {
@@ -156,7 +203,8 @@
     }
 
     fn finish(mut self) -> Result<Choice, Refusal> {
-        let (winner, reason) = match (self.holder, self.loader) {
+        let loader = self.loader();
+        let (winner, reason) = match (self.holder, loader) {
             (None, None) => return Err(self.refuse(Code::NoEndpoint, NO_ENDPOINT_RETRY)),
             (Some(holder), None) => (holder, self.holder_reason(&holder)),
             (None, Some(loader)) => (loader, self.loader_reason(&loader)),
@@ -199,6 +247,11 @@
             && (worth || late)
     }
 
+    /// Whether an overloaded endpoint of a higher rank was passed over.
+    fn is_passed_over(&self, loader: &Entrant<'_>) -> bool {
+        self.overloaded.is_some_and(|overloaded| overloaded.score > loader.score)
+    }
+
     fn holder_reason(&self, holder: &Entrant<'_>) -> Reason {
         match (self.ask.policy, holder.tier) {
             (Policy::Least, _) => Reason::Least,
@@ -217,12 +270,23 @@
         match self.ask.policy {
             Policy::Least => Reason::Least,
             Policy::Random => Reason::Random,
-            Policy::Fill if loader.score < self.first => Reason::Spill,
-            Policy::Fill => Reason::Hash,
+            Policy::Fill if loader.score >= self.first => Reason::Hash,
+            Policy::Fill if loader.tier == Tier::Overloaded => Reason::Spill,
+            Policy::Fill if self.is_passed_over(loader) => Reason::Spill,
+            Policy::Fill => Reason::Packed,
         }
     }
 }
 
+/// The number of endpoints, the first by rank, of which the fullest loads an adapter: from 2 at
+/// stall weight 100 to 4 at 0; the baselines take the first.
+fn choices(ask: &Ask<'_>) -> usize {
+    match ask.policy {
+        Policy::Fill => 2 + usize::from(100 - ask.stall_weight.min(100)) / 40,
+        Policy::Least | Policy::Random => 1,
+    }
+}
+
 /// The requests that an endpoint has to serve.
 fn load(candidate: &Candidate<'_>) -> f64 {
     f64::from(candidate.in_flight + candidate.waiting)
--- a/crates/route/tests/choose.rs
+++ b/crates/route/tests/choose.rs
@@ -178,6 +178,27 @@
     assert_eq!(chosen(&ask, &engines), (second, Reason::Hash));
 }
 
+#[test]
+fn of_the_first_by_rank_the_fullest_loads() {
+    let model = model("a");
+    let ask = Ask { stall_weight: 100, ..Ask::new(Some(&model), DEADLINE) };
+    let mut engines: Vec<Engine> = (0..6).map(engine).collect();
+    let first = chosen(&ask, &engines).0;
+    let others: Vec<Engine> =
+        engines.iter().filter(|engine| *engine.name != *first).cloned().collect();
+    let second = chosen(&ask, &others).0;
+    let busy = |name: &str, engines: &mut [Engine]| {
+        engines.iter_mut().filter(|engine| *engine.name == *name).for_each(|engine| {
+            engine.in_flight = 3;
+        });
+    };
+    let last = others.iter().find(|engine| *engine.name != *second).unwrap().name.clone();
+    busy(&last, &mut engines);
+    assert_eq!(chosen(&ask, &engines), (first, Reason::Hash), "not among the first two");
+    busy(&second, &mut engines);
+    assert_eq!(chosen(&ask, &engines), (second, Reason::Packed));
+}
+
 #[test]
 fn refuses_at_once_what_cannot_start_before_its_deadline() {
     let model = model("a");
