--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -22,6 +22,7 @@
 pub use crate::engine::Held;
 pub use crate::next::Tables;
 pub use crate::next::next;
+pub use crate::next::pin;
 pub use crate::plan::Loser;
 pub use crate::plan::Loss;
 pub use crate::plan::Plan;
--- a/crates/place/src/next.rs
+++ b/crates/place/src/next.rs
@@ -66,7 +66,7 @@
             Err(loss) => lose(&mut losers, &waiting.model, loss),
         }
     }
-    pinned(tables, now).or_else(|| ahead(tables, now))
+    ahead(tables, now)
 }
 
 /// The waiting adapters, those with the most worth first.
@@ -136,17 +136,16 @@
     (batch * (800 - 7 * weight) / 800).max(1)
 }
 
-/// A load of an adapter that an exception pins and that no engine holds.
-fn pinned(tables: &Tables<'_>, now: Duration) -> Option<Plan> {
-    if tables.exceptions.is_empty() {
-        return None;
-    }
-    let is_pinned = |model: &&Model| {
-        let exception = tables.exceptions.get(&model.adapter);
-        exception.is_some_and(|exception| exception.rule == Rule::Pinned)
-    };
-    let model = tables.popularity.hottest().filter(is_pinned).find(|model| lacks(tables, model))?;
-    allowed(tables, model, now).ok()?;
+/// Decides on the load of an adapter that an exception pins and that no engine holds.
+///
+/// `models` are the versions to be kept, such as the default version of each pinned adapter for
+/// which the choice by hash names an engine of this gate.
+pub fn pin<'a>(
+    tables: &Tables<'_>,
+    mut models: impl Iterator<Item = &'a Model>,
+    now: Duration,
+) -> Option<Plan> {
+    let model = models.find(|model| lacks(tables, model) && allowed(tables, model, now).is_ok())?;
     let site = site(tables, model, true, now)?;
     Some(site.plan(model.clone(), worth::UNIT, Reason::Pinned, Vec::new()))
 }
--- a/crates/place/tests/next.rs
+++ b/crates/place/tests/next.rs
@@ -66,8 +66,8 @@
         self.exceptions.insert(Name::from(adapter), exception);
     }
 
-    fn next(&self) -> Option<Plan> {
-        let tables = Tables {
+    fn tables(&self) -> Tables<'_> {
+        Tables {
             engines: &self.engines,
             waiting: &self.waiting,
             popularity: &self.popularity,
@@ -76,8 +76,11 @@
             policy: &self.policy,
             elsewhere: &|_| false,
             spare: self.spare,
-        };
-        place::next(&tables, NOW)
+        }
+    }
+
+    fn next(&self) -> Option<Plan> {
+        place::next(&self.tables(), NOW)
     }
 
     fn load(&self) -> Option<(String, Option<String>)> {
@@ -153,6 +156,18 @@
     assert_eq!((&*losers[0].model.adapter, losers[0].loss), ("never", Loss::Never));
 }
 
+#[test]
+fn loads_what_is_pinned_and_held_nowhere() {
+    let mut site = Site::new(&[("a", 0), ("b", 0)]);
+    site.except("a", Rule::Pinned);
+    site.except("c", Rule::Pinned);
+    let pinned = [model("a"), model("c")];
+    let plan = place::pin(&site.tables(), pinned.iter(), NOW).unwrap();
+    assert_eq!((&*plan.load.adapter, plan.reason), ("c", Reason::Pinned));
+    assert_eq!(plan.evict, Some(model("b")));
+    assert_eq!(place::pin(&site.tables(), pinned[..1].iter(), NOW), None);
+}
+
 #[test]
 fn a_one_off_takes_a_spare_slot_only_until_it_starves() {
     let mut site = Site::new(&[("warm", 1), ("hot", 0)]);
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -103,6 +103,9 @@
         if self.ask.excluded.contains(candidate.endpoint) {
             return self.lose(&candidate, Loss::Excluded);
         }
+        if candidate.holding == Holding::Absent && self.has_room() {
+            return self.lose(&candidate, Loss::Absent);
+        }
         let entrant = self.entrant(candidate);
         if candidate.holding == Holding::Absent {
             self.enter_loader(entrant);
@@ -112,6 +115,11 @@
         }
     }
 
+    /// Whether an endpoint that holds the adapter has room, so that none needs to load it.
+    fn has_room(&self) -> bool {
+        self.holder.is_some_and(|holder| holder.tier < Tier::Waits)
+    }
+
     fn enter_loader(&mut self, entrant: Entrant<'a>) {
         self.first = self.first.max(entrant.score);
         if entrant.tier == Tier::Overloaded {
@@ -302,9 +310,19 @@
     tier.then_with(|| left.score.total_cmp(&right.score))
         .then_with(|| prefix(ask, left).cmp(&prefix(ask, right)))
         .then_with(|| left.candidate.own.cmp(&right.candidate.own))
+        .then_with(|| likely_prefix(ask, left).total_cmp(&likely_prefix(ask, right)))
         .then_with(|| right.candidate.endpoint.cmp(left.candidate.endpoint))
 }
 
+/// Sends the same prefix to the same endpoint, since reports of cached prefixes are late and have
+/// gaps.
+fn likely_prefix(ask: &Ask<'_>, entrant: &Entrant<'_>) -> f64 {
+    match ask.prefix {
+        Some(prefix) if ask.affinity => hash::rank(prefix, entrant.candidate.endpoint, 1),
+        _ => 0.0,
+    }
+}
+
 fn prefix(ask: &Ask<'_>, entrant: &Entrant<'_>) -> bool {
     ask.affinity && entrant.candidate.prefix_hit
 }
--- a/crates/route/src/wait.rs
+++ b/crates/route/src/wait.rs
@@ -11,6 +11,11 @@
 /// How many times a wait must exceed a load for a second copy at stall weight 0.
 const COPY_RELUCTANCE: u32 = 8;
 
+/// The patience of priority 0; each priority has one less.
+const PATIENCE: u32 = 14;
+/// The patience of the middle priority, 5.
+const MIDDLE_PATIENCE: u32 = 9;
+
 /// Returns the requests up to which the endpoint's batch is filled before others are used.
 pub(crate) fn knee(ask: &Ask<'_>, batch: u32) -> u32 {
     let margin = KNEE_MARGIN_PERCENT * u32::from(ask.stall_weight.min(100)) / 100;
@@ -43,9 +48,10 @@
     used >= u64::from(candidate.batch) * u64::from(ask.full_percent)
 }
 
-/// Returns the wait above which a second copy is worth a load.
+/// Returns the wait above which a second copy is worth a load; a higher priority lowers it.
 pub(crate) fn copy_threshold(ask: &Ask<'_>) -> Duration {
     let weight = u32::from(ask.stall_weight.min(100));
     let reluctance = COPY_RELUCTANCE * 100 - (COPY_RELUCTANCE - 1) * weight;
-    ask.pace.load.saturating_mul(reluctance) / 100
+    let patience = PATIENCE - u32::from(ask.priority.min(9));
+    ask.pace.load.saturating_mul(reluctance).saturating_mul(patience) / (100 * MIDDLE_PATIENCE)
 }
--- a/crates/route/tests/choose.rs
+++ b/crates/route/tests/choose.rs
@@ -103,6 +103,19 @@
     assert_eq!(chosen(&blind, &engines), ("e01".into(), Reason::FillsBatch));
 }
 
+#[test]
+fn the_same_prefix_goes_to_the_same_holder() {
+    let model = model("a");
+    let engines: Vec<Engine> = (0..4).map(|number| holder(number, 2)).collect();
+    let holder_of = |prefix: u64| {
+        let ask = Ask { prefix: Some(prefix), ..Ask::new(Some(&model), DEADLINE) };
+        chosen(&ask, &engines).0
+    };
+    let holders: std::collections::BTreeSet<String> = (0..32).map(holder_of).collect();
+    assert_eq!(holders.len(), 4);
+    assert_eq!(holder_of(7), holder_of(7));
+}
+
 #[test]
 fn waits_shortest_when_all_are_full() {
     let model = model("a");
