--- a/crates/route/tests/choose.rs
+++ b/crates/route/tests/choose.rs
@@ -103,6 +103,19 @@
     assert_eq!(chosen(&blind, &engines), ("e01".into(), Reason::FillsBatch));
 }
 
+#[test]
+fn the_same_prefix_goes_to_the_same_holder() {
+    let model = model("a");
+    let engines: Vec<Engine> = (0..4).map(|number| holder(number, 2)).collect();
+    let holder_of = |prefix: u64| {
+        let ask = Ask { prefix: Some(prefix), ..Ask::new(Some(&model), DEADLINE) };
+        chosen(&ask, &engines).0
+    };
+    let holders: std::collections::BTreeSet<String> = (0..32).map(holder_of).collect();
+    assert_eq!(holders.len(), 4);
+    assert_eq!(holder_of(7), holder_of(7));
+}
+
 #[test]
 fn waits_shortest_when_all_are_full() {
     let model = model("a");
@@ -178,6 +191,27 @@
     assert_eq!(chosen(&ask, &engines), (second, Reason::Hash));
 }
 
+#[test]
+fn of_the_first_by_rank_the_fullest_loads() {
+    let model = model("a");
+    let ask = Ask { stall_weight: 100, ..Ask::new(Some(&model), DEADLINE) };
+    let mut engines: Vec<Engine> = (0..6).map(engine).collect();
+    let first = chosen(&ask, &engines).0;
+    let others: Vec<Engine> =
+        engines.iter().filter(|engine| *engine.name != *first).cloned().collect();
+    let second = chosen(&ask, &others).0;
+    let busy = |name: &str, engines: &mut [Engine]| {
+        engines.iter_mut().filter(|engine| *engine.name == *name).for_each(|engine| {
+            engine.in_flight = 3;
+        });
+    };
+    let last = others.iter().find(|engine| *engine.name != *second).unwrap().name.clone();
+    busy(&last, &mut engines);
+    assert_eq!(chosen(&ask, &engines), (first, Reason::Hash), "not among the first two");
+    busy(&second, &mut engines);
+    assert_eq!(chosen(&ask, &engines), (second, Reason::Packed));
+}
+
 #[test]
 fn refuses_at_once_what_cannot_start_before_its_deadline() {
     let model = model("a");
