radish-load reports violations of engines and the store word by word

Cause: the report counted the engines' violations and did not say what they were; those of the weight store were not read.

Change: a run may name the store; violations behind the warm-up are listed with the stand-in that saw them, and end the program with exit code 1.

Conclusion: a run says by itself whether something happened that must not.

--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -27,7 +27,7 @@
 
   --help, --version
 
-The exit code of run is 1 if an answer was wrong.
+The exit code of run is 1 if an answer was wrong or a stand-in recorded a violation.
 ";
 
 /// What the command line asks for.
--- a/crates/load/src/endpoints.rs
+++ b/crates/load/src/endpoints.rs
@@ -11,6 +11,7 @@
 use stub::record::End;
 use stub::record::Record;
 use stub::record::Totals;
+use stub::store;
 use wire::endpoint::Model;
 
 use crate::report::Engines;
@@ -32,6 +33,30 @@
     future::join_all(engines.iter().map(one)).await
 }
 
+/// Reads the record of the weight store; none if it does not answer.
+pub async fn read_store(store: &Name) -> Option<store::Record> {
+    let client = Client::default();
+    let answer = client.send(Method::GET, store, "/control/record", "", LIMIT).await.ok()?;
+    serde_json::from_slice(answer.body()).ok()
+}
+
+/// Returns what must never happen and did since `since_ms`, in words.
+pub fn violations(
+    engines: &[Option<Record>],
+    store: Option<&store::Record>,
+    since_ms: u64,
+) -> Vec<String> {
+    let of_engines = engines.iter().flatten().flat_map(|record| {
+        record.violations.iter().map(|violation| (record.name.as_str(), violation))
+    });
+    let of_store = store.into_iter().flat_map(|record| &record.violations);
+    of_engines
+        .chain(of_store.map(|violation| ("store", violation)))
+        .filter(|(_, violation)| violation.at_ms >= since_ms)
+        .map(|(name, violation)| format!("violation at {name}: {}", violation.what))
+        .collect()
+}
+
 /// Sums up what happened between two readings; engines that missed one of them are left out.
 pub fn sum(
     before: &[Option<Record>],
@@ -59,8 +84,6 @@
         loads += new.loads.saturating_sub(old.loads);
         engines.failed_loads += new.failed_loads.saturating_sub(old.failed_loads);
         engines.evictions += new.unloads.saturating_sub(old.unloads);
-        let violations = after.violations.len().saturating_sub(before.violations.len());
-        engines.violations += violations as u64;
     }
     engines.fill = if full_ms > 0.0 { run_ms / full_ms } else { 0.0 };
     engines.loads_per_second = loads as f64 / seconds;
--- a/crates/load/src/page.rs
+++ b/crates/load/src/page.rs
@@ -35,6 +35,7 @@
         name: "broken or unreachable",
         value: |report| (report.broken + report.unreachable) as f64,
     },
+    Measure { name: "violations", value: |report| report.violations as f64 },
     Measure { name: "wrong answers", value: |report| report.wrong as f64 },
 ];
 
--- a/crates/load/src/program.rs
+++ b/crates/load/src/program.rs
@@ -10,7 +10,7 @@
 use crate::run;
 use crate::settings;
 
-/// The exit code of a run with a wrong answer.
+/// The exit code of a run with a wrong answer or a violation.
 const WRONG: u8 = 1;
 
 /// Carries out a command; the error is for people.
@@ -37,7 +37,8 @@
     } else {
         print!("{report}");
     }
-    Ok(if report.wrong > 0 { ExitCode::from(WRONG) } else { ExitCode::SUCCESS })
+    let right = report.wrong == 0 && report.violations == 0;
+    Ok(if right { ExitCode::SUCCESS } else { ExitCode::from(WRONG) })
 }
 
 async fn compare(options: cli::Experiment) -> Result<(), String> {
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -51,6 +51,8 @@
     pub stalled_share: f64,
     /// What the engines recorded, where they were named.
     pub engines: Option<Engines>,
+    /// What engines and the store recorded that must never happen; must be 0.
+    pub violations: u64,
     /// Some problems word by word.
     pub problems: Vec<String>,
 }
@@ -74,8 +76,6 @@
     pub evictions: u64,
     /// The evictions whose adapter was loaded again within 60 s.
     pub regretted: u64,
-    /// What must never happen and did.
-    pub violations: u64,
 }
 
 /// Some quantiles of a distribution.
@@ -144,6 +144,7 @@
         if let Some(engines) = &self.engines {
             engines.fmt(f)?;
         }
+        writeln!(f, "violations            {}", self.violations)?;
         for problem in &self.problems {
             writeln!(f, "problem: {problem}")?;
         }
@@ -163,8 +164,7 @@
             "loads a second        {:.2} ({} failed)",
             self.loads_per_second, self.failed_loads
         )?;
-        writeln!(f, "evictions, regretted  {}, {}", self.evictions, self.regretted)?;
-        writeln!(f, "violations            {}", self.violations)
+        writeln!(f, "evictions, regretted  {}, {}", self.evictions, self.regretted)
     }
 }
 
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -22,6 +22,9 @@
 /// How long an action's target may take to answer.
 const LIMIT: Duration = Duration::from_secs(10);
 
+/// The violations that are reported word by word.
+const PROBLEMS: usize = 20;
+
 /// What the engines had recorded at the end of the warm-up.
 struct Mark {
     at_ms: u64,
@@ -70,7 +73,7 @@
     let mut report = tally.finish(settings.seconds - settings.warmup_seconds);
     report.problems.extend(actions.join_all().await.into_iter().flatten());
     if let Ok(mark) = marked.await {
-        add_engines(settings, &mark, &mut report).await;
+        add_records(settings, &mark, &mut report).await;
     }
     report
 }
@@ -80,15 +83,25 @@
     Mark { at_ms: clock::now(), records: endpoints::read(&settings.engines, true).await }
 }
 
-async fn add_engines(settings: &Run, mark: &Mark, report: &mut Report) {
-    if settings.engines.is_empty() {
-        return;
-    }
-    let after = endpoints::read(&settings.engines, false).await;
+/// Adds what the engines and the store recorded since the mark.
+async fn add_records(settings: &Run, mark: &Mark, report: &mut Report) {
     let seconds = (clock::now() - mark.at_ms) as f64 / 1_000.0;
-    let mut engines = endpoints::sum(&mark.records, &after, seconds, report.answered);
-    engines.regretted = endpoints::regretted(&after, mark.at_ms);
-    report.engines = Some(engines);
+    let after = endpoints::read(&settings.engines, false).await;
+    if !settings.engines.is_empty() {
+        let mut engines = endpoints::sum(&mark.records, &after, seconds, report.answered);
+        engines.regretted = endpoints::regretted(&after, mark.at_ms);
+        report.engines = Some(engines);
+    }
+    let store = match &settings.store {
+        Some(address) => endpoints::read_store(address).await,
+        None => None,
+    };
+    if settings.store.is_some() && store.is_none() {
+        report.problems.push("the store did not answer for its record".to_owned());
+    }
+    let violations = endpoints::violations(&after, store.as_ref(), mark.at_ms);
+    report.violations = violations.len() as u64;
+    report.problems.extend(violations.into_iter().take(PROBLEMS));
 }
 
 /// Carries out an action at its time; returns what went wrong.
--- a/crates/load/src/settings.rs
+++ b/crates/load/src/settings.rs
@@ -58,6 +58,8 @@
     pub retry_percent: f64,
     /// The engines whose `/control/record` is read.
     pub engines: Vec<Name>,
+    /// The weight store whose `/control/record` is read.
+    pub store: Option<Name>,
     /// HTTP requests sent at set times, such as faults.
     pub actions: Vec<Action>,
 }
@@ -85,6 +87,7 @@
             service: None,
             retry_percent: 10.0,
             engines: Vec::new(),
+            store: None,
             actions: Vec::new(),
         }
     }
--- a/crates/load/tests/run.rs
+++ b/crates/load/tests/run.rs
@@ -17,6 +17,7 @@
 use load::experiment;
 use load::page;
 use load::run::run;
+use load::settings;
 use load::settings::Adapters;
 use load::settings::Run;
 use load::settings::Service;
@@ -25,6 +26,7 @@
 use stub::client::Client;
 use stub::engine;
 use stub::service;
+use stub::store;
 use tokio::net::TcpListener;
 use wire::endpoint::Action;
 use wire::endpoint::Model;
@@ -85,7 +87,45 @@
     assert!(report.between_ms.p50 > 0.5);
     let engines = report.engines.unwrap();
     assert!(engines.fill > 0.0 && engines.fill <= 1.0, "{engines}");
-    assert_eq!(engines.violations, 0);
+    assert_eq!(report.violations, 0);
+}
+
+#[tokio::test]
+async fn violations_of_engines_and_the_store_are_reported_word_by_word() {
+    let (_engine, address) = engine().await;
+    let rate = store::Settings { rate: 0.001, burst: 0.0, ..store::Settings::default() };
+    let store = stub::Store::start(listener().await, rate).unwrap();
+    let weights = Name::from(store.address().to_string());
+    let action = |address: &Name, path: &str, method: &str, body| settings::Action {
+        at_seconds: 0.5,
+        method: Name::from(method),
+        address: address.clone(),
+        path: Name::from(path),
+        body,
+        token: None,
+    };
+    let model = Model { adapter: Name::from("adapter-00001"), version: Name::from("v1") };
+    let order = Order { id: Name::from("late"), fence: 1, action: Action::Unload(model) };
+    let unload = serde_json::to_value(order).unwrap();
+    let actions = vec![
+        action(&weights, "/v1/weights/a/v1", "GET", None),
+        action(&address, "/v1/orders", "POST", Some(unload)),
+    ];
+    let only = Adapters { count: 1, ..settings(&address).adapters };
+    let engines = vec![address.clone()];
+    let report = run(&Run {
+        engines,
+        store: Some(weights),
+        actions,
+        adapters: only,
+        tokens: 200,
+        ..settings(&address)
+    })
+    .await;
+    assert_eq!(report.violations, 2, "{report}");
+    let text = report.problems.join("\n");
+    assert!(text.contains("unload of adapter-00001@v1 in use"), "{text}");
+    assert!(text.contains("load of a@v1 above the rate"), "{text}");
 }
 
 #[tokio::test]
