A stand-in may linger between saying that it leaves and ending

Cause: an endpoint that ends as soon as nothing is in progress cuts a request that a gate sent before it heard of the leaving.

Conclusion: with it a planned stop of an endpoint is one in tests too.

--- a/crates/stub/src/cli.rs
+++ b/crates/stub/src/cli.rs
@@ -42,6 +42,7 @@
   --domain NAME          the failure domain of the host
   --batch N              the requests it takes at once [16]
   --ignore-fence         carries out orders with old fencing numbers
+  --linger-ms N          the least time between saying that it leaves and ending [0]
   --endpoint-token TEXT  the token to show gates
 
 Options of engine:
@@ -201,6 +202,7 @@
             "token-each-ms" => settings.pace.token_each_ms = value(parser, &option)?,
             "prefix-percent" => settings.pace.prefix_percent = value(parser, &option)?,
             "ignore-fence" => settings.fenced = false,
+            "linger-ms" => settings.linger = millis(parser, &option)?,
             "endpoint-token" => settings.token = Some(name(parser)?),
             _ => return Err(unknown(&option)),
         }
@@ -229,6 +231,7 @@
             "batch" => settings.batch = value(parser, &option)?,
             "work-ms" => settings.work = millis(parser, &option)?,
             "ignore-fence" => settings.fenced = false,
+            "linger-ms" => settings.linger = millis(parser, &option)?,
             "endpoint-token" => settings.token = Some(name(parser)?),
             _ => return Err(unknown(&option)),
         }
--- a/crates/stub/src/engine/mod.rs
+++ b/crates/stub/src/engine/mod.rs
@@ -61,6 +61,8 @@
     pub down: Duration,
     /// The time to the first token and between tokens.
     pub pace: Pace,
+    /// The least time between saying that it leaves and leaving.
+    pub linger: Duration,
     /// What it sends gates as `Authorization: Bearer`.
     pub token: Option<Name>,
     /// The faults to begin with.
@@ -87,6 +89,7 @@
             poison: None,
             down: Duration::from_millis(500),
             pace: Pace::default(),
+            linger: Duration::ZERO,
             token: None,
             faults: Faults::default(),
             seed: 1,
@@ -173,6 +176,7 @@
             let client = Client::new(self.shared.settings.token.clone());
             announce::send(&client, self.shared.settings.announce.iter(), &announcement).await;
         }
+        tokio::time::sleep(self.shared.settings.linger).await;
         while self.shared.in_progress() > 0 {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
--- a/crates/stub/src/service.rs
+++ b/crates/stub/src/service.rs
@@ -65,6 +65,8 @@
     pub work: Duration,
     /// Whether it refuses old fencing numbers.
     pub fenced: bool,
+    /// The least time between saying that it leaves and leaving.
+    pub linger: Duration,
     /// What it sends gates as `Authorization: Bearer`.
     pub token: Option<Name>,
     /// The faults to begin with.
@@ -85,6 +87,7 @@
             batch: 16,
             work: Duration::from_millis(5),
             fenced: true,
+            linger: Duration::ZERO,
             token: None,
             faults: Faults::default(),
             seed: 1,
@@ -182,6 +185,7 @@
             let client = Client::new(self.shared.settings.token.clone());
             announce::send(&client, self.shared.settings.announce.iter(), &announcement).await;
         }
+        tokio::time::sleep(self.shared.settings.linger).await;
         while !self.shared.state().running.is_empty() {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
--- a/crates/stub/tests/engine.rs
+++ b/crates/stub/tests/engine.rs
@@ -304,3 +304,15 @@
     assert!(times[0] >= Duration::from_millis(100), "{times:?}");
     assert!(times[1] < times[0], "{times:?}");
 }
+
+#[tokio::test]
+async fn a_leaving_engine_serves_while_it_lingers() {
+    let linger = Duration::from_millis(200);
+    let (engine, address) = engine(Settings { linger, ..fast() }).await;
+    order(&address, "1", 1, Action::Load(model("a"))).await.unwrap();
+    let start = tokio::time::Instant::now();
+    let body = ask("a", 2, false);
+    let (answer, ()) = tokio::join!(complete(&address, &body), engine.leave());
+    assert_eq!(answer.unwrap().status(), 200);
+    assert!(start.elapsed() >= linger);
+}
