route: a few more engines are looked at for a load; trials with lag

Change: two engines at stall weight 100 up to seven at 0 (six at Selat's 20). The model's gates now see each other's engines as of the last summary, 100 ms old at most, and requests come to any gate.

--- a/crates/place/examples/model/main.rs
+++ b/crates/place/examples/model/main.rs
@@ -1,7 +1,8 @@
 //! Quick trials of the decisions on a small model of a site; its figures are trials.
 //!
 //! `cargo run --release -p place --example model -- [--site NAME] [--seeds N] [--minutes N]
-//! [--flip] [--restart] [--skew N] [--half-life-ms N] [--stall-limit-ms N] [--spare-slots N] [VARIANT…]`
+//! [--flip] [--restart] [--skew N] [--lag-ms N]
+//! [--half-life-ms N] [--stall-limit-ms N] [--spare-slots N] [VARIANT…]`
 
 mod run;
 mod site;
@@ -29,6 +30,8 @@
     pub(crate) flip: bool,
     /// Whether an engine restarts with nothing loaded every minute.
     pub(crate) restart: bool,
+    /// How often gates tell each other of their engines, in milliseconds.
+    pub(crate) lag_ms: u64,
     /// The exponent of the popularity of adapters, if it is not the site's.
     skew: Option<f64>,
     settings: Placement,
@@ -55,6 +58,7 @@
         minutes: 20,
         flip: false,
         restart: false,
+        lag_ms: 100,
         skew: None,
         settings,
         wanted: Vec::new(),
@@ -67,6 +71,7 @@
             Arg::Long("minutes") => trial.minutes = parser.value()?.parse()?,
             Arg::Long("flip") => trial.flip = true,
             Arg::Long("restart") => trial.restart = true,
+            Arg::Long("lag-ms") => trial.lag_ms = parser.value()?.parse()?,
             Arg::Long("skew") => trial.skew = Some(parser.value()?.parse()?),
             Arg::Long("half-life-ms") => trial.settings.half_life_ms = parser.value()?.parse()?,
             Arg::Long("stall-limit-ms") => {
--- a/crates/place/examples/model/run.rs
+++ b/crates/place/examples/model/run.rs
@@ -74,6 +74,8 @@
     policy: Policy,
     exceptions: Map<Name, Exception>,
     gates: Vec<Gate>,
+    /// What gates were last told of each other's engines, and of the requests waiting there.
+    told: Vec<(Vec<Engine>, u32)>,
     models: Vec<Model>,
     loads: Vec<Load>,
     /// When requests end, at which gate and engine, on which model.
@@ -107,6 +109,9 @@
         if trial.restart && run.now_ms.is_multiple_of(RESTART_MS) {
             run.restart();
         }
+        if run.now_ms.is_multiple_of(trial.lag_ms.max(1)) {
+            run.told = run.gates.iter().map(|gate| (gate.engines.clone(), gate.waiting)).collect();
+        }
         run.end_requests();
         run.progress_loads();
         while arrival <= run.now_ms as f64 {
@@ -150,6 +155,7 @@
             policy,
             exceptions: Map::default(),
             gates: gates.collect(),
+            told: Vec::new(),
             models: models.collect(),
             loads: Vec::new(),
             ends: BinaryHeap::new(),
@@ -215,7 +221,9 @@
         let ask =
             Ask { pace, seed: self.random.random(), ..Ask::new(Some(&model), site::DEADLINE) };
         let ask = ask.configured(self.settings, self.site.stall_weight);
-        let Ok(choice) = route::choose(&ask, candidates(&self.gates, &model)) else {
+        let receiver = self.random.random_range(0..self.gates.len());
+        let candidates = candidates(&self.gates, &self.told, receiver, &model);
+        let Ok(choice) = route::choose(&ask, candidates) else {
             return self.refuse(cold);
         };
         let now = self.now();
@@ -371,23 +379,43 @@
     }
 }
 
-fn candidates<'a>(gates: &'a [Gate], model: &'a Model) -> impl Iterator<Item = Candidate<'a>> {
-    gates.iter().flat_map(move |gate| {
-        gate.engines.iter().map(move |engine| Candidate {
-            endpoint: &engine.name,
-            gate: &gate.name,
-            own: false,
-            ready: true,
-            holding: match engine.find(model) {
-                Some(held) if held.loading => Holding::Loading,
-                Some(_) => Holding::Loaded,
-                None => Holding::Absent,
-            },
-            in_flight: engine.in_flight,
-            waiting: gate.waiting / gate.engines.len().max(1) as u32,
-            batch: engine.batch,
-            free_slots: engine.free(),
-            prefix_hit: false,
-        })
+/// The endpoints as one gate sees them: its own now, the others as it was told.
+fn candidates<'a>(
+    gates: &'a [Gate],
+    told: &'a [(Vec<Engine>, u32)],
+    receiver: usize,
+    model: &'a Model,
+) -> impl Iterator<Item = Candidate<'a>> {
+    gates.iter().enumerate().flat_map(move |(index, gate)| {
+        let own = index == receiver;
+        let (engines, waiting) =
+            if own { (&gate.engines, gate.waiting) } else { (&told[index].0, told[index].1) };
+        let waiting = waiting / engines.len().max(1) as u32;
+        engines.iter().map(move |engine| candidate(gate, engine, own, waiting, model))
     })
 }
+
+fn candidate<'a>(
+    gate: &'a Gate,
+    engine: &'a Engine,
+    own: bool,
+    waiting: u32,
+    model: &Model,
+) -> Candidate<'a> {
+    Candidate {
+        endpoint: &engine.name,
+        gate: &gate.name,
+        own,
+        ready: true,
+        holding: match engine.find(model) {
+            Some(held) if held.loading => Holding::Loading,
+            Some(_) => Holding::Loaded,
+            None => Holding::Absent,
+        },
+        in_flight: engine.in_flight,
+        waiting,
+        batch: engine.batch,
+        free_slots: engine.free(),
+        prefix_hit: false,
+    }
+}
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -287,10 +287,10 @@
 }
 
 /// The number of endpoints, the first by rank, of which the fullest loads an adapter: from 2 at
-/// stall weight 100 to 4 at 0; the baselines take the first.
+/// stall weight 100 to 7 at 0; the baselines take the first.
 fn choices(ask: &Ask<'_>) -> usize {
     match ask.policy {
-        Policy::Fill => 2 + usize::from(100 - ask.stall_weight.min(100)) / 40,
+        Policy::Fill => 2 + usize::from(100 - ask.stall_weight.min(100)) / 20,
         Policy::Least | Policy::Random => 1,
     }
 }
