place: the examples split and the cost of a holder that comes first

Change: the model's view of the engines is a module of its own; the table of costs has a column for a holder that comes first.

--- a/crates/place/examples/cost.rs
+++ b/crates/place/examples/cost.rs
@@ -33,10 +33,14 @@
 const REPEAT: Duration = Duration::from_millis(200);
 
 fn main() {
-    println!("route::choose, ns a call; the adapter is held by one engine, or by none");
-    println!("engines  held  absent");
+    println!("route::choose, ns a call; the adapter is held by one engine, which comes first");
+    println!("or anywhere among the candidates, or by none");
+    println!("engines   first    held  absent");
     for engines in ENGINES {
-        println!("{engines:7} {:5.0} {:7.0}", choose(engines, true), choose(engines, false));
+        let first = choose(engines, |_| Some(0));
+        let held = choose(engines, |call| Some(call % engines));
+        let absent = choose(engines, |_| None);
+        println!("{engines:7} {first:7.0} {held:7.0} {absent:7.0}");
     }
     println!("\nplace::next, ns a call, with the number of waiting adapters");
     println!("engines {}", WAITING.map(|waiting| format!("{waiting:>9}")).concat());
@@ -67,7 +71,8 @@
     Model { adapter: Name::from(format!("adapter-{number:06}")), version: Name::from("1") }
 }
 
-fn choose(engines: usize, held: bool) -> f64 {
+/// `holder` says for each call which engine holds the adapter.
+fn choose(engines: usize, holder: impl Fn(usize) -> Option<usize>) -> f64 {
     let names: Vec<Name> = (0..engines).map(|number| Name::from(format!("e{number:03}"))).collect();
     let gate = Name::from("gate");
     let models: Vec<Model> = (0..256).map(model).collect();
@@ -80,11 +85,7 @@
             gate: &gate,
             own: number % 5 == 0,
             ready: true,
-            holding: if held && number == call % engines {
-                Holding::Loaded
-            } else {
-                Holding::Absent
-            },
+            holding: if holder(call) == Some(number) { Holding::Loaded } else { Holding::Absent },
             in_flight: loads[number],
             waiting: 0,
             batch: 8,
--- a/crates/place/examples/model/main.rs
+++ b/crates/place/examples/model/main.rs
@@ -7,6 +7,7 @@
 mod run;
 mod site;
 mod stats;
+mod view;
 
 use conf::section::Part;
 use conf::section::Placement;
--- a/crates/place/examples/model/run.rs
+++ b/crates/place/examples/model/run.rs
@@ -20,8 +20,6 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use route::Ask;
-use route::Candidate;
-use route::Holding;
 use route::Pace;
 use state::view::Exception;
 use wire::endpoint::Model;
@@ -30,6 +28,8 @@
 use crate::site;
 use crate::site::Site;
 use crate::stats::Stats;
+use crate::view;
+use crate::view::Told;
 
 /// The requests that may wait for one adapter.
 const QUEUE_LIMIT: u32 = 64;
@@ -45,19 +45,19 @@
 
 /// A request that waits.
 #[derive(Clone, Copy)]
-struct Ticket {
+pub(crate) struct Ticket {
     stalled: bool,
     cold: bool,
 }
 
 /// A gate with the engines that it owns.
-struct Gate {
-    name: Name,
-    engines: Vec<Engine>,
+pub(crate) struct Gate {
+    pub(crate) name: Name,
+    pub(crate) engines: Vec<Engine>,
     queue: Queue<Model, Ticket>,
     popularity: Popularity,
     backoff: Backoff,
-    waiting: u32,
+    pub(crate) waiting: u32,
 }
 
 /// A load in progress.
@@ -75,7 +75,7 @@
     exceptions: Map<Name, Exception>,
     gates: Vec<Gate>,
     /// What gates were last told of each other's engines, and of the requests waiting there.
-    told: Vec<(Vec<Engine>, u32)>,
+    told: Vec<Told>,
     models: Vec<Model>,
     loads: Vec<Load>,
     /// When requests end, at which gate and engine, on which model.
@@ -110,7 +110,7 @@
             run.restart();
         }
         if run.now_ms.is_multiple_of(trial.lag_ms.max(1)) {
-            run.told = run.gates.iter().map(|gate| (gate.engines.clone(), gate.waiting)).collect();
+            run.told = run.gates.iter().map(Told::new).collect();
         }
         run.end_requests();
         run.progress_loads();
@@ -222,7 +222,7 @@
             Ask { pace, seed: self.random.random(), ..Ask::new(Some(&model), site::DEADLINE) };
         let ask = ask.configured(self.settings, self.site.stall_weight);
         let receiver = self.random.random_range(0..self.gates.len());
-        let candidates = candidates(&self.gates, &self.told, receiver, &model);
+        let candidates = view::candidates(&self.gates, &self.told, receiver, &model);
         let Ok(choice) = route::choose(&ask, candidates) else {
             return self.refuse(cold);
         };
@@ -378,44 +378,3 @@
         held: Vec::new(),
     }
 }
-
-/// The endpoints as one gate sees them: its own now, the others as it was told.
-fn candidates<'a>(
-    gates: &'a [Gate],
-    told: &'a [(Vec<Engine>, u32)],
-    receiver: usize,
-    model: &'a Model,
-) -> impl Iterator<Item = Candidate<'a>> {
-    gates.iter().enumerate().flat_map(move |(index, gate)| {
-        let own = index == receiver;
-        let (engines, waiting) =
-            if own { (&gate.engines, gate.waiting) } else { (&told[index].0, told[index].1) };
-        let waiting = waiting / engines.len().max(1) as u32;
-        engines.iter().map(move |engine| candidate(gate, engine, own, waiting, model))
-    })
-}
-
-fn candidate<'a>(
-    gate: &'a Gate,
-    engine: &'a Engine,
-    own: bool,
-    waiting: u32,
-    model: &Model,
-) -> Candidate<'a> {
-    Candidate {
-        endpoint: &engine.name,
-        gate: &gate.name,
-        own,
-        ready: true,
-        holding: match engine.find(model) {
-            Some(held) if held.loading => Holding::Loading,
-            Some(_) => Holding::Loaded,
-            None => Holding::Absent,
-        },
-        in_flight: engine.in_flight,
-        waiting,
-        batch: engine.batch,
-        free_slots: engine.free(),
-        prefix_hit: false,
-    }
-}
