route: calls to plain services go to the one with the least in flight

Cause: the rule that fills batches sent all calls of a plain service to one process until it was full. The test was red first: ("e03", FillsBatch).

Change: without a model the candidate with the least in flight is chosen.

--- a/crates/place/examples/cost.rs
+++ b/crates/place/examples/cost.rs
@@ -49,10 +49,11 @@
         println!("{engines:7} {}", cells.concat());
     }
     println!("\nplace::Popularity, Zipf 1.1");
-    println!("adapters  hit ns  value ns  bytes an adapter");
+    println!("adapters  hit ns  value ns  bytes of an entry");
     for adapters in ADAPTERS {
         let (hit, value) = popularity(adapters);
-        println!("{adapters:8} {hit:7.0} {value:9.0} {:17}", entry_bytes());
+        let bytes = mem::size_of::<(Model, f64)>();
+        println!("{adapters:8} {hit:7.0} {value:9.0} {bytes:18}");
     }
 }
 
@@ -160,8 +161,3 @@
     });
     (hit, value)
 }
-
-/// The bytes of an adapter's entry in a table that is filled by 7 of 8, names shared.
-fn entry_bytes() -> usize {
-    (mem::size_of::<(Model, f64)>() + 1) * 8 / 7
-}
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -36,7 +36,7 @@
 enum Tier {
     /// Holds the adapter, below the knee.
     BelowKnee,
-    /// Holds the adapter, room above the knee.
+    /// Holds the adapter, room above the knee; or a plain service, which has no use for batches.
     AboveKnee,
     /// Holds or loads the adapter and the request waits.
     Waits,
@@ -182,7 +182,8 @@
             }
             Holding::Loaded if wait.is_zero() => {
                 let in_flight = f64::from(candidate.in_flight);
-                if candidate.in_flight < wait::knee(self.ask, candidate.batch) {
+                let batches = self.ask.model.is_some();
+                if batches && candidate.in_flight < wait::knee(self.ask, candidate.batch) {
                     (Tier::BelowKnee, in_flight)
                 } else {
                     (Tier::AboveKnee, -in_flight)
--- a/crates/route/tests/choose.rs
+++ b/crates/route/tests/choose.rs
@@ -91,6 +91,13 @@
     assert_eq!(chosen(&ask, &engines), ("e02".into(), Reason::LeastFull));
 }
 
+#[test]
+fn spreads_calls_to_plain_services() {
+    let ask = Ask::new(None, DEADLINE);
+    let engines = [holder(1, 3), holder(2, 1), holder(3, 5)];
+    assert_eq!(chosen(&ask, &engines), ("e02".into(), Reason::LeastFull));
+}
+
 #[test]
 fn breaks_ties_by_prefix_then_own_gate() {
     let model = model("a");
