--- a/crates/place/examples/cost.rs
+++ b/crates/place/examples/cost.rs
@@ -11,9 +11,11 @@
 use base::Name;
 use place::Backoff;
 use place::Engine;
+use place::Entry;
 use place::Held;
 use place::Policy;
 use place::Popularity;
+use place::Queue;
 use place::Tables;
 use place::Waiting;
 use rand::RngExt;
@@ -29,6 +31,7 @@
 const WAITING: [usize; 4] = [1, 10, 100, 1_000];
 const SLOTS: usize = 6;
 const NOW: Duration = Duration::from_secs(1_000);
+const REQUESTS: [usize; 3] = [100, 1_000, 10_000];
 /// How long each case is repeated at least.
 const REPEAT: Duration = Duration::from_millis(200);
 
@@ -48,6 +51,11 @@
         let cells = WAITING.map(|waiting| format!("{:9.0}", next(engines, waiting)));
         println!("{engines:7} {}", cells.concat());
     }
+    println!("\nplace::Queue, 50 callers, 10 requests an adapter, 6 adapters at the engine");
+    println!("requests  push and pop ns");
+    for requests in REQUESTS {
+        println!("{requests:8} {:16.0}", queue(requests));
+    }
     println!("\nplace::Popularity, Zipf 1.1");
     println!("adapters  hit ns  value ns  bytes of an entry");
     for adapters in ADAPTERS {
@@ -141,6 +149,30 @@
     }
 }
 
+fn queue(requests: usize) -> f64 {
+    let models: Vec<Model> = (0..requests / 10).map(model).collect();
+    let callers: Vec<Name> = (0..50).map(|number| Name::from(format!("caller-{number}"))).collect();
+    let entry = |number: usize| Entry {
+        key: models[number % models.len()].clone(),
+        caller: callers[number * 7 % callers.len()].clone(),
+        priority: 5,
+        arrived: NOW,
+        deadline: NOW + Duration::from_millis((number * 13 % 10_000) as u64),
+        cost: 1,
+        ticket: (),
+    };
+    let mut queue = Queue::default();
+    for number in 0..requests {
+        queue.push(entry(number), u32::MAX).ok();
+    }
+    time(|call| {
+        let held = (0..SLOTS).map(|slot| &models[(call + slot) % models.len()]);
+        if let Some(popped) = queue.pop(held, NOW) {
+            queue.push(popped, u32::MAX).ok();
+        }
+    })
+}
+
 fn popularity(adapters: usize) -> (f64, f64) {
     let models: Vec<Model> = (0..adapters).map(model).collect();
     let mut popularity = Popularity::new(Duration::from_secs(120), adapters);
--- a/crates/place/tests/next.rs
+++ b/crates/place/tests/next.rs
@@ -205,6 +205,9 @@
     site.policy.stall_weight = 100;
     assert_eq!(site.next().map(|plan| plan.reason), Some(Reason::Copy));
     assert_eq!(&*site.next().unwrap().endpoint, "e2");
+    let other = site.engines.pop().unwrap();
+    assert_eq!(site.load(), None, "an engine holds an adapter once");
+    site.engines.push(other);
     site.policy.copies = false;
     assert_eq!(site.load(), None);
 }
