place: of each caller four requests at most count for a load

Cause: one caller with many requests for an adapter raised its worth without bound. The test was red first: weight 300 of 50 requests, expected 24.

Change: the weight that waits for an adapter counts the first four requests of each caller.

--- a/crates/place/src/queue.rs
+++ b/crates/place/src/queue.rs
@@ -16,6 +16,8 @@
 /// The wait that raises a request's priority by one, so that low priorities are not starved.
 const PRIORITY_STEP: Duration = Duration::from_secs(2);
 
+/// The requests of one caller that count for the load of an adapter.
+const COUNTED: usize = 4;
 /// The callers below which none is forgotten.
 const FORGET_ABOVE: usize = 256;
 
@@ -80,7 +82,6 @@
     places: BTreeMap<Name, BTreeSet<Place>>,
     arrivals: BTreeSet<(Duration, u64)>,
     deadlines: BTreeSet<(Duration, u64)>,
-    weight: u32,
 }
 
 /// What a caller has been charged.
@@ -118,7 +119,6 @@
         lane.places.entry(entry.caller.clone()).or_default().insert(place);
         lane.arrivals.insert((entry.arrived, number));
         lane.deadlines.insert((entry.deadline, number));
-        lane.weight += Waiting::weight(entry.priority);
         self.deadlines.insert((entry.deadline, number));
         let caller = self.callers.entry(entry.caller.clone()).or_default();
         if caller.waiting == 0 {
@@ -152,7 +152,7 @@
         let Stored { entry, place } = self.entries.remove(&number)?;
         self.deadlines.remove(&(entry.deadline, number));
         if let Some(lane) = self.lanes.get_mut(&entry.key) {
-            lane.remove(&entry.caller, place, (entry.arrived, number), entry.priority);
+            lane.remove(&entry.caller, place, (entry.arrived, number));
             if lane.arrivals.is_empty() {
                 self.lanes.remove(&entry.key);
             }
@@ -249,7 +249,7 @@
 }
 
 impl Lane {
-    fn remove(&mut self, caller: &Name, place: Place, arrival: (Duration, u64), priority: u8) {
+    fn remove(&mut self, caller: &Name, place: Place, arrival: (Duration, u64)) {
         if let Some(places) = self.places.get_mut(caller) {
             places.remove(&place);
             if places.is_empty() {
@@ -258,14 +258,19 @@
         }
         self.arrivals.remove(&arrival);
         self.deadlines.remove(&(place.1, place.2));
-        self.weight -= Waiting::weight(priority);
+    }
+
+    /// The sum of the requests' weights, of each caller only the first few.
+    fn weight(&self) -> u32 {
+        let counted = self.places.values().flat_map(|places| places.iter().take(COUNTED));
+        counted.map(|(Reverse(priority), ..)| Waiting::weight(*priority)).sum()
     }
 
     fn waiting(&self, model: &Model) -> Option<Waiting> {
         Some(Waiting {
             model: model.clone(),
             requests: self.arrivals.len() as u32,
-            weight: self.weight,
+            weight: self.weight(),
             oldest: self.arrivals.first()?.0,
             deadline: self.deadlines.last()?.0,
         })
--- a/crates/place/src/waiting.rs
+++ b/crates/place/src/waiting.rs
@@ -11,7 +11,8 @@
     pub model: Model,
     /// The number of requests.
     pub requests: u32,
-    /// The sum of the requests' weights by priority; see [`Waiting::weight`].
+    /// The sum of the requests' weights by priority, of each caller four at most; see
+    /// [`Waiting::weight`].
     pub weight: u32,
     /// When the oldest of them arrived.
     pub oldest: Duration,
--- a/crates/place/tests/queue.rs
+++ b/crates/place/tests/queue.rs
@@ -6,6 +6,8 @@
 use place::Entry;
 use place::Full;
 use place::Queue;
+use place::Waiting;
+use wire::endpoint::Model;
 
 const NO_LIMIT: u32 = u32::MAX;
 
@@ -74,6 +76,24 @@
     assert_eq!(drain(&mut queue, Duration::ZERO), [2, 3, 1]);
 }
 
+#[test]
+fn a_caller_counts_with_four_requests_at_most_for_a_load() {
+    let model = |adapter: &str| Model { adapter: Name::from(adapter), version: Name::from("1") };
+    let mut queue = Queue::default();
+    let mut push = |adapter: &str, caller: &str, priority: u8| {
+        let Entry { arrived, deadline, cost, ticket, .. } = entry(caller, priority, 1_000, 0);
+        let (key, caller) = (model(adapter), Name::from(caller));
+        let entry = Entry { key, caller, priority, arrived, deadline, cost, ticket };
+        queue.push(entry, NO_LIMIT).unwrap();
+    };
+    (0..50).for_each(|_| push("flooded", "greedy", 5));
+    (0..5).for_each(|number| push("shared", &format!("modest {number}"), 5));
+    let mut waiting = queue.waiting();
+    waiting.sort_by(|left, right| left.model.cmp(&right.model));
+    let found: Vec<_> = waiting.iter().map(|waiting| (waiting.requests, waiting.weight)).collect();
+    assert_eq!(found, [(50, 4 * Waiting::weight(5)), (5, 5 * Waiting::weight(5))]);
+}
+
 #[test]
 fn bounds_and_expiry() {
     let mut queue = Queue::default();
