--- a/crates/place/examples/cost.rs
+++ b/crates/place/examples/cost.rs
@@ -11,9 +11,11 @@
 use base::Name;
 use place::Backoff;
 use place::Engine;
+use place::Entry;
 use place::Held;
 use place::Policy;
 use place::Popularity;
+use place::Queue;
 use place::Tables;
 use place::Waiting;
 use rand::RngExt;
@@ -29,14 +31,19 @@
 const WAITING: [usize; 4] = [1, 10, 100, 1_000];
 const SLOTS: usize = 6;
 const NOW: Duration = Duration::from_secs(1_000);
+const REQUESTS: [usize; 3] = [100, 1_000, 10_000];
 /// How long each case is repeated at least.
 const REPEAT: Duration = Duration::from_millis(200);
 
 fn main() {
-    println!("route::choose, ns a call; the adapter is held by one engine, or by none");
-    println!("engines  held  absent");
+    println!("route::choose, ns a call; the adapter is held by one engine, which comes first");
+    println!("or anywhere among the candidates, or by none");
+    println!("engines   first    held  absent");
     for engines in ENGINES {
-        println!("{engines:7} {:5.0} {:7.0}", choose(engines, true), choose(engines, false));
+        let first = choose(engines, |_| Some(0));
+        let held = choose(engines, |call| Some(call % engines));
+        let absent = choose(engines, |_| None);
+        println!("{engines:7} {first:7.0} {held:7.0} {absent:7.0}");
     }
     println!("\nplace::next, ns a call, with the number of waiting adapters");
     println!("engines {}", WAITING.map(|waiting| format!("{waiting:>9}")).concat());
@@ -44,11 +51,17 @@
         let cells = WAITING.map(|waiting| format!("{:9.0}", next(engines, waiting)));
         println!("{engines:7} {}", cells.concat());
     }
+    println!("\nplace::Queue, 50 callers, 10 requests an adapter, 6 adapters at the engine");
+    println!("requests  push and pop ns");
+    for requests in REQUESTS {
+        println!("{requests:8} {:16.0}", queue(requests));
+    }
     println!("\nplace::Popularity, Zipf 1.1");
-    println!("adapters  hit ns  value ns  bytes an adapter");
+    println!("adapters  hit ns  value ns  bytes of an entry");
     for adapters in ADAPTERS {
         let (hit, value) = popularity(adapters);
-        println!("{adapters:8} {hit:7.0} {value:9.0} {:17}", entry_bytes());
+        let bytes = mem::size_of::<(Model, f64)>();
+        println!("{adapters:8} {hit:7.0} {value:9.0} {bytes:18}");
     }
 }
 
@@ -67,7 +80,8 @@
     Model { adapter: Name::from(format!("adapter-{number:06}")), version: Name::from("1") }
 }
 
-fn choose(engines: usize, held: bool) -> f64 {
+/// `holder` says for each call which engine holds the adapter.
+fn choose(engines: usize, holder: impl Fn(usize) -> Option<usize>) -> f64 {
     let names: Vec<Name> = (0..engines).map(|number| Name::from(format!("e{number:03}"))).collect();
     let gate = Name::from("gate");
     let models: Vec<Model> = (0..256).map(model).collect();
@@ -80,11 +94,7 @@
             gate: &gate,
             own: number % 5 == 0,
             ready: true,
-            holding: if held && number == call % engines {
-                Holding::Loaded
-            } else {
-                Holding::Absent
-            },
+            holding: if holder(call) == Some(number) { Holding::Loaded } else { Holding::Absent },
             in_flight: loads[number],
             waiting: 0,
             batch: 8,
@@ -139,6 +149,30 @@
     }
 }
 
+fn queue(requests: usize) -> f64 {
+    let models: Vec<Model> = (0..requests / 10).map(model).collect();
+    let callers: Vec<Name> = (0..50).map(|number| Name::from(format!("caller-{number}"))).collect();
+    let entry = |number: usize| Entry {
+        key: models[number % models.len()].clone(),
+        caller: callers[number * 7 % callers.len()].clone(),
+        priority: 5,
+        arrived: NOW,
+        deadline: NOW + Duration::from_millis((number * 13 % 10_000) as u64),
+        cost: 1,
+        ticket: (),
+    };
+    let mut queue = Queue::default();
+    for number in 0..requests {
+        queue.push(entry(number), u32::MAX).ok();
+    }
+    time(|call| {
+        let held = (0..SLOTS).map(|slot| &models[(call + slot) % models.len()]);
+        if let Some(popped) = queue.pop(held, NOW) {
+            queue.push(popped, u32::MAX).ok();
+        }
+    })
+}
+
 fn popularity(adapters: usize) -> (f64, f64) {
     let models: Vec<Model> = (0..adapters).map(model).collect();
     let mut popularity = Popularity::new(Duration::from_secs(120), adapters);
@@ -159,8 +193,3 @@
     });
     (hit, value)
 }
-
-/// The bytes of an adapter's entry in a table that is filled by 7 of 8, names shared.
-fn entry_bytes() -> usize {
-    (mem::size_of::<(Model, f64)>() + 1) * 8 / 7
-}
--- a/crates/place/examples/model/run.rs
+++ b/crates/place/examples/model/run.rs
@@ -20,8 +20,6 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use route::Ask;
-use route::Candidate;
-use route::Holding;
 use route::Pace;
 use state::view::Exception;
 use wire::endpoint::Model;
@@ -30,6 +28,8 @@
 use crate::site;
 use crate::site::Site;
 use crate::stats::Stats;
+use crate::view;
+use crate::view::Told;
 
 /// The requests that may wait for one adapter.
 const QUEUE_LIMIT: u32 = 64;
@@ -45,19 +45,19 @@
 
 /// A request that waits.
 #[derive(Clone, Copy)]
-struct Ticket {
+pub(crate) struct Ticket {
     stalled: bool,
     cold: bool,
 }
 
 /// A gate with the engines that it owns.
-struct Gate {
-    name: Name,
-    engines: Vec<Engine>,
+pub(crate) struct Gate {
+    pub(crate) name: Name,
+    pub(crate) engines: Vec<Engine>,
     queue: Queue<Model, Ticket>,
     popularity: Popularity,
     backoff: Backoff,
-    waiting: u32,
+    pub(crate) waiting: u32,
 }
 
 /// A load in progress.
@@ -74,6 +74,8 @@
     policy: Policy,
     exceptions: Map<Name, Exception>,
     gates: Vec<Gate>,
+    /// What gates were last told of each other's engines, and of the requests waiting there.
+    told: Vec<Told>,
     models: Vec<Model>,
     loads: Vec<Load>,
     /// When requests end, at which gate and engine, on which model.
@@ -107,6 +109,9 @@
         if trial.restart && run.now_ms.is_multiple_of(RESTART_MS) {
             run.restart();
         }
+        if run.now_ms.is_multiple_of(trial.lag_ms.max(1)) {
+            run.told = run.gates.iter().map(Told::new).collect();
+        }
         run.end_requests();
         run.progress_loads();
         while arrival <= run.now_ms as f64 {
@@ -150,6 +155,7 @@
             policy,
             exceptions: Map::default(),
             gates: gates.collect(),
+            told: Vec::new(),
             models: models.collect(),
             loads: Vec::new(),
             ends: BinaryHeap::new(),
@@ -215,7 +221,9 @@
         let ask =
             Ask { pace, seed: self.random.random(), ..Ask::new(Some(&model), site::DEADLINE) };
         let ask = ask.configured(self.settings, self.site.stall_weight);
-        let Ok(choice) = route::choose(&ask, candidates(&self.gates, &model)) else {
+        let receiver = self.random.random_range(0..self.gates.len());
+        let candidates = view::candidates(&self.gates, &self.told, receiver, &model);
+        let Ok(choice) = route::choose(&ask, candidates) else {
             return self.refuse(cold);
         };
         let now = self.now();
@@ -370,24 +378,3 @@
         held: Vec::new(),
     }
 }
-
-fn candidates<'a>(gates: &'a [Gate], model: &'a Model) -> impl Iterator<Item = Candidate<'a>> {
-    gates.iter().flat_map(move |gate| {
-        gate.engines.iter().map(move |engine| Candidate {
-            endpoint: &engine.name,
-            gate: &gate.name,
-            own: false,
-            ready: true,
-            holding: match engine.find(model) {
-                Some(held) if held.loading => Holding::Loading,
-                Some(_) => Holding::Loaded,
-                None => Holding::Absent,
-            },
-            in_flight: engine.in_flight,
-            waiting: gate.waiting / gate.engines.len().max(1) as u32,
-            batch: engine.batch,
-            free_slots: engine.free(),
-            prefix_hit: false,
-        })
-    })
-}
