--- /dev/null
+++ b/crates/board/tests/floor.rs
@@ -0,0 +1,263 @@
+//! The tables of endpoints and waiting requests.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Code;
+use base::Name;
+use board::Board;
+use board::Moment;
+use board::Phase;
+use board::Target;
+use board::Ticket;
+use board::Waiter;
+use state::Delta;
+use state::View;
+use state::view::Endpoint;
+use state::view::Gate;
+use state::view::Ownership;
+use state::view::Patch;
+use state::view::Role;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use wire::endpoint::Model;
+use wire::endpoint::Running;
+use wire::endpoint::State;
+use wire::keeper::Update;
+
+const HANDOVER: Duration = Duration::from_secs(2);
+const HOUR: Duration = Duration::from_secs(3_600);
+
+type Reply = oneshot::Receiver<Result<Ticket, Code>>;
+
+fn model(adapter: &str) -> Model {
+    Model { adapter: Name::from(adapter), version: Name::from("v1") }
+}
+
+fn gate(name: &str, incarnation: u64) -> Gate {
+    let name = Name::from(name);
+    let none = Name::default();
+    let (domain, address, peer) = (none.clone(), none.clone(), none.clone());
+    Gate { name, incarnation, domain, address, peer, relay: none }
+}
+
+fn owned(owner: &str, fence: u64, generation: u64) -> Ownership {
+    let endpoint = Endpoint {
+        name: Name::from("e1"),
+        address: Name::default(),
+        host: Name::from("h9"),
+        domain: Name::default(),
+        role: Role::Engine { base: Name::from("base"), slots: 2, batch: 2 },
+        fenced: false,
+        generation,
+    };
+    Ownership { endpoint, owner: Some(Name::from(owner)), fence }
+}
+
+/// Returns the board of `h1`, whose view has the gates `h1` and `h2` and an engine of `h2`.
+fn board() -> Arc<Board> {
+    let (board, _) = Board::new(Name::from("h1"), HOUR, HANDOVER);
+    let mut view = View { revision: 1, ..View::default() };
+    for name in ["h1", "h2"] {
+        view.gates.insert(Name::from(name), gate(name, 1));
+    }
+    view.endpoints.insert(Name::from("e1"), owned("h2", 1, 1));
+    assert!(board.update(&Update::Whole(Box::new(view))));
+    board.lease.lock().extend(Moment::now().after(HOUR));
+    board
+}
+
+fn patch(board: &Board, patch: Patch) -> bool {
+    let revision = board.view.read().revision + 1;
+    board.update(&Update::Deltas(vec![Delta { revision, configuration: 0, patch }]))
+}
+
+fn take_over(board: &Board, fence: u64) {
+    let name = Name::from("e1");
+    assert!(patch(board, Patch::Endpoint(name, Some(owned("h1", fence, 1)))));
+}
+
+fn state(loaded: &[&str], running: &[(&str, &str)]) -> State {
+    let running = running.iter().map(|(request, adapter)| Running {
+        request: Name::from(*request),
+        model: Some(model(adapter)),
+    });
+    State {
+        generation: 1,
+        loaded: loaded.iter().map(|adapter| model(adapter)).collect(),
+        running: running.collect(),
+        waiting: 0,
+    }
+}
+
+fn survey(board: &Board, state: &State) -> bool {
+    let name = Name::from("e1");
+    let (fence, orders) = {
+        let floor = board.floor.lock();
+        let own = &floor.endpoints[&name];
+        (own.fence, own.orders)
+    };
+    board.survey(&name, fence, orders, state)
+}
+
+fn evictable(board: &Board) -> bool {
+    board.floor.lock().endpoints["e1"].evictable(Instant::now())
+}
+
+fn wait(board: &Arc<Board>, request: &str, priority: u8, alone: bool) -> Reply {
+    let (reply, ticket) = oneshot::channel();
+    let now = Instant::now();
+    let waiter = Waiter {
+        request: Name::from(request),
+        endpoint: None,
+        bound: false,
+        priority,
+        arrived: now,
+        deadline: now + HOUR,
+        alone,
+        fingerprint: 1,
+        reply,
+    };
+    board.admit(Target::Model(model("a")), waiter, 2).expect("the queue has room");
+    ticket
+}
+
+#[test]
+fn lease_holds_from_before_the_renewal_and_never_shrinks() {
+    let mut lease = board::Lease::default();
+    assert!(!lease.holds());
+    lease.extend(Moment::now().after(HOUR));
+    lease.extend(Moment::now());
+    assert!(lease.holds());
+    lease.end();
+    assert!(!lease.holds());
+    lease.extend(Moment::now());
+    assert!(!lease.holds());
+}
+
+#[tokio::test(start_paused = true)]
+async fn nothing_is_evicted_while_the_former_owner_may_send() {
+    let board = board();
+    take_over(&board, 2);
+    assert!(survey(&board, &state(&["a"], &[])));
+    assert!(!evictable(&board));
+    // The former owner sends a request after the first reading.
+    assert!(survey(&board, &state(&["a"], &[("r1", "a")])));
+    tokio::time::advance(HANDOVER).await;
+    assert!(!evictable(&board), "its request pins the endpoint");
+    assert!(survey(&board, &state(&["a"], &[])));
+    assert!(evictable(&board));
+}
+
+#[tokio::test(start_paused = true)]
+async fn endpoint_of_an_ended_lease_is_taken_over_at_once() {
+    let board = board();
+    assert!(patch(&board, Patch::Gate(Name::from("h2"), None)));
+    take_over(&board, 2);
+    assert!(!evictable(&board), "it is not surveyed yet");
+    assert!(survey(&board, &state(&["a"], &[])));
+    assert!(evictable(&board));
+}
+
+#[tokio::test(start_paused = true)]
+async fn reading_across_an_order_is_not_applied() {
+    let board = board();
+    take_over(&board, 2);
+    let name = Name::from("e1");
+    board.mark(&name, 2, &model("a"), Some(Phase::Loading));
+    let before = board.floor.lock().endpoints["e1"].orders;
+    board.mark(&name, 2, &model("a"), Some(Phase::Ready));
+    assert!(!board.survey(&name, 2, before, &state(&[], &[])));
+    assert!(board.floor.lock().endpoints["e1"].slots.contains_key(&model("a")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn batch_is_filled_by_priority_and_queue_is_bounded() {
+    let board = board();
+    take_over(&board, 2);
+    assert!(survey(&board, &state(&["a"], &[])));
+    let mut first = wait(&board, "r1", 5, false);
+    let mut second = wait(&board, "r2", 5, false);
+    let mut low = wait(&board, "r3", 1, false);
+    let mut high = wait(&board, "r4", 9, false);
+    let ticket = first.try_recv().expect("sent").expect("it has room");
+    let _kept = second.try_recv().expect("sent").expect("it has room");
+    assert!(low.try_recv().is_err() && high.try_recv().is_err());
+    let (reply, _) = oneshot::channel();
+    let now = Instant::now();
+    let waiter = Waiter {
+        request: Name::from("r5"),
+        endpoint: None,
+        bound: false,
+        priority: 9,
+        arrived: now,
+        deadline: now + HOUR,
+        alone: false,
+        fingerprint: 1,
+        reply,
+    };
+    let full = board.admit(Target::Model(model("a")), waiter, 2);
+    assert_eq!(full, Err(Code::QueueFull));
+    drop(ticket);
+    board.dispatch();
+    assert!(high.try_recv().is_ok() && low.try_recv().is_err());
+}
+
+#[tokio::test(start_paused = true)]
+async fn suspect_runs_alone() {
+    let board = board();
+    take_over(&board, 2);
+    assert!(survey(&board, &state(&["a"], &[])));
+    let mut first = wait(&board, "r1", 5, false);
+    let ticket = first.try_recv().expect("sent").expect("it has room");
+    let mut suspect = wait(&board, "r2", 5, true);
+    let mut other = wait(&board, "r3", 5, false);
+    assert!(suspect.try_recv().is_err() && other.try_recv().is_err(), "the engine is emptied");
+    drop(ticket);
+    board.dispatch();
+    let alone = suspect.try_recv().expect("sent").expect("it runs alone");
+    assert!(other.try_recv().is_err());
+    drop(alone);
+    board.dispatch();
+    assert!(other.try_recv().is_ok());
+}
+
+#[tokio::test(start_paused = true)]
+async fn nothing_is_dispatched_without_a_lease() {
+    let board = board();
+    take_over(&board, 2);
+    assert!(survey(&board, &state(&["a"], &[])));
+    board.lease.lock().end();
+    let mut waiting = wait(&board, "r1", 5, false);
+    assert!(waiting.try_recv().is_err());
+    assert!(!board.owns(&Name::from("e1"), 2));
+    board.lease.lock().extend(Moment::now().after(HOUR));
+    board.dispatch();
+    assert!(waiting.try_recv().is_ok());
+}
+
+#[test]
+fn revision_never_goes_back() {
+    let board = board();
+    let older = View::default();
+    assert!(!board.update(&Update::Whole(Box::new(older))));
+    assert_eq!(board.view.read().revision, 1);
+    let gap =
+        Delta { revision: 9, configuration: 0, patch: Patch::Draining(Name::from("h2"), true) };
+    assert!(!board.update(&Update::Deltas(vec![gap])));
+    assert!(board.view.read().draining.is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn new_generation_reports_what_was_in_flight() {
+    let board = board();
+    take_over(&board, 2);
+    assert!(survey(&board, &state(&["a"], &[])));
+    let mut first = wait(&board, "r1", 5, false);
+    let _ticket = first.try_recv().expect("sent").expect("it has room");
+    assert!(patch(&board, Patch::Endpoint(Name::from("e1"), Some(owned("h1", 2, 2)))));
+    let floor = board.floor.lock();
+    assert_eq!(floor.crashes.len(), 1);
+    assert_eq!((floor.crashes[0].generation, &floor.crashes[0].fingerprints[..]), (1, &[1][..]));
+    assert!(floor.endpoints["e1"].slots.is_empty() && !floor.endpoints["e1"].surveyed);
+}
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -194,6 +194,7 @@
         return Err(Failure::from(Code::NotServing));
     }
     request.stage.visited.add(ticket.endpoint.clone());
+    let sent = Instant::now();
     ticket.send();
     let answer = match context.client.send(message, deadline).await {
         Ok(response) => exchange::receive(response, expect(request, deadline, false)).await,
@@ -202,6 +203,9 @@
     };
     match answer {
         Ok(mut answer) => {
+            if matches!(answer, Answer::Whole(_)) {
+                context.served(sent.elapsed());
+            }
             answer.seal(ticket);
             context.board.dispatch();
             Ok(answer)
