--- a/crates/raft/src/progress.rs
+++ b/crates/raft/src/progress.rs
@@ -22,8 +22,10 @@
     Snapshot {
         /// The last entry in the snapshot.
         index: Index,
-        /// When it was sent.
-        sent: Duration,
+        /// When it is sent again unless there is an answer.
+        again: Duration,
+        /// How long that is after the last time.
+        patience: Duration,
     },
 }
 
--- a/crates/raft/src/replication.rs
+++ b/crates/raft/src/replication.rs
@@ -14,8 +14,11 @@
 
 /// The bytes that count for an entry besides its data.
 const ENTRY_BYTES: usize = 32;
-/// The election times after which a snapshot without an answer is sent again.
+/// The election times after which a snapshot without an answer is sent again; each time twice as long,
+/// so that one that takes long to transfer is not begun anew for ever.
 const SNAPSHOT_PATIENCE: u32 = 4;
+/// The most election times after which it is sent again.
+const SNAPSHOT_PATIENCE_MOST: u32 = 256;
 
 impl Node {
     /// Begins a round of heartbeats.
@@ -49,14 +52,17 @@
 
     /// Sends a snapshot if the entries are gone, again after a time without an answer.
     fn check_snapshot(&mut self, to: Id, progress: &mut Progress) {
-        let due = match progress.mode {
-            Mode::Snapshot { sent, .. } => {
-                self.now >= sent + self.config.election * SNAPSHOT_PATIENCE
+        let (due, patience) = match progress.mode {
+            Mode::Snapshot { again, patience, .. } => (self.now >= again, patience * 2),
+            _ => {
+                let first = self.config.election * SNAPSHOT_PATIENCE;
+                (progress.next <= self.log.start(), first)
             }
-            _ => progress.next <= self.log.start(),
         };
         let Some(snapshot) = self.snapshot.clone().filter(|_| due) else { return };
-        progress.mode = Mode::Snapshot { index: snapshot.index, sent: self.now };
+        let patience = patience.min(self.config.election * SNAPSHOT_PATIENCE_MOST);
+        let again = self.now + patience;
+        progress.mode = Mode::Snapshot { index: snapshot.index, again, patience };
         progress.due = false;
         self.send(to, Body::Install { snapshot, round: self.round });
     }
--- a/crates/raft/tests/log/basics.rs
+++ b/crates/raft/tests/log/basics.rs
@@ -217,3 +217,34 @@
     assert!(world.replicas[leader].applied > last);
     assert_eq!(world.node(leader).members().voters[0].id, 4_242);
 }
+
+#[test]
+fn a_snapshot_without_answer_is_sent_again_ever_more_seldom() {
+    let (mut world, leader) = group(3);
+    let slow = follower(&world);
+    world.cut(slow);
+    propose(&mut world, leader, 200);
+    world.run_for(500);
+    let to = world.replicas[slow].id;
+    let mut now = world.now();
+    let mut sent = Vec::new();
+    for _ in 0..10_000 {
+        now += Duration::from_millis(10);
+        let node = world.node(leader);
+        node.tick(now);
+        let (term, round) = (node.term(), u64::MAX);
+        let ids: Vec<u64> = node.members().voters.iter().map(|member| member.id).collect();
+        for from in ids {
+            let body = Body::Appended { success: from != to, index: 0, round };
+            node.step(from, Message { term, body }, now);
+        }
+        let messages = node.ready().messages;
+        let installs = messages
+            .iter()
+            .filter(|(id, message)| *id == to && matches!(message.body, Body::Install { .. }));
+        sent.extend(installs.map(|_| now));
+    }
+    let waits: Vec<Duration> = sent.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert!(sent.len() > 4, "{sent:?}");
+    assert!(waits.windows(2).all(|pair| pair[1] >= pair[0].mul_f64(1.9)), "{waits:?}");
+}
