--- a/crates/raft/tests/log/basics.rs
+++ b/crates/raft/tests/log/basics.rs
@@ -58,6 +58,19 @@
     assert_eq!((members.voters.len(), kept.count()), (5, 3));
 }
 
+#[test]
+fn after_all_hosts_stop_the_three_disks_are_enough() {
+    let (mut world, leader) = group(5);
+    propose(&mut world, leader, 10);
+    world.run_for(500);
+    let last = world.replicas[leader].applied;
+    for host in 0..5 {
+        world.crash(host, host >= 3);
+    }
+    world.heal();
+    assert!((0..5).all(|host| world.replicas[host].applied > last));
+}
+
 #[test]
 fn a_replica_far_behind_gets_a_snapshot_and_a_near_one_entries() {
     for (count, installs) in [(200, 1), (5, 0)] {
