raft: entries that do not follow each other are dropped

Cause: a message with a gap between its entries, or a hint beyond the log, reached the log; the new test was red (an assertion in the log; without assertions the indices would have been wrong from there on). Change: such a message is dropped before anything is stored, and a hint is bounded by the leader's log. Ruled out: going on when a committed entry would be replaced; that breaks what the log promises, so it stops.

--- a/crates/raft/src/follow.rs
+++ b/crates/raft/src/follow.rs
@@ -22,6 +22,17 @@
     commit: Index,
 }
 
+impl Batch {
+    /// Returns whether the entries follow each other behind `prev_index`.
+    fn is_consecutive(&self) -> bool {
+        let mut before = Some(self.prev_index);
+        self.entries.iter().all(|entry| {
+            before = before.and_then(|index| index.checked_add(1));
+            before == Some(entry.index)
+        })
+    }
+}
+
 impl Node {
     /// Takes a message from another replica.
     pub fn step(&mut self, from: Id, message: Message, now: Duration) {
@@ -77,6 +88,9 @@
             return self.send(from, Body::Appended { success: false, index: 0, round });
         }
         self.hear(from, term);
+        if !batch.is_consecutive() {
+            return;
+        }
         let (success, index) = self.store(batch);
         self.send(from, Body::Appended { success, index, round });
     }
--- a/crates/raft/src/replication.rs
+++ b/crates/raft/src/replication.rs
@@ -119,7 +119,7 @@
             self.count_matches();
             self.follow_up();
         } else {
-            progress.rejected(index);
+            progress.rejected(index.min(last));
         }
     }
 
--- a/crates/raft/tests/log/basics.rs
+++ b/crates/raft/tests/log/basics.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use raft::Message;
 use raft::message::Body;
+use raft::message::Entry;
 use raft::message::Member;
 use raft::message::Payload;
 use raft::node::Role;
@@ -261,3 +262,28 @@
     assert!(sent.len() > 4, "{sent:?}");
     assert!(waits.windows(2).all(|pair| pair[1] >= pair[0].mul_f64(1.9)), "{waits:?}");
 }
+
+#[test]
+fn messages_that_make_no_sense_change_nothing() {
+    let (mut world, leader) = group(3);
+    let host = follower(&world);
+    let (now, from) = (world.now(), world.replicas[leader].id);
+    let term = world.node(host).term();
+    let last = world.node(host).last_index();
+    let entry = |index| Entry { index, term, payload: Payload::Empty };
+    for entries in [vec![entry(last + 2)], vec![entry(last + 1), entry(last + 1)], vec![entry(1)]] {
+        for prev_index in [last, u64::MAX] {
+            let entries = entries.clone();
+            let prev_term = world.node(host).term();
+            let body = Body::Append { prev_index, prev_term, entries, commit: u64::MAX, round: 1 };
+            world.node(host).step(from, Message { term, body }, now);
+            assert_eq!(world.node(host).last_index(), last);
+        }
+    }
+    let other = world.replicas[host].id;
+    for success in [true, false] {
+        let body = Body::Appended { success, index: u64::MAX, round: 1 };
+        world.node(leader).step(other, Message { term, body }, now);
+    }
+    world.heal();
+}
