--- a/crates/raft/tests/log/basics.rs
+++ b/crates/raft/tests/log/basics.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use raft::Message;
 use raft::message::Body;
+use raft::message::Entry;
 use raft::message::Member;
 use raft::message::Payload;
 use raft::node::Role;
@@ -58,6 +59,19 @@
     assert_eq!((members.voters.len(), kept.count()), (5, 3));
 }
 
+#[test]
+fn after_all_hosts_stop_the_three_disks_are_enough() {
+    let (mut world, leader) = group(5);
+    propose(&mut world, leader, 10);
+    world.run_for(500);
+    let last = world.replicas[leader].applied;
+    for host in 0..5 {
+        world.crash(host, host >= 3);
+    }
+    world.heal();
+    assert!((0..5).all(|host| world.replicas[host].applied > last));
+}
+
 #[test]
 fn a_replica_far_behind_gets_a_snapshot_and_a_near_one_entries() {
     for (count, installs) in [(200, 1), (5, 0)] {
@@ -217,3 +231,59 @@
     assert!(world.replicas[leader].applied > last);
     assert_eq!(world.node(leader).members().voters[0].id, 4_242);
 }
+
+#[test]
+fn a_snapshot_without_answer_is_sent_again_ever_more_seldom() {
+    let (mut world, leader) = group(3);
+    let slow = follower(&world);
+    world.cut(slow);
+    propose(&mut world, leader, 200);
+    world.run_for(500);
+    let to = world.replicas[slow].id;
+    let mut now = world.now();
+    let mut sent = Vec::new();
+    for _ in 0..10_000 {
+        now += Duration::from_millis(10);
+        let node = world.node(leader);
+        node.tick(now);
+        let (term, round) = (node.term(), u64::MAX);
+        let ids: Vec<u64> = node.members().voters.iter().map(|member| member.id).collect();
+        for from in ids {
+            let body = Body::Appended { success: from != to, index: 0, round };
+            node.step(from, Message { term, body }, now);
+        }
+        let messages = node.ready().messages;
+        let installs = messages
+            .iter()
+            .filter(|(id, message)| *id == to && matches!(message.body, Body::Install { .. }));
+        sent.extend(installs.map(|_| now));
+    }
+    let waits: Vec<Duration> = sent.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert!(sent.len() > 4, "{sent:?}");
+    assert!(waits.windows(2).all(|pair| pair[1] >= pair[0].mul_f64(1.9)), "{waits:?}");
+}
+
+#[test]
+fn messages_that_make_no_sense_change_nothing() {
+    let (mut world, leader) = group(3);
+    let host = follower(&world);
+    let (now, from) = (world.now(), world.replicas[leader].id);
+    let term = world.node(host).term();
+    let last = world.node(host).last_index();
+    let entry = |index| Entry { index, term, payload: Payload::Empty };
+    for entries in [vec![entry(last + 2)], vec![entry(last + 1), entry(last + 1)], vec![entry(1)]] {
+        for prev_index in [last, u64::MAX] {
+            let entries = entries.clone();
+            let prev_term = world.node(host).term();
+            let body = Body::Append { prev_index, prev_term, entries, commit: u64::MAX, round: 1 };
+            world.node(host).step(from, Message { term, body }, now);
+            assert_eq!(world.node(host).last_index(), last);
+        }
+    }
+    let other = world.replicas[host].id;
+    for success in [true, false] {
+        let body = Body::Appended { success, index: u64::MAX, round: 1 };
+        world.node(leader).step(other, Message { term, body }, now);
+    }
+    world.heal();
+}
