state, keeper: an endpoint is withdrawn before another gate gets it

Cause: a move for even shares gave an endpoint from one living gate to another in one command. Each gate had to wait by itself until the revision was in force, and nothing made it do so.

Ruled out: leaving the rule to the gates; with a gate that does not wait, the test of the holders was red with each revision reported in force at once.

Change: Withdraw (additive) leaves the endpoint without an owner, and the balance assigns it once that revision is in force. A withdrawn endpoint is given away by nothing else.

--- a/crates/keeper/src/balance.rs
+++ b/crates/keeper/src/balance.rs
@@ -4,6 +4,7 @@
 use base::Name;
 use state::Command;
 use state::View;
+use state::view::Ownership;
 use state::view::Role;
 
 /// What endpoints serve, by which their shares are counted.
@@ -15,16 +16,18 @@
     Service(Name),
 }
 
-/// Finds the next endpoint to give to another gate; none if the shares are even.
+/// Finds the next step towards even shares; none if they are even. The step before it must be in force.
 ///
-/// Endpoints of draining gates go first; otherwise one goes from the gate with the most endpoints of
-/// a kind to the one with the fewest, if they differ by two at least.
+/// An endpoint is taken from its owner first and given to another gate in the next step, so that it never
+/// has two. Endpoints of draining gates go first; otherwise one goes from the gate with the most endpoints
+/// of a kind to the one with the fewest, if they differ by two at least.
 pub fn next(view: &View) -> Option<Command> {
     let shares = shares(view);
     let mut kinds: Vec<&Kind> = shares.keys().collect();
     kinds.sort();
-    let moves = |kind: &&Kind| next_of(view, &shares[*kind]);
-    kinds.iter().find_map(moves)
+    let gives = |kind: &&Kind| give(view, kind, &shares[*kind]);
+    let takes = |kind: &&Kind| take(view, &shares[*kind]);
+    kinds.iter().find_map(gives).or_else(|| kinds.iter().find_map(takes))
 }
 
 /// Lists the endpoints of each owner, for each kind; each gate has a share, also an empty one.
@@ -42,12 +45,20 @@
     shares
 }
 
-fn next_of(view: &View, share: &Map<Name, Vec<Name>>) -> Option<Command> {
+/// Gives an endpoint without an owner to the gate with the fewest of its kind.
+fn give(view: &View, wanted: &Kind, share: &Map<Name, Vec<Name>>) -> Option<Command> {
+    let (gate, _) = fewest(view, share)?;
+    let waits = |known: &&Ownership| known.owner.is_none() && kind(&known.endpoint.role) == *wanted;
+    let waiting = view.endpoints.values().filter(waits);
+    let known = waiting.min_by_key(|known| &known.endpoint.name)?;
+    let endpoint = known.endpoint.name.clone();
+    Some(Command::Assign { endpoint, fence: known.fence, gate: gate.clone() })
+}
+
+/// Takes an endpoint from a gate that drains or has the most of a kind.
+fn take(view: &View, share: &Map<Name, Vec<Name>>) -> Option<Command> {
     let drains = |gate: &Name| view.draining.contains(gate);
-    let (fewest, least) = share
-        .iter()
-        .filter(|(gate, _)| !drains(gate))
-        .min_by_key(|(gate, owned)| (owned.len(), *gate))?;
+    let (_, least) = fewest(view, share)?;
     let (most, owned) = share
         .iter()
         .filter(|(_, owned)| !owned.is_empty())
@@ -57,7 +68,13 @@
     }
     let endpoint = owned.iter().min()?.clone();
     let fence = view.endpoints.get(&endpoint)?.fence;
-    Some(Command::Assign { endpoint, fence, gate: fewest.clone() })
+    Some(Command::Withdraw { endpoint, fence })
+}
+
+/// Finds the gate with the fewest endpoints of a kind among those that do not drain.
+fn fewest<'a>(view: &View, share: &'a Map<Name, Vec<Name>>) -> Option<(&'a Name, &'a Vec<Name>)> {
+    let open = share.iter().filter(|(gate, _)| !view.draining.contains(*gate));
+    open.min_by_key(|(gate, owned)| (owned.len(), *gate))
 }
 
 fn kind(role: &Role) -> Kind {
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -41,7 +41,8 @@
         /// The name of the endpoint.
         endpoint: Name,
     },
-    /// An endpoint is given to another owner; refused unless `fence` is still in force.
+    /// An endpoint is given to another owner; refused unless `fence` is still in force. From an owner
+    /// that holds its lease it is taken by [`Command::Withdraw`] before.
     Assign {
         /// The name of the endpoint.
         endpoint: Name,
@@ -91,6 +92,14 @@
         /// The fingerprints of the requests.
         fingerprints: Vec<u64>,
     },
+    /// An endpoint is taken from its owner, to be given to another by [`Command::Assign`] once the former
+    /// has applied it; refused unless `fence` is still in force.
+    Withdraw {
+        /// The name of the endpoint.
+        endpoint: Name,
+        /// The fencing number that the owner holds.
+        fence: u64,
+    },
 }
 
 /// A change of the configuration by an operator.
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -185,6 +185,9 @@
                     limits,
                 );
             }
+            Command::Withdraw { endpoint, fence } => {
+                state.owners.withdraw(draft, &endpoint, fence)?;
+            }
             Command::Clear { fingerprints } => state.crashes.clear(draft, &fingerprints),
         }
         Ok(None)
--- a/crates/state/src/owner.rs
+++ b/crates/state/src/owner.rs
@@ -1,5 +1,6 @@
 //! Gates' runs and their ownership of endpoints.
 
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
 use base::Code;
@@ -28,6 +29,9 @@
     fence: u64,
     /// The latest runs whose lease ended; none of them joins again.
     ended: VecDeque<(Name, Incarnation)>,
+    /// The endpoints that were taken from a gate that may not know it yet; only an assignment gives them
+    /// to another.
+    withdrawn: BTreeSet<Name>,
 }
 
 impl Owners {
@@ -105,6 +109,7 @@
         if !draft.view().endpoints.contains_key(endpoint) {
             return Err(Refusal::unknown("endpoint", endpoint));
         }
+        self.withdrawn.remove(endpoint);
         draft.set(Patch::Endpoint(endpoint.clone(), None));
         Ok(())
     }
@@ -118,13 +123,7 @@
         gate: &Name,
     ) -> Result {
         let view = draft.view();
-        let Some(known) = view.endpoints.get(endpoint).cloned() else {
-            return Err(Refusal::unknown("endpoint", endpoint));
-        };
-        if known.fence != fence {
-            let detail = format!("endpoint '{endpoint}' has fence {}, not {fence}", known.fence);
-            return Err(Refusal::new(Code::StaleFence, detail));
-        }
+        let known = find(view, endpoint, fence)?;
         if !view.gates.contains_key(gate) {
             return Err(Refusal::unknown("gate", gate));
         }
@@ -132,15 +131,28 @@
             return Err(Refusal::new(Code::Invalid, format!("gate '{gate}' drains")));
         }
         if known.owner.as_ref() != Some(gate) {
+            self.withdrawn.remove(endpoint);
             self.set(draft, known.endpoint, Some(gate.clone()));
         }
         Ok(())
     }
 
+    /// Takes an endpoint from its owner if `fence` is still in force.
+    pub(crate) fn withdraw(&mut self, draft: &mut Draft, endpoint: &Name, fence: u64) -> Result {
+        let known = find(draft.view(), endpoint, fence)?;
+        if known.owner.is_some() {
+            self.withdrawn.insert(endpoint.clone());
+            self.set(draft, known.endpoint, None);
+        }
+        Ok(())
+    }
+
     /// Gives each endpoint without an owner to a gate, where there is one.
     pub(crate) fn settle(&mut self, draft: &mut Draft) {
         for endpoint in owned_by(draft.view(), None) {
-            if pick(draft.view(), &endpoint.role).is_some() {
+            if !self.withdrawn.contains(&endpoint.name)
+                && pick(draft.view(), &endpoint.role).is_some()
+            {
                 self.give(draft, endpoint);
             }
         }
@@ -182,6 +194,18 @@
     }
 }
 
+/// Finds an endpoint whose owner has the fencing number `fence`.
+fn find(view: &View, endpoint: &Name, fence: u64) -> std::result::Result<Ownership, Refusal> {
+    let Some(known) = view.endpoints.get(endpoint).cloned() else {
+        return Err(Refusal::unknown("endpoint", endpoint));
+    };
+    if known.fence != fence {
+        let detail = format!("endpoint '{endpoint}' has fence {}, not {fence}", known.fence);
+        return Err(Refusal::new(Code::StaleFence, detail));
+    }
+    Ok(known)
+}
+
 /// Lists the endpoints of an owner by name.
 fn owned_by(view: &View, owner: Option<&Name>) -> Vec<Endpoint> {
     let owned = view.endpoints.values().filter(|known| known.owner.as_ref() == owner);
--- a/crates/state/tests/ownership.rs
+++ b/crates/state/tests/ownership.rs
@@ -137,3 +137,19 @@
     assert_eq!(refuse(&mut machine, register("e7")), Code::Invalid);
     apply(&mut machine, register("e6"));
 }
+
+#[test]
+fn a_withdrawn_endpoint_waits_for_its_assignment() {
+    let mut machine = site();
+    let fence = machine.view().endpoints["e1"].fence;
+    apply(&mut machine, Command::Withdraw { endpoint: Name::from("e1"), fence });
+    let owner = |machine: &Machine| machine.view().endpoints["e1"].owner.clone();
+    for command in [join("g3", 1), expire("g2", 1), join("g2", 2)] {
+        apply(&mut machine, command);
+        assert_eq!(owner(&machine), None);
+    }
+    let (endpoint, gate) = (Name::from("e1"), Name::from("g3"));
+    let fence = machine.view().endpoints["e1"].fence;
+    apply(&mut machine, Command::Assign { endpoint, fence, gate });
+    assert_eq!(owner(&machine).as_deref(), Some("g3"));
+}
