gate: a request whose endpoint or owner is lost is answered at once; short whole answers are refused

Cause: a request passed to a frozen gate, or sent to an engine that accepts and never answers, waited for its whole deadline (30 s): seen in a_half_open_endpoint and eviction_with_the_owner_frozen. A whole answer that ended early but was well-formed JSON was passed on as complete. Ruled out: a shorter default deadline, which would cut long generations; a timer for each request. Change: a request in progress ends when its endpoint no longer answers readings of its state, or when the view has another owner for it; idempotent ones are sent elsewhere, keyed ones wait for their answer. A completion must tell for each choice why it ended.

--- a/crates/board/src/endpoint.rs
+++ b/crates/board/src/endpoint.rs
@@ -104,11 +104,12 @@
 
     /// Returns whether the endpoint takes new work; `silent` is the longest time between signs of it.
     pub fn ready(&self, now: Instant, silent: Duration) -> bool {
-        self.surveyed
-            && !self.leaving
-            && !self.draining
-            && self.timeouts < TIMEOUT_LIMIT
-            && now.duration_since(self.heard) <= silent
+        self.surveyed && !self.leaving && !self.draining && self.answers(now, silent)
+    }
+
+    /// Returns whether the endpoint announces itself and answers when its state is read.
+    pub fn answers(&self, now: Instant, silent: Duration) -> bool {
+        self.timeouts < TIMEOUT_LIMIT && now.duration_since(self.heard) <= silent
     }
 
     /// Returns the requests of a full batch.
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -25,6 +25,7 @@
 use crate::leased;
 use crate::leased::Leased;
 use crate::leased::Payload;
+use crate::lost;
 use crate::pick;
 use crate::pick::Choice;
 use crate::pick::Tried;
@@ -196,11 +197,20 @@
     request.stage.visited.add(ticket.endpoint.clone());
     let sent = Instant::now();
     ticket.send();
-    let answer = match context.client.send(message, deadline).await {
-        Ok(response) => exchange::receive(response, expect(request, deadline, false)).await,
-        Err(_) if withheld.get() => Err(Failure::from(Code::NotServing)),
-        Err(failure) => Err(failure),
+    let exchanged = exchange(context, message, expect(request, deadline, false));
+    let answer = if request.stage.key.is_some() {
+        // A late answer settles a claim, so it is awaited as long as the caller waits.
+        exchanged.await
+    } else {
+        tokio::select! {
+            answer = exchanged => answer,
+            () = lost::endpoint(context, &ticket.endpoint, ticket.fence) => {
+                Err(Failure::Abandoned)
+            }
+        }
     };
+    let answer = answer
+        .map_err(|failure| if withheld.get() { Failure::from(Code::NotServing) } else { failure });
     match answer {
         Ok(mut answer) => {
             if matches!(answer, Answer::Whole(_)) {
@@ -217,6 +227,15 @@
     }
 }
 
+async fn exchange(
+    context: &Context,
+    message: axum::http::Request<Payload>,
+    expect: Expect,
+) -> Result<Answer, Failure> {
+    let response = context.client.send(message, expect.deadline).await?;
+    exchange::receive(response, expect).await
+}
+
 fn compose(
     request: &Request<Resolved>,
     ticket: &Ticket,
@@ -288,13 +307,11 @@
     // The owner refuses at the deadline; its word, which knows whether the request ran, goes first.
     let deadline = request.stage.deadline + RELAY_MARGIN;
     let sent = Instant::now();
-    let answer = match context.client.send(message, deadline).await {
-        Ok(response) => {
-            let sent_to = exchange::text(response.headers(), header::ENDPOINT);
-            sent_to.into_iter().for_each(|endpoint| request.stage.visited.add(endpoint));
-            exchange::receive(response, expect(request, deadline, true)).await
+    let answer = tokio::select! {
+        answer = relayed(context, request, message, deadline) => answer,
+        () = lost::owner(context, &choice.endpoint, &choice.owner) => {
+            Err(Failure::from(Code::OwnerLost))
         }
-        Err(failure) => Err(failure),
     };
     context.metrics.relay.observe(sent.elapsed().as_secs_f64());
     answer.map_err(|failure| match failure {
@@ -304,6 +321,18 @@
     })
 }
 
+async fn relayed(
+    context: &Context,
+    request: &Request<Resolved>,
+    message: axum::http::Request<Payload>,
+    deadline: Instant,
+) -> Result<Answer, Failure> {
+    let response = context.client.send(message, deadline).await?;
+    let sent_to = exchange::text(response.headers(), header::ENDPOINT);
+    sent_to.into_iter().for_each(|endpoint| request.stage.visited.add(endpoint));
+    exchange::receive(response, expect(request, deadline, true)).await
+}
+
 fn pass_on(
     context: &Context,
     request: &Request<Resolved>,
--- a/crates/gate/src/context.rs
+++ b/crates/gate/src/context.rs
@@ -21,6 +21,7 @@
 use crate::inputs::Memory;
 use crate::keepers::Keepers;
 use crate::load::Failures;
+use crate::lost::Lost;
 use crate::metrics::Metrics;
 use crate::peer::Links;
 use crate::progress::Progress;
@@ -61,6 +62,8 @@
     pub(crate) claims: Mutex<Set<Key>>,
     /// The requests that were in progress at an endpoint that crashed.
     pub(crate) suspects: Suspects,
+    /// Tells requests in progress that nobody will answer them.
+    pub(crate) lost: Lost,
     /// The consecutive failures to load.
     pub(crate) failures: Failures,
     /// What placement remembers.
@@ -97,6 +100,7 @@
             closed: AtomicBool::new(false),
             claims: Mutex::default(),
             suspects: Suspects::default(),
+            lost: Lost::default(),
             failures: Mutex::default(),
             memory: Mutex::new(Memory::new(half_life)),
             pace: Mutex::default(),
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -67,6 +67,18 @@
     model: Option<Name>,
 }
 
+/// The fields of a completion that tell whether it is complete.
+#[derive(Deserialize)]
+struct End {
+    choices: Vec<Choice>,
+}
+
+/// One of the texts of a completion.
+#[derive(Deserialize)]
+struct Choice {
+    finish_reason: Option<Name>,
+}
+
 impl Client {
     /// Returns a client that gives a connection up after `connect`.
     pub(crate) fn new(connect: Duration) -> Client {
@@ -166,6 +178,7 @@
     check_headers(&parts.headers, &expect)?;
     if completion {
         check_mark(&body, &expect)?;
+        check_end(&body)?;
     }
     Ok(Answer::Whole(Whole { status, content_type, body, head }))
 }
@@ -217,6 +230,13 @@
     check("model", mark.model.as_deref(), &request::spell(model))
 }
 
+/// Checks that each choice of a completion tells why it ended: an answer cut short does not.
+fn check_end(json: &[u8]) -> Result<(), Failure> {
+    let end: End = serde_json::from_slice(json).map_err(|_| Failure::Short)?;
+    let ended = end.choices.iter().all(|choice| choice.finish_reason.is_some());
+    if end.choices.is_empty() || !ended { Err(Failure::Short) } else { Ok(()) }
+}
+
 fn check(field: &str, found: Option<&str>, wanted: &str) -> Result<(), Failure> {
     if found == Some(wanted) {
         return Ok(());
--- a/crates/gate/src/failure.rs
+++ b/crates/gate/src/failure.rs
@@ -20,6 +20,8 @@
     Lost,
     /// The answer did not come before the deadline.
     Timeout,
+    /// The endpoint stopped answering while the request was in progress.
+    Abandoned,
     /// The answer was for another request, adapter or version.
     Wrong(String),
     /// The answer ended before its end mark.
@@ -37,6 +39,9 @@
             Failure::Refused(refusal) => refusal.clone(),
             Failure::Lost => Refusal::new(Code::EndpointFailed),
             Failure::Timeout => Refusal::new(Code::EndpointTimeout),
+            Failure::Abandoned => {
+                Refusal::with(Code::EndpointFailed, "the endpoint stopped answering")
+            }
             Failure::Wrong(message) => Refusal::with(Code::WrongAnswer, message.as_str()),
             Failure::Short => Refusal::new(Code::ShortAnswer),
             Failure::Failed(status) => {
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -18,6 +18,7 @@
 mod keepers;
 mod leased;
 mod load;
+mod lost;
 mod metrics;
 mod models;
 mod once;
--- a/crates/gate/src/sweep.rs
+++ b/crates/gate/src/sweep.rs
@@ -35,6 +35,7 @@
         let code = if serving { None } else { Some(Code::NotServing) };
         refuse(&context, code);
         hush(&context, &mut silent);
+        context.lost.refresh(&context);
         crash::report(&context);
         forget(&context, &mut forgotten);
         context.board.dispatch();
--- a/crates/gate/tests/answers.rs
+++ b/crates/gate/tests/answers.rs
@@ -47,6 +47,12 @@
     assert!(!reply.complete);
 }
 
+#[tokio::test]
+async fn short_whole_answer_is_refused() {
+    let reply = ask(Mode::Short, false).await;
+    assert_eq!((reply.code(), reply.ran().as_str()), (1503, "unknown"), "{reply:?}");
+}
+
 #[tokio::test]
 async fn broken_connection_is_refused_as_unknown() {
     let reply = ask(Mode::Cut, false).await;
--- a/crates/gate/tests/fake/engine.rs
+++ b/crates/gate/tests/fake/engine.rs
@@ -205,9 +205,12 @@
     let text = json!({"id": shown, "model": format!("{adapter}@{version}"), "text": "word"});
     if body["stream"] != true {
         engine.end(&id);
+        let reason = if mode == Mode::Short { Value::Null } else { Value::from("stop") };
+        let mut whole = text;
+        whole["choices"] = json!([{"index": 0, "text": "word", "finish_reason": reason}]);
         return head
             .header("content-type", "application/json")
-            .body(text.to_string().into())
+            .body(whole.to_string().into())
             .unwrap();
     }
     let steps = futures::stream::unfold(0, move |step| {
