gate: 'not run' stays true over retries; suspects are known to all gates; owners may change under load

Cause, each seen red in a test of the site: - refused_as_not_run_did_not_run: a request ran at one engine, its link was cut, the retry found no endpoint, and the caller was told the retry's 'ran: no'. - a_poisonous_request_is_quarantined: only the gate that saw a crash knew the suspect, so the request sent again through the others crashed one engine each until the keepers' verdict (4 to 6 engines). - rolling_restart_under_load: between two owners a request was refused with NoEndpoint, and a gate without a lease gave callers an empty list of addresses. Ruled out: quarantine at the first crash, which would catch innocents in the same batch; holding the caller's answer until the verdict.

--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -83,6 +83,7 @@
     1308 OwnerUnreachable 503 No "The owner of the endpoint cannot be reached."
     1309 RetryBudget 503 No "The budget for retries is spent."
     1400 Quarantined 422 No "The request crashed endpoints that ran it and is quarantined."
+    1401 Suspected 503 No "The request was in progress at endpoints that crashed; it waits for a verdict."
     1500 EndpointFailed 502 Unknown "The endpoint failed while it ran the request."
     1501 EndpointTimeout 504 Unknown "The endpoint did not answer before the deadline."
     1502 WrongAnswer 502 Unknown "The endpoint answered for another request, adapter or version."
--- a/crates/gate/src/addresses.rs
+++ b/crates/gate/src/addresses.rs
@@ -19,7 +19,19 @@
 
 /// Answers `GET /v1/addresses`.
 pub(crate) async fn handle(State(context): State<Arc<Context>>) -> Json<Addresses> {
-    Json(Addresses { addresses: list(&context, true), keep_ms: context.config.timing.addresses_ms })
+    let timing = &context.config.timing;
+    let addresses = list(&context, true);
+    if addresses.is_empty() {
+        // Without a lease this gate may know no other; the settings still tell where to ask.
+        return Json(Addresses { addresses: configured(&context), keep_ms: timing.renew_ms });
+    }
+    Json(Addresses { addresses, keep_ms: timing.addresses_ms })
+}
+
+/// Returns the other gates of the settings, whether they take requests or not.
+fn configured(context: &Context) -> Vec<Address> {
+    let others = context.config.entries.iter().filter(|entry| entry.host != context.entry.host);
+    others.map(|entry| Address { address: entry.gate.clone(), weight: WEIGHT }).collect()
 }
 
 /// Returns the other gates that take requests.
--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -224,7 +224,7 @@
 }
 
 async fn fail(
-    context: &Context,
+    context: &Arc<Context>,
     request: &Request<Resolved>,
     live: &Live,
     failure: &Failure,
@@ -235,6 +235,7 @@
             if failure.crash() {
                 let fingerprint = request.stage.fingerprint;
                 crash::broken(context, &ticket.endpoint, ticket.fence, fingerprint);
+                crash::warn(context, fingerprint).await;
             }
             failure.refusal()
         }
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -22,6 +22,7 @@
 use crate::exchange;
 use crate::exchange::Expect;
 use crate::failure::Failure;
+use crate::handover;
 use crate::leased;
 use crate::leased::Leased;
 use crate::leased::Payload;
@@ -48,40 +49,44 @@
 ) -> Result<Answer, Failure> {
     let mut tried = Tried::default();
     let mut crashes = 0;
-    let mut last = None;
+    // The first failure after which the request may have run: no later refusal may deny that.
+    let mut ran = None;
     for attempt in 0..ATTEMPTS {
-        let choice = match pick::choose(context, &request, &tried) {
+        let choice = match handover::choose(context, &request, &tried).await {
             Ok(choice) => choice,
-            Err(refusal) => return Err(last.unwrap_or(Failure::Refused(refusal))),
+            Err(refusal) => return Err(ran.unwrap_or(Failure::Refused(refusal))),
         };
         if attempt > 0 {
             context.trace.note(&request.id, Event::Retried, choice.reason.as_str());
             context.metrics.requests.with_label_values(&["retried"]).inc();
         }
         let failure = match once(context, &request, &choice).await {
-            Ok(answer) => return Ok(answer),
+            Ok(answer) => {
+                if request.stage.suspect {
+                    crash::clear(context, request.stage.fingerprint);
+                }
+                return Ok(answer);
+            }
             Err(failure) => failure,
         };
         if failure.crash() {
             crashes += 1;
             request.stage.suspect = true;
-            context.suspects.add(request.stage.fingerprint);
+            crash::warn(context, request.stage.fingerprint).await;
         }
         let late = Instant::now() >= request.stage.deadline;
-        if !failure.retriable() || crashes >= CRASHES || late {
-            return Err(failure);
-        }
-        if quarantined(context, &request) {
-            return Err(Failure::from(Code::Quarantined));
-        }
-        if !failure.not_run() && !context.spend() {
-            return Err(failure);
+        let spent = !failure.not_run() && !context.spend();
+        let last = !failure.retriable() || crashes >= CRASHES || late || spent;
+        if last || quarantined(context, &request) {
+            return Err(ran.unwrap_or(failure));
         }
         tried.add(&choice, &request.stage.visited, &failure);
         request.stage.bound = true;
-        last = Some(failure);
+        if !failure.not_run() {
+            ran.get_or_insert(failure);
+        }
     }
-    Err(last.unwrap_or_else(|| Failure::from(Code::NoEndpoint)))
+    Err(ran.unwrap_or_else(|| Failure::from(Code::NoEndpoint)))
 }
 
 /// Sends a request to the chosen endpoint through its owner.
--- a/crates/gate/src/caller.rs
+++ b/crates/gate/src/caller.rs
@@ -21,6 +21,7 @@
 use crate::announce;
 use crate::attempt;
 use crate::context::Context;
+use crate::crash;
 use crate::models;
 use crate::once;
 use crate::parse;
@@ -101,6 +102,9 @@
 ) -> Result<request::Request<Resolved>, Refusal> {
     let limit = context.config.limits.deadline_ms;
     let mut request = parsed.resolve(&context.board.view.read(), None, limit)?;
-    request.stage.suspect = context.suspects.has(request.stage.fingerprint);
+    if context.suspects.pending(request.stage.fingerprint) {
+        return Err(Refusal::new(Code::Suspected));
+    }
+    request.stage.suspect = crash::suspected(context, request.stage.fingerprint);
     Ok(request)
 }
--- a/crates/gate/src/crash.rs
+++ b/crates/gate/src/crash.rs
@@ -14,32 +14,67 @@
 
 use crate::context::Context;
 
+/// How long the other gates are waited for when they are told of a suspect.
+const WARNING: Duration = Duration::from_millis(100);
 /// How long the keepers are asked to note a crash.
 const PATIENCE: Duration = Duration::from_secs(30);
 /// How long a request runs alone at this gate after a crash.
 const MEMORY: Duration = Duration::from_secs(60);
+/// How long a request that was in progress at two crashes is refused while the keepers judge it.
+const VERDICT: Duration = Duration::from_secs(5);
+/// The crashes after which a request is not run until it is judged.
+const CRASHES: u32 = 2;
 
 /// The requests that were in progress at an endpoint when its connections broke.
 ///
 /// The keepers judge them later; until then they run alone at this gate.
 #[derive(Debug, Default)]
 pub(crate) struct Suspects {
-    since: Mutex<Map<u64, Instant>>,
+    entries: Mutex<Map<u64, Suspect>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Suspect {
+    since: Instant,
+    crashes: u32,
 }
 
 impl Suspects {
     /// Adds a request.
     pub(crate) fn add(&self, fingerprint: u64) {
+        self.note(fingerprint, 0);
+    }
+
+    /// Adds a request that was in progress at a crash, as this or another gate saw it.
+    pub(crate) fn crashed(&self, fingerprint: u64) {
+        self.note(fingerprint, 1);
+    }
+
+    /// Removes a request that ran alone to its end.
+    pub(crate) fn clear(&self, fingerprint: u64) -> bool {
+        self.entries.lock().remove(&fingerprint).is_some()
+    }
+
+    fn note(&self, fingerprint: u64, crashes: u32) {
         let now = Instant::now();
-        let mut since = self.since.lock();
-        since.retain(|_, added| now.duration_since(*added) < MEMORY);
-        since.insert(fingerprint, now);
+        let mut entries = self.entries.lock();
+        entries.retain(|_, suspect| now.duration_since(suspect.since) < MEMORY);
+        let suspect = entries.entry(fingerprint).or_insert(Suspect { since: now, crashes: 0 });
+        suspect.since = now;
+        suspect.crashes += crashes;
+    }
+
+    /// Returns whether a request is refused until the keepers have judged it.
+    pub(crate) fn pending(&self, fingerprint: u64) -> bool {
+        let entries = self.entries.lock();
+        let suspect = entries.get(&fingerprint);
+        suspect.is_some_and(|one| one.crashes >= CRASHES && one.since.elapsed() < VERDICT)
     }
 
     /// Returns whether a request has to run alone.
     pub(crate) fn has(&self, fingerprint: u64) -> bool {
-        let since = self.since.lock();
-        since.get(&fingerprint).is_some_and(|added| added.elapsed() < MEMORY)
+        let entries = self.entries.lock();
+        entries.get(&fingerprint).is_some_and(|suspect| suspect.since.elapsed() < MEMORY)
     }
 }
 
@@ -54,6 +89,40 @@
     }
 }
 
+/// Tells all gates of a request whose endpoint crashed, before its caller can send it again.
+pub(crate) async fn warn(context: &Arc<Context>, fingerprint: u64) {
+    context.suspects.crashed(fingerprint);
+    let hosts: Vec<Name> = {
+        let view = context.board.view.read();
+        view.gates.keys().filter(|host| **host != context.entry.host).cloned().collect()
+    };
+    let remotes = hosts.iter().filter_map(|host| context.remote(host));
+    let calls = remotes.map(|remote| {
+        let own = Arc::clone(context);
+        tokio::spawn(async move { own.links.suspect(&remote.peer, fingerprint).await })
+    });
+    let calls: Vec<_> = calls.collect();
+    tokio::time::timeout(WARNING, futures::future::join_all(calls)).await.ok();
+}
+
+/// Ends the suspicion of a request that ran alone to its end.
+pub(crate) fn clear(context: &Arc<Context>, fingerprint: u64) {
+    let known = context.board.view.read().suspects.contains(&fingerprint);
+    if !context.suspects.clear(fingerprint) && !known {
+        return;
+    }
+    let own = Arc::clone(context);
+    tokio::spawn(async move {
+        let command = Command::Clear { fingerprints: vec![fingerprint] };
+        own.keepers.submit(&command, PATIENCE).await.ok();
+    });
+}
+
+/// Returns whether a request has to run alone.
+pub(crate) fn suspected(context: &Context, fingerprint: u64) -> bool {
+    context.suspects.has(fingerprint) || context.board.view.read().suspects.contains(&fingerprint)
+}
+
 /// Notes the crash of an endpoint that fell silent after connections to it broke.
 pub(crate) fn silent(context: &Context, endpoint: &Name) {
     let mut floor = context.board.floor.lock();
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -13,6 +13,7 @@
 mod crash;
 mod exchange;
 mod failure;
+mod handover;
 mod inputs;
 mod journal;
 mod keepers;
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -48,6 +48,13 @@
         self.check(address, sent.is_ok())
     }
 
+    /// Tells of a request whose endpoint crashed; false if the other gate did not take it.
+    pub(crate) async fn suspect(&self, address: &Name, fingerprint: u64) -> bool {
+        let Some(client) = self.link(address).await else { return false };
+        let sent = client.suspect(self.context(), fingerprint).await;
+        self.check(address, sent.is_ok())
+    }
+
     /// Asks for the decisions on a request.
     pub(crate) async fn explain(&self, address: &Name, request: Name) -> Vec<String> {
         let Some(client) = self.link(address).await else { return Vec::new() };
@@ -96,6 +103,10 @@
         announce::heard(&self.context, &announcement);
     }
 
+    async fn suspect(self, _: tarpc::context::Context, fingerprint: u64) {
+        self.context.suspects.crashed(fingerprint);
+    }
+
     async fn explain(self, _: tarpc::context::Context, request: Name) -> Vec<String> {
         self.context.trace.find(&request)
     }
--- a/crates/gate/src/pick.rs
+++ b/crates/gate/src/pick.rs
@@ -154,6 +154,31 @@
     all.collect()
 }
 
+/// Returns whether an endpoint that may serve the request is between two owners.
+pub(crate) fn unsettled(context: &Context, request: &Request<Resolved>, tried: &Tried) -> bool {
+    let target = &request.stage.target;
+    let view = context.board.view.read();
+    let base = target.model().and_then(|model| view.adapters.get(&model.adapter));
+    let base = base.map(|adapter| &adapter.base);
+    let floor = context.board.floor.lock();
+    let suitable = view.endpoints.values().filter(|owned| {
+        let name = &owned.endpoint.name;
+        suits(&owned.endpoint.role, target, base) && !tried.endpoints.contains(name)
+    });
+    let mut between = suitable.map(|owned| match &owned.owner {
+        None => true,
+        Some(owner) if tried.owners.contains(owner) => true,
+        Some(owner) if *owner == context.entry.host => {
+            floor.endpoints.get(&owned.endpoint.name).is_none_or(|own| !own.surveyed)
+        }
+        Some(owner) => {
+            let peers = context.board.peers.lock();
+            peers.endpoint(owner, &owned.endpoint.name, Instant::now(), SUMMARY_AGE).is_none()
+        }
+    });
+    between.any(|between| between)
+}
+
 /// Returns how many requests wait for each endpoint of this gate.
 fn waiting(floor: &Floor) -> Map<Name, u32> {
     let mut waiting: Map<Name, u32> = Map::default();
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -15,6 +15,7 @@
 
 use crate::attempt;
 use crate::context::Context;
+use crate::crash;
 use crate::once;
 use crate::parse;
 use crate::refusal::Refusal;
@@ -52,7 +53,7 @@
     let settled = parse::settled(headers)?;
     let limit = context.config.limits.deadline_ms;
     let mut request = parsed.resolve(&context.board.view.read(), settled, limit)?;
-    let suspect = context.suspects.has(request.stage.fingerprint);
+    let suspect = crash::suspected(context, request.stage.fingerprint);
     request.stage.suspect = suspect || parse::flag(headers, header::SUSPECT)?;
     request.stage.bound = parse::flag(headers, header::BOUND)?;
     let endpoint = parse::text(headers, header::ENDPOINT)?;
--- a/crates/load/tests/settings.rs
+++ b/crates/load/tests/settings.rs
@@ -6,14 +6,14 @@
 use load::settings;
 
 fn file(name: &str) -> PathBuf {
-    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("settings").join(name)
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples").join(name)
 }
 
 #[test]
 fn the_settings_of_both_sites_are_right() {
-    let hsinchu = settings::read(&file("hsinchu.jsonc")).unwrap();
+    let hsinchu = settings::read(&file("hsinchu/load.jsonc")).unwrap();
     assert_eq!((hsinchu.gates.len(), hsinchu.engines.len()), (5, 18));
-    let selat = settings::read(&file("selat.jsonc")).unwrap();
+    let selat = settings::read(&file("selat/load.jsonc")).unwrap();
     assert_eq!((selat.gates.len(), selat.engines.len()), (5, 9));
 }
 
--- a/crates/wire/src/gate.rs
+++ b/crates/wire/src/gate.rs
@@ -13,6 +13,8 @@
     async fn summary(summary: Summary);
     /// Takes an announcement of an endpoint that this gate owns, received by another gate.
     async fn announce(announcement: endpoint::Announcement);
+    /// Notes that a request, by its fingerprint, was in progress when its endpoint crashed.
+    async fn suspect(fingerprint: u64);
     /// Explains a request that this gate decided on: its log lines in order.
     async fn explain(request: Name) -> Vec<String>;
 }
