gate: the failure of an attempt is told, not that no further endpoint was left

Change: a failure that may have run is told first, then the last failure, then the refusal to choose.

--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -51,10 +51,11 @@
     let mut crashes = 0;
     // The first failure after which the request may have run: no later refusal may deny that.
     let mut ran = None;
+    let mut last = None;
     for attempt in 0..ATTEMPTS {
         let choice = match handover::choose(context, &request, &tried).await {
             Ok(choice) => choice,
-            Err(refusal) => return Err(ran.unwrap_or(Failure::Refused(refusal))),
+            Err(refusal) => return Err(ran.or(last).unwrap_or(Failure::Refused(refusal))),
         };
         if attempt > 0 {
             context.trace.note(&request.id, Event::Retried, choice.reason.as_str());
@@ -76,17 +77,18 @@
         }
         let late = Instant::now() >= request.stage.deadline;
         let spent = !failure.not_run() && !context.spend();
-        let last = !failure.retriable() || crashes >= CRASHES || late || spent;
-        if last || quarantined(context, &request) {
+        let final_attempt = !failure.retriable() || crashes >= CRASHES || late || spent;
+        if final_attempt || quarantined(context, &request) {
             return Err(ran.unwrap_or(failure));
         }
         tried.add(&choice, &request.stage.visited, &failure);
         request.stage.bound = true;
         if !failure.not_run() {
-            ran.get_or_insert(failure);
+            ran.get_or_insert(failure.clone());
         }
+        last = Some(failure);
     }
-    Err(ran.unwrap_or_else(|| Failure::from(Code::NoEndpoint)))
+    Err(ran.or(last).unwrap_or_else(|| Failure::from(Code::NoEndpoint)))
 }
 
 /// Sends a request to the chosen endpoint through its owner.
