--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -82,6 +82,11 @@
         &self.args
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Tells whether the process runs.
     pub fn runs(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -127,6 +127,13 @@
         assert!(answer.status.is_success(), "{prefix}: {}", answer.text());
     }
 
+    /// Reads the rules and counters of all links.
+    pub async fn link_status(&self) -> Value {
+        let network = self.network.as_ref().expect("a site behind the proxy");
+        let url = format!("http://{}/links", network.control);
+        self.client.get(&url).await.expect("the proxy answers").json()
+    }
+
     /// Sets the rules of all links from and to an entry host.
     pub async fn around(&self, host: usize, rules: Value) {
         self.links(&format!("{host}-"), rules.clone()).await;
