Summaries that say nothing new are held back; stand-ins share how they announce and leave

Cause: an idle gate sent the same summary ten times a second to each other gate; engine and service of the stand-ins had the same code to announce and to leave, two tests the same restart of all. Change: a summary equal to the last one goes out only every 400 ms, well below the 1.5 s after which others take it for too old; announce::start and announce::leave; Site::restart_entries.

--- a/crates/gate/src/summary.rs
+++ b/crates/gate/src/summary.rs
@@ -16,14 +16,42 @@
 
 use crate::context::Context;
 
+/// How long a summary that says nothing new is held back.
+///
+/// Well below the age from which others take a gate's endpoints for unknown.
+const REPEAT: Duration = Duration::from_millis(400);
+
+/// What a gate was told last.
+struct Told {
+    endpoints: Vec<wire::gate::Endpoint>,
+    draining: bool,
+    at: Instant,
+}
+
+impl Told {
+    fn repeats(&self, summary: &Summary) -> bool {
+        let same = self.draining == summary.draining && self.endpoints == summary.endpoints;
+        same && self.at.elapsed() < REPEAT
+    }
+}
+
 /// Sends summaries for as long as the gate runs; a gate that does not answer delays no other.
 pub(crate) async fn run(context: Arc<Context>) {
     let mut ticks = tokio::time::interval(Duration::from_millis(context.config.timing.summary_ms));
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut sending: Map<Name, JoinHandle<bool>> = Map::default();
+    let mut told: Option<Told> = None;
     loop {
         ticks.tick().await;
         let summary = build(&context);
+        if told.as_ref().is_some_and(|told| told.repeats(&summary)) {
+            continue;
+        }
+        told = Some(Told {
+            endpoints: summary.endpoints.clone(),
+            draining: summary.draining,
+            at: Instant::now(),
+        });
         let others: Vec<Name> = {
             let view = context.board.view.read();
             view.gates.keys().filter(|host| **host != context.entry.host).cloned().collect()
--- a/crates/stub/src/announce.rs
+++ b/crates/stub/src/announce.rs
@@ -4,6 +4,7 @@
 
 use base::Name;
 use hyper::Method;
+use tokio::task::JoinHandle;
 use wire::endpoint::Announced;
 use wire::endpoint::Announcement;
 
@@ -15,12 +16,38 @@
 /// How long a gate may take to answer an announcement.
 const LIMIT: Duration = Duration::from_secs(1);
 
-/// Announces what `current` returns until the future is dropped; none skips an announcement.
-pub(crate) async fn run(
-    seeds: Vec<Name>,
+/// The pause between two looks at what is in progress.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Announces in a task of its own what `current` returns; none without a gate to announce to.
+pub(crate) fn start(
+    seeds: &[Name],
+    client: Client,
+    current: impl Fn() -> Option<Announcement> + Send + 'static,
+) -> Option<JoinHandle<()>> {
+    let seeds = seeds.to_vec();
+    (!seeds.is_empty()).then(|| tokio::spawn(run(seeds, client, current)))
+}
+
+/// Tells a gate that the endpoint leaves, lingers, and waits until nothing is in progress.
+pub(crate) async fn leave(
+    seeds: &[Name],
     client: Client,
-    current: impl Fn() -> Option<Announcement>,
+    announcement: Option<Announcement>,
+    linger: Duration,
+    busy: impl Fn() -> bool,
 ) {
+    if let Some(announcement) = announcement {
+        send(&client, seeds.iter(), &announcement).await;
+    }
+    tokio::time::sleep(linger).await;
+    while busy() {
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Announces what `current` returns until the future is dropped; none skips an announcement.
+async fn run(seeds: Vec<Name>, client: Client, current: impl Fn() -> Option<Announcement>) {
     let mut addresses = Vec::new();
     loop {
         let Some(announcement) = current() else {
--- a/crates/stub/src/engine/mod.rs
+++ b/crates/stub/src/engine/mod.rs
@@ -138,14 +138,11 @@
         let advertised = crate::service::advertised(&settings.advertise, address);
         let shared = Arc::new(Shared::new(settings, advertised));
         let router = router(shared.clone());
-        let mut tasks = Vec::new();
-        tasks.push(tokio::spawn(server::serve(listener, router, shared.switch.clone())));
-        if !shared.settings.announce.is_empty() {
-            let current = shared.clone();
-            let client = Client::new(shared.settings.token.clone());
-            let seeds = shared.settings.announce.clone();
-            tasks.push(tokio::spawn(announce::run(seeds, client, move || current.announcement())));
-        }
+        let mut tasks = vec![tokio::spawn(server::serve(listener, router, shared.switch.clone()))];
+        let client = Client::new(shared.settings.token.clone());
+        let current = shared.clone();
+        let seeds = &shared.settings.announce;
+        tasks.extend(announce::start(seeds, client, move || current.announcement()));
         Ok(Engine { address, shared, tasks })
     }
 
@@ -172,14 +169,12 @@
     /// Tells a gate that it leaves and waits until no request is in progress.
     pub async fn leave(&self) {
         self.shared.table.lock().leaving = true;
-        if let Some(announcement) = self.shared.announcement() {
-            let client = Client::new(self.shared.settings.token.clone());
-            announce::send(&client, self.shared.settings.announce.iter(), &announcement).await;
-        }
-        tokio::time::sleep(self.shared.settings.linger).await;
-        while self.shared.in_progress() > 0 {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
+        let shared = &self.shared;
+        let settings = &shared.settings;
+        let client = Client::new(settings.token.clone());
+        let busy = || shared.in_progress() > 0;
+        let announcement = shared.announcement();
+        announce::leave(&settings.announce, client, announcement, settings.linger, busy).await;
     }
 }
 
--- a/crates/stub/src/service.rs
+++ b/crates/stub/src/service.rs
@@ -152,14 +152,11 @@
             settings,
         });
         let router = router(shared.clone());
-        let mut tasks = Vec::new();
-        tasks.push(tokio::spawn(server::serve(listener, router, shared.switch.clone())));
-        if !shared.settings.announce.is_empty() {
-            let current = shared.clone();
-            let client = Client::new(shared.settings.token.clone());
-            let seeds = shared.settings.announce.clone();
-            tasks.push(tokio::spawn(announce::run(seeds, client, move || current.announcement())));
-        }
+        let mut tasks = vec![tokio::spawn(server::serve(listener, router, shared.switch.clone()))];
+        let client = Client::new(shared.settings.token.clone());
+        let current = shared.clone();
+        let seeds = &shared.settings.announce;
+        tasks.extend(announce::start(seeds, client, move || current.announcement()));
         Ok(Service { address, shared, tasks })
     }
 
@@ -181,14 +178,12 @@
     /// Tells a gate that it leaves and waits until no call is in progress.
     pub async fn leave(&self) {
         self.shared.table.lock().leaving = true;
-        if let Some(announcement) = self.shared.announcement() {
-            let client = Client::new(self.shared.settings.token.clone());
-            announce::send(&client, self.shared.settings.announce.iter(), &announcement).await;
-        }
-        tokio::time::sleep(self.shared.settings.linger).await;
-        while !self.shared.state().running.is_empty() {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
+        let shared = &self.shared;
+        let settings = &shared.settings;
+        let client = Client::new(settings.token.clone());
+        let busy = || !shared.state().running.is_empty();
+        let announcement = shared.announcement();
+        announce::leave(&settings.announce, client, announcement, settings.linger, busy).await;
     }
 }
 
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -358,6 +358,18 @@
         self.ctl_ok(&call).await;
     }
 
+    /// Kills all gates and keepers and starts them again.
+    pub fn restart_entries(&mut self) {
+        let entries = |name: &&String| name.starts_with("gate") || name.starts_with("keeper");
+        let names: Vec<String> = self.processes.keys().filter(entries).cloned().collect();
+        for name in &names {
+            self.process(name).kill();
+        }
+        for name in &names {
+            self.process(name).restart();
+        }
+    }
+
     /// Returns a process.
     pub fn process(&mut self, name: &str) -> &mut Process {
         self.processes.get_mut(name).expect("a process of the site")
--- a/tests/tests/at_most_once.rs
+++ b/tests/tests/at_most_once.rs
@@ -139,18 +139,7 @@
     site.ledger().await;
     let first = settled(&site, 1, "order-all", "{}").await;
     assert_eq!(first.status, 200, "{}", first.text());
-    let names: Vec<String> = site
-        .processes
-        .keys()
-        .filter(|name| name.starts_with("gate") || name.starts_with("keeper"))
-        .cloned()
-        .collect();
-    for name in &names {
-        site.process(name).kill();
-    }
-    for name in &names {
-        site.process(name).restart();
-    }
+    site.restart_entries();
     site.ready(2).await;
     let again = settled(&site, 5, "order-all", "{}").await;
     assert_eq!(again.body, first.body);
--- a/tests/tests/configuration.rs
+++ b/tests/tests/configuration.rs
@@ -84,19 +84,8 @@
     std::fs::write(&file, changes).expect("a file of changes");
     site.ctl_ok(&["apply", &file.display().to_string(), "--wait", "10"]).await;
     let before = revision(&site, 1).await;
-    let names: Vec<String> = site
-        .processes
-        .keys()
-        .filter(|name| name.starts_with("gate") || name.starts_with("keeper"))
-        .cloned()
-        .collect();
-    for name in &names {
-        site.process(name).kill();
-    }
     let begin = Instant::now();
-    for name in &names {
-        site.process(name).restart();
-    }
+    site.restart_entries();
     site.ready(1).await;
     println!("ready after {:?} with revision {before}", begin.elapsed());
     for gate in 1..=5 {
