--- /dev/null
+++ b/crates/cell/src/machine.rs
@@ -0,0 +1,66 @@
+//! The replicated state: the plan and the versions of adapters.
+
+use std::sync::Arc;
+
+use base::Map;
+use base::Name;
+use bytes::Bytes;
+use fleet::message::Version;
+use fleet::plan::Plan;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A change of the state.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum Command {
+    /// Bring a plan into force unless it has been overtaken.
+    Publish {
+        plan: Arc<Plan>,
+        /// The plan as it was sent.
+        document: Bytes,
+    },
+    /// Bring a version of an adapter into force unless it has been overtaken.
+    Name(Version),
+}
+
+/// The replicated state.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct Machine {
+    pub(crate) plan: Option<Arc<Plan>>,
+    /// The plan as it was sent.
+    pub(crate) document: Option<Bytes>,
+    versions: Map<(Name, Name), u64>,
+}
+
+impl Machine {
+    /// Carries a command out; returns whether it changed anything.
+    pub(crate) fn apply(&mut self, command: Command) -> bool {
+        match command {
+            Command::Publish { plan, document } => {
+                let held = self.plan.as_ref().map(|plan| plan.version);
+                let newer = held.is_none_or(|held| plan.version > held);
+                if newer {
+                    self.plan = Some(plan);
+                    self.document = Some(document);
+                }
+                newer
+            }
+            Command::Name(named) => {
+                let held = self.versions.entry((named.model, named.adapter)).or_default();
+                let newer = named.version > *held;
+                *held = named.version.max(*held);
+                newer
+            }
+        }
+    }
+
+    /// Returns the versions in force.
+    pub(crate) fn versions(&self) -> Vec<Version> {
+        let versions = self.versions.iter().map(|((model, adapter), version)| Version {
+            model: model.clone(),
+            adapter: adapter.clone(),
+            version: *version,
+        });
+        versions.collect()
+    }
+}
--- /dev/null
+++ b/crates/cell/src/storage.rs
@@ -0,0 +1,143 @@
+//! What a replica keeps across restarts.
+
+use std::path::Path;
+
+use base::Event;
+use base::Name;
+use disk::Identity;
+use disk::Store;
+use raft::message::Entry;
+use raft::message::Hard;
+use raft::message::Id;
+use raft::message::Member;
+use raft::message::Members;
+use raft::message::Payload;
+use raft::message::Snapshot;
+use raft::node::Ready;
+use raft::node::Stored;
+
+use crate::error::Error;
+use crate::settings::Settings;
+
+/// The files of a replica; none while a write is in progress or after it failed.
+pub(crate) struct Storage(Option<Store>);
+
+/// What a starting replica finds.
+#[derive(Debug)]
+pub(crate) struct Found {
+    pub(crate) id: Id,
+    /// The group; 0 if it is not known yet.
+    pub(crate) group: u64,
+    pub(crate) stored: Stored,
+}
+
+impl Storage {
+    /// Opens the folder of a replica. An empty one becomes one of the first voters if the cell is
+    /// founded now and this keeper is a seed, else a new replica that has to join.
+    pub(crate) async fn open(settings: &Settings) -> Result<(Storage, Found), Error> {
+        let settings = settings.clone();
+        let opened = tokio::task::spawn_blocking(move || open(&settings)).await;
+        let (store, found) = opened.map_err(|error| Error::Task(error.to_string()))??;
+        Ok((Storage(Some(store)), found))
+    }
+
+    /// Writes and syncs which replica this is.
+    pub(crate) async fn identify(&mut self, identity: Identity) -> Result<(), Error> {
+        self.work(move |store| store.identify(&identity)).await
+    }
+
+    /// Writes and syncs what the messages of `ready` depend on.
+    pub(crate) async fn write(&mut self, ready: &mut Ready) -> Result<(), Error> {
+        let snapshot = ready.snapshot.take();
+        let entries = std::mem::take(&mut ready.entries);
+        let hard = ready.hard.take();
+        if snapshot.is_none() && entries.is_empty() && hard.is_none() {
+            return Ok(());
+        }
+        self.work(move |store| {
+            if let Some(snapshot) = snapshot {
+                store.snapshot(&snapshot)?;
+            }
+            store.append(entries);
+            if let Some(hard) = hard {
+                store.hard(hard);
+            }
+            store.sync()
+        })
+        .await
+    }
+
+    /// Writes and syncs a snapshot that replaces the log up to its index.
+    pub(crate) async fn compact(&mut self, snapshot: Snapshot) -> Result<(), Error> {
+        self.work(move |store| store.snapshot(&snapshot)).await
+    }
+
+    /// Does some work with the files on a thread that may block.
+    async fn work(
+        &mut self,
+        work: impl FnOnce(&mut Store) -> Result<(), disk::Error> + Send + 'static,
+    ) -> Result<(), Error> {
+        let mut store = self.0.take().ok_or(disk::Error::Stopped)?;
+        let done = tokio::task::spawn_blocking(move || {
+            let result = work(&mut store);
+            (store, result)
+        });
+        let (store, result) = done.await.map_err(|error| Error::Task(error.to_string()))?;
+        result?;
+        self.0 = Some(store);
+        Ok(())
+    }
+}
+
+fn open(settings: &Settings) -> Result<(Store, Found), Error> {
+    let opened = match Store::open(&settings.data) {
+        Err(disk::Error::Damaged { file, offset, message }) => {
+            base::event!(ERROR, Event::LogDamaged, file, offset, message);
+            disk::set_aside(&settings.data)?;
+            Store::open(&settings.data)?
+        }
+        opened => opened?,
+    };
+    let (mut store, stored, identity) = opened;
+    if let Some(identity) = identity {
+        let found = Found { id: identity.replica, group: identity.group, stored };
+        return Ok((store, found));
+    }
+    if settings.bootstrap && settings.seeds.contains(&settings.address) {
+        return found_cell(settings, store);
+    }
+    let id = rand::random_range(1..=u64::MAX);
+    store.identify(&Identity { group: 0, replica: id, host: host(settings) })?;
+    Ok((store, Found { id, group: 0, stored }))
+}
+
+/// Makes the replica one of the first voters. All seeds write the same first entry, so that no two
+/// groups can form.
+fn found_cell(settings: &Settings, mut store: Store) -> Result<(Store, Found), Error> {
+    let mut hosts: Vec<String> = settings.seeds.iter().map(ToString::to_string).collect();
+    hosts.sort();
+    hosts.dedup();
+    let group = base::digest(hosts.join(",").as_bytes()).max(1);
+    let id_of = |host: &str| base::digest(host.as_bytes()).max(1);
+    let voters = hosts.iter().map(|host| Member { id: id_of(host), host: host.clone() }).collect();
+    let members = Members { voters, learners: Vec::new() };
+    let entry = Entry { index: 1, term: 1, payload: Payload::Members(members) };
+    let hard = Hard { term: 1, vote: None, commit: 1 };
+    let host = host(settings);
+    let id = id_of(&host);
+    store.append([entry.clone()]);
+    store.hard(hard);
+    store.sync()?;
+    store.identify(&Identity { group, replica: id, host })?;
+    let stored = Stored { hard, snapshot: None, entries: vec![entry] };
+    Ok((store, Found { id, group, stored }))
+}
+
+fn host(settings: &Settings) -> Name {
+    Name::from(settings.address.to_string())
+}
+
+/// Returns whether a folder holds a replica.
+pub(crate) fn exists(path: &Path) -> bool {
+    path.join("identity").exists()
+}
--- /dev/null
+++ b/crates/cell/src/work.rs
@@ -0,0 +1,119 @@
+//! Carries out what the scheduler wants done.
+
+use std::sync::Arc;
+
+use base::Event;
+use fleet::message::Frame;
+use sched::action::Action;
+use sched::action::Operation;
+use sched::action::Order;
+use sched::action::Reason;
+
+use crate::engines::Engines;
+use crate::engines::Holder;
+use crate::keeper::Keeper;
+use crate::settings::ROUND;
+
+impl<E: Engines> Keeper<E> {
+    /// Carries out what the scheduler wants done, as it comes or as time passes.
+    pub(crate) async fn work(self: Arc<Keeper<E>>) {
+        loop {
+            let waiting = {
+                let hub = self.hub.lock();
+                hub.leading.as_ref().is_some_and(|leading| leading.scheduler.is_waiting())
+            };
+            if waiting {
+                // Elapsing is the usual case.
+                tokio::time::timeout(ROUND, self.due.notified()).await.ok();
+            } else {
+                self.due.notified().await;
+            }
+            let (actions, term) = {
+                let mut hub = self.hub.lock();
+                let actions = hub.actions();
+                (actions, hub.leading.as_ref().map(|leading| leading.term))
+            };
+            let Some(fence) = term else { continue };
+            for action in actions {
+                self.act(action, fence);
+            }
+        }
+    }
+
+    fn act(self: &Arc<Keeper<E>>, action: Action, fence: u64) {
+        match action {
+            Action::Grant { gate, grant, reason } => {
+                self.note("granted", &reason);
+                base::event!(
+                    DEBUG, Event::Routed, gate, request = grant.request,
+                    endpoint = %grant.endpoint.id, expected_ms = reason.expected_ms,
+                    backlog = reason.backlog, running = reason.running, held_ms = reason.held_ms
+                );
+                self.tell(gate, Frame::Grant(grant));
+            }
+            Action::Deny { gate, denial } => {
+                self.metrics.placements.with_label_values(&[denial.code.name()]).inc();
+                base::event!(
+                    INFO,
+                    Event::Denied,
+                    gate,
+                    request = denial.request,
+                    code = denial.code.number(),
+                    reason = denial.code.name(),
+                    retry_ms = denial.retry_ms
+                );
+                self.tell(gate, Frame::Denial(denial));
+            }
+            Action::Order(order) => drop(tokio::spawn(self.clone().order(order, fence))),
+            Action::Inspect(endpoint) => {
+                let keeper = self.clone();
+                tokio::spawn(async move {
+                    let report = keeper.engines.inspect(&endpoint).await;
+                    let mut hub = keeper.hub.lock();
+                    let now = hub.now();
+                    if let Some(leading) = &mut hub.leading {
+                        leading.scheduler.inspected(&endpoint.id, report, now);
+                    }
+                    drop(hub);
+                    keeper.wake();
+                });
+            }
+            Action::Publish(_) => {}
+        }
+    }
+
+    fn note(&self, result: &str, reason: &Reason) {
+        self.metrics.placements.with_label_values(&[result]).inc();
+        self.metrics.held.with_label_values(&[result]).observe(reason.held_ms / 1e3);
+    }
+
+    fn tell(&self, gate: u64, frame: Frame) {
+        if let Some(node) = self.hub.lock().links.get(gate) {
+            node.link.send(frame);
+        }
+    }
+
+    /// Gives an engine an order while this keeper leads.
+    async fn order(self: Arc<Keeper<E>>, order: Order, fence: u64) {
+        let holder = Holder { node: self.settings.node.clone(), fence };
+        let answer = self.engines.order(&order, &holder).await;
+        let operation = match order.operation {
+            Operation::Load => "load",
+            Operation::Unload => "unload",
+        };
+        let told = format!("{answer:?}");
+        self.metrics.orders.with_label_values(&[operation, &told]).inc();
+        base::event!(
+            DEBUG, Event::Ordered, endpoint = %order.endpoint.id, operation,
+            adapter = order.adapter.as_deref().unwrap_or_default(),
+            expected = order.expected, fence, answer = told
+        );
+        let mut hub = self.hub.lock();
+        let now = hub.now();
+        if let Some(leading) = &mut hub.leading {
+            leading.scheduler.ordered(&order, answer, now);
+        }
+        drop(hub);
+        self.wake();
+    }
+}
--- /dev/null
+++ b/crates/link/src/link.rs
@@ -0,0 +1,145 @@
+//! A connection that carries frames.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::SinkExt;
+use futures::StreamExt;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::mpsc;
+use tokio_util::codec::FramedRead;
+use tokio_util::codec::FramedWrite;
+use tokio_util::codec::LengthDelimitedCodec;
+use tokio_util::sync::CancellationToken;
+
+/// The idle time after which a ping is sent.
+const PING: Duration = Duration::from_millis(300);
+/// The silence after which the peer counts as lost; four pings.
+const SILENCE: Duration = Duration::from_millis(1_200);
+/// The frames that may wait to be written; a peer that lets more wait is cut off.
+const OUTBOX: usize = 8_192;
+/// The frames that may wait to be handled.
+const INBOX: usize = 1_024;
+/// The most bytes of a frame; above the largest snapshot of a plan with its document.
+const FRAME_BYTES: usize = 64 << 20;
+/// The frames written with one flush.
+const BATCH: usize = 64;
+
+/// The sending side of a link; cheap to clone.
+#[derive(Debug)]
+pub struct Link<T> {
+    outbox: mpsc::Sender<T>,
+    closed: CancellationToken,
+}
+
+impl<T> Clone for Link<T> {
+    fn clone(&self) -> Link<T> {
+        Link { outbox: self.outbox.clone(), closed: self.closed.clone() }
+    }
+}
+
+impl<T> Link<T> {
+    /// Queues a frame without waiting; a link whose queue is full is closed.
+    pub fn send(&self, frame: T) -> bool {
+        let sent = self.outbox.try_send(frame).is_ok();
+        if !sent {
+            self.closed.cancel();
+        }
+        sent
+    }
+
+    /// Closes the link.
+    pub fn close(&self) {
+        self.closed.cancel();
+    }
+
+    /// Returns whether the link was closed or lost.
+    pub fn is_closed(&self) -> bool {
+        self.closed.is_cancelled()
+    }
+}
+
+/// The receiving side of a link.
+#[derive(Debug)]
+pub struct Inbox<T>(mpsc::Receiver<T>);
+
+impl<T> Inbox<T> {
+    /// Returns the next frame; none once the link is closed.
+    pub async fn recv(&mut self) -> Option<T> {
+        self.0.recv().await
+    }
+}
+
+/// Makes a link of a connection; `ping` is sent when there is nothing else to send.
+pub fn open<T>(stream: TcpStream, ping: T) -> (Link<T>, Inbox<T>)
+where
+    T: Serialize + DeserializeOwned + Clone + Send + Sync + 'static,
+{
+    let (read, write) = stream.into_split();
+    let (outbox, frames) = mpsc::channel(OUTBOX);
+    let (sender, inbox) = mpsc::channel(INBOX);
+    let closed = CancellationToken::new();
+    let link = Link { outbox, closed: closed.clone() };
+    tokio::spawn(finish(closed.clone(), read_frames(read, sender)));
+    tokio::spawn(finish(closed, write_frames(write, frames, ping)));
+    (link, Inbox(inbox))
+}
+
+/// Runs one half until it ends or the link is closed, and closes the link.
+async fn finish(closed: CancellationToken, half: impl Future<Output = io::Result<()>>) {
+    tokio::select! {
+        // Either end of a broken connection is seen by the user as the end of its inbox.
+        _ = half => {}
+        () = closed.cancelled() => {}
+    }
+    closed.cancel();
+}
+
+async fn read_frames<T: DeserializeOwned>(
+    read: OwnedReadHalf,
+    sender: mpsc::Sender<T>,
+) -> io::Result<()> {
+    let mut frames = FramedRead::new(read, codec());
+    loop {
+        let next = tokio::time::timeout(SILENCE, frames.next()).await;
+        let Some(bytes) = next.map_err(|_| io::ErrorKind::TimedOut)? else { return Ok(()) };
+        let frame = postcard::from_bytes(&bytes?).map_err(io::Error::other)?;
+        if sender.send(frame).await.is_err() {
+            return Ok(());
+        }
+    }
+}
+
+async fn write_frames<T: Serialize + Clone>(
+    write: OwnedWriteHalf,
+    mut frames: mpsc::Receiver<T>,
+    ping: T,
+) -> io::Result<()> {
+    let mut sink = FramedWrite::new(write, codec());
+    let mut batch = Vec::with_capacity(BATCH);
+    loop {
+        let waited = tokio::time::timeout(PING, frames.recv_many(&mut batch, BATCH)).await;
+        match waited {
+            Ok(0) => return Ok(()),
+            Ok(_) => {}
+            Err(_) => batch.push(ping.clone()),
+        }
+        for frame in batch.drain(..) {
+            sink.feed(encode(&frame)?).await?;
+        }
+        SinkExt::<Bytes>::flush(&mut sink).await?;
+    }
+}
+
+fn encode<T: Serialize>(frame: &T) -> io::Result<Bytes> {
+    postcard::to_stdvec(frame).map(Bytes::from).map_err(io::Error::other)
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(FRAME_BYTES).new_codec()
+}
--- a/crates/raft/src/membership.rs
+++ b/crates/raft/src/membership.rs
@@ -3,6 +3,8 @@
 //! A change is in force as soon as it is appended, and undone if its entry is cut. The next one waits
 //! until it is committed, and the first one until the leader has committed an entry of its own term.
 
+use std::time::Duration;
+
 use base::Event;
 
 use crate::message::Id;
@@ -174,6 +176,13 @@
         heard.count() > members.voters.len() / 2
     }
 
+    /// Returns the voters that a leader has not heard for `age`.
+    pub fn silent_voters(&self, age: Duration) -> Vec<Id> {
+        let since = self.now.saturating_sub(age);
+        let silent = |id: &Id| self.progress.get(id).is_some_and(|peer| peer.heard < since);
+        self.other_voters().into_iter().filter(silent).collect()
+    }
+
     /// Returns whether a replica is this one or answered within the last election time.
     fn hears(&self, id: Id) -> bool {
         let since = self.now.saturating_sub(self.config.election);
--- a/crates/raft/src/read.rs
+++ b/crates/raft/src/read.rs
@@ -52,6 +52,12 @@
         tokens
     }
 
+    /// Returns whether this replica leads, has committed an entry of its term and applied all that was
+    /// committed before.
+    pub fn certain(&self) -> bool {
+        self.leads_for_certain() && self.applied >= self.first_index
+    }
+
     /// Returns whether this replica leads and has committed an entry of its term.
     pub(crate) fn leads_for_certain(&self) -> bool {
         self.is_leader() && self.commit >= self.first_index
--- /dev/null
+++ b/crates/sched/src/choose.rs
@@ -0,0 +1,151 @@
+//! Which engine is best for a request.
+
+use std::time::Duration;
+
+use base::Name;
+use fleet::plan::EngineSpec;
+
+use crate::engine::Base;
+use crate::engine::Copy;
+use crate::engine::Desk;
+use crate::engine::Engine;
+use crate::engine::Stage;
+use crate::heat::Heat;
+use crate::ledger::Wait;
+use crate::settings::Settings;
+use crate::store::Store;
+
+/// How a request gets its adapter at an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Way {
+    /// It is there.
+    Present,
+    /// It is being loaded.
+    Loading,
+    /// It must be loaded, in place of another one if no place is free.
+    Load(Option<Name>),
+}
+
+/// An engine that could run a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Candidate {
+    pub(crate) engine: Name,
+    pub(crate) way: Way,
+    /// The prompt tokens to be read.
+    pub(crate) prefill: f64,
+    /// The expected time to the first event, in ms.
+    pub(crate) expected_ms: f64,
+    /// The expected time with what it costs others, in ms.
+    pub(crate) cost: f64,
+}
+
+/// What all candidates of a request share.
+pub(crate) struct Scene<'a> {
+    pub(crate) settings: &'a Settings,
+    pub(crate) spec: &'a EngineSpec,
+    pub(crate) store: &'a Store,
+    /// The loads from the store that wait for their turn.
+    pub(crate) queued: usize,
+    pub(crate) heat: &'a Heat,
+    /// The version that must be served; 0 if none was announced.
+    pub(crate) version: u64,
+    pub(crate) now: Duration,
+}
+
+impl Scene<'_> {
+    /// Returns how an engine could run a request; none if it can't now.
+    pub(crate) fn candidate(&self, engine: &Engine, wait: &Wait) -> Option<Candidate> {
+        let ask = &wait.ask;
+        let held = matches!(&engine.base, Base::Held(model) if *model == ask.model);
+        let tokens = u64::from(ask.input) + u64::from(ask.output);
+        let memory = self.spec.kv_tokens as f64 * self.settings.memory;
+        let fits = (engine.tokens + tokens) as f64 <= memory || engine.running == 0;
+        let open = held
+            && fits
+            && engine.running < self.spec.slots
+            && self.now >= engine.full_until
+            && engine.health.admits(engine.running, self.now)
+            && !ask.excluded.contains(&engine.endpoint.id);
+        if !open {
+            return None;
+        }
+        let (way, load_ms, mut penalty) = self.way(engine, &ask.adapter)?;
+        if engine.endpoint.domain != wait.domain {
+            penalty += self.settings.domain_penalty_ms;
+        }
+        let seed = base::digest(ask.adapter.as_bytes());
+        let cached = engine.prefixes.cached(seed, &ask.parts);
+        let prefill = f64::from(ask.input.saturating_sub(cached)).max(1.0);
+        let queue_ms = engine.queue_ms(self.now).max(load_ms);
+        let own_ms = prefill / engine.pace.tokens_per_ms;
+        let expected_ms = queue_ms + own_ms + self.settings.first_event_ms;
+        let risk = f64::from(ask.target_ms) * engine.health.risk();
+        let cost = expected_ms + penalty + risk;
+        let engine = engine.endpoint.id.clone();
+        Some(Candidate { engine, way, prefill, expected_ms, cost })
+    }
+
+    /// Returns how the adapter gets there, the time that it takes and what that costs others, in ms.
+    fn way(&self, engine: &Engine, adapter: &Name) -> Option<(Way, f64, f64)> {
+        if adapter.is_empty() {
+            return Some((Way::Present, 0.0, 0.0));
+        }
+        match engine.copies.get(adapter) {
+            Some(Copy { stage: Stage::Dropping, .. }) => None,
+            Some(copy) if copy.version >= self.version && copy.stage == Stage::Present => {
+                Some((Way::Present, 0.0, 0.0))
+            }
+            Some(copy) if copy.version >= self.version => {
+                Some((Way::Loading, self.rest_ms(copy), 0.0))
+            }
+            // The place is kept while the new version replaces the old one.
+            Some(copy) => {
+                let idle = copy.is_idle() && orders(engine);
+                idle.then(|| (Way::Load(None), self.settings.cold_load_ms, 0.0))
+            }
+            None => self.new_copy(engine, adapter),
+        }
+    }
+
+    fn rest_ms(&self, copy: &Copy) -> f64 {
+        let Stage::Loading { since, .. } = copy.stage else {
+            return self.store.expected_ms(self.queued);
+        };
+        let gone = self.now.saturating_sub(since).as_secs_f64() * 1e3;
+        (self.store.expected_ms(0) - gone).max(self.settings.warm_load_ms)
+    }
+
+    /// Returns the way to a new copy: into a free place, or into that of the coldest idle adapter.
+    fn new_copy(&self, engine: &Engine, adapter: &Name) -> Option<(Way, f64, f64)> {
+        if !orders(engine) || engine.loads() >= self.settings.engine_loads {
+            return None;
+        }
+        let (load_ms, mut penalty) = if engine.is_warm(adapter) {
+            (self.settings.warm_load_ms, self.settings.place_penalty_ms)
+        } else {
+            let penalty = self.settings.cold_penalty_ms + self.settings.place_penalty_ms;
+            (self.store.expected_ms(self.queued), penalty)
+        };
+        if engine.copies.len() < self.places() {
+            return Some((Way::Load(None), load_ms, penalty));
+        }
+        let idle = engine.copies.iter().filter(|(_, copy)| copy.is_idle());
+        let heat = |name: &Name| self.heat.of(name, self.now);
+        let victim = idle.min_by(|(a, x), (b, y)| {
+            heat(a).total_cmp(&heat(b)).then_with(|| x.used.cmp(&y.used)).then_with(|| a.cmp(b))
+        });
+        let (victim, _) = victim?;
+        penalty += self.settings.place_penalty_ms * heat(victim).min(4.0) / 2.0;
+        Some((Way::Load(Some(victim.clone())), load_ms, penalty))
+    }
+
+    /// Returns the places for adapters beside the base model.
+    fn places(&self) -> usize {
+        self.spec.adapter_slots as usize
+    }
+}
+
+/// Returns whether an engine's orders are known well enough to give it new ones.
+fn orders(engine: &Engine) -> bool {
+    matches!(engine.desk, Desk::Idle(_) | Desk::Busy(_))
+}
--- /dev/null
+++ b/crates/sched/src/heat.rs
@@ -0,0 +1,50 @@
+//! How often adapters are asked for, with the past counting less and less.
+
+use std::time::Duration;
+
+use base::Map;
+use base::Name;
+
+/// The adapters that are counted; the coldest half is dropped beyond.
+const COUNTED: usize = 16_384;
+
+/// Decayed counts of requests by adapter.
+#[derive(Debug)]
+pub(crate) struct Heat {
+    half_life: f64,
+    counts: Map<Name, (f64, Duration)>,
+}
+
+impl Heat {
+    pub(crate) fn new(half_life: Duration) -> Heat {
+        Heat { half_life: half_life.as_secs_f64(), counts: Map::default() }
+    }
+
+    /// Counts a request.
+    pub(crate) fn hit(&mut self, adapter: &Name, now: Duration) {
+        let count = self.of(adapter, now) + 1.0;
+        self.counts.insert(adapter.clone(), (count, now));
+        if self.counts.len() > COUNTED {
+            self.shrink(now);
+        }
+    }
+
+    /// Returns the decayed count of an adapter.
+    pub(crate) fn of(&self, adapter: &Name, now: Duration) -> f64 {
+        let Some((count, at)) = self.counts.get(adapter) else { return 0.0 };
+        let age = now.saturating_sub(*at).as_secs_f64();
+        count * (-age / self.half_life).exp2()
+    }
+
+    fn shrink(&mut self, now: Duration) {
+        let mut counts: Vec<f64> = self.counts.keys().map(|name| self.of(name, now)).collect();
+        let middle = counts.len() / 2;
+        let (_, median, _) = counts.select_nth_unstable_by(middle, f64::total_cmp);
+        let median = *median;
+        let cold: Vec<Name> =
+            self.counts.keys().filter(|name| self.of(name, now) < median).cloned().collect();
+        for name in cold {
+            self.counts.remove(&name);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/order.rs
@@ -0,0 +1,364 @@
+//! Orders to engines: one at a time for each, and what their answers mean.
+
+use std::time::Duration;
+
+use base::Event;
+use base::Name;
+use fleet::message::Holding;
+
+use crate::action::Action;
+use crate::action::Answer;
+use crate::action::Operation;
+use crate::action::Order;
+use crate::action::Report;
+use crate::engine::Base;
+use crate::engine::Copy;
+use crate::engine::Desk;
+use crate::engine::Engine;
+use crate::engine::Stage;
+use crate::scheduler::Scheduler;
+use crate::settings::Settings;
+
+/// The time after which it is asked again whether a load has ended.
+const POLL: Duration = Duration::from_millis(10);
+/// The same for a base model.
+const POLL_BASE: Duration = Duration::from_millis(100);
+/// The lag of what engines report, after which a report shows an order that was lost.
+const REPORT_LAG: Duration = Duration::from_millis(300);
+/// The wait before an engine that did not answer is asked again.
+const INSPECT_AGAIN: Duration = Duration::from_millis(500);
+/// The base models on their way from the store at once.
+const BASE_LOADS: usize = 2;
+/// The window over which the store's ceiling counts.
+const BASE_WINDOW: Duration = Duration::from_secs(5);
+/// The part of the store's ceiling that is used.
+const BASE_SHARE: f64 = 0.8;
+
+impl Scheduler {
+    /// Gives each engine its next order, as far as the store allows.
+    pub(crate) fn give_orders(&mut self, now: Duration) {
+        let names: Vec<Name> = self.engines.keys().cloned().collect();
+        for name in names {
+            self.give_order(&name, now);
+        }
+    }
+
+    fn give_order(&mut self, name: &Name, now: Duration) {
+        let Some(engine) = self.engines.get_mut(name) else { return };
+        match engine.desk {
+            Desk::Unknown(at) if now >= at => {
+                engine.desk = Desk::Inspecting { least: 0 };
+                self.actions.push(Action::Inspect(engine.endpoint.clone()));
+            }
+            Desk::Idle(sequence) => {
+                let Some(order) = self.next_order(name, sequence, now) else { return };
+                if let Some(engine) = self.engines.get_mut(name) {
+                    engine.desk = Desk::Busy(sequence);
+                }
+                self.actions.push(Action::Order(order));
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns the most pressing order for an engine.
+    fn next_order(&mut self, name: &Name, expected: u64, now: Duration) -> Option<Order> {
+        if let Some(order) = self.base_order(name, expected, now) {
+            return Some(order);
+        }
+        let engine = self.engines.get(name)?;
+        let Base::Held(model) = &engine.base else { return None };
+        let room = self.store.has_room();
+        let (adapter, copy) = engine
+            .copies
+            .iter()
+            .filter(|(adapter, copy)| is_due(engine, adapter, copy, room, now))
+            .min_by_key(|(adapter, copy)| (urgency(copy), copy.used, (*adapter).clone()))?;
+        let operation =
+            if copy.stage == Stage::Dropping { Operation::Unload } else { Operation::Load };
+        let version = (operation == Operation::Load && copy.version > 0).then_some(copy.version);
+        Some(Order {
+            endpoint: engine.endpoint.clone(),
+            operation,
+            model: model.clone(),
+            adapter: Some(adapter.clone()),
+            version,
+            expected,
+        })
+    }
+
+    /// Returns the order to load a base model into an empty engine, or to ask whether it is there.
+    fn base_order(&mut self, name: &Name, expected: u64, now: Duration) -> Option<Order> {
+        let engine = self.engines.get(name)?;
+        let model = match &engine.base {
+            Base::Loading { model, poll_at } if now >= *poll_at => model.clone(),
+            Base::Wanted(model) => {
+                let model = model.clone();
+                self.take_base_load(&engine.endpoint.service.clone(), now).then_some(model)?
+            }
+            _ => return None,
+        };
+        let engine = self.engines.get(name)?;
+        Some(Order {
+            endpoint: engine.endpoint.clone(),
+            operation: Operation::Load,
+            model,
+            adapter: None,
+            version: None,
+            expected,
+        })
+    }
+
+    /// Takes one of the loads of base models that the store allows.
+    fn take_base_load(&mut self, service: &Name, now: Duration) -> bool {
+        let Some(spec) = self.specs.get(service) else { return false };
+        let ceiling = spec.loads_per_s * BASE_WINDOW.as_secs_f64() * BASE_SHARE;
+        self.base_loads.retain(|at| now < *at + BASE_WINDOW);
+        let loading = self.engines.values().filter(|engine| {
+            let ordered = matches!(engine.desk, Desk::Busy(_));
+            matches!(engine.base, Base::Loading { .. })
+                || (ordered && matches!(engine.base, Base::Wanted(_)))
+        });
+        let free = loading.count() < BASE_LOADS && (self.base_loads.len() as f64) < ceiling;
+        if free {
+            self.base_loads.push_back(now);
+        }
+        free
+    }
+
+    /// Takes an engine's answer to an order.
+    pub fn ordered(&mut self, order: &Order, answer: Answer, now: Duration) {
+        let Some(engine) = self.engines.get_mut(&order.endpoint.id) else { return };
+        if engine.endpoint.born != order.endpoint.born {
+            return;
+        }
+        let Desk::Busy(sequence) = engine.desk else { return };
+        engine.desk = match answer {
+            Answer::Accepted => Desk::Idle(sequence + 1),
+            Answer::Holds if order.operation == Operation::Unload => Desk::Idle(sequence + 1),
+            Answer::Holds => Desk::Idle(sequence),
+            Answer::Conflict | Answer::Refused => Desk::Unknown(now),
+            Answer::Fenced => Desk::Unknown(now + INSPECT_AGAIN),
+            Answer::Lost => Desk::Unknown(now + REPORT_LAG),
+        };
+        match (&order.adapter, order.operation) {
+            (None, _) => self.base_ordered(order, answer, now),
+            (Some(adapter), Operation::Load) => {
+                self.load_ordered(&order.endpoint.id, adapter, answer, now);
+            }
+            (Some(adapter), Operation::Unload) => {
+                if matches!(answer, Answer::Accepted | Answer::Holds) {
+                    engine.forget(adapter, self.settings.warm_adapters);
+                    self.publish(&order.endpoint.id, adapter, false);
+                }
+            }
+        }
+        self.dirty = true;
+    }
+
+    fn base_ordered(&mut self, order: &Order, answer: Answer, now: Duration) {
+        let Some(spec) = self.specs.get(&order.endpoint.service) else { return };
+        let model = spec.models.iter().find(|model| model.name == order.model);
+        let Some(engine) = self.engines.get_mut(&order.endpoint.id) else { return };
+        let name = order.model.clone();
+        match answer {
+            Answer::Accepted => {
+                let first = !matches!(engine.base, Base::Loading { .. });
+                let load = model.map_or(POLL_BASE, |model| model.load);
+                let poll_at = now + if first { load / 4 } else { POLL_BASE };
+                engine.base = Base::Loading { model: name, poll_at };
+            }
+            Answer::Holds => {
+                engine.base = Base::Held(name);
+                self.publish(&order.endpoint.id, &Name::default(), true);
+            }
+            // A load that is in progress is answered so.
+            Answer::Conflict if matches!(engine.base, Base::Loading { .. }) => {
+                engine.base = Base::Loading { model: name, poll_at: now + POLL_BASE };
+            }
+            _ => engine.base = Base::Wanted(name),
+        }
+    }
+
+    fn load_ordered(&mut self, id: &Name, adapter: &Name, answer: Answer, now: Duration) {
+        let cold = self.cold(id, adapter);
+        let Some(engine) = self.engines.get_mut(id) else { return };
+        let Some(copy) = engine.copies.get_mut(adapter) else { return };
+        match (answer, &copy.stage) {
+            (Answer::Accepted, Stage::Queued) => {
+                let wait = load_time(&self.settings, cold, self.store.expected_ms(0));
+                copy.stage = Stage::Loading { since: now, poll_at: now + wait };
+                if cold {
+                    self.store.loading += 1;
+                }
+                base::event!(INFO, Event::Placed, endpoint = %id, adapter = %adapter, cold);
+            }
+            (Answer::Accepted | Answer::Conflict, Stage::Loading { since, .. }) => {
+                copy.stage = Stage::Loading { since: *since, poll_at: now + POLL };
+            }
+            (Answer::Holds, _) => self.loaded(id, adapter, now),
+            _ => {}
+        }
+    }
+
+    /// Returns whether an adapter's load at an engine comes from the store.
+    fn cold(&self, id: &Name, adapter: &Name) -> bool {
+        self.engines.get(id).is_none_or(|engine| !engine.is_warm(adapter))
+    }
+
+    /// Notes that an adapter is there, and grants what waited for it.
+    pub(crate) fn loaded(&mut self, id: &Name, adapter: &Name, now: Duration) {
+        let cold = self.cold(id, adapter);
+        let Some(engine) = self.engines.get_mut(id) else { return };
+        let Some(copy) = engine.copies.get_mut(adapter) else { return };
+        if let Stage::Loading { since, .. } = copy.stage {
+            let took = now.saturating_sub(since);
+            if cold {
+                self.store.ended(Some(took));
+            }
+            let took_ms = took.as_secs_f64() * 1e3;
+            base::event!(INFO, Event::Loaded, endpoint = %id, adapter = %adapter, cold, took_ms);
+        }
+        copy.stage = Stage::Present;
+        copy.used = now;
+        let waiting = std::mem::take(&mut copy.waiting);
+        engine.warm.retain(|name| name != adapter);
+        self.publish(id, adapter, true);
+        for key in waiting {
+            self.grant_reserved(key, now);
+        }
+        self.dirty = true;
+    }
+
+    /// Takes an engine's report; none if it did not answer.
+    pub fn inspected(&mut self, id: &Name, report: Option<Report>, now: Duration) {
+        let Some(engine) = self.engines.get_mut(id) else { return };
+        let Desk::Inspecting { .. } = engine.desk else { return };
+        let Some(report) =
+            report.filter(|report| report.born == 0 || report.born == engine.endpoint.born)
+        else {
+            engine.desk = Desk::Unknown(now + INSPECT_AGAIN);
+            return;
+        };
+        base::event!(
+            INFO, Event::Inspected, endpoint = %id, sequence = report.sequence,
+            adapters = report.held.iter().map(|held| held.adapters.len()).sum::<usize>(),
+            incoming = report.incoming.len()
+        );
+        engine.desk = Desk::Idle(report.sequence);
+        self.reconcile_base(id, &report, now);
+        self.reconcile(id, &report, now);
+        self.dirty = true;
+    }
+
+    fn reconcile_base(&mut self, id: &Name, report: &Report, now: Duration) {
+        let Some(engine) = self.engines.get_mut(id) else { return };
+        let held = report.held.first().map(|held| held.model.clone());
+        engine.base = match (held, engine.base.clone()) {
+            (Some(model), _) => Base::Held(model),
+            (None, Base::Loading { model, .. }) if report.busy => {
+                Base::Loading { model, poll_at: now + POLL_BASE }
+            }
+            (None, Base::Held(model) | Base::Loading { model, .. }) => Base::Wanted(model),
+            (None, base) => base,
+        };
+        let present = matches!(engine.base, Base::Held(_));
+        self.publish(id, &Name::default(), present);
+    }
+
+    /// Makes the copies those of a report.
+    fn reconcile(&mut self, id: &Name, report: &Report, now: Duration) {
+        let Some(engine) = self.engines.get_mut(id) else { return };
+        let adapters = report.held.iter().flat_map(|held| &held.adapters);
+        let present: Vec<(Name, u64)> =
+            adapters.map(|adapter| (adapter.name.clone(), adapter.version)).collect();
+        let mut arrived = Vec::new();
+        for (name, version) in &present {
+            let copy = engine.copies.entry(name.clone());
+            let copy = copy.or_insert_with(|| Copy::present(*version, now));
+            if copy.is_loading() && *version >= copy.version {
+                arrived.push(name.clone());
+            }
+            if copy.stage == Stage::Present {
+                copy.version = *version;
+            }
+        }
+        for (name, version) in &report.incoming {
+            let copy = engine.copies.entry(name.clone());
+            let copy = copy.or_insert_with(|| Copy::queued(*version, now));
+            if copy.stage == Stage::Queued {
+                copy.stage = Stage::Loading { since: now, poll_at: now + POLL };
+            }
+        }
+        let known =
+            |name: &Name| present.iter().chain(&report.incoming).any(|(listed, _)| listed == name);
+        let gone: Vec<Name> = engine.copies.keys().filter(|name| !known(name)).cloned().collect();
+        for name in gone {
+            self.missing(id, &name, now);
+        }
+        for name in arrived {
+            self.loaded(id, &name, now);
+        }
+    }
+
+    /// Takes note that an engine lacks an adapter that was thought to be there or on its way.
+    fn missing(&mut self, id: &Name, adapter: &Name, now: Duration) {
+        let cold = self.cold(id, adapter);
+        let Some(engine) = self.engines.get_mut(id) else { return };
+        let Some(copy) = engine.copies.get_mut(adapter) else { return };
+        if matches!(copy.stage, Stage::Loading { .. }) && cold {
+            self.store.ended(None);
+        }
+        if copy.waiting.is_empty() {
+            engine.copies.remove(adapter);
+            self.publish(id, adapter, false);
+        } else {
+            copy.stage = Stage::Queued;
+            copy.used = now;
+        }
+    }
+
+    /// Tells the gates what an engine holds.
+    pub(crate) fn publish(&mut self, id: &Name, adapter: &Name, held: bool) {
+        let (endpoint, adapter) = (id.clone(), adapter.clone());
+        self.actions.push(Action::Publish(Holding { endpoint, adapter, held }));
+    }
+
+    /// Returns the loads from the store that wait for their turn.
+    pub(crate) fn queued_loads(&self) -> usize {
+        let engines = self.engines.values();
+        let queued = engines.flat_map(|engine| {
+            let copies = engine.copies.iter();
+            copies.filter(|(name, copy)| copy.stage == Stage::Queued && !engine.is_warm(name))
+        });
+        queued.count()
+    }
+}
+
+/// Returns whether an order for an adapter can be given now.
+fn is_due(engine: &Engine, adapter: &Name, copy: &Copy, room: bool, now: Duration) -> bool {
+    match copy.stage {
+        Stage::Dropping => true,
+        Stage::Loading { poll_at, .. } => now >= poll_at,
+        Stage::Queued => {
+            let dropping = engine.copies.values().any(|copy| copy.stage == Stage::Dropping);
+            !dropping && (room || engine.is_warm(adapter))
+        }
+        Stage::Present => false,
+    }
+}
+
+/// Orders that free places go first, then new loads, then questions.
+fn urgency(copy: &Copy) -> u8 {
+    match copy.stage {
+        Stage::Dropping => 0,
+        Stage::Queued => 1,
+        Stage::Loading { .. } | Stage::Present => 2,
+    }
+}
+
+/// Returns the time after which a load is likely to have ended.
+fn load_time(settings: &Settings, cold: bool, cold_ms: f64) -> Duration {
+    let ms = if cold { cold_ms } else { settings.warm_load_ms };
+    Duration::from_secs_f64(ms / 1e3)
+}
--- /dev/null
+++ b/crates/sched/src/scheduler.rs
@@ -0,0 +1,481 @@
+//! The scheduler's tables and what changes them.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use base::Code;
+use base::Event;
+use base::Map;
+use base::Name;
+use fleet::endpoint::Announcement;
+use fleet::message::Ask;
+use fleet::message::Denial;
+use fleet::message::Grant;
+use fleet::message::Outcome;
+use fleet::message::Running;
+use fleet::message::Version;
+use fleet::plan::EngineSpec;
+use fleet::plan::Plan;
+
+use crate::action::Action;
+use crate::action::Reason;
+use crate::choose::Candidate;
+use crate::choose::Scene;
+use crate::choose::Way;
+use crate::engine::Base;
+use crate::engine::Copy;
+use crate::engine::Desk;
+use crate::engine::Engine;
+use crate::engine::Stage;
+use crate::heat::Heat;
+use crate::ledger::Key;
+use crate::ledger::Part;
+use crate::ledger::Run;
+use crate::ledger::Wait;
+use crate::settings::Settings;
+use crate::store::Store;
+
+/// The urgency at an engine of a request of rank 0 that meets its target.
+const URGENCY: u8 = 3;
+/// The urgency at an engine of a request of rank 0 that misses its target.
+const URGENCY_LATE: u8 = 7;
+/// The last urgency.
+const URGENCY_LAST: u8 = 9;
+/// The part of the time left in which a late request must have its first event.
+const LATE_SHARE: f64 = 0.6;
+/// The time for which a full engine gets nothing.
+const FULL_PAUSE: Duration = Duration::from_millis(100);
+/// The time for which an engine under a lost request is remembered.
+const STRIKES_KEPT: usize = 4_096;
+/// The time after a request's deadline for which it counts if its end is not told.
+const GRACE: Duration = Duration::from_millis(500);
+
+/// The scheduler of a cell's engines; see the crate.
+#[derive(Debug)]
+pub struct Scheduler {
+    pub(crate) settings: Settings,
+    pub(crate) specs: Map<Name, EngineSpec>,
+    /// The versions in force, by base model and adapter.
+    versions: Map<(Name, Name), u64>,
+    pub(crate) engines: BTreeMap<Name, Engine>,
+    runs: Map<Key, Run>,
+    /// The requests that no engine can take now, the oldest first.
+    waiting: VecDeque<Wait>,
+    /// How often an engine was lost under a request, by its fingerprint.
+    strikes: Map<u64, u32>,
+    pub(crate) store: Store,
+    /// When base models were ordered lately.
+    pub(crate) base_loads: VecDeque<Duration>,
+    heat: Heat,
+    /// Whether something changed since the requests that wait were tried.
+    pub(crate) dirty: bool,
+    pub(crate) actions: Vec<Action>,
+}
+
+impl Scheduler {
+    /// Makes a scheduler that knows nothing yet.
+    pub fn new(settings: Settings) -> Scheduler {
+        Scheduler {
+            specs: Map::default(),
+            versions: Map::default(),
+            engines: BTreeMap::new(),
+            runs: Map::default(),
+            waiting: VecDeque::new(),
+            strikes: Map::default(),
+            store: Store::new(settings.cold_load_ms, settings.cold_loads),
+            base_loads: VecDeque::new(),
+            heat: Heat::new(settings.half_life),
+            dirty: false,
+            actions: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Takes a plan.
+    pub fn set_plan(&mut self, plan: &Plan) {
+        let engines = plan
+            .services
+            .iter()
+            .filter_map(|service| Some((service.name.clone(), service.engine.clone()?)));
+        self.specs = engines.collect();
+        for engine in self.engines.values_mut() {
+            want_base(engine, &self.specs);
+        }
+        self.dirty = true;
+    }
+
+    /// Takes a version of an adapter that came into force.
+    pub fn set_version(&mut self, version: &Version) {
+        let key = (version.model.clone(), version.adapter.clone());
+        let known = self.versions.entry(key).or_default();
+        *known = (*known).max(version.version);
+    }
+
+    /// Takes an engine's announcement.
+    pub fn announce(&mut self, announcement: &Announcement, now: Duration) {
+        let known = self.engines.get(&announcement.id);
+        if known.is_some_and(|engine| engine.endpoint.born == announcement.born) {
+            return;
+        }
+        self.leave(&announcement.id, now);
+        let mut engine = Engine::new(announcement, &self.settings, now);
+        want_base(&mut engine, &self.specs);
+        self.engines.insert(announcement.id.clone(), engine);
+        self.dirty = true;
+    }
+
+    /// Forgets an engine that takes no more work; what waited for an adapter there waits anew.
+    pub fn leave(&mut self, id: &Name, _now: Duration) {
+        let Some(engine) = self.engines.remove(id) else { return };
+        for (adapter, copy) in &engine.copies {
+            if matches!(copy.stage, Stage::Loading { .. }) && !engine.is_warm(adapter) {
+                self.store.ended(None);
+            }
+            for key in &copy.waiting {
+                if let Some(Run { part: Part::Reserved(wait), .. }) = self.runs.remove(key) {
+                    self.waiting.push_back(*wait);
+                }
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// Returns the engines that are known.
+    pub fn engines(&self) -> impl Iterator<Item = &Name> {
+        self.engines.keys()
+    }
+
+    /// Takes a request.
+    pub fn ask(&mut self, gate: u64, domain: &Name, ask: Ask, now: Duration) {
+        self.heat.hit(&ask.adapter, now);
+        let key = (gate, ask.request);
+        let wait = Wait { key, domain: domain.clone(), ask, since: now };
+        let struck = self.strikes.get(&wait.ask.fingerprint).copied().unwrap_or_default();
+        if struck >= self.settings.strikes {
+            return self.deny(&wait, Code::Suspected, now);
+        }
+        if let Some(wait) = self.place(wait, now) {
+            if self.waiting.len() >= self.settings.waiting {
+                return self.deny(&wait, Code::QueueFull, now);
+            }
+            self.waiting.push_back(wait);
+        }
+    }
+
+    /// Takes back a request that has no engine yet, or whose grant was not used.
+    pub fn withdraw(&mut self, gate: u64, request: u64, now: Duration) {
+        let key = (gate, request);
+        self.waiting.retain(|wait| wait.key != key);
+        self.release(key, now);
+    }
+
+    /// Gives a request to an engine or refuses it; returns it if it must wait.
+    fn place(&mut self, wait: Wait, now: Duration) -> Option<Wait> {
+        let Some(best) = self.best(&wait, now) else { return self.hold(wait, now) };
+        let target = wait.target_ms(now) - self.settings.network_ms;
+        let margin = 1.0 - self.settings.rank_margin * f64::from(wait.ask.rank).min(4.0);
+        if best.expected_ms <= target * margin {
+            let urgency = (URGENCY + wait.ask.rank).min(URGENCY_LATE - 1);
+            self.assign(wait, &best, urgency, now);
+        } else if self.takes_late(&best, &wait, now) {
+            let urgency = (URGENCY_LATE + wait.ask.rank).min(URGENCY_LAST);
+            self.assign(wait, &best, urgency, now);
+        } else {
+            self.deny(&wait, Code::DeadlineUnreachable, now);
+        }
+        None
+    }
+
+    /// Keeps a request that no engine can take now for a part of its target, else refuses it.
+    fn hold(&mut self, wait: Wait, now: Duration) -> Option<Wait> {
+        let patience = f64::from(wait.ask.target_ms) * self.settings.hold;
+        if wait.held_ms(now) < patience && !self.engines.is_empty() {
+            return Some(wait);
+        }
+        self.deny(&wait, Code::NoEndpoint, now);
+        None
+    }
+
+    /// Returns whether an engine has time for a request that misses its target.
+    fn takes_late(&self, best: &Candidate, wait: &Wait, now: Duration) -> bool {
+        let Some(engine) = self.engines.get(&best.engine) else { return false };
+        engine.queue_ms(now) <= self.settings.late_backlog_ms
+            && best.expected_ms <= wait.left_ms(now) * LATE_SHARE
+    }
+
+    /// Returns the engine with the least cost.
+    fn best(&self, wait: &Wait, now: Duration) -> Option<Candidate> {
+        let spec = self.specs.get(&wait.ask.service)?;
+        let scene = Scene {
+            settings: &self.settings,
+            spec,
+            store: &self.store,
+            queued: self.queued_loads(),
+            heat: &self.heat,
+            version: self.version(&wait.ask).unwrap_or_default(),
+            now,
+        };
+        let engines = self.engines.values();
+        let engines = engines.filter(|engine| engine.endpoint.service == wait.ask.service);
+        let candidates = engines.filter_map(|engine| scene.candidate(engine, wait));
+        candidates.min_by(|a, b| a.cost.total_cmp(&b.cost))
+    }
+
+    /// Returns the version that must be served, where one was announced.
+    fn version(&self, ask: &Ask) -> Option<u64> {
+        self.versions.get(&(ask.model.clone(), ask.adapter.clone())).copied()
+    }
+
+    /// Gives a request to an engine, at once or when its adapter is there.
+    fn assign(&mut self, wait: Wait, best: &Candidate, urgency: u8, now: Duration) {
+        let version = self.version(&wait.ask).unwrap_or_default();
+        let Some(engine) = self.engines.get_mut(&best.engine) else { return };
+        let ask = &wait.ask;
+        engine.backlog += best.prefill;
+        engine.running += 1;
+        let tokens = u64::from(ask.input) + u64::from(ask.output);
+        engine.tokens += tokens;
+        engine.prefixes.read(base::digest(ask.adapter.as_bytes()), &ask.parts);
+        if let Way::Load(victim) = &best.way {
+            if let Some(victim) = victim.as_ref().and_then(|name| engine.copies.get_mut(name)) {
+                victim.stage = Stage::Dropping;
+            }
+            engine.copies.insert(ask.adapter.clone(), Copy::queued(version, now));
+        }
+        if let Some(copy) = engine.copies.get_mut(&ask.adapter) {
+            copy.users += 1;
+            copy.used = now;
+            if best.way != Way::Present {
+                copy.waiting.push(wait.key);
+            }
+        }
+        let run = Run {
+            engine: best.engine.clone(),
+            adapter: ask.adapter.clone(),
+            fingerprint: ask.fingerprint,
+            prefill: best.prefill,
+            tokens,
+            ahead: engine.backlog,
+            part: Part::Granted,
+            ends: now + Duration::from_millis(u64::from(ask.left_ms)) + GRACE,
+        };
+        let key = wait.key;
+        let ask_urgency = urgency;
+        if best.way == Way::Present {
+            self.runs.insert(key, run);
+            self.grant(&wait, &best.engine, best.expected_ms, ask_urgency, now);
+        } else {
+            let mut wait = wait;
+            wait.ask.rank = ask_urgency;
+            let part = Part::Reserved(Box::new(wait));
+            self.runs.insert(key, Run { part, ..run });
+        }
+        self.give_orders(now);
+    }
+
+    /// Grants a request whose adapter is there now.
+    pub(crate) fn grant_reserved(&mut self, key: Key, now: Duration) {
+        let Some(run) = self.runs.get_mut(&key) else { return };
+        let Part::Reserved(wait) = std::mem::replace(&mut run.part, Part::Granted) else { return };
+        let id = run.engine.clone();
+        let Some(engine) = self.engines.get(&id) else { return };
+        run.ahead = engine.backlog;
+        let expected = engine.backlog / engine.pace.tokens_per_ms + self.settings.first_event_ms;
+        let urgency = wait.ask.rank;
+        self.grant(&wait, &id, expected, urgency, now);
+    }
+
+    fn grant(&mut self, wait: &Wait, id: &Name, expected_ms: f64, urgency: u8, now: Duration) {
+        let version = self.version(&wait.ask);
+        let Some(engine) = self.engines.get_mut(id) else { return };
+        let late = Duration::from_secs_f64((expected_ms * 1.5 + 100.0) / 1e3);
+        engine.expecting.push((wait.key, now + late));
+        let reason = Reason {
+            expected_ms,
+            backlog: engine.backlog,
+            running: engine.running,
+            held_ms: wait.held_ms(now),
+        };
+        let request = wait.ask.request;
+        let endpoint = engine.endpoint.clone();
+        let grant = Grant { request, endpoint, version, urgency };
+        self.actions.push(Action::Grant { gate: wait.key.0, grant, reason });
+    }
+
+    /// Refuses a request, with a time to come back at which its engines should have room.
+    fn deny(&mut self, wait: &Wait, code: Code, now: Duration) {
+        let queues = self.engines.values().map(|engine| engine.queue_ms(now));
+        let queue_ms = queues.min_by(f64::total_cmp).unwrap_or(f64::MAX);
+        let excess = queue_ms - f64::from(wait.ask.target_ms) / 2.0;
+        let (least, most) = self.settings.retry_ms;
+        // Spread by the request, so that callers refused together do not return together.
+        let spread = (base::digest(&wait.ask.request.to_le_bytes()) % 1_000) as f64 / 1e3;
+        let retry_ms = (excess.max(least) * (1.0 + spread)).clamp(least, most) as u32;
+        let denial = Denial { request: wait.ask.request, code, retry_ms };
+        self.actions.push(Action::Deny { gate: wait.key.0, denial });
+    }
+
+    /// Notes that a request's first event came so long after it was sent.
+    pub fn began(&mut self, gate: u64, request: u64, after: Duration, _now: Duration) {
+        let Some(run) = self.runs.get_mut(&(gate, request)) else { return };
+        if !matches!(run.part, Part::Granted) {
+            return;
+        }
+        run.part = Part::Begun;
+        let Some(engine) = self.engines.get_mut(&run.engine) else { return };
+        engine.backlog = (engine.backlog - run.prefill).max(0.0);
+        engine.expecting.retain(|(key, _)| *key != (gate, request));
+        let ms = after.as_secs_f64() * 1e3 - self.settings.first_event_ms;
+        engine.pace.observe(run.ahead, ms);
+        self.dirty = true;
+    }
+
+    /// Notes how a request ended.
+    pub fn ended(&mut self, gate: u64, request: u64, outcome: Outcome, now: Duration) {
+        let Some(run) = self.release((gate, request), now) else { return };
+        if matches!(outcome, Outcome::Lost) && run.fingerprint != 0 {
+            if self.strikes.len() >= STRIKES_KEPT {
+                self.strikes.clear();
+            }
+            *self.strikes.entry(run.fingerprint).or_default() += 1;
+        }
+        let Some(engine) = self.engines.get_mut(&run.engine) else { return };
+        match outcome {
+            Outcome::Done => {
+                if engine.health.succeeded() {
+                    base::event!(INFO, Event::EndpointTrusted, endpoint = %run.engine);
+                }
+            }
+            Outcome::Failed | Outcome::Lost => {
+                if engine.health.failed(now) {
+                    base::event!(WARN, Event::EndpointSuspected, endpoint = %run.engine);
+                }
+            }
+            Outcome::Refused => engine.full_until = now + FULL_PAUSE,
+            Outcome::Misdirected => {
+                if engine.copies.get(&run.adapter).is_some_and(Copy::is_idle) {
+                    engine.copies.remove(&run.adapter);
+                }
+                if matches!(engine.desk, Desk::Idle(_)) {
+                    engine.desk = Desk::Unknown(now);
+                }
+            }
+            Outcome::Cancelled => {}
+        }
+    }
+
+    /// Takes a request's share of its engine back.
+    fn release(&mut self, key: Key, now: Duration) -> Option<Run> {
+        let run = self.runs.remove(&key)?;
+        self.dirty = true;
+        let Some(engine) = self.engines.get_mut(&run.engine) else { return Some(run) };
+        engine.running = engine.running.saturating_sub(1);
+        engine.tokens = engine.tokens.saturating_sub(run.tokens);
+        engine.expecting.retain(|(expected, _)| *expected != key);
+        if !matches!(run.part, Part::Begun) {
+            engine.backlog = (engine.backlog - run.prefill).max(0.0);
+        }
+        if let Some(copy) = engine.copies.get_mut(&run.adapter) {
+            copy.users = copy.users.saturating_sub(1);
+            copy.used = now;
+            copy.waiting.retain(|waiting| *waiting != key);
+        }
+        Some(run)
+    }
+
+    /// Takes the requests that a gate has at engines, after a change of the leader.
+    pub fn resume(&mut self, gate: u64, running: &[Running], now: Duration) {
+        for told in running {
+            let Some(engine) = self.engines.get_mut(&told.endpoint) else { continue };
+            engine.running += 1;
+            engine.tokens += u64::from(told.tokens);
+            if let Some(copy) = engine.copies.get_mut(&told.adapter) {
+                copy.users += 1;
+            }
+            let run = Run {
+                engine: told.endpoint.clone(),
+                adapter: told.adapter.clone(),
+                fingerprint: 0,
+                prefill: 0.0,
+                tokens: u64::from(told.tokens),
+                ahead: 0.0,
+                part: Part::Begun,
+                ends: now + Duration::from_millis(u64::from(told.left_ms)) + GRACE,
+            };
+            self.runs.insert((gate, told.request), run);
+        }
+    }
+
+    /// Forgets the requests of a gate that have no engine yet.
+    pub fn gate_lost(&mut self, gate: u64, now: Duration) {
+        self.waiting.retain(|wait| wait.key.0 != gate);
+        let reserved = self
+            .runs
+            .iter()
+            .filter(|(key, run)| key.0 == gate && matches!(run.part, Part::Reserved(_)));
+        let reserved: Vec<Key> = reserved.map(|(key, _)| *key).collect();
+        for key in reserved {
+            self.release(key, now);
+        }
+    }
+
+    /// Lets time pass: requests that wait, orders that are due. Returns what is to be done.
+    pub fn poll(&mut self, now: Duration) -> Vec<Action> {
+        self.expire(now);
+        if self.dirty {
+            self.dirty = false;
+            let mut waiting: Vec<Wait> = std::mem::take(&mut self.waiting).into();
+            waiting.sort_by_key(|wait| (wait.ask.rank, wait.since));
+            for wait in waiting {
+                if let Some(wait) = self.place(wait, now) {
+                    self.waiting.push_back(wait);
+                }
+            }
+        }
+        self.give_orders(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Ends what has waited or run for too long.
+    fn expire(&mut self, now: Duration) {
+        let hold = self.settings.hold;
+        let patient = |wait: &Wait| wait.held_ms(now) < f64::from(wait.ask.target_ms) * hold;
+        let (kept, late): (VecDeque<Wait>, VecDeque<Wait>) =
+            std::mem::take(&mut self.waiting).into_iter().partition(patient);
+        self.waiting = kept;
+        for wait in late {
+            self.deny(&wait, Code::NoEndpoint, now);
+        }
+        let ended = self.runs.iter().filter(|(_, run)| match &run.part {
+            Part::Reserved(wait) => wait.held_ms(now) > f64::from(wait.ask.left_ms) * LATE_SHARE,
+            Part::Granted | Part::Begun => now >= run.ends,
+        });
+        let ended: Vec<Key> = ended.map(|(key, _)| *key).collect();
+        for key in ended {
+            if let Some(Run { part: Part::Reserved(wait), .. }) = self.release(key, now) {
+                self.deny(&wait, Code::LoadFailed, now);
+            }
+        }
+    }
+
+    /// Returns whether something waits that time alone moves on.
+    pub fn is_waiting(&self) -> bool {
+        let loading = |engine: &Engine| {
+            !matches!(engine.desk, Desk::Idle(_))
+                || matches!(engine.base, Base::Wanted(_) | Base::Loading { .. })
+                || engine.copies.values().any(|copy| copy.stage != Stage::Present)
+        };
+        self.dirty || !self.waiting.is_empty() || self.engines.values().any(loading)
+    }
+}
+
+/// Chooses a base model for an empty engine.
+fn want_base(engine: &mut Engine, specs: &Map<Name, EngineSpec>) {
+    if engine.base == Base::Empty
+        && let Some(model) =
+            specs.get(&engine.endpoint.service).and_then(|spec| spec.models.first())
+    {
+        engine.base = Base::Wanted(model.name.clone());
+    }
+}
