sched: orders keep to an engine's places, whatever is repeated, lost or late

Traced from the orders of one engine: (1) a repeated load is answered 202 without being counted, and the scheduler counted it, so the next order was refused and a report that lagged by 100 ms and more brought dropped adapters back into its table; (2) a load without a version, repeated after a new version was announced, is a second load, which needs a place of its own; (3) an unload answered 202 keeps its place until the runs there have ended.

Ruled out: orders carried out late (they fail on the number of accepted orders); replacing a version in its place (the old one keeps its place until its runs end).

Change: a repeated order is not counted; a report is believed only if it shows all orders accepted so far; loads name the version; an overtaken version is dropped before the new one is loaded; a drop that waits keeps its place.

--- a/crates/sched/src/choose.rs
+++ b/crates/sched/src/choose.rs
@@ -47,7 +47,7 @@
     /// The loads from the store that wait for their turn.
     pub(crate) queued: usize,
     pub(crate) heat: &'a Heat,
-    /// The version that must be served; 0 if none was announced.
+    /// The version that must be served.
     pub(crate) version: u64,
     pub(crate) now: Duration,
 }
@@ -91,18 +91,15 @@
             return Some((Way::Present, 0.0, 0.0));
         }
         match engine.copies.get(adapter) {
-            Some(Copy { stage: Stage::Dropping, .. }) => None,
+            Some(Copy { stage: Stage::Dropping { .. }, .. }) => None,
             Some(copy) if copy.version >= self.version && copy.stage == Stage::Present => {
                 Some((Way::Present, 0.0, 0.0))
             }
             Some(copy) if copy.version >= self.version => {
                 Some((Way::Loading, self.rest_ms(copy), 0.0))
             }
-            // The place is kept while the new version replaces the old one.
-            Some(copy) => {
-                let idle = copy.is_idle() && orders(engine);
-                idle.then(|| (Way::Load(None), self.settings.cold_load_ms, 0.0))
-            }
+            // An old version makes way before the new one is loaded: for a while both would need a place.
+            Some(_) => None,
             None => self.new_copy(engine, adapter),
         }
     }
--- a/crates/sched/src/engine.rs
+++ b/crates/sched/src/engine.rs
@@ -57,9 +57,9 @@
 /// What is known of the orders that an engine has accepted.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Desk {
-    /// Nothing; the engine is to be asked at that time.
-    Unknown(Duration),
-    /// It is being asked.
+    /// At least so many; the engine is to be asked at that time.
+    Unknown { least: u64, at: Duration },
+    /// At least so many; it is being asked.
     Inspecting { least: u64 },
     /// It has accepted so many.
     Idle(u64),
@@ -70,7 +70,7 @@
 /// An adapter in one of an engine's places.
 #[derive(Clone, Debug)]
 pub(crate) struct Copy {
-    /// The version; 0 if it was the newest one when it was loaded.
+    /// The version.
     pub(crate) version: u64,
     pub(crate) stage: Stage,
     /// The requests that use it or wait for it.
@@ -96,7 +96,10 @@
     /// Ready for requests.
     Present,
     /// To be dropped; the place is free once it is gone.
-    Dropping,
+    Dropping {
+        /// When to ask next whether it is gone; none before the order was accepted.
+        poll_at: Option<Duration>,
+    },
 }
 
 impl Engine {
@@ -120,7 +123,7 @@
             pace: Pace::new(settings.tokens_per_ms),
             health: Health::default(),
             prefixes: Prefixes::default(),
-            desk: Desk::Unknown(now),
+            desk: Desk::Unknown { least: 0, at: now },
         }
     }
 
@@ -156,6 +159,21 @@
     }
 }
 
+impl Stage {
+    /// The start of a drop.
+    pub(crate) const DROP: Stage = Stage::Dropping { poll_at: None };
+}
+
+impl Desk {
+    /// Returns the number of orders that the engine has accepted at least.
+    pub(crate) fn least(&self) -> u64 {
+        match self {
+            Desk::Unknown { least, .. } | Desk::Inspecting { least } => *least,
+            Desk::Idle(sequence) | Desk::Busy(sequence) => *sequence,
+        }
+    }
+}
+
 impl Copy {
     pub(crate) fn present(version: u64, now: Duration) -> Copy {
         Copy { version, stage: Stage::Present, users: 0, used: now, waiting: Vec::new() }
--- a/crates/sched/src/ledger.rs
+++ b/crates/sched/src/ledger.rs
@@ -20,6 +20,8 @@
     pub(crate) tokens: u64,
     /// The tokens to be read before its first event, its own included, when it was granted.
     pub(crate) ahead: f64,
+    /// The urgency at the engine.
+    pub(crate) urgency: u8,
     pub(crate) part: Part,
     /// When it no longer counts, whatever its gate says.
     pub(crate) ends: Duration,
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -21,7 +21,9 @@
 
 /// The time after which it is asked again whether a load has ended.
 const POLL: Duration = Duration::from_millis(10);
-/// The same for a base model.
+/// The time after which it is asked again whether an adapter is gone.
+const POLL_DROP: Duration = Duration::from_millis(30);
+/// The time after which it is asked again whether a base model is there.
 const POLL_BASE: Duration = Duration::from_millis(100);
 /// The lag of what engines report, after which a report shows an order that was lost.
 const REPORT_LAG: Duration = Duration::from_millis(300);
@@ -46,8 +48,8 @@
     fn give_order(&mut self, name: &Name, now: Duration) {
         let Some(engine) = self.engines.get_mut(name) else { return };
         match engine.desk {
-            Desk::Unknown(at) if now >= at => {
-                engine.desk = Desk::Inspecting { least: 0 };
+            Desk::Unknown { least, at } if now >= at => {
+                engine.desk = Desk::Inspecting { least };
                 self.actions.push(Action::Inspect(engine.endpoint.clone()));
             }
             Desk::Idle(sequence) => {
@@ -74,9 +76,10 @@
             .iter()
             .filter(|(adapter, copy)| is_due(engine, adapter, copy, room, now))
             .min_by_key(|(adapter, copy)| (urgency(copy), copy.used, (*adapter).clone()))?;
-        let operation =
-            if copy.stage == Stage::Dropping { Operation::Unload } else { Operation::Load };
-        let version = (operation == Operation::Load && copy.version > 0).then_some(copy.version);
+        let dropping = matches!(copy.stage, Stage::Dropping { .. });
+        let operation = if dropping { Operation::Unload } else { Operation::Load };
+        // A named version makes a repeated order the same order, whatever was announced in between.
+        let version = (operation == Operation::Load).then_some(copy.version);
         Some(Order {
             endpoint: engine.endpoint.clone(),
             operation,
@@ -133,13 +136,19 @@
             return;
         }
         let Desk::Busy(sequence) = engine.desk else { return };
+        // An order that is being carried out is answered again without being counted.
+        let repeated = is_under_way(engine, order.adapter.as_ref());
+        let least = sequence;
         engine.desk = match answer {
+            Answer::Accepted if repeated => Desk::Idle(sequence),
             Answer::Accepted => Desk::Idle(sequence + 1),
-            Answer::Holds if order.operation == Operation::Unload => Desk::Idle(sequence + 1),
+            Answer::Holds if order.operation == Operation::Unload && !repeated => {
+                Desk::Idle(sequence + 1)
+            }
             Answer::Holds => Desk::Idle(sequence),
-            Answer::Conflict | Answer::Refused => Desk::Unknown(now),
-            Answer::Fenced => Desk::Unknown(now + INSPECT_AGAIN),
-            Answer::Lost => Desk::Unknown(now + REPORT_LAG),
+            Answer::Conflict | Answer::Refused => Desk::Unknown { least, at: now },
+            Answer::Fenced => Desk::Unknown { least, at: now + INSPECT_AGAIN },
+            Answer::Lost => Desk::Unknown { least, at: now + REPORT_LAG },
         };
         match (&order.adapter, order.operation) {
             (None, _) => self.base_ordered(order, answer, now),
@@ -147,15 +156,30 @@
                 self.load_ordered(&order.endpoint.id, adapter, answer, now);
             }
             (Some(adapter), Operation::Unload) => {
-                if matches!(answer, Answer::Accepted | Answer::Holds) {
-                    engine.forget(adapter, self.settings.warm_adapters);
-                    self.publish(&order.endpoint.id, adapter, false);
-                }
+                self.drop_ordered(&order.endpoint.id, adapter, answer, now);
             }
         }
         self.dirty = true;
     }
 
+    fn drop_ordered(&mut self, id: &Name, adapter: &Name, answer: Answer, now: Duration) {
+        let Some(engine) = self.engines.get_mut(id) else { return };
+        match answer {
+            Answer::Holds => {
+                engine.forget(adapter, self.settings.warm_adapters);
+                base::event!(INFO, Event::Evicted, endpoint = %id, adapter = %adapter);
+                self.publish(id, adapter, false);
+            }
+            // A request still uses it there, so it goes later.
+            Answer::Accepted => {
+                if let Some(copy) = engine.copies.get_mut(adapter) {
+                    copy.stage = Stage::Dropping { poll_at: Some(now + POLL_DROP) };
+                }
+            }
+            _ => {}
+        }
+    }
+
     fn base_ordered(&mut self, order: &Order, answer: Answer, now: Duration) {
         let Some(spec) = self.specs.get(&order.endpoint.service) else { return };
         let model = spec.models.iter().find(|model| model.name == order.model);
@@ -227,19 +251,24 @@
         for key in waiting {
             self.grant_reserved(key, now);
         }
+        self.retire(id, adapter);
         self.dirty = true;
     }
 
     /// Takes an engine's report; none if it did not answer.
     pub fn inspected(&mut self, id: &Name, report: Option<Report>, now: Duration) {
         let Some(engine) = self.engines.get_mut(id) else { return };
-        let Desk::Inspecting { .. } = engine.desk else { return };
-        let Some(report) =
-            report.filter(|report| report.born == 0 || report.born == engine.endpoint.born)
-        else {
-            engine.desk = Desk::Unknown(now + INSPECT_AGAIN);
+        let Desk::Inspecting { least } = engine.desk else { return };
+        let born = engine.endpoint.born;
+        let Some(report) = report.filter(|report| report.born == 0 || report.born == born) else {
+            engine.desk = Desk::Unknown { least, at: now + INSPECT_AGAIN };
             return;
         };
+        if report.sequence < least {
+            // Reports lag, and this one does not show all orders that were accepted.
+            engine.desk = Desk::Unknown { least, at: now + REPORT_LAG / 3 };
+            return;
+        }
         base::event!(
             INFO, Event::Inspected, endpoint = %id, sequence = report.sequence,
             adapters = report.held.iter().map(|held| held.adapters.len()).sum::<usize>(),
@@ -273,11 +302,16 @@
         let present: Vec<(Name, u64)> =
             adapters.map(|adapter| (adapter.name.clone(), adapter.version)).collect();
         let mut arrived = Vec::new();
+        let mut outdated = Vec::new();
         for (name, version) in &present {
             let copy = engine.copies.entry(name.clone());
             let copy = copy.or_insert_with(|| Copy::present(*version, now));
             if copy.is_loading() && *version >= copy.version {
                 arrived.push(name.clone());
+            } else if copy.stage == Stage::Queued {
+                // The old version is still in the place that the new one was to have.
+                copy.stage = Stage::DROP;
+                outdated.append(&mut copy.waiting);
             }
             if copy.stage == Stage::Present {
                 copy.version = *version;
@@ -299,6 +333,9 @@
         for name in arrived {
             self.loaded(id, &name, now);
         }
+        for key in outdated {
+            self.wait_again(key, now);
+        }
     }
 
     /// Takes note that an engine lacks an adapter that was thought to be there or on its way.
@@ -335,14 +372,28 @@
     }
 }
 
+/// Returns whether an engine is known to carry out an order for a base model or an adapter.
+fn is_under_way(engine: &Engine, adapter: Option<&Name>) -> bool {
+    match adapter {
+        None => matches!(engine.base, Base::Loading { .. }),
+        Some(adapter) => {
+            let copy = engine.copies.get(adapter);
+            copy.is_some_and(|copy| match copy.stage {
+                Stage::Loading { .. } | Stage::Dropping { poll_at: Some(_) } => true,
+                Stage::Queued | Stage::Present | Stage::Dropping { poll_at: None } => false,
+            })
+        }
+    }
+}
+
 /// Returns whether an order for an adapter can be given now.
 fn is_due(engine: &Engine, adapter: &Name, copy: &Copy, room: bool, now: Duration) -> bool {
     match copy.stage {
-        Stage::Dropping => true,
+        Stage::Dropping { poll_at } => poll_at.is_none_or(|at| now >= at),
         Stage::Loading { poll_at, .. } => now >= poll_at,
         Stage::Queued => {
-            let dropping = engine.copies.values().any(|copy| copy.stage == Stage::Dropping);
-            !dropping && (room || engine.is_warm(adapter))
+            let dropping = |copy: &Copy| matches!(copy.stage, Stage::Dropping { .. });
+            !engine.copies.values().any(dropping) && (room || engine.is_warm(adapter))
         }
         Stage::Present => false,
     }
@@ -351,7 +402,7 @@
 /// Orders that free places go first, then new loads, then questions.
 fn urgency(copy: &Copy) -> u8 {
     match copy.stage {
-        Stage::Dropping => 0,
+        Stage::Dropping { .. } => 0,
         Stage::Queued => 1,
         Stage::Loading { .. } | Stage::Present => 2,
     }
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -42,6 +42,8 @@
 const URGENCY_LATE: u8 = 7;
 /// The last urgency.
 const URGENCY_LAST: u8 = 9;
+/// The version of an adapter until another one is announced.
+const FIRST_VERSION: u64 = 1;
 /// The part of the time left in which a late request must have its first event.
 const LATE_SHARE: f64 = 0.6;
 /// The time for which a full engine gets nothing.
@@ -110,6 +112,22 @@
         let key = (version.model.clone(), version.adapter.clone());
         let known = self.versions.entry(key).or_default();
         *known = (*known).max(version.version);
+        let ids: Vec<Name> = self.engines.keys().cloned().collect();
+        for id in ids {
+            self.retire(&id, &version.adapter);
+        }
+    }
+
+    /// Drops an adapter whose version was overtaken once no request uses it.
+    pub(crate) fn retire(&mut self, id: &Name, adapter: &Name) {
+        let Some(engine) = self.engines.get_mut(id) else { return };
+        let Base::Held(model) = &engine.base else { return };
+        let newest = self.versions.get(&(model.clone(), adapter.clone())).copied();
+        let Some(copy) = engine.copies.get_mut(adapter) else { return };
+        if copy.is_idle() && copy.version < newest.unwrap_or_default() {
+            copy.stage = Stage::DROP;
+            self.dirty = true;
+        }
     }
 
     /// Takes an engine's announcement.
@@ -213,7 +231,7 @@
             store: &self.store,
             queued: self.queued_loads(),
             heat: &self.heat,
-            version: self.version(&wait.ask).unwrap_or_default(),
+            version: self.least_version(&wait.ask),
             now,
         };
         let engines = self.engines.values();
@@ -227,9 +245,14 @@
         self.versions.get(&(ask.model.clone(), ask.adapter.clone())).copied()
     }
 
+    /// Returns the oldest version that may be served.
+    fn least_version(&self, ask: &Ask) -> u64 {
+        self.version(ask).unwrap_or(FIRST_VERSION)
+    }
+
     /// Gives a request to an engine, at once or when its adapter is there.
     fn assign(&mut self, wait: Wait, best: &Candidate, urgency: u8, now: Duration) {
-        let version = self.version(&wait.ask).unwrap_or_default();
+        let version = self.least_version(&wait.ask);
         let Some(engine) = self.engines.get_mut(&best.engine) else { return };
         let ask = &wait.ask;
         engine.backlog += best.prefill;
@@ -239,7 +262,7 @@
         engine.prefixes.read(base::digest(ask.adapter.as_bytes()), &ask.parts);
         if let Way::Load(victim) = &best.way {
             if let Some(victim) = victim.as_ref().and_then(|name| engine.copies.get_mut(name)) {
-                victim.stage = Stage::Dropping;
+                victim.stage = Stage::DROP;
             }
             engine.copies.insert(ask.adapter.clone(), Copy::queued(version, now));
         }
@@ -257,17 +280,15 @@
             prefill: best.prefill,
             tokens,
             ahead: engine.backlog,
+            urgency,
             part: Part::Granted,
             ends: now + Duration::from_millis(u64::from(ask.left_ms)) + GRACE,
         };
         let key = wait.key;
-        let ask_urgency = urgency;
         if best.way == Way::Present {
             self.runs.insert(key, run);
-            self.grant(&wait, &best.engine, best.expected_ms, ask_urgency, now);
+            self.grant(&wait, &best.engine, best.expected_ms, urgency, now);
         } else {
-            let mut wait = wait;
-            wait.ask.rank = ask_urgency;
             let part = Part::Reserved(Box::new(wait));
             self.runs.insert(key, Run { part, ..run });
         }
@@ -276,16 +297,36 @@
 
     /// Grants a request whose adapter is there now.
     pub(crate) fn grant_reserved(&mut self, key: Key, now: Duration) {
+        let Some(run) = self.runs.get(&key) else { return };
+        let Part::Reserved(wait) = &run.part else { return };
+        let wait = wait.clone();
+        if self.is_outdated(run, &wait.ask) {
+            return self.wait_again(key, now);
+        }
         let Some(run) = self.runs.get_mut(&key) else { return };
-        let Part::Reserved(wait) = std::mem::replace(&mut run.part, Part::Granted) else { return };
+        run.part = Part::Granted;
         let id = run.engine.clone();
         let Some(engine) = self.engines.get(&id) else { return };
         run.ahead = engine.backlog;
         let expected = engine.backlog / engine.pace.tokens_per_ms + self.settings.first_event_ms;
-        let urgency = wait.ask.rank;
+        let urgency = run.urgency;
         self.grant(&wait, &id, expected, urgency, now);
     }
 
+    /// Takes a request that waits for its adapter away from its engine.
+    pub(crate) fn wait_again(&mut self, key: Key, now: Duration) {
+        if let Some(Run { part: Part::Reserved(wait), .. }) = self.release(key, now) {
+            self.waiting.push_back(*wait);
+        }
+    }
+
+    /// Returns whether a newer version came into force while an adapter was loaded for a request.
+    fn is_outdated(&self, run: &Run, ask: &Ask) -> bool {
+        let engine = self.engines.get(&run.engine);
+        let copy = engine.and_then(|engine| engine.copies.get(&run.adapter));
+        copy.is_some_and(|copy| copy.version < self.least_version(ask))
+    }
+
     fn grant(&mut self, wait: &Wait, id: &Name, expected_ms: f64, urgency: u8, now: Duration) {
         let version = self.version(&wait.ask);
         let Some(engine) = self.engines.get_mut(id) else { return };
@@ -358,7 +399,7 @@
                     engine.copies.remove(&run.adapter);
                 }
                 if matches!(engine.desk, Desk::Idle(_)) {
-                    engine.desk = Desk::Unknown(now);
+                    engine.desk = Desk::Unknown { least: engine.desk.least(), at: now };
                 }
             }
             Outcome::Cancelled => {}
@@ -381,6 +422,7 @@
             copy.used = now;
             copy.waiting.retain(|waiting| *waiting != key);
         }
+        self.retire(&run.engine, &run.adapter);
         Some(run)
     }
 
@@ -400,6 +442,7 @@
                 prefill: 0.0,
                 tokens: u64::from(told.tokens),
                 ahead: 0.0,
+                urgency: URGENCY,
                 part: Part::Begun,
                 ends: now + Duration::from_millis(u64::from(told.left_ms)) + GRACE,
             };
