sched: the way from the store is kept for requests that can still meet their target

The store was full of late work, so the next requests became late too. Beside that, loads were counted only once accepted (a burst overshot the limit), the first question whether a load had ended came at the expected time of a crowded store, which was then learned as the store's speed, and an order without an answer kept its engine without orders for 0.8 s.

Change: a load counts from its order; the first question comes after an undisturbed load's time; an order without an answer is given again (the number of accepted orders makes it safe); a request that misses its target loads from the store only below 85% of its use; the engine with the least cost is chosen among those that meet the target.

--- a/crates/sched/src/choose.rs
+++ b/crates/sched/src/choose.rs
@@ -31,6 +31,8 @@
 pub(crate) struct Candidate {
     pub(crate) engine: Name,
     pub(crate) way: Way,
+    /// Whether its adapter must come from the store.
+    pub(crate) cold: bool,
     /// The prompt tokens to be read.
     pub(crate) prefill: f64,
     /// The expected time to the first event, in ms.
@@ -81,8 +83,9 @@
         let expected_ms = queue_ms + own_ms + self.settings.first_event_ms;
         let risk = f64::from(ask.target_ms) * engine.health.risk();
         let cost = expected_ms + penalty + risk;
+        let cold = matches!(way, Way::Load(_)) && !engine.is_warm(&ask.adapter);
         let engine = engine.endpoint.id.clone();
-        Some(Candidate { engine, way, prefill, expected_ms, cost })
+        Some(Candidate { engine, way, cold, prefill, expected_ms, cost })
     }
 
     /// Returns how the adapter gets there, the time that it takes and what that costs others, in ms.
@@ -120,7 +123,9 @@
         let (load_ms, mut penalty) = if engine.is_warm(adapter) {
             (self.settings.warm_load_ms, self.settings.place_penalty_ms)
         } else {
-            let penalty = self.settings.cold_penalty_ms + self.settings.place_penalty_ms;
+            // On a full way from the store a load takes the place of another request's load.
+            let share = self.store.use_share(self.queued);
+            let penalty = self.settings.cold_penalty_ms * share + self.settings.place_penalty_ms;
             (self.store.expected_ms(self.queued), penalty)
         };
         if engine.copies.len() < self.places() {
--- a/crates/sched/src/engine.rs
+++ b/crates/sched/src/engine.rs
@@ -39,6 +39,8 @@
     pub(crate) health: Health,
     pub(crate) prefixes: Prefixes,
     pub(crate) desk: Desk,
+    /// The latest orders in a row that it did not answer.
+    pub(crate) unanswered: u32,
 }
 
 /// The base model of an engine.
@@ -73,6 +75,8 @@
     /// The version.
     pub(crate) version: u64,
     pub(crate) stage: Stage,
+    /// Whether it counts as on its way from the store.
+    pub(crate) counted: bool,
     /// The requests that use it or wait for it.
     pub(crate) users: u32,
     /// When a request used it last.
@@ -124,6 +128,7 @@
             health: Health::default(),
             prefixes: Prefixes::default(),
             desk: Desk::Unknown { least: 0, at: now },
+            unanswered: 0,
         }
     }
 
@@ -176,11 +181,12 @@
 
 impl Copy {
     pub(crate) fn present(version: u64, now: Duration) -> Copy {
-        Copy { version, stage: Stage::Present, users: 0, used: now, waiting: Vec::new() }
+        Copy { stage: Stage::Present, ..Copy::queued(version, now) }
     }
 
     pub(crate) fn queued(version: u64, now: Duration) -> Copy {
-        Copy { version, stage: Stage::Queued, users: 0, used: now, waiting: Vec::new() }
+        let waiting = Vec::new();
+        Copy { version, stage: Stage::Queued, counted: false, users: 0, used: now, waiting }
     }
 
     pub(crate) fn is_loading(&self) -> bool {
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -27,6 +27,8 @@
 const POLL_BASE: Duration = Duration::from_millis(100);
 /// The lag of what engines report, after which a report shows an order that was lost.
 const REPORT_LAG: Duration = Duration::from_millis(300);
+/// The orders in a row without an answer after which an engine is asked what it holds.
+const UNANSWERED: u32 = 5;
 /// The wait before an engine that did not answer is asked again.
 const INSPECT_AGAIN: Duration = Duration::from_millis(500);
 /// The base models on their way from the store at once.
@@ -54,6 +56,7 @@
             }
             Desk::Idle(sequence) => {
                 let Some(order) = self.next_order(name, sequence, now) else { return };
+                self.reserve_load(name, &order);
                 if let Some(engine) = self.engines.get_mut(name) {
                     engine.desk = Desk::Busy(sequence);
                 }
@@ -63,6 +66,18 @@
         }
     }
 
+    /// Counts a load from the store from the moment at which it is ordered.
+    fn reserve_load(&mut self, name: &Name, order: &Order) {
+        let Some(adapter) = &order.adapter else { return };
+        let cold = self.cold(name, adapter);
+        let Some(engine) = self.engines.get_mut(name) else { return };
+        let Some(copy) = engine.copies.get_mut(adapter) else { return };
+        if order.operation == Operation::Load && copy.stage == Stage::Queued {
+            copy.counted = cold;
+            self.store.loading += usize::from(cold);
+        }
+    }
+
     /// Returns the most pressing order for an engine.
     fn next_order(&mut self, name: &Name, expected: u64, now: Duration) -> Option<Order> {
         if let Some(order) = self.base_order(name, expected, now) {
@@ -139,6 +154,7 @@
         // An order that is being carried out is answered again without being counted.
         let repeated = is_under_way(engine, order.adapter.as_ref());
         let least = sequence;
+        engine.unanswered = if answer == Answer::Lost { engine.unanswered + 1 } else { 0 };
         engine.desk = match answer {
             Answer::Accepted if repeated => Desk::Idle(sequence),
             Answer::Accepted => Desk::Idle(sequence + 1),
@@ -148,6 +164,8 @@
             Answer::Holds => Desk::Idle(sequence),
             Answer::Conflict | Answer::Refused => Desk::Unknown { least, at: now },
             Answer::Fenced => Desk::Unknown { least, at: now + INSPECT_AGAIN },
+            // It fails on the number of orders if it is carried out late, so it can be given again.
+            Answer::Lost if engine.unanswered < UNANSWERED => Desk::Idle(sequence),
             Answer::Lost => Desk::Unknown { least, at: now + REPORT_LAG },
         };
         match (&order.adapter, order.operation) {
@@ -210,17 +228,20 @@
         let Some(copy) = engine.copies.get_mut(adapter) else { return };
         match (answer, &copy.stage) {
             (Answer::Accepted, Stage::Queued) => {
-                let wait = load_time(&self.settings, cold, self.store.expected_ms(0));
+                let wait = load_time(&self.settings, cold, self.store.least_ms());
                 copy.stage = Stage::Loading { since: now, poll_at: now + wait };
-                if cold {
-                    self.store.loading += 1;
-                }
                 base::event!(INFO, Event::Placed, endpoint = %id, adapter = %adapter, cold);
             }
             (Answer::Accepted | Answer::Conflict, Stage::Loading { since, .. }) => {
                 copy.stage = Stage::Loading { since: *since, poll_at: now + POLL };
             }
             (Answer::Holds, _) => self.loaded(id, adapter, now),
+            // What the engine makes of it is seen from its report; until then it is not on its way.
+            (_, Stage::Queued) => {
+                if std::mem::take(&mut copy.counted) {
+                    self.store.ended(None);
+                }
+            }
             _ => {}
         }
     }
@@ -232,14 +253,18 @@
 
     /// Notes that an adapter is there, and grants what waited for it.
     pub(crate) fn loaded(&mut self, id: &Name, adapter: &Name, now: Duration) {
-        let cold = self.cold(id, adapter);
         let Some(engine) = self.engines.get_mut(id) else { return };
         let Some(copy) = engine.copies.get_mut(adapter) else { return };
-        if let Stage::Loading { since, .. } = copy.stage {
-            let took = now.saturating_sub(since);
-            if cold {
-                self.store.ended(Some(took));
-            }
+        let cold = std::mem::take(&mut copy.counted);
+        let since = match copy.stage {
+            Stage::Loading { since, .. } => Some(since),
+            _ => None,
+        };
+        let took = since.map(|since| now.saturating_sub(since));
+        if cold {
+            self.store.ended(took);
+        }
+        if let Some(took) = took {
             let took_ms = took.as_secs_f64() * 1e3;
             base::event!(INFO, Event::Loaded, endpoint = %id, adapter = %adapter, cold, took_ms);
         }
@@ -322,6 +347,8 @@
             let copy = copy.or_insert_with(|| Copy::queued(*version, now));
             if copy.stage == Stage::Queued {
                 copy.stage = Stage::Loading { since: now, poll_at: now + POLL };
+                copy.counted = true;
+                self.store.loading += 1;
             }
         }
         let known =
@@ -340,10 +367,9 @@
 
     /// Takes note that an engine lacks an adapter that was thought to be there or on its way.
     fn missing(&mut self, id: &Name, adapter: &Name, now: Duration) {
-        let cold = self.cold(id, adapter);
         let Some(engine) = self.engines.get_mut(id) else { return };
         let Some(copy) = engine.copies.get_mut(adapter) else { return };
-        if matches!(copy.stage, Stage::Loading { .. }) && cold {
+        if std::mem::take(&mut copy.counted) {
             self.store.ended(None);
         }
         if copy.waiting.is_empty() {
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -146,8 +146,8 @@
     /// Forgets an engine that takes no more work; what waited for an adapter there waits anew.
     pub fn leave(&mut self, id: &Name, _now: Duration) {
         let Some(engine) = self.engines.remove(id) else { return };
-        for (adapter, copy) in &engine.copies {
-            if matches!(copy.stage, Stage::Loading { .. }) && !engine.is_warm(adapter) {
+        for copy in engine.copies.values() {
+            if copy.counted {
                 self.store.ended(None);
             }
             for key in &copy.waiting {
@@ -190,9 +190,11 @@
 
     /// Gives a request to an engine or refuses it; returns it if it must wait.
     fn place(&mut self, wait: Wait, now: Duration) -> Option<Wait> {
-        let Some(best) = self.best(&wait, now) else { return self.hold(wait, now) };
         let target = wait.target_ms(now) - self.settings.network_ms;
         let margin = 1.0 - self.settings.rank_margin * f64::from(wait.ask.rank).min(4.0);
+        let Some(best) = self.best(&wait, target * margin, now) else {
+            return self.hold(wait, now);
+        };
         if best.expected_ms <= target * margin {
             let urgency = (URGENCY + wait.ask.rank).min(URGENCY_LATE - 1);
             self.assign(wait, &best, urgency, now);
@@ -218,12 +220,16 @@
     /// Returns whether an engine has time for a request that misses its target.
     fn takes_late(&self, best: &Candidate, wait: &Wait, now: Duration) -> bool {
         let Some(engine) = self.engines.get(&best.engine) else { return false };
-        engine.queue_ms(now) <= self.settings.late_backlog_ms
+        // It does not take the store from requests that are not late.
+        let idle = self.store.use_share(self.queued_loads()) < self.settings.late_store_share;
+        (idle || !best.cold)
+            && engine.queue_ms(now) <= self.settings.late_backlog_ms
             && best.expected_ms <= wait.left_ms(now) * LATE_SHARE
     }
 
-    /// Returns the engine with the least cost.
-    fn best(&self, wait: &Wait, now: Duration) -> Option<Candidate> {
+    /// Returns the engine with the least cost among those that answer within `target_ms`, else the one
+    /// that answers first.
+    fn best(&self, wait: &Wait, target_ms: f64, now: Duration) -> Option<Candidate> {
         let spec = self.specs.get(&wait.ask.service)?;
         let scene = Scene {
             settings: &self.settings,
@@ -237,7 +243,10 @@
         let engines = self.engines.values();
         let engines = engines.filter(|engine| engine.endpoint.service == wait.ask.service);
         let candidates = engines.filter_map(|engine| scene.candidate(engine, wait));
-        candidates.min_by(|a, b| a.cost.total_cmp(&b.cost))
+        let misses = |one: &Candidate| one.expected_ms > target_ms;
+        let worth = |one: &Candidate| if misses(one) { one.expected_ms } else { one.cost };
+        candidates
+            .min_by(|a, b| misses(a).cmp(&misses(b)).then_with(|| worth(a).total_cmp(&worth(b))))
     }
 
     /// Returns the version that must be served, where one was announced.
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -20,7 +20,7 @@
     pub cold_loads: usize,
     /// The adapters on their way to one engine at once.
     pub engine_loads: usize,
-    /// What a load from the store costs others, in ms of waiting.
+    /// What a load from a fully used store costs others, in ms of waiting.
     pub cold_penalty_ms: f64,
     /// What the use of one more place costs others, in ms of waiting.
     pub place_penalty_ms: f64,
@@ -32,6 +32,8 @@
     pub hold: f64,
     /// The backlog up to which an engine takes requests that miss their target, in ms.
     pub late_backlog_ms: f64,
+    /// The use of the store up to which requests that miss their target may load from it.
+    pub late_store_share: f64,
     /// The part of an engine's memory that is filled.
     pub memory: f64,
     /// The time that messages between the nodes take, in ms.
@@ -56,12 +58,13 @@
             warm_adapters: 30,
             cold_loads: 8,
             engine_loads: 4,
-            cold_penalty_ms: 150.0,
+            cold_penalty_ms: 300.0,
             place_penalty_ms: 40.0,
             domain_penalty_ms: 8.0,
             rank_margin: 0.1,
             hold: 0.5,
             late_backlog_ms: 400.0,
+            late_store_share: 0.85,
             memory: 0.95,
             network_ms: 15.0,
             retry_ms: (200.0, 1_300.0),
--- a/crates/sched/src/store.rs
+++ b/crates/sched/src/store.rs
@@ -6,10 +6,14 @@
 const FEWEST: f64 = 4.0;
 /// The most loads at once that are tried.
 const MOST: f64 = 512.0;
+/// The loads at once by which the limit changes after a load.
+const GROWTH: f64 = 0.1;
+/// The part of an undisturbed load's time after which it may have ended.
+const ASK_AT: f64 = 0.95;
 /// The time of a load, relative to an undisturbed one, below which one more load is tried.
 const FAST: f64 = 1.25;
 /// The time of a load, relative to an undisturbed one, above which fewer are tried.
-const SLOW: f64 = 1.8;
+const SLOW: f64 = 1.5;
 
 /// How many adapters are on their way from the store, and how many may be.
 #[derive(Debug)]
@@ -38,6 +42,16 @@
         self.usual_ms * (1.0 + (before + 1.0 - self.limit).max(0.0) / self.limit)
     }
 
+    /// Returns how full the way from the store is, 1 with all that run at full speed.
+    pub(crate) fn use_share(&self, queued: usize) -> f64 {
+        ((self.loading + queued) as f64 / self.limit).min(2.0)
+    }
+
+    /// Returns the time after which it is worth asking whether a load has ended, in ms.
+    pub(crate) fn least_ms(&self) -> f64 {
+        self.usual_ms * ASK_AT
+    }
+
     /// Notes a load that has ended and, if it went well, how long it took.
     pub(crate) fn ended(&mut self, took: Option<Duration>) {
         let crowded = self.loading as f64 + 1.0 >= self.limit.floor();
@@ -45,9 +59,9 @@
         let Some(took) = took else { return };
         let ratio = took.as_secs_f64() * 1e3 / self.usual_ms;
         if crowded && ratio < FAST {
-            self.limit = (self.limit + 1.0 / self.limit).min(MOST);
+            self.limit = (self.limit + GROWTH).min(MOST);
         } else if ratio > SLOW {
-            self.limit = (self.limit * 0.95).max(self.floor);
+            self.limit = (self.limit - GROWTH).max(self.floor);
         }
     }
 }
