--- /dev/null
+++ b/crates/sched/tests/load.rs
@@ -0,0 +1,191 @@
+//! What callers get when there is more to do than the engines can.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use base::Code;
+use base::Name;
+use common::Cell;
+use fleet::message::Outcome;
+
+/// A request at its engine.
+struct Running {
+    request: u64,
+    granted: Duration,
+    began: Duration,
+    ends: Duration,
+    told: bool,
+}
+
+/// Plays a load: `asks` requests for adapters drawn by `adapter`, one each `gap_ms`. Engines read one
+/// prompt after the other, in 110 ms each. Returns how many requests were granted within their
+/// target, granted late, and refused.
+fn play(
+    cell: &mut Cell,
+    asks: u64,
+    gap_ms: u64,
+    adapter: impl Fn(u64) -> String,
+) -> (usize, usize, usize) {
+    let mut asked: BTreeMap<u64, Duration> = BTreeMap::new();
+    let mut running: Vec<Running> = Vec::new();
+    let mut free: BTreeMap<Name, Duration> = BTreeMap::new();
+    let mut seen = 0;
+    let (mut on_time, mut late) = (0, 0);
+    for number in 0..asks {
+        let request = cell.ask(&adapter(number));
+        asked.insert(request, cell.now);
+        for _ in 0..gap_ms / 5 {
+            cell.advance(5);
+            for grant in &cell.grants[seen..] {
+                let start = free.entry(grant.endpoint.id.clone()).or_default();
+                let began = (*start).max(cell.now) + Duration::from_millis(110);
+                *start = began;
+                let waited = began - asked[&grant.request];
+                if waited <= Duration::from_millis(800) {
+                    on_time += 1
+                } else {
+                    late += 1
+                }
+                let ends = began + Duration::from_millis(200);
+                let (request, granted) = (grant.request, cell.now);
+                running.push(Running { request, granted, began, ends, told: false });
+            }
+            seen = cell.grants.len();
+            let now = cell.now;
+            for run in &mut running {
+                if now >= run.began && !std::mem::replace(&mut run.told, true) {
+                    cell.scheduler.began(1, run.request, run.began - run.granted, now);
+                }
+            }
+            let ended: Vec<u64> =
+                running.iter().filter(|run| now >= run.ends).map(|run| run.request).collect();
+            running.retain(|run| now < run.ends);
+            for request in ended {
+                cell.end_at_gate(request, Outcome::Done);
+            }
+        }
+    }
+    (on_time, late, cell.denials.len())
+}
+
+#[test]
+fn within_capacity_all_are_served_on_time() {
+    let mut cell = Cell::new(4);
+    let (on_time, late, refused) = play(&mut cell, 200, 60, |number| format!("a{}", number % 12));
+    assert_eq!((late, refused), (0, 0), "{on_time} on time");
+}
+
+#[test]
+fn beyond_capacity_goodput_does_not_fall() {
+    // Four engines read 36 prompts a second; 66 and 200 a second are asked for.
+    let share = |gap: u64| {
+        let mut cell = Cell::new(4);
+        let asks = 12_000 / gap;
+        let (on_time, ..) = play(&mut cell, asks, gap, |number| format!("a{}", number % 12));
+        on_time as f64 / 12.0
+    };
+    let (over, far_over) = (share(15), share(5));
+    assert!(over >= 0.8 * 36.0, "{over} a second on time at 66 a second");
+    assert!(far_over >= 0.8 * 36.0, "{far_over} a second on time at 200 a second");
+}
+
+#[test]
+fn rare_adapters_beyond_the_store_do_not_fill_it_with_late_work() {
+    // Each request wants another adapter; the store brings 32 a second to eight engines.
+    let mut cell = Cell::new(8);
+    let (on_time, late, refused) = play(&mut cell, 600, 15, |number| format!("a{number}"));
+    assert!(on_time as f64 >= 0.8 * 32.0 * 9.0 / 2.0, "{on_time} on time");
+    assert!(late <= on_time / 4, "{late} late, {on_time} on time, {refused} refused");
+}
+
+#[test]
+fn what_can_not_be_served_in_time_is_refused_at_once() {
+    let mut cell = Cell::new(1);
+    let mut last = 0;
+    for _ in 0..40 {
+        last = cell.ask("a");
+    }
+    let refused = cell.denied(last);
+    assert_eq!(refused, Some(Code::DeadlineUnreachable));
+}
+
+#[test]
+fn callers_refused_together_return_apart() {
+    let mut cell = Cell::new(1);
+    for _ in 0..60 {
+        cell.ask("a");
+    }
+    let mut times: Vec<u32> = cell.denials.iter().map(|denial| denial.retry_ms).collect();
+    assert!(times.len() >= 10);
+    assert!(times.iter().all(|ms| (200..=1_300).contains(ms)));
+    times.sort_unstable();
+    times.dedup();
+    assert!(times.len() >= 8, "{times:?}");
+}
+
+#[test]
+fn an_engine_that_fails_gets_no_work_for_a_while() {
+    let mut cell = Cell::new(2);
+    let first = cell.ask("a");
+    cell.advance(300);
+    let bad = cell.granted(first).expect("granted");
+    cell.end_at_gate(first, Outcome::Failed);
+    for _ in 0..3 {
+        let request = cell.ask("a");
+        cell.advance(300);
+        if cell.granted(request).as_ref() == Some(&bad) {
+            cell.end_at_gate(request, Outcome::Failed);
+        } else {
+            cell.end_at_gate(request, Outcome::Done);
+        }
+    }
+    let request = cell.ask("a");
+    cell.advance(300);
+    assert_ne!(cell.granted(request), Some(bad));
+}
+
+#[test]
+fn a_request_under_which_engines_are_lost_is_refused() {
+    let mut cell = Cell::new(6);
+    for _ in 0..3 {
+        let request = cell.ask_with("a", |ask| ask.fingerprint = 7);
+        cell.advance(300);
+        cell.end_at_gate(request, Outcome::Lost);
+    }
+    let request = cell.ask_with("a", |ask| ask.fingerprint = 7);
+    assert_eq!(cell.denied(request), Some(Code::Suspected));
+}
+
+#[test]
+fn a_lost_engine_gives_its_waiting_requests_back() {
+    let mut cell = Cell::new(2);
+    let request = cell.ask("a");
+    let first = cell.orders[0].0.clone();
+    cell.engines.remove(&first);
+    cell.scheduler.leave(&first, cell.now);
+    cell.advance(300);
+    let second = cell.granted(request).expect("granted by the other engine");
+    assert_ne!(second, first);
+}
+
+#[test]
+fn a_new_leader_learns_what_runs() {
+    let mut cell = Cell::new(1);
+    let running = fleet::message::Running {
+        request: 900,
+        endpoint: Name::from("engine-0"),
+        adapter: Name::from("a"),
+        tokens: 129_000,
+        left_ms: 2_000,
+    };
+    cell.scheduler.resume(1, &[running], cell.now);
+    // The engine's memory is full until that request ends.
+    let request = cell.ask("b");
+    cell.advance(100);
+    assert_eq!(cell.granted(request), None);
+    cell.end_at_gate(900, Outcome::Done);
+    cell.advance(400);
+    assert!(cell.granted(request).is_some());
+}
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -22,6 +22,7 @@
 pub struct Process {
     program: &'static str,
     args: Vec<String>,
+    variables: Vec<(String, String)>,
     log: PathBuf,
     child: Child,
 }
@@ -36,8 +37,18 @@
 impl Process {
     /// Starts a program; its standard error goes to the file `log`.
     pub fn start(program: &'static str, args: Vec<String>, log: PathBuf) -> Process {
-        let child = spawn(program, &args, &log);
-        Process { program, args, log, child }
+        Process::start_with(program, args, Vec::new(), log)
+    }
+
+    /// Starts a program with variables of its environment.
+    pub fn start_with(
+        program: &'static str,
+        args: Vec<String>,
+        variables: Vec<(String, String)>,
+        log: PathBuf,
+    ) -> Process {
+        let child = spawn(program, &args, &variables, &log);
+        Process { program, args, variables, log, child }
     }
 
     /// Sends a signal.
@@ -68,7 +79,7 @@
     /// Starts the program again with the same arguments.
     pub fn restart(&mut self) {
         self.kill();
-        self.child = spawn(self.program, &self.args, &self.log);
+        self.child = spawn(self.program, &self.args, &self.variables, &self.log);
     }
 
     /// Starts the program again with other arguments.
@@ -98,11 +109,12 @@
     }
 }
 
-fn spawn(name: &str, args: &[String], log: &Path) -> Child {
+fn spawn(name: &str, args: &[String], variables: &[(String, String)], log: &Path) -> Child {
     let file = File::options().create(true).append(true).open(log).expect("a log file");
     let output = file.try_clone().expect("a second handle of the log");
     Command::new(program(name))
         .args(args)
+        .envs(variables.iter().map(|(name, value)| (name, value)))
         .stdin(Stdio::null())
         .stdout(Stdio::from(output))
         .stderr(Stdio::from(file))
