sched: what waits for an adapter that an engine turns out not to load is placed anew

The leader was cut off, its successor started from reports that lagged, and ordered a load into a place that the former leader had filled in between. The number of accepted orders refused it; but after the next report the load stayed queued though all places were taken, and was given with the right number.

Ruled out: the fencing number (the former leader's orders came before the successor's first one).

Change: after a report, what is neither there nor on its way loses its place, and the requests that wait for it are placed anew.

Test orders_of_a_former_leader_are_made_room_for, red before.

--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -162,7 +162,7 @@
                 Desk::Idle(sequence + 1)
             }
             Answer::Holds => Desk::Idle(sequence),
-            Answer::Conflict | Answer::Refused => Desk::Unknown { least, at: now },
+            Answer::Conflict | Answer::Refused => Desk::Unknown { least, at: now + REPORT_LAG / 3 },
             Answer::Fenced => Desk::Unknown { least, at: now + INSPECT_AGAIN },
             // It fails on the number of orders if it is carried out late, so it can be given again.
             Answer::Lost if engine.unanswered < UNANSWERED => Desk::Idle(sequence),
@@ -372,12 +372,12 @@
         if std::mem::take(&mut copy.counted) {
             self.store.ended(None);
         }
-        if copy.waiting.is_empty() {
-            engine.copies.remove(adapter);
-            self.publish(id, adapter, false);
-        } else {
-            copy.stage = Stage::Queued;
-            copy.used = now;
+        // Its place may have been taken meanwhile, so what waits for it is placed anew.
+        let waiting = std::mem::take(&mut copy.waiting);
+        engine.copies.remove(adapter);
+        self.publish(id, adapter, false);
+        for key in waiting {
+            self.wait_again(key, now);
         }
     }
 
--- a/crates/sched/tests/orders.rs
+++ b/crates/sched/tests/orders.rs
@@ -118,6 +118,24 @@
     cell.check_places();
 }
 
+#[test]
+fn orders_of_a_former_leader_are_made_room_for() {
+    let mut cell = Cell::new(1);
+    for adapter in ["a", "b", "c", "d"] {
+        let request = cell.ask(adapter);
+        cell.advance(300);
+        cell.end_at_gate(request, Outcome::Done);
+    }
+    // Another leader has taken the last place, and reports do not show it yet.
+    let engine = cell.engines.get_mut("engine-0").expect("known");
+    engine.sequence += 1;
+    engine.present.insert(Name::from("e"), (1, 0));
+    let request = cell.ask("f");
+    cell.advance(700);
+    assert!(cell.granted(request).is_some());
+    cell.check_places();
+}
+
 #[test]
 fn an_idle_adapter_makes_way() {
     let mut cell = Cell::new(1);
