--- a/crates/cell/src/work.rs
+++ b/crates/cell/src/work.rs
@@ -51,7 +51,7 @@
                 );
                 self.tell(gate, Frame::Grant(grant));
             }
-            Action::Deny { gate, denial } => {
+            Action::Deny { gate, denial, reason } => {
                 self.metrics.placements.with_label_values(&[denial.code.name()]).inc();
                 base::event!(
                     INFO,
@@ -60,7 +60,13 @@
                     request = denial.request,
                     code = denial.code.number(),
                     reason = denial.code.name(),
-                    retry_ms = denial.retry_ms
+                    retry_ms = denial.retry_ms,
+                    expected_ms = reason.map(|reason| reason.expected_ms),
+                    backlog = reason.map(|reason| reason.backlog),
+                    running = reason.map(|reason| reason.running),
+                    held_ms = reason.map(|reason| reason.held_ms),
+                    cold = reason.map(|reason| reason.cold),
+                    loads = reason.map(|reason| reason.loads)
                 );
                 self.tell(gate, Frame::Denial(denial));
             }
--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -25,6 +25,8 @@
         gate: u64,
         /// The answer.
         denial: Denial,
+        /// What the best engine could have done; none if there was no engine.
+        reason: Option<Reason>,
     },
     /// Give an engine an order, and report with [`crate::Scheduler::ordered`].
     Order(Order),
@@ -45,6 +47,10 @@
     pub running: u32,
     /// The time that the request was held, in ms.
     pub held_ms: f64,
+    /// Whether its adapter had to come from the store.
+    pub cold: bool,
+    /// The adapters on their way from the store or waiting for it.
+    pub loads: usize,
 }
 
 /// What an engine is told to do.
--- a/crates/sched/src/engine.rs
+++ b/crates/sched/src/engine.rs
@@ -14,6 +14,9 @@
 use crate::prefix::Prefixes;
 use crate::settings::Settings;
 
+/// The most by which a request that does not begin makes its engine look busy.
+const OVERDUE: Duration = Duration::from_secs(2);
+
 /// An engine.
 #[derive(Debug)]
 pub(crate) struct Engine {
@@ -135,7 +138,7 @@
     /// Returns the time until the requests that are there have begun, in ms.
     pub(crate) fn queue_ms(&self, now: Duration) -> f64 {
         let overdue = self.expecting.iter().map(|(_, at)| now.saturating_sub(*at));
-        let overdue = overdue.max().unwrap_or_default().as_secs_f64() * 1e3;
+        let overdue = overdue.max().unwrap_or_default().min(OVERDUE).as_secs_f64() * 1e3;
         self.backlog / self.pace.tokens_per_ms + overdue
     }
 
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -171,11 +171,11 @@
         let wait = Wait { key, domain: domain.clone(), ask, since: now };
         let struck = self.strikes.get(&wait.ask.fingerprint).copied().unwrap_or_default();
         if struck >= self.settings.strikes {
-            return self.deny(&wait, Code::Suspected, now);
+            return self.deny(&wait, Code::Suspected, None, now);
         }
         if let Some(wait) = self.place(wait, now) {
             if self.waiting.len() >= self.settings.waiting {
-                return self.deny(&wait, Code::QueueFull, now);
+                return self.deny(&wait, Code::QueueFull, None, now);
             }
             self.waiting.push_back(wait);
         }
@@ -202,7 +202,8 @@
             let urgency = (URGENCY_LATE + wait.ask.rank).min(URGENCY_LAST);
             self.assign(wait, &best, urgency, now);
         } else {
-            self.deny(&wait, Code::DeadlineUnreachable, now);
+            let reason = self.reason(&wait, &best, now);
+            self.deny(&wait, Code::DeadlineUnreachable, Some(reason), now);
         }
         None
     }
@@ -213,7 +214,7 @@
         if wait.held_ms(now) < patience && !self.engines.is_empty() {
             return Some(wait);
         }
-        self.deny(&wait, Code::NoEndpoint, now);
+        self.deny(&wait, Code::NoEndpoint, None, now);
         None
     }
 
@@ -346,6 +347,8 @@
             backlog: engine.backlog,
             running: engine.running,
             held_ms: wait.held_ms(now),
+            cold: false,
+            loads: self.store.loading,
         };
         let request = wait.ask.request;
         let endpoint = engine.endpoint.clone();
@@ -353,8 +356,21 @@
         self.actions.push(Action::Grant { gate: wait.key.0, grant, reason });
     }
 
+    /// Returns what the best engine could have done for a request.
+    fn reason(&self, wait: &Wait, best: &Candidate, now: Duration) -> Reason {
+        let engine = self.engines.get(&best.engine);
+        Reason {
+            expected_ms: best.expected_ms,
+            backlog: engine.map_or(0.0, |engine| engine.backlog),
+            running: engine.map_or(0, |engine| engine.running),
+            held_ms: wait.held_ms(now),
+            cold: best.cold,
+            loads: self.store.loading + self.queued_loads(),
+        }
+    }
+
     /// Refuses a request, with a time to come back at which its engines should have room.
-    fn deny(&mut self, wait: &Wait, code: Code, now: Duration) {
+    fn deny(&mut self, wait: &Wait, code: Code, reason: Option<Reason>, now: Duration) {
         let queues = self.engines.values().map(|engine| engine.queue_ms(now));
         let queue_ms = queues.min_by(f64::total_cmp).unwrap_or(f64::MAX);
         let excess = queue_ms - f64::from(wait.ask.target_ms) / 2.0;
@@ -363,7 +379,7 @@
         let spread = (base::digest(&wait.ask.request.to_le_bytes()) % 1_000) as f64 / 1e3;
         let retry_ms = (excess.max(least) * (1.0 + spread)).clamp(least, most) as u32;
         let denial = Denial { request: wait.ask.request, code, retry_ms };
-        self.actions.push(Action::Deny { gate: wait.key.0, denial });
+        self.actions.push(Action::Deny { gate: wait.key.0, denial, reason });
     }
 
     /// Notes that a request's first event came so long after it was sent.
@@ -459,15 +475,11 @@
         }
     }
 
-    /// Forgets the requests of a gate that have no engine yet.
+    /// Forgets the requests of a gate whose link was lost; it tells anew what it has at engines.
     pub fn gate_lost(&mut self, gate: u64, now: Duration) {
         self.waiting.retain(|wait| wait.key.0 != gate);
-        let reserved = self
-            .runs
-            .iter()
-            .filter(|(key, run)| key.0 == gate && matches!(run.part, Part::Reserved(_)));
-        let reserved: Vec<Key> = reserved.map(|(key, _)| *key).collect();
-        for key in reserved {
+        let lost: Vec<Key> = self.runs.keys().filter(|key| key.0 == gate).copied().collect();
+        for key in lost {
             self.release(key, now);
         }
     }
@@ -497,7 +509,7 @@
             std::mem::take(&mut self.waiting).into_iter().partition(patient);
         self.waiting = kept;
         for wait in late {
-            self.deny(&wait, Code::NoEndpoint, now);
+            self.deny(&wait, Code::NoEndpoint, None, now);
         }
         let ended = self.runs.iter().filter(|(_, run)| match &run.part {
             Part::Reserved(wait) => wait.held_ms(now) > f64::from(wait.ask.left_ms) * LATE_SHARE,
@@ -506,7 +518,7 @@
         let ended: Vec<Key> = ended.map(|(key, _)| *key).collect();
         for key in ended {
             if let Some(Run { part: Part::Reserved(wait), .. }) = self.release(key, now) {
-                self.deny(&wait, Code::LoadFailed, now);
+                self.deny(&wait, Code::LoadFailed, None, now);
             }
         }
     }
--- a/crates/sched/tests/load.rs
+++ b/crates/sched/tests/load.rs
@@ -170,6 +170,20 @@
     assert_ne!(second, first);
 }
 
+#[test]
+fn a_gate_whose_link_broke_leaves_nothing_behind() {
+    let mut cell = Cell::new(1);
+    for _ in 0..3 {
+        cell.ask("a");
+    }
+    cell.advance(300);
+    // The ends of these requests are never told on that link.
+    cell.scheduler.gate_lost(1, cell.now);
+    cell.advance(2_000);
+    let request = cell.ask("a");
+    assert!(cell.granted(request).is_some(), "{:?}", cell.denied(request));
+}
+
 #[test]
 fn a_new_leader_learns_what_runs() {
     let mut cell = Cell::new(1);
