cell: a replica whose files fail opens them again

Change: after a failed write the replica gives up its lead, opens its files again and goes on from what was synced; what was not synced was promised to nobody.

Conclusion: a full disk costs the keeper its lead, not its other duties.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -82,6 +82,7 @@
     608 LogDamaged "The log is damaged before its end; the replica rejoins as a learner."
     609 JoinRequested "A replica asked to become a member."
     610 LeaderFollowed "A gate or keeper follows another leader."
+    611 DiskFailed "The files of a replica could not be written or opened."
     700 KeyClaimed "A non-idempotent request was claimed in the journal."
     701 KeyFinished "The answer of a non-idempotent request was recorded."
     702 KeyReleased "A claim was released because the request did not run."
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -23,6 +23,7 @@
 use crate::machine::Machine;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::replica;
 use crate::replica::Replica;
 use crate::replica::Request;
 use crate::replica::Status;
@@ -65,7 +66,10 @@
         let (told, heard) = mpsc::unbounded_channel();
         let peers = Peers::new(hello, address, settings.seeds.clone(), told);
         let known = crate::storage::exists(&settings.data);
-        let (replica, state, status) = Replica::open(&settings, peers.clone()).await?;
+        let state = Arc::new(RwLock::new(Machine::default()));
+        let (sender, status) = watch::channel(Status::default());
+        let told = Arc::new(sender);
+        let replica = Replica::open(&settings, peers.clone(), state.clone(), told.clone()).await?;
         let identity = replica.identity();
         base::event!(
             INFO, Event::Started, node = %settings.node, address = %address, known,
@@ -84,8 +88,17 @@
             settings,
         });
         let (failed, failures) = mpsc::channel(1);
+        let kept = replica::keep(
+            keeper.settings.clone(),
+            peers.clone(),
+            keeper.state.clone(),
+            told,
+            replica,
+            inbox,
+        );
         tokio::spawn(async move {
-            if let Err(error) = replica.run(inbox).await {
+            if let Err(error) = kept.await {
+                // The program ends as soon as it has taken this.
                 failed.send(error).await.ok();
             }
         });
--- a/crates/cell/src/replica.rs
+++ b/crates/cell/src/replica.rs
@@ -36,6 +36,7 @@
 use crate::settings::HEARTBEAT;
 use crate::settings::JOIN;
 use crate::settings::REMOVE;
+use crate::settings::REOPEN;
 use crate::settings::Settings;
 use crate::settings::TICK;
 use crate::settings::VOTERS;
@@ -60,6 +61,30 @@
     Join { id: Id, host: Name },
 }
 
+/// Runs a replica, and opens its files again after a failure: a full or broken disk may recover, and
+/// what was not synced was promised to nobody.
+pub(crate) async fn keep(
+    settings: Settings,
+    peers: Arc<Peers>,
+    state: Arc<RwLock<Machine>>,
+    status: Arc<watch::Sender<Status>>,
+    first: Replica,
+    mut inbox: mpsc::Receiver<Request>,
+) -> Result<(), Error> {
+    let mut opened = Ok(first);
+    loop {
+        let ended = match opened {
+            Ok(replica) => replica.run(&mut inbox).await,
+            Err(error) => Err(error),
+        };
+        let Err(Error::Disk(error)) = ended else { return ended };
+        base::event!(ERROR, Event::DiskFailed, error = %error);
+        status.send_replace(Status::default());
+        tokio::time::sleep(REOPEN).await;
+        opened = Replica::open(&settings, peers.clone(), state.clone(), status.clone()).await;
+    }
+}
+
 /// What the rest of the keeper must know of the replica.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Status {
@@ -85,7 +110,7 @@
     state: Arc<RwLock<Machine>>,
     storage: Storage,
     peers: Arc<Peers>,
-    status: watch::Sender<Status>,
+    status: Arc<watch::Sender<Status>>,
     /// The hosts of the replicas that were heard of.
     hosts: Map<Id, Name>,
     proposals: Map<Index, (u64, oneshot::Sender<()>)>,
@@ -101,16 +126,19 @@
 }
 
 impl Replica {
-    /// Starts a replica from its files.
+    /// Starts a replica from its files; what it knows is told through `state` and `status`.
     pub(crate) async fn open(
         settings: &Settings,
         peers: Arc<Peers>,
-    ) -> Result<(Replica, Arc<RwLock<Machine>>, watch::Receiver<Status>), Error> {
+        state: Arc<RwLock<Machine>>,
+        status: Arc<watch::Sender<Status>>,
+    ) -> Result<Replica, Error> {
         let (storage, Found { id, group, stored }) = Storage::open(settings).await?;
         let machine = match &stored.snapshot {
             Some(snapshot) => decode(snapshot.index, &snapshot.data)?,
             None => Machine::default(),
         };
+        *state.write() = machine;
         let applied = stored.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
         let config = Config {
             heartbeat: HEARTBEAT,
@@ -118,15 +146,13 @@
             batch_bytes: BATCH_BYTES,
             seed: rand::random(),
         };
-        let state = Arc::new(RwLock::new(machine));
-        let (status, watched) = watch::channel(Status::default());
-        let replica = Replica {
+        Ok(Replica {
             host: Name::from(settings.address.to_string()),
             group,
             identified: true,
             started: Instant::now(),
             node: Node::new(id, config, stored, Duration::ZERO),
-            state: state.clone(),
+            state,
             storage,
             peers,
             status,
@@ -139,12 +165,11 @@
             log_bytes: 0,
             joined: Duration::ZERO,
             reviewed: Duration::ZERO,
-        };
-        Ok((replica, state, watched))
+        })
     }
 
     /// Runs until the inbox is closed or the files fail.
-    pub(crate) async fn run(mut self, mut inbox: mpsc::Receiver<Request>) -> Result<(), Error> {
+    pub(crate) async fn run(mut self, inbox: &mut mpsc::Receiver<Request>) -> Result<(), Error> {
         let mut ticker = tokio::time::interval(TICK);
         ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
         self.pump().await?;
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -51,3 +51,5 @@
 pub(crate) const UPKEEP: Duration = Duration::from_millis(200);
 /// The time after the start in which the gates are still finding this keeper.
 pub(crate) const WARM_UP: Duration = Duration::from_millis(700);
+/// The wait before files that failed are opened again.
+pub(crate) const REOPEN: Duration = Duration::from_millis(500);
