--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -237,10 +237,9 @@
             }
             (Answer::Holds, _) => self.loaded(id, adapter, now),
             // What the engine makes of it is seen from its report; until then it is not on its way.
-            (_, Stage::Queued) => {
-                if std::mem::take(&mut copy.counted) {
-                    self.store.ended(None);
-                }
+            (_, Stage::Queued) if copy.counted => {
+                copy.counted = false;
+                self.store.ended(None);
             }
             _ => {}
         }
--- a/crates/sched/tests/load.rs
+++ b/crates/sched/tests/load.rs
@@ -44,9 +44,9 @@
                 *start = began;
                 let waited = began - asked[&grant.request];
                 if waited <= Duration::from_millis(800) {
-                    on_time += 1
+                    on_time += 1;
                 } else {
-                    late += 1
+                    late += 1;
                 }
                 let ends = began + Duration::from_millis(200);
                 let (request, granted) = (grant.request, cell.now);
