--- /dev/null
+++ b/crates/fleet/tests/registry.rs
@@ -0,0 +1,89 @@
+//! Who is there, whatever arrives late, twice or from a former start.
+
+use std::time::Duration;
+
+use base::Name;
+use fleet::endpoint::Announcement;
+use fleet::endpoint::State;
+use fleet::registry::Change;
+use fleet::registry::Registry;
+
+const NOW: Duration = Duration::from_secs(10);
+
+fn announcement(id: &str, port: u16, born: u64, sequence: u64) -> Announcement {
+    Announcement {
+        id: Name::from(id),
+        born,
+        sequence,
+        service: Name::from("ledger"),
+        address: ([127, 0, 0, 1], port).into(),
+        domain: Name::from("a"),
+        slots: 6,
+        state: State::Ready,
+        held: None,
+    }
+}
+
+fn ready(registry: &Registry) -> Vec<String> {
+    let mut ids: Vec<String> = registry.ready().map(|one| one.id.to_string()).collect();
+    ids.sort();
+    ids
+}
+
+#[test]
+fn a_late_announcement_changes_nothing() {
+    let mut registry = Registry::default();
+    let mut draining = announcement("x", 1, 5, 3);
+    draining.state = State::Draining(None);
+    registry.announce(draining, NOW);
+    assert_eq!(registry.announce(announcement("x", 1, 5, 2), NOW), Change::None);
+    assert!(ready(&registry).is_empty());
+}
+
+#[test]
+fn a_new_start_under_the_same_id_counts_anew() {
+    let mut registry = Registry::default();
+    registry.announce(announcement("x", 1, 5, 90), NOW);
+    assert_eq!(registry.announce(announcement("x", 1, 6, 1), NOW), Change::Joined);
+    assert_eq!(registry.announce(announcement("x", 1, 5, 91), NOW), Change::None);
+    assert_eq!(registry.get("x").expect("known").born, 6);
+}
+
+#[test]
+fn what_left_does_not_come_back_with_a_late_announcement() {
+    let mut registry = Registry::default();
+    registry.announce(announcement("x", 1, 5, 1), NOW);
+    assert_eq!(registry.leave(&Name::from("x"), Some(5)), Change::Left);
+    assert_eq!(registry.announce(announcement("x", 1, 5, 2), NOW), Change::None);
+    assert!(ready(&registry).is_empty());
+}
+
+#[test]
+fn a_late_farewell_of_a_former_start_is_ignored() {
+    let mut registry = Registry::default();
+    registry.announce(announcement("x", 1, 6, 1), NOW);
+    assert_eq!(registry.leave(&Name::from("x"), Some(5)), Change::None);
+    assert_eq!(ready(&registry), ["x"]);
+}
+
+#[test]
+fn an_address_belongs_to_its_latest_start() {
+    let mut registry = Registry::default();
+    registry.announce(announcement("old", 1, 5, 1), NOW);
+    registry.announce(announcement("new", 1, 8, 1), NOW);
+    assert_eq!(ready(&registry), ["new"]);
+    // A beat of the former holder that was held up on its way.
+    assert_eq!(registry.announce(announcement("old", 1, 5, 2), NOW), Change::None);
+    assert_eq!(ready(&registry), ["new"]);
+}
+
+#[test]
+fn silence_ends_an_endpoint_and_a_beat_brings_it_back() {
+    let mut registry = Registry::default();
+    registry.announce(announcement("x", 1, 5, 1), NOW);
+    let limit = Duration::from_secs(4);
+    assert!(registry.expire(limit, NOW + limit / 2).is_empty());
+    assert_eq!(registry.expire(limit, NOW + limit).len(), 1);
+    let beat = announcement("x", 1, 5, 2);
+    assert_eq!(registry.announce(beat, NOW + limit * 2), Change::Joined);
+}
