sched: loads from the store go oldest first over all engines; a keeper that stood still takes nobody for silent

Cause: with the store full, the engine whose id sorts first gave its load first, whatever had waited longest. And a leader that had been frozen logged EndpointSilent for every endpoint before it stepped down.

Change: engines get their orders by their oldest waiting load, one whose adapter is asked for often up to 0.4 s earlier; after a gap in its upkeep a keeper counts all endpoints as heard.

--- a/crates/cell/src/hub.rs
+++ b/crates/cell/src/hub.rs
@@ -19,6 +19,7 @@
 use crate::links::Links;
 use crate::machine::Machine;
 use crate::replica::Status;
+use crate::settings::UPKEEP;
 
 /// A leader's scheduler.
 #[derive(Debug)]
@@ -39,6 +40,8 @@
     pub(crate) leading: Option<Leading>,
     settings: sched::settings::Settings,
     silence: Duration,
+    /// When silent endpoints were looked for last.
+    looked: Duration,
     /// The version of the plan that the gates were told.
     told_plan: Option<u64>,
     told_versions: usize,
@@ -54,6 +57,7 @@
             leading: None,
             settings,
             silence,
+            looked: Duration::ZERO,
             told_plan: None,
             told_versions: 0,
         }
@@ -201,6 +205,12 @@
     /// Removes the endpoints that fell silent.
     pub(crate) fn expire(&mut self) {
         let now = self.now();
+        let slept = now > self.looked + UPKEEP * 4;
+        self.looked = now;
+        if slept {
+            // This process stood still, so what it did not hear says nothing.
+            self.registry.touch(now);
+        }
         if self.leading.is_some() && !self.registry.expire(self.silence, now).is_empty() {
             self.changed(now);
         }
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -31,6 +31,10 @@
 const UNANSWERED: u32 = 5;
 /// The wait before an engine that did not answer is asked again.
 const INSPECT_AGAIN: Duration = Duration::from_millis(500);
+/// The lead that one recent request for its adapter gives a load over older ones.
+const HEAT_LEAD: Duration = Duration::from_millis(100);
+/// The recent requests that count for that.
+const HEAT_MOST: f64 = 4.0;
 /// The base models on their way from the store at once.
 const BASE_LOADS: usize = 2;
 /// The window over which the store's ceiling counts.
@@ -41,12 +45,28 @@
 impl Scheduler {
     /// Gives each engine its next order, as far as the store allows.
     pub(crate) fn give_orders(&mut self, now: Duration) {
-        let names: Vec<Name> = self.engines.keys().cloned().collect();
-        for name in names {
+        let mut names: Vec<(Duration, Name)> = self
+            .engines
+            .values()
+            .map(|engine| (self.load_rank(engine, now), engine.endpoint.id.clone()))
+            .collect();
+        names.sort();
+        for (_, name) in names {
             self.give_order(&name, now);
         }
     }
 
+    /// Orders engines by the load that is most pressing among those they wait for: the oldest one, but
+    /// an adapter that is asked for often goes before older ones.
+    fn load_rank(&self, engine: &Engine, now: Duration) -> Duration {
+        let queued = engine.copies.iter().filter(|(_, copy)| copy.stage == Stage::Queued);
+        let ranks = queued.map(|(name, copy)| {
+            let heat = self.heat.of(name, now).min(HEAT_MOST);
+            copy.used.saturating_sub(HEAT_LEAD.mul_f64(heat))
+        });
+        ranks.min().unwrap_or(Duration::MAX)
+    }
+
     fn give_order(&mut self, name: &Name, now: Duration) {
         let Some(engine) = self.engines.get_mut(name) else { return };
         match engine.desk {
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -72,7 +72,7 @@
     pub(crate) store: Store,
     /// When base models were ordered lately.
     pub(crate) base_loads: VecDeque<Duration>,
-    heat: Heat,
+    pub(crate) heat: Heat,
     /// Whether something changed since the requests that wait were tried.
     pub(crate) dirty: bool,
     pub(crate) actions: Vec<Action>,
