--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -63,7 +63,7 @@
             domain_penalty_ms: 8.0,
             rank_margin: 0.1,
             hold: 0.5,
-            late_backlog_ms: 800.0,
+            late_backlog_ms: 400.0,
             late_store_share: 0.85,
             memory: 0.95,
             network_ms: 15.0,
