--- a/crates/sched/src/choose.rs
+++ b/crates/sched/src/choose.rs
@@ -7,11 +7,11 @@
 
 use crate::engine::Base;
 use crate::engine::Copy;
-use crate::engine::Desk;
 use crate::engine::Engine;
+use crate::engine::OrderState;
 use crate::engine::Stage;
-use crate::heat::Heat;
 use crate::ledger::Wait;
+use crate::popularity::Popularity;
 use crate::settings::Settings;
 use crate::store::Store;
 
@@ -42,21 +42,21 @@
 }
 
 /// What all candidates of a request share.
-pub(crate) struct Scene<'a> {
+pub(crate) struct Context<'a> {
     pub(crate) settings: &'a Settings,
     pub(crate) spec: &'a EngineSpec,
     pub(crate) store: &'a Store,
     /// The loads from the store that wait for their turn.
     pub(crate) queued: usize,
-    pub(crate) heat: &'a Heat,
+    pub(crate) popularity: &'a Popularity,
     /// Whether suspected engines are taken like others, because most engines are suspected.
-    pub(crate) desperate: bool,
+    pub(crate) ignore_health: bool,
     /// The version that must be served.
     pub(crate) version: u64,
     pub(crate) now: Duration,
 }
 
-impl Scene<'_> {
+impl Context<'_> {
     /// Returns how an engine could run a request; none if it can't now.
     pub(crate) fn candidate(&self, engine: &Engine, wait: &Wait) -> Option<Candidate> {
         let ask = &wait.ask;
@@ -68,7 +68,7 @@
             && fits
             && engine.running < self.spec.slots
             && self.now >= engine.full_until
-            && (self.desperate || engine.health.admits(engine.running, self.now))
+            && (self.ignore_health || engine.health.admits(engine.running, self.now))
             && !ask.excluded.contains(&engine.endpoint.id);
         if !open {
             return None;
@@ -134,12 +134,15 @@
             return Some((Way::Load(None), load_ms, penalty));
         }
         let idle = engine.copies.iter().filter(|(_, copy)| copy.is_idle());
-        let heat = |name: &Name| self.heat.of(name, self.now);
+        let popularity = |name: &Name| self.popularity.of(name, self.now);
         let victim = idle.min_by(|(a, x), (b, y)| {
-            heat(a).total_cmp(&heat(b)).then_with(|| x.used.cmp(&y.used)).then_with(|| a.cmp(b))
+            popularity(a)
+                .total_cmp(&popularity(b))
+                .then_with(|| x.used.cmp(&y.used))
+                .then_with(|| a.cmp(b))
         });
         let (victim, _) = victim?;
-        penalty += self.settings.place_penalty_ms * heat(victim).min(4.0) / 2.0;
+        penalty += self.settings.place_penalty_ms * popularity(victim).min(4.0) / 2.0;
         Some((Way::Load(Some(victim.clone())), load_ms, penalty))
     }
 
@@ -151,5 +154,5 @@
 
 /// Returns whether an engine's orders are known well enough to give it new ones.
 fn orders(engine: &Engine) -> bool {
-    matches!(engine.desk, Desk::Idle(_) | Desk::Busy(_))
+    matches!(engine.order_state, OrderState::Idle(_) | OrderState::Busy(_))
 }
--- a/crates/sched/src/engine.rs
+++ b/crates/sched/src/engine.rs
@@ -41,7 +41,7 @@
     pub(crate) pace: Pace,
     pub(crate) health: Health,
     pub(crate) prefixes: Prefixes,
-    pub(crate) desk: Desk,
+    pub(crate) order_state: OrderState,
     /// The latest orders in a row that it did not answer.
     pub(crate) unanswered: u32,
 }
@@ -61,7 +61,7 @@
 
 /// What is known of the orders that an engine has accepted.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) enum Desk {
+pub(crate) enum OrderState {
     /// At least so many; the engine is to be asked at that time.
     Unknown { least: u64, at: Duration },
     /// At least so many; it is being asked.
@@ -130,7 +130,7 @@
             pace: Pace::new(settings.tokens_per_ms),
             health: Health::default(),
             prefixes: Prefixes::default(),
-            desk: Desk::Unknown { least: 0, at: now },
+            order_state: OrderState::Unknown { least: 0, at: now },
             unanswered: 0,
         }
     }
@@ -172,12 +172,12 @@
     pub(crate) const DROP: Stage = Stage::Dropping { poll_at: None };
 }
 
-impl Desk {
+impl OrderState {
     /// Returns the number of orders that the engine has accepted at least.
     pub(crate) fn least(&self) -> u64 {
         match self {
-            Desk::Unknown { least, .. } | Desk::Inspecting { least } => *least,
-            Desk::Idle(sequence) | Desk::Busy(sequence) => *sequence,
+            OrderState::Unknown { least, .. } | OrderState::Inspecting { least } => *least,
+            OrderState::Idle(sequence) | OrderState::Busy(sequence) => *sequence,
         }
     }
 }
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -13,8 +13,8 @@
 use crate::action::Report;
 use crate::engine::Base;
 use crate::engine::Copy;
-use crate::engine::Desk;
 use crate::engine::Engine;
+use crate::engine::OrderState;
 use crate::engine::Stage;
 use crate::scheduler::Scheduler;
 use crate::settings::Settings;
@@ -32,9 +32,9 @@
 /// The wait before an engine that did not answer is asked again.
 const INSPECT_AGAIN: Duration = Duration::from_millis(500);
 /// The lead that one recent request for its adapter gives a load over older ones.
-const HEAT_LEAD: Duration = Duration::from_millis(100);
+const POPULARITY_LEAD: Duration = Duration::from_millis(100);
 /// The recent requests that count for that.
-const HEAT_MOST: f64 = 4.0;
+const POPULARITY_MOST: f64 = 4.0;
 /// The base models on their way from the store at once.
 const BASE_LOADS: usize = 2;
 /// The window over which the store's ceiling counts.
@@ -61,24 +61,24 @@
     fn load_rank(&self, engine: &Engine, now: Duration) -> Duration {
         let queued = engine.copies.iter().filter(|(_, copy)| copy.stage == Stage::Queued);
         let ranks = queued.map(|(name, copy)| {
-            let heat = self.heat.of(name, now).min(HEAT_MOST);
-            copy.used.saturating_sub(HEAT_LEAD.mul_f64(heat))
+            let popularity = self.popularity.of(name, now).min(POPULARITY_MOST);
+            copy.used.saturating_sub(POPULARITY_LEAD.mul_f64(popularity))
         });
         ranks.min().unwrap_or(Duration::MAX)
     }
 
     fn give_order(&mut self, name: &Name, now: Duration) {
         let Some(engine) = self.engines.get_mut(name) else { return };
-        match engine.desk {
-            Desk::Unknown { least, at } if now >= at => {
-                engine.desk = Desk::Inspecting { least };
+        match engine.order_state {
+            OrderState::Unknown { least, at } if now >= at => {
+                engine.order_state = OrderState::Inspecting { least };
                 self.actions.push(Action::Inspect(engine.endpoint.clone()));
             }
-            Desk::Idle(sequence) => {
+            OrderState::Idle(sequence) => {
                 let Some(order) = self.next_order(name, sequence, now) else { return };
                 self.reserve_load(name, &order);
                 if let Some(engine) = self.engines.get_mut(name) {
-                    engine.desk = Desk::Busy(sequence);
+                    engine.order_state = OrderState::Busy(sequence);
                 }
                 self.actions.push(Action::Order(order));
             }
@@ -153,7 +153,7 @@
         let ceiling = spec.loads_per_s * BASE_WINDOW.as_secs_f64() * BASE_SHARE;
         self.base_loads.retain(|at| now < *at + BASE_WINDOW);
         let loading = self.engines.values().filter(|engine| {
-            let ordered = matches!(engine.desk, Desk::Busy(_));
+            let ordered = matches!(engine.order_state, OrderState::Busy(_));
             matches!(engine.base, Base::Loading { .. })
                 || (ordered && matches!(engine.base, Base::Wanted(_)))
         });
@@ -170,23 +170,25 @@
         if engine.endpoint.born != order.endpoint.born {
             return;
         }
-        let Desk::Busy(sequence) = engine.desk else { return };
+        let OrderState::Busy(sequence) = engine.order_state else { return };
         // An order that is being carried out is answered again without being counted.
         let repeated = is_under_way(engine, order.adapter.as_ref());
         let least = sequence;
         engine.unanswered = if answer == Answer::Lost { engine.unanswered + 1 } else { 0 };
-        engine.desk = match answer {
-            Answer::Accepted if repeated => Desk::Idle(sequence),
-            Answer::Accepted => Desk::Idle(sequence + 1),
+        engine.order_state = match answer {
+            Answer::Accepted if repeated => OrderState::Idle(sequence),
+            Answer::Accepted => OrderState::Idle(sequence + 1),
             Answer::Holds if order.operation == Operation::Unload && !repeated => {
-                Desk::Idle(sequence + 1)
+                OrderState::Idle(sequence + 1)
             }
-            Answer::Holds => Desk::Idle(sequence),
-            Answer::Conflict | Answer::Refused => Desk::Unknown { least, at: now + REPORT_LAG / 3 },
-            Answer::Fenced => Desk::Unknown { least, at: now + INSPECT_AGAIN },
+            Answer::Holds => OrderState::Idle(sequence),
+            Answer::Conflict | Answer::Refused => {
+                OrderState::Unknown { least, at: now + REPORT_LAG / 3 }
+            }
+            Answer::Fenced => OrderState::Unknown { least, at: now + INSPECT_AGAIN },
             // It fails on the number of orders if it is carried out late, so it can be given again.
-            Answer::Lost if engine.unanswered < UNANSWERED => Desk::Idle(sequence),
-            Answer::Lost => Desk::Unknown { least, at: now + REPORT_LAG },
+            Answer::Lost if engine.unanswered < UNANSWERED => OrderState::Idle(sequence),
+            Answer::Lost => OrderState::Unknown { least, at: now + REPORT_LAG },
         };
         match (&order.adapter, order.operation) {
             (None, _) => self.base_ordered(order, answer, now),
@@ -302,15 +304,15 @@
     /// Takes an engine's report; none if it did not answer.
     pub fn inspected(&mut self, id: &Name, report: Option<Report>, now: Duration) {
         let Some(engine) = self.engines.get_mut(id) else { return };
-        let Desk::Inspecting { least } = engine.desk else { return };
+        let OrderState::Inspecting { least } = engine.order_state else { return };
         let born = engine.endpoint.born;
         let Some(report) = report.filter(|report| report.born == 0 || report.born == born) else {
-            engine.desk = Desk::Unknown { least, at: now + INSPECT_AGAIN };
+            engine.order_state = OrderState::Unknown { least, at: now + INSPECT_AGAIN };
             return;
         };
         if report.sequence < least {
             // Reports lag, and this one does not show all orders that were accepted.
-            engine.desk = Desk::Unknown { least, at: now + REPORT_LAG / 3 };
+            engine.order_state = OrderState::Unknown { least, at: now + REPORT_LAG / 3 };
             return;
         }
         base::event!(
@@ -318,7 +320,7 @@
             adapters = report.held.iter().map(|held| held.adapters.len()).sum::<usize>(),
             incoming = report.incoming.len()
         );
-        engine.desk = Desk::Idle(report.sequence);
+        engine.order_state = OrderState::Idle(report.sequence);
         self.reconcile_base(id, &report, now);
         self.reconcile(id, &report, now);
         self.dirty = true;
--- a/crates/sched/src/heat.rs
+++ b/crates/sched/src/popularity.rs
@@ -10,14 +10,14 @@
 
 /// Decayed counts of requests by adapter.
 #[derive(Debug)]
-pub(crate) struct Heat {
+pub(crate) struct Popularity {
     half_life: f64,
     counts: Map<Name, (f64, Duration)>,
 }
 
-impl Heat {
-    pub(crate) fn new(half_life: Duration) -> Heat {
-        Heat { half_life: half_life.as_secs_f64(), counts: Map::default() }
+impl Popularity {
+    pub(crate) fn new(half_life: Duration) -> Popularity {
+        Popularity { half_life: half_life.as_secs_f64(), counts: Map::default() }
     }
 
     /// Counts a request.
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -21,18 +21,18 @@
 use crate::action::Action;
 use crate::action::Reason;
 use crate::choose::Candidate;
-use crate::choose::Scene;
+use crate::choose::Context;
 use crate::choose::Way;
 use crate::engine::Base;
 use crate::engine::Copy;
-use crate::engine::Desk;
 use crate::engine::Engine;
+use crate::engine::OrderState;
 use crate::engine::Stage;
-use crate::heat::Heat;
 use crate::ledger::Key;
 use crate::ledger::Part;
 use crate::ledger::Run;
 use crate::ledger::Wait;
+use crate::popularity::Popularity;
 use crate::settings::Settings;
 use crate::store::Store;
 
@@ -72,7 +72,7 @@
     pub(crate) store: Store,
     /// When base models were ordered lately.
     pub(crate) base_loads: VecDeque<Duration>,
-    pub(crate) heat: Heat,
+    pub(crate) popularity: Popularity,
     /// Whether something changed since the requests that wait were tried.
     pub(crate) dirty: bool,
     pub(crate) actions: Vec<Action>,
@@ -90,7 +90,7 @@
             strikes: Map::default(),
             store: Store::new(settings.cold_load_ms, settings.cold_loads),
             base_loads: VecDeque::new(),
-            heat: Heat::new(settings.half_life),
+            popularity: Popularity::new(settings.half_life),
             dirty: false,
             actions: Vec::new(),
             settings,
@@ -169,7 +169,7 @@
 
     /// Takes a request.
     pub fn ask(&mut self, gate: u64, domain: &Name, ask: Ask, now: Duration) {
-        self.heat.hit(&ask.adapter, now);
+        self.popularity.hit(&ask.adapter, now);
         let key = (gate, ask.request);
         let wait = Wait { key, domain: domain.clone(), ask, since: now };
         let struck = self.strikes.get(&wait.ask.fingerprint).copied().unwrap_or_default();
@@ -235,19 +235,19 @@
     /// that answers first.
     fn best(&self, wait: &Wait, target_ms: f64, now: Duration) -> Option<Candidate> {
         let spec = self.specs.get(&wait.ask.service)?;
-        let scene = Scene {
+        let context = Context {
             settings: &self.settings,
             spec,
             store: &self.store,
             queued: self.queued_loads(),
-            heat: &self.heat,
-            desperate: self.trusted_share(&wait.ask.service, now) < TRUSTED_SHARE,
+            popularity: &self.popularity,
+            ignore_health: self.trusted_share(&wait.ask.service, now) < TRUSTED_SHARE,
             version: self.least_version(&wait.ask),
             now,
         };
         let engines = self.engines.values();
         let engines = engines.filter(|engine| engine.endpoint.service == wait.ask.service);
-        let candidates = engines.filter_map(|engine| scene.candidate(engine, wait));
+        let candidates = engines.filter_map(|engine| context.candidate(engine, wait));
         let misses = |one: &Candidate| one.expected_ms > target_ms;
         let worth = |one: &Candidate| if misses(one) { one.expected_ms } else { one.cost };
         candidates
@@ -438,8 +438,9 @@
                 if engine.copies.get(&run.adapter).is_some_and(Copy::is_idle) {
                     engine.copies.remove(&run.adapter);
                 }
-                if matches!(engine.desk, Desk::Idle(_)) {
-                    engine.desk = Desk::Unknown { least: engine.desk.least(), at: now };
+                if matches!(engine.order_state, OrderState::Idle(_)) {
+                    engine.order_state =
+                        OrderState::Unknown { least: engine.order_state.least(), at: now };
                 }
             }
             Outcome::Cancelled => {}
@@ -541,7 +542,7 @@
     /// Returns whether something waits that time alone moves on.
     pub fn is_waiting(&self) -> bool {
         let loading = |engine: &Engine| {
-            !matches!(engine.desk, Desk::Idle(_))
+            !matches!(engine.order_state, OrderState::Idle(_))
                 || matches!(engine.base, Base::Wanted(_) | Base::Loading { .. })
                 || engine.copies.values().any(|copy| copy.stage != Stage::Present)
         };
