gate: a planned move of an endpoint does not end the requests that its former owner works on

Ruled out: lost leases (no LeaseLost, no LeaseExpired); the log's new writer (all lines are there, in order).

Change: an entry gate gives a request up when the gate that owned the endpoint is gone, not when the endpoint was given to another one.

--- a/crates/gate/src/lost.rs
+++ b/crates/gate/src/lost.rs
@@ -50,12 +50,14 @@
     until(context, gone).await;
 }
 
-/// Waits until another gate no longer owns an endpoint.
+/// Waits until a gate that owned an endpoint is lost. One that gave the endpoint away in a planned move
+/// still answers what it has begun.
 pub(crate) async fn owner(context: &Arc<Context>, endpoint: &Name, owner: &Name) {
     let gone = || {
         let view = context.board.view.read();
         let owned = view.endpoints.get(endpoint);
-        owned.and_then(|owned| owned.owner.as_ref()) != Some(owner)
+        let moved = owned.and_then(|owned| owned.owner.as_ref()) != Some(owner);
+        moved && !view.gates.contains_key(owner)
     };
     until(context, gone).await;
 }
