cell, raft: log why elections start and how late a replica runs

Adds ElectionStarted (612: reason, age of the last contact), a reason in LeaderLost, ReplicaDelayed (613: turn or write of 100 ms and more), SchedulerDelayed (614), and histograms of the replica's waits and of the scheduler's passes. No decision changes.

--- a/crates/cell/src/dispatch.rs
+++ b/crates/cell/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! Carries out the scheduler's actions.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use base::Event;
 use fleet::message::Frame;
@@ -8,10 +9,12 @@
 use sched::action::Operation;
 use sched::action::Order;
 use sched::action::Reason;
+use tokio::time::Instant;
 
 use crate::engines::Engines;
 use crate::engines::Holder;
 use crate::keeper::Keeper;
+use crate::settings::HEARTBEAT_INTERVAL;
 use crate::settings::SCHEDULER_INTERVAL;
 
 impl<E: Engines> Keeper<E> {
@@ -33,11 +36,13 @@
             } else {
                 self.scheduler_wakeup.notified().await;
             }
+            let started = Instant::now();
             let (actions, term) = {
                 let mut coordinator = self.coordinator.lock();
                 let actions = coordinator.poll_scheduler();
                 (actions, coordinator.leadership.as_ref().map(|leadership| leadership.term))
             };
+            self.record_pass(started.elapsed(), actions.len());
             let Some(fence) = term else { continue };
             for action in actions {
                 self.dispatch(action, fence);
@@ -45,6 +50,14 @@
         }
     }
 
+    fn record_pass(&self, took: Duration, actions: usize) {
+        self.metrics.passes.with_label_values::<&str>(&[]).observe(took.as_secs_f64());
+        if took >= HEARTBEAT_INTERVAL {
+            let ms = took.as_millis() as u64;
+            base::event!(WARN, Event::SchedulerDelayed, ms, actions);
+        }
+    }
+
     fn dispatch(self: &Arc<Keeper<E>>, action: Action, fence: u64) {
         match action {
             Action::Grant { gate, grant, reason } => {
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -72,8 +72,15 @@
         let state = Arc::new(RwLock::new(State::default()));
         let (sender, status) = watch::channel(Status::default());
         let status_sender = Arc::new(sender);
-        let replica =
-            Replica::open(&settings, peers.clone(), state.clone(), status_sender.clone()).await?;
+        let metrics = Metrics::new(meter);
+        let replica = Replica::open(
+            &settings,
+            peers.clone(),
+            state.clone(),
+            status_sender.clone(),
+            metrics.replica.clone(),
+        )
+        .await?;
         let identity = replica.identity();
         base::event!(
             INFO, Event::Started, node = %settings.node, address = %address, known,
@@ -90,7 +97,7 @@
             status,
             replica: sender,
             peers: peers.clone(),
-            metrics: Metrics::new(meter),
+            metrics,
             scheduler_wakeup: Notify::new(),
             settings,
         });
@@ -100,6 +107,7 @@
             peers.clone(),
             keeper.state.clone(),
             status_sender,
+            keeper.metrics.replica.clone(),
             replica,
             inbox,
         );
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod calls;
 mod coordinator;
+mod delay;
 mod dispatch;
 mod error;
 mod keeper;
--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -16,6 +16,10 @@
     pub(crate) queue_latency: HistogramVec,
     /// Orders to engines by operation and answer.
     pub(crate) orders: IntCounterVec,
+    /// Time that a replica's task waits for its turn and for its writes, in seconds.
+    pub(crate) replica: HistogramVec,
+    /// Duration of a pass of the scheduler, in seconds.
+    pub(crate) passes: HistogramVec,
     /// Leadership, applied index, and numbers of gates and endpoints.
     pub(crate) state: IntGaugeVec,
 }
@@ -35,6 +39,16 @@
                 "Orders to engines.",
                 &["order", "answer"],
             ),
+            replica: meter.histograms(
+                "keeper_replica_seconds",
+                "Time that the replica's task waits.",
+                &["wait"],
+            ),
+            passes: meter.histograms(
+                "keeper_scheduler_pass_seconds",
+                "Duration of a pass of the scheduler.",
+                &[],
+            ),
             state: meter.gauges("keeper_state", "What the keeper knows.", &["what"]),
         }
     }
--- a/crates/cell/src/replica.rs
+++ b/crates/cell/src/replica.rs
@@ -11,6 +11,7 @@
 use fleet::message::Envelope;
 use fleet::message::Frame;
 use parking_lot::RwLock;
+use prometheus::HistogramVec;
 use raft::message::Entry;
 use raft::message::Id;
 use raft::message::Index;
@@ -26,6 +27,7 @@
 use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
 
+use crate::delay::Delay;
 use crate::error::Error;
 use crate::peers::Peers;
 use crate::settings::COMPACT_BYTES;
@@ -72,6 +74,7 @@
     peers: Arc<Peers>,
     state: Arc<RwLock<State>>,
     status: Arc<watch::Sender<Status>>,
+    delays: HistogramVec,
     first: Replica,
     mut inbox: mpsc::Receiver<Request>,
 ) -> Result<(), Error> {
@@ -85,7 +88,9 @@
         base::event!(ERROR, Event::DiskFailed, error = %error);
         status.send_replace(Status::default());
         tokio::time::sleep(REOPEN_DELAY).await;
-        opened = Replica::open(&settings, peers.clone(), state.clone(), status.clone()).await;
+        opened =
+            Replica::open(&settings, peers.clone(), state.clone(), status.clone(), delays.clone())
+                .await;
     }
 }
 
@@ -129,6 +134,7 @@
     join_timer_start: Duration,
     /// Time of the last check for unresponsive voters.
     last_voter_check: Duration,
+    delay: Delay,
 }
 
 impl Replica {
@@ -139,6 +145,7 @@
         peers: Arc<Peers>,
         state: Arc<RwLock<State>>,
         status: Arc<watch::Sender<Status>>,
+        delays: HistogramVec,
     ) -> Result<Replica, Error> {
         let (storage, Recovery { id, group, stored }) = Storage::open(settings).await?;
         let restored = match &stored.snapshot {
@@ -172,6 +179,7 @@
             bytes_since_snapshot: 0,
             join_timer_start: Duration::ZERO,
             last_voter_check: Duration::ZERO,
+            delay: Delay::new(delays),
         })
     }
 
@@ -181,6 +189,7 @@
         ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
         self.process_ready().await?;
         loop {
+            self.delay.turn_ended();
             let first = tokio::select! {
                 request = inbox.recv() => match request {
                     Some(request) => Some(request),
@@ -188,6 +197,7 @@
                 },
                 _ = ticker.tick() => None,
             };
+            self.delay.turn_started();
             // Ticks first, so that a leader that was suspended steps down before it handles a
             // request.
             self.node.tick(self.now());
@@ -281,7 +291,9 @@
             if idle {
                 break;
             }
+            let started = Instant::now();
             self.storage.write(&mut ready).await?;
+            self.delay.written(started.elapsed());
             self.send(std::mem::take(&mut ready.messages));
             if let Some(snapshot) = &ready.install {
                 *self.state.write() = decode(snapshot.index, &snapshot.data)?;
--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -48,6 +48,9 @@
 
     /// Starts a pre-vote if this replica is a voter.
     fn tick_election(&mut self) {
+        if self.is_voter(self.id) {
+            self.log_election();
+        }
         self.leader = None;
         if self.is_voter(self.id) {
             // A pre-vote changes no state, so it repeats at the short retry interval until a
@@ -60,6 +63,22 @@
         }
     }
 
+    /// Logs the first pre-vote after the loss of a leader; later rounds change nothing.
+    fn log_election(&self) {
+        let Some(leader) = self.leader else { return };
+        let disconnected = self.last_contact == Duration::ZERO;
+        let silent = self.now.saturating_sub(self.last_contact);
+        base::event!(
+            INFO,
+            Event::ElectionStarted,
+            replica = self.id,
+            term = self.hard_state.term,
+            leader,
+            reason = if disconnected { "disconnected" } else { "silence" },
+            silent_ms = (!disconnected).then_some(silent.as_millis() as u64)
+        );
+    }
+
     /// Reports that the connection to a replica broke, as it does when the replica's process ends.
     /// If that replica is the leader and does not make contact again within about a heartbeat
     /// interval, an election starts before the election timeout.
@@ -160,7 +179,20 @@
     /// Becomes a follower in `term`. `leader` is `None` if not known yet.
     pub(crate) fn become_follower(&mut self, term: Term, leader: Option<Id>) {
         if self.is_leader() {
-            base::event!(INFO, Event::LeaderLost, replica = self.id, term = self.hard_state.term);
+            let reason = if term > self.hard_state.term {
+                "higher_term"
+            } else if self.is_voter(self.id) {
+                "no_majority"
+            } else {
+                "removed"
+            };
+            base::event!(
+                INFO,
+                Event::LeaderLost,
+                replica = self.id,
+                term = self.hard_state.term,
+                reason
+            );
         }
         if term > self.hard_state.term {
             self.hard_state.term = term;
