cell: a keeper that leads again holds its orders back for a lease

Cause: a keeper that became leader ordered at once. Its term as fencing token keeps a late order of a former leader from acting, but nothing kept a keeper that had been replaced a second ago from ordering again with its next term. Class: a token guards against stale writes, not against holders that alternate; that needs the lease, which no code knew.

Change: cell::lease remembers the last term and the last order of this process. If another keeper may have led in between (the terms are not consecutive), orders are held until a lease after that order; the scheduler counts the wait into the time of a load, so that what comes too late is refused at once and what is loaded is still granted. Where engines do not check fencing tokens (RequireFencing false or not stated), each new leader waits for a lease after its election.

Not remembered over a restart of the process.

--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -17,9 +17,11 @@
 use sched::action::Action;
 use tokio::time::Instant;
 
+use crate::lease::Lease;
 use crate::links::Links;
 use crate::replica::Status;
 use crate::settings::MAINTENANCE_INTERVAL;
+use crate::settings::Settings;
 use crate::state::State;
 
 /// The scheduler of a keeper that leads, with the state that it shares with the gates.
@@ -39,6 +41,7 @@
     pub(crate) registry: Registry,
     pub(crate) status: Status,
     pub(crate) leadership: Option<Leadership>,
+    pub(crate) lease: Lease,
     settings: sched::settings::Settings,
     endpoint_timeout: Duration,
     /// Time of the last check for expired endpoints.
@@ -51,18 +54,16 @@
 }
 
 impl Coordinator {
-    pub(crate) fn new(
-        settings: sched::settings::Settings,
-        endpoint_timeout: Duration,
-    ) -> Coordinator {
+    pub(crate) fn new(settings: &Settings) -> Coordinator {
         Coordinator {
             started: Instant::now(),
             links: Links::default(),
             registry: Registry::default(),
             status: Status::default(),
             leadership: None,
-            settings,
-            endpoint_timeout,
+            lease: Lease::new(settings.order_lease, settings.fenced_orders),
+            settings: settings.scheduler.clone(),
+            endpoint_timeout: settings.endpoint_timeout,
             last_expiry_check: Duration::ZERO,
             sent_plan_version: None,
             sent_versions_sum: 0,
@@ -102,6 +103,12 @@
         // on.
         self.registry.refresh_all(now);
         let mut scheduler = Scheduler::new(self.settings.clone());
+        let orders_from = self.lease.start(term, now);
+        scheduler.hold_orders(orders_from);
+        if orders_from > now {
+            let wait_ms = (orders_from - now).as_millis() as u64;
+            base::event!(INFO, Event::OrdersHeld, term, wait_ms);
+        }
         if let Some(plan) = &state.plan {
             scheduler.set_plan(plan);
         }
--- a/crates/cell/src/dispatch.rs
+++ b/crates/cell/src/dispatch.rs
@@ -88,7 +88,10 @@
                 );
                 self.send_to_gate(gate, Frame::Denial(denial));
             }
-            Action::Order(order) => drop(tokio::spawn(self.clone().send_order(order, fence))),
+            Action::Order(order) => {
+                self.record_order();
+                tokio::spawn(self.clone().send_order(order, fence));
+            }
             Action::Inspect(endpoint) => {
                 let keeper = self.clone();
                 tokio::spawn(async move {
@@ -118,6 +121,12 @@
         }
     }
 
+    fn record_order(&self) {
+        let mut coordinator = self.coordinator.lock();
+        let now = coordinator.now();
+        coordinator.lease.record_order(now);
+    }
+
     /// Sends an order to an engine and reports the answer to the scheduler.
     async fn send_order(self: Arc<Keeper<E>>, order: Order, fence: u64) {
         let holder = Holder { node: self.settings.node.clone(), fence };
@@ -133,6 +142,7 @@
             adapter = order.adapter.as_deref().unwrap_or_default(),
             expected = order.expected, fence, answer = answer_name
         );
+        self.record_order();
         let mut coordinator = self.coordinator.lock();
         let now = coordinator.now();
         if let Some(leadership) = &mut coordinator.leadership {
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -88,10 +88,7 @@
         );
         let (sender, inbox) = mpsc::channel(MAX_QUEUED_REQUESTS);
         let keeper = Arc::new(Keeper {
-            coordinator: Mutex::new(Coordinator::new(
-                settings.scheduler.clone(),
-                settings.endpoint_timeout,
-            )),
+            coordinator: Mutex::new(Coordinator::new(&settings)),
             engines,
             state,
             status,
--- /dev/null
+++ b/crates/cell/src/lease.rs
@@ -0,0 +1,53 @@
+//! The lease of the keeper that orders the engines.
+//!
+//! Each leader orders the engines under its term as fencing token, so an engine that checks the
+//! token refuses a former leader. In addition, no keeper orders again within a lease of its last
+//! order if another one may have ordered in between.
+
+use std::time::Duration;
+
+/// When this keeper may order the engines.
+#[derive(Debug)]
+pub struct Lease {
+    duration: Duration,
+    /// Whether engines refuse orders with an outdated fencing token. Otherwise a new leader also
+    /// waits until the orders of its predecessor must have ended.
+    fenced: bool,
+    /// The last term in which this keeper led.
+    last_term: Option<u64>,
+    /// The last time at which this keeper may have ordered an engine.
+    last_order_at: Duration,
+    /// Invariant: never decreases.
+    not_before: Duration,
+}
+
+impl Lease {
+    /// Creates the lease of a keeper that has not led since its start.
+    pub fn new(duration: Duration, fenced: bool) -> Lease {
+        Lease {
+            duration,
+            fenced,
+            last_term: None,
+            last_order_at: Duration::ZERO,
+            not_before: Duration::ZERO,
+        }
+    }
+
+    /// Starts a term of this keeper at `now`. Returns when it may order the engines.
+    pub fn start(&mut self, term: u64, now: Duration) -> Duration {
+        let superseded = self.last_term.is_some_and(|last| last + 1 < term);
+        self.last_term = Some(term);
+        let not_before = match (self.fenced, superseded) {
+            (false, _) => now + self.duration,
+            (true, true) => self.last_order_at + self.duration,
+            (true, false) => now,
+        };
+        self.not_before = self.not_before.max(not_before);
+        self.not_before
+    }
+
+    /// Records that an order is sent or answered at `now`.
+    pub fn record_order(&mut self, now: Duration) {
+        self.last_order_at = now;
+    }
+}
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -4,6 +4,7 @@
 //! Lock order: `coordinator` before `state`. Neither lock is held across an await.
 
 pub mod engines;
+pub mod lease;
 pub mod settings;
 
 mod calls;
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -23,6 +23,11 @@
     pub data_dir: PathBuf,
     /// Settings of the scheduler.
     pub scheduler: sched::settings::Settings,
+    /// The time after a keeper's last order in which it does not order again once another keeper
+    /// has led.
+    pub order_lease: Duration,
+    /// Whether engines refuse orders with an outdated fencing token.
+    pub fenced_orders: bool,
     /// Time without an announcement after which an endpoint is removed.
     pub endpoint_timeout: Duration,
 }
--- a/crates/sched/src/candidate.rs
+++ b/crates/sched/src/candidate.rs
@@ -58,6 +58,8 @@
     pub(crate) store: &'a Limiter,
     /// The number of queued loads from the store.
     pub(crate) queued_loads: usize,
+    /// The time until orders to engines may start, in ms.
+    pub(crate) order_delay_ms: f64,
     pub(crate) popularity: &'a Popularity,
     /// Whether suspected engines are treated like others, because most engines are suspected.
     pub(crate) ignore_health: bool,
@@ -96,7 +98,7 @@
             return None;
         }
         let slot_ms = engine.slot_wait(ahead, self.now)?.as_secs_f64() * 1e3;
-        let load_ms = slot_ms + self.settings.warm_load_ms;
+        let load_ms = slot_ms.max(self.order_delay_ms) + self.settings.warm_load_ms;
         let penalty = self.settings.slot_penalty_ms;
         let (expected_ms, cost) = self.latency_and_cost(engine, pending, load_ms, penalty);
         Some(Deferral { engine: engine.endpoint.id.clone(), expected_ms, cost })
@@ -159,7 +161,7 @@
     /// Returns the expected time until a queued or running load ends, in ms.
     fn remaining_load_ms(&self, slot: &Slot) -> f64 {
         let Stage::Loading { since, .. } = slot.stage else {
-            return self.store.expected_ms(self.queued_loads);
+            return self.order_delay_ms + self.store.expected_ms(self.queued_loads);
         };
         let elapsed = self.now.saturating_sub(since).as_secs_f64() * 1e3;
         (self.store.expected_ms(0) - elapsed).max(self.settings.warm_load_ms)
@@ -179,6 +181,7 @@
             let penalty = self.settings.cold_penalty_ms * share + self.settings.slot_penalty_ms;
             (self.store.expected_ms(self.queued_loads), penalty)
         };
+        let load_ms = self.order_delay_ms + load_ms;
         if engine.adapter_slots.len() < self.adapter_slots() {
             return Some((Availability::NeedsLoad(None), load_ms, penalty));
         }
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -81,7 +81,7 @@
                 engine.order_state = OrderState::Inspecting { min_sequence };
                 self.actions.push(Action::Inspect(engine.endpoint.clone()));
             }
-            OrderState::Idle(sequence) => {
+            OrderState::Idle(sequence) if now >= self.orders_from => {
                 let Some(order) = self.next_order(name, sequence, now) else { return };
                 self.reserve_load(name, &order);
                 if let Some(engine) = self.engines.get_mut(name) {
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -57,6 +57,8 @@
     /// How often an engine was lost while it ran a request, by the request's fingerprint.
     engine_losses: Map<u64, u32>,
     pub(crate) store: Limiter,
+    /// When orders to engines may start.
+    pub(crate) orders_from: Duration,
     /// When loads of base models were ordered recently.
     pub(crate) base_loads: VecDeque<Duration>,
     pub(crate) popularity: Popularity,
@@ -81,6 +83,7 @@
             queue: VecDeque::new(),
             engine_losses: Map::default(),
             store: Limiter::new(settings.cold_load_ms, settings.cold_load_limit),
+            orders_from: Duration::ZERO,
             base_loads: VecDeque::new(),
             popularity: Popularity::new(settings.popularity_half_life),
             decode: Decode::new(settings.decode_ms_per_token),
@@ -92,6 +95,11 @@
         }
     }
 
+    /// Holds back all orders to engines until `at`.
+    pub fn hold_orders(&mut self, at: Duration) {
+        self.orders_from = at;
+    }
+
     /// Applies a plan.
     pub fn set_plan(&mut self, plan: &Plan) {
         let engines = plan
--- a/crates/sched/src/scheduler/placement.rs
+++ b/crates/sched/src/scheduler/placement.rs
@@ -149,6 +149,7 @@
             spec: self.specs.get(&pending.query.service)?,
             store: &self.store,
             queued_loads: self.queued_store_loads(pending.query.rank),
+            order_delay_ms: self.orders_from.saturating_sub(now).as_secs_f64() * 1e3,
             popularity: &self.popularity,
             ignore_health: self.trusted_share(&pending.query.service, now) < TRUSTED_SHARE,
             min_version: self.min_version(&pending.query),
--- a/crates/sched/tests/orders.rs
+++ b/crates/sched/tests/orders.rs
@@ -33,6 +33,35 @@
     assert_eq!(cell.granted_engine(request).as_deref(), Some("engine-0"));
 }
 
+#[test]
+fn held_back_orders_delay_loads_but_not_requests_for_loaded_adapters() {
+    let mut cell = Cell::new(1);
+    let request = cell.submit("x");
+    cell.advance(300);
+    cell.end_at_gate(request, Outcome::Done);
+    let orders = cell.orders.len();
+    cell.scheduler.hold_orders(cell.now + MS(2_000));
+    let loaded = cell.submit("x");
+    assert!(cell.granted_engine(loaded).is_some());
+    cell.end_at_gate(loaded, Outcome::Done);
+    let missing = cell.submit("y");
+    cell.advance(1_990);
+    assert_eq!(cell.orders.len(), orders);
+    assert_eq!(cell.granted_engine(missing), None);
+    cell.advance(10);
+    let later = cell.submit("z");
+    cell.advance(300);
+    assert!(cell.granted_engine(later).is_some());
+}
+
+#[test]
+fn a_request_that_held_back_orders_make_too_late_is_refused_at_once() {
+    let mut cell = Cell::new(1);
+    cell.scheduler.hold_orders(cell.now + MS(2_000));
+    let request = cell.submit_with("x", |query| query.left_ms = 1_500);
+    assert_eq!(cell.denial_code(request), Some(base::Code::DeadlineUnreachable));
+}
+
 #[test]
 fn a_repeated_load_is_not_counted() {
     let mut cell = Cell::new(1);
