base: build a log without making it that of the process

Cause: `start` built the subscriber and installed it for the whole process in one step, on standard output, so no test could play the way of a line from `event!` to an output of its own. The tests of the log wrote bytes to the writer, which tells nothing about events.

Ruled out: a subscriber built in the tests, which would not be the one in use.

Change: `build` returns the log for any output, `start` installs one on standard output. The subscriber is the same; `try_init` of a `Dispatch` installs the bridge from `log` as that of the builder does.

--- a/crates/base/src/log.rs
+++ b/crates/base/src/log.rs
@@ -16,8 +16,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use tracing::Dispatch;
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::fmt::MakeWriter;
+use tracing_subscriber::util::SubscriberInitExt;
 
 use crate::event::Event;
 
@@ -129,13 +131,17 @@
 /// Starts the log on standard output; `filter` has the syntax of `RUST_LOG`, and an invalid one is
 /// replaced by `info`.
 pub fn start(format: Format, filter: &str) {
+    // Fails if a log is already started, which then stays in use.
+    build(format, filter, io::stdout()).try_init().ok();
+}
+
+/// Builds a log that writes to `output`, without making it the log of the process.
+pub fn build(format: Format, filter: &str, output: impl Write + Send + 'static) -> Dispatch {
     let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
-    let lines = Writer::start(io::stdout());
+    let lines = Writer::start(output);
     let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(lines);
-    let started = match format {
-        Format::Json => builder.json().flatten_event(true).with_ansi(false).try_init(),
-        Format::Text => builder.with_ansi(false).try_init(),
-    };
-    // Fails if a log is already started, which then stays in use.
-    started.ok();
+    match format {
+        Format::Json => builder.json().flatten_event(true).with_ansi(false).into(),
+        Format::Text => builder.with_ansi(false).into(),
+    }
 }
