base: give the log lines about state their own queue and share

Cause: all lines shared one queue (2,048 lines) and one budget (256 KB a second), first come, first served.

Ruled out: a larger queue or budget, which only moves the limit; reading the event's number from the formatted line, which costs time for each line; the target, which is part of the line; a thread-local set by the macro, which lines of libraries bypass.

Change: each `Event` has a class, `request` or `state`, in its table. The fields of the other lines, their order and their levels are as before.

A burst of one class above its own bounds still loses lines of this class.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -1,7 +1,27 @@
 //! Numbered log events.
 
+/// The class of a log line; each class has its own queue and its own share of the output.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    /// A decision about a single request, adapter or order; there are many of them.
+    Request,
+    /// A change of what the process believes, such as the leader, the members, the configuration or the
+    /// endpoints; such lines are rare and explain those about requests.
+    State,
+}
+
+impl Class {
+    /// Returns the name of the class.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Class::Request => "request",
+            Class::State => "state",
+        }
+    }
+}
+
 macro_rules! events {
-    ($($number:literal $name:ident $text:literal)*) => {
+    ($($number:literal $name:ident $class:ident $text:literal)*) => {
         /// The kind of a log line; its number is the field `event` of the line.
         #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
         #[repr(u16)]
@@ -18,6 +38,11 @@
                 match self { $(Event::$name => stringify!($name),)* }
             }
 
+            /// Returns the class of the event.
+            pub const fn class(self) -> Class {
+                match self { $(Event::$name => Class::$class,)* }
+            }
+
             /// Returns a one-sentence description of the event.
             pub fn text(self) -> &'static str {
                 match self { $(Event::$name => $text,)* }
@@ -27,71 +52,71 @@
 }
 
 events! {
-    100 Started "The program has started and accepts connections."
-    101 Stopping "The program is shutting down and finishes the requests in progress."
-    102 Stopped "The program exits."
-    103 Settings "The settings were loaded."
-    104 Fault "An unexpected error occurred."
-    105 Reloaded "The settings were reloaded."
-    106 LinesDropped "Log lines were dropped to limit the log rate."
-    200 Routed "A request was routed to an endpoint."
-    201 Refused "A request was refused."
-    202 Answered "A request was answered completely."
-    203 Retried "An idempotent request is retried on another endpoint."
-    204 Cancelled "The caller disconnected and the request was cancelled."
-    205 Forwarded "A request was forwarded to the gate that owns its endpoint."
-    206 Replayed "A recorded answer was returned for a key that was used before."
-    207 AnswerRejected "An endpoint's answer belongs to another request, adapter or version."
-    208 Denied "The scheduler denied a request an engine."
-    209 Unscheduled "A gate chose an engine without the scheduler because no leader answered."
-    210 AnswerBroken "An answer was cut off after its head was sent to the caller."
-    211 AttemptFailed "An attempt to send a request to an endpoint failed."
-    212 Waiting "A request waits for an engine, an adapter slot or a leader."
-    300 Placed "An adapter was scheduled for loading on an endpoint."
-    301 Loaded "An adapter was loaded."
-    302 LoadFailed "The load of an adapter failed."
-    303 Evicted "An adapter was evicted."
-    304 LoadDeferred "The load of an adapter waits for a permit or for a slot."
-    400 Announced "An endpoint announced itself for the first time or with a new generation."
-    401 EndpointSilent "An endpoint stopped announcing itself and receives no new requests."
-    402 EndpointCrashed "An endpoint crashed with requests in progress."
-    403 Owned "The gate became the owner of an endpoint."
-    404 Disowned "The gate is no longer the owner of an endpoint."
-    405 EndpointLeaves "An endpoint announced its departure and receives no new requests."
-    406 EndpointSuspected "An endpoint failed requests and temporarily receives no new ones."
-    407 EndpointTrusted "A suspected endpoint answered and receives requests again."
-    408 LinkUp "A connection to another node was opened."
-    409 LinkDown "A connection to another node was lost."
-    410 Ordered "An order was sent to an engine."
-    411 Inspected "The state of an engine was read."
-    500 LeaseGranted "The gate obtained its lease."
-    501 LeaseLost "The gate lost its lease and accepts no new requests."
-    502 LeaseExpired "The leader ended the lease of a gate."
-    503 ConfigurationApplied "A revision of the configuration was applied."
-    504 ConfigurationInForce "A revision of the configuration is in force on every gate."
-    505 PlanApplied "A plan was applied."
-    506 PlanRefused "A plan was rejected."
-    507 VersionNamed "A version of an adapter was activated."
-    600 LeaderElected "A keeper became leader."
-    601 LeaderLost "A keeper is no longer leader."
-    602 LearnerAdded "A new replica joined as a learner."
-    603 VoterAdded "A replica became a voter."
-    604 VoterRemoved "A voter was removed."
-    605 SnapshotTaken "A snapshot was written and the log was truncated."
-    606 SnapshotInstalled "A snapshot from the leader was installed."
-    607 LogTornTail "An incomplete record at the end of the log was removed."
-    608 LogDamaged "The log is corrupt before its end; the replica rejoins as a learner."
-    609 JoinRequested "A replica requested to join the group."
-    610 LeaderFollowed "A gate or keeper switched to another leader."
-    611 DiskFailed "The files of a replica could not be written or opened."
-    700 KeyClaimed "A non-idempotent request was claimed in the journal."
-    701 KeyFinished "The answer of a non-idempotent request was recorded."
-    702 KeyReleased "A claim was released because the request did not run."
-    703 Implicated "A request was in progress when its endpoint crashed."
-    704 RequestQuarantined "A request was quarantined."
-    800 Commanded "An operator's command was accepted or refused."
-    900 FaultInjected "A stub injected a fault."
-    901 Violation "A stub observed a protocol violation."
+    100 Started State "The program has started and accepts connections."
+    101 Stopping State "The program is shutting down and finishes the requests in progress."
+    102 Stopped State "The program exits."
+    103 Settings State "The settings were loaded."
+    104 Fault State "An unexpected error occurred."
+    105 Reloaded State "The settings were reloaded."
+    106 LinesDropped State "Log lines were dropped to limit the log rate."
+    200 Routed Request "A request was routed to an endpoint."
+    201 Refused Request "A request was refused."
+    202 Answered Request "A request was answered completely."
+    203 Retried Request "An idempotent request is retried on another endpoint."
+    204 Cancelled Request "The caller disconnected and the request was cancelled."
+    205 Forwarded Request "A request was forwarded to the gate that owns its endpoint."
+    206 Replayed Request "A recorded answer was returned for a key that was used before."
+    207 AnswerRejected Request "An endpoint's answer belongs to another request, adapter or version."
+    208 Denied Request "The scheduler denied a request an engine."
+    209 Unscheduled Request "A gate chose an engine without the scheduler because no leader answered."
+    210 AnswerBroken Request "An answer was cut off after its head was sent to the caller."
+    211 AttemptFailed Request "An attempt to send a request to an endpoint failed."
+    212 Waiting Request "A request waits for an engine, an adapter slot or a leader."
+    300 Placed Request "An adapter was scheduled for loading on an endpoint."
+    301 Loaded Request "An adapter was loaded."
+    302 LoadFailed Request "The load of an adapter failed."
+    303 Evicted Request "An adapter was evicted."
+    304 LoadDeferred Request "The load of an adapter waits for a permit or for a slot."
+    400 Announced State "An endpoint announced itself for the first time or with a new generation."
+    401 EndpointSilent State "An endpoint stopped announcing itself and receives no new requests."
+    402 EndpointCrashed State "An endpoint crashed with requests in progress."
+    403 Owned State "The gate became the owner of an endpoint."
+    404 Disowned State "The gate is no longer the owner of an endpoint."
+    405 EndpointLeaves State "An endpoint announced its departure and receives no new requests."
+    406 EndpointSuspected State "An endpoint failed requests and temporarily receives no new ones."
+    407 EndpointTrusted State "A suspected endpoint answered and receives requests again."
+    408 LinkUp State "A connection to another node was opened."
+    409 LinkDown State "A connection to another node was lost."
+    410 Ordered Request "An order was sent to an engine."
+    411 Inspected Request "The state of an engine was read."
+    500 LeaseGranted State "The gate obtained its lease."
+    501 LeaseLost State "The gate lost its lease and accepts no new requests."
+    502 LeaseExpired State "The leader ended the lease of a gate."
+    503 ConfigurationApplied State "A revision of the configuration was applied."
+    504 ConfigurationInForce State "A revision of the configuration is in force on every gate."
+    505 PlanApplied State "A plan was applied."
+    506 PlanRefused State "A plan was rejected."
+    507 VersionNamed State "A version of an adapter was activated."
+    600 LeaderElected State "A keeper became leader."
+    601 LeaderLost State "A keeper is no longer leader."
+    602 LearnerAdded State "A new replica joined as a learner."
+    603 VoterAdded State "A replica became a voter."
+    604 VoterRemoved State "A voter was removed."
+    605 SnapshotTaken State "A snapshot was written and the log was truncated."
+    606 SnapshotInstalled State "A snapshot from the leader was installed."
+    607 LogTornTail State "An incomplete record at the end of the log was removed."
+    608 LogDamaged State "The log is corrupt before its end; the replica rejoins as a learner."
+    609 JoinRequested State "A replica requested to join the group."
+    610 LeaderFollowed State "A gate or keeper switched to another leader."
+    611 DiskFailed State "The files of a replica could not be written or opened."
+    700 KeyClaimed Request "A non-idempotent request was claimed in the journal."
+    701 KeyFinished Request "The answer of a non-idempotent request was recorded."
+    702 KeyReleased Request "A claim was released because the request did not run."
+    703 Implicated Request "A request was in progress when its endpoint crashed."
+    704 RequestQuarantined State "A request was quarantined."
+    800 Commanded State "An operator's command was accepted or refused."
+    900 FaultInjected Request "A stub injected a fault."
+    901 Violation State "A stub observed a protocol violation."
 }
 
 impl Event {
@@ -105,7 +130,17 @@
 #[macro_export]
 macro_rules! event {
     ($level:ident, $event:expr $(, $($rest:tt)*)?) => {
+        match $event.class() {
+            $crate::Class::Request => {
+                $crate::event!(@Request, $level, $event $(, $($rest)*)?)
+            }
+            $crate::Class::State => $crate::event!(@State, $level, $event $(, $($rest)*)?),
+        }
+    };
+    // The name in the static metadata, which is not part of the line, tells the log the class.
+    (@$class:ident, $level:ident, $event:expr $(, $($rest:tt)*)?) => {
         $crate::tracing::event!(
+            name: $crate::Class::$class.name(),
             $crate::tracing::Level::$level,
             event = $event.number(),
             name = $event.name()
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub use crate::code::Code;
 pub use crate::code::Ran;
+pub use crate::event::Class;
 pub use crate::event::Event;
 pub use crate::hash::Map;
 pub use crate::hash::Set;
--- a/crates/base/tests/tables.rs
+++ b/crates/base/tests/tables.rs
@@ -47,10 +47,13 @@
     let mut text = String::from(
         "# Log events\n\n\
          Each log line about a decision or a state change carries its number in the field `event`.\n\n\
-         | event | name | meaning |\n|---|---|---|\n",
+         A line of the class `state` is about a change of what the process believes, one of the class \
+         `request` about a single request, adapter or order. Each class has its own bounds in the log.\n\n\
+         | event | name | class | meaning |\n|---|---|---|---|\n",
     );
     for event in Event::ALL {
-        let line = format!("| {} | {} | {} |\n", event.number(), event.name(), event.text());
+        let (number, name, class) = (event.number(), event.name(), event.class().name());
+        let line = format!("| {number} | {name} | {class} | {} |\n", event.text());
         text.push_str(&line);
     }
     compare("EVENTS.md", &text);
