--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -8,11 +8,13 @@
 
 pub use crate::code::Code;
 pub use crate::code::Ran;
+pub use crate::event::Class;
 pub use crate::event::Event;
 pub use crate::hash::Map;
 pub use crate::hash::Set;
 pub use crate::log::Format;
 pub use crate::log::Writer as LogWriter;
+pub use crate::log::build as build_log;
 pub use crate::log::start as start_log;
 pub use crate::name::Name;
 #[doc(hidden)]
