cell: events share rounds of the scheduler

Cause: each Ask, Began, Ended, answer of an engine and each heartbeat woke the scheduler, and each wake-up was a round over the whole queue and all engines, at once. Under load a round follows a round and the other tasks of the thread wait between them.

Change: a round is followed by a pause as long as the round took, 2 ms at least and 20 ms at most. The first event after a quiet time is still handled at once. A heartbeat that changes nothing wakes nobody.

Ruled out: fewer rounds by the interval while work is pending (5 ms); it is longer than the time between two events and sets nothing under load.

Tests: cargo test -p cell -p link -p platform -p fleet, all green.

--- a/crates/cell/src/calls.rs
+++ b/crates/cell/src/calls.rs
@@ -7,6 +7,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::coordinator::Coordinator;
 use crate::engines::Engines;
 use crate::keeper::Keeper;
 use crate::replica::Request;
@@ -74,14 +75,17 @@
         state.plan.as_ref().is_none_or(|plan| plan.service(service).is_some())
     }
 
-    fn update_registry(&self, change: impl FnOnce(&mut crate::coordinator::Coordinator)) -> Reply {
+    /// Applies a change to the registry; `change` returns whether it had an effect.
+    fn update_registry(&self, change: impl FnOnce(&mut Coordinator) -> bool) -> Reply {
         let mut coordinator = self.coordinator.lock();
         if coordinator.leadership.is_none() {
             return Reply::Unsure;
         }
-        change(&mut coordinator);
+        let changed = change(&mut coordinator);
         drop(coordinator);
-        self.wake_scheduler();
+        if changed {
+            self.wake_scheduler();
+        }
         Reply::Done
     }
 
--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -182,14 +182,15 @@
         }
     }
 
-    /// Records an endpoint's announcement. Only called on the leader.
-    pub(crate) fn announce(&mut self, announcement: Announcement) {
+    /// Records an endpoint's announcement; returns whether the endpoints changed. Only called on the
+    /// leader.
+    pub(crate) fn announce(&mut self, announcement: Announcement) -> bool {
         let now = self.now();
         let id = announcement.id.clone();
         let is_engine = announcement.held.is_some();
         let change = self.registry.announce(announcement, now);
         match change {
-            Change::None => return,
+            Change::None => return false,
             Change::Joined => {
                 let known = self.registry.get(&id);
                 if let (true, Some(leadership), Some(known)) =
@@ -201,14 +202,18 @@
             Change::Left => {}
         }
         self.registry_changed(now);
+        true
     }
 
-    /// Removes an endpoint that leaves. Ignored if `born` is an earlier start than the known one.
-    pub(crate) fn leave(&mut self, id: &Name, born: Option<u64>) {
+    /// Removes an endpoint that leaves; returns whether the endpoints changed. Ignored if `born` is an
+    /// earlier start than the known one.
+    pub(crate) fn leave(&mut self, id: &Name, born: Option<u64>) -> bool {
         let now = self.now();
-        if self.registry.leave(id, born) != Change::None {
+        let changed = self.registry.leave(id, born) != Change::None;
+        if changed {
             self.registry_changed(now);
         }
+        changed
     }
 
     /// Replaces the registry by the leader's. Ignored while this keeper leads.
--- a/crates/cell/src/dispatch.rs
+++ b/crates/cell/src/dispatch.rs
@@ -8,15 +8,21 @@
 use sched::action::Operation;
 use sched::action::Order;
 use sched::action::Reason;
+use tokio::time::Instant;
 
 use crate::engines::Engines;
 use crate::engines::Holder;
 use crate::keeper::Keeper;
+use crate::settings::MAX_SCHEDULER_PAUSE;
+use crate::settings::MIN_SCHEDULER_PAUSE;
 use crate::settings::SCHEDULER_INTERVAL;
 
 impl<E: Engines> Keeper<E> {
-    /// Runs the scheduler when it is woken, and periodically while it has pending work.
+    /// Runs the scheduler when it is woken, and periodically while it has pending work. Pauses
+    /// after each round for as long as the round took, so that events share rounds and the other
+    /// tasks get at least half of the time.
     pub(crate) async fn run_scheduler(self: Arc<Keeper<E>>) {
+        let mut pause_end = Instant::now();
         loop {
             let pending = {
                 let coordinator = self.coordinator.lock();
@@ -33,15 +39,20 @@
             } else {
                 self.scheduler_wakeup.notified().await;
             }
+            tokio::time::sleep_until(pause_end).await;
+            let start = Instant::now();
             let (actions, term) = {
                 let mut coordinator = self.coordinator.lock();
                 let actions = coordinator.poll_scheduler();
                 (actions, coordinator.leadership.as_ref().map(|leadership| leadership.term))
             };
-            let Some(fence) = term else { continue };
-            for action in actions {
-                self.dispatch(action, fence);
+            if let Some(fence) = term {
+                for action in actions {
+                    self.dispatch(action, fence);
+                }
             }
+            let pause = start.elapsed().clamp(MIN_SCHEDULER_PAUSE, MAX_SCHEDULER_PAUSE);
+            pause_end = Instant::now() + pause;
         }
     }
 
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -47,6 +47,10 @@
 pub(crate) const COMPACT_BYTES: usize = 4 << 20;
 /// Interval between scheduler rounds while work is pending.
 pub(crate) const SCHEDULER_INTERVAL: Duration = Duration::from_millis(5);
+/// Shortest pause after a scheduler round; short against the time of a message between hosts.
+pub(crate) const MIN_SCHEDULER_PAUSE: Duration = Duration::from_millis(2);
+/// Longest pause after a scheduler round.
+pub(crate) const MAX_SCHEDULER_PAUSE: Duration = Duration::from_millis(20);
 /// Interval between maintenance rounds.
 pub(crate) const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(200);
 /// Time after the start during which the list of gates is withheld, because gates are still
