cell: the replica and the links between keepers run on a thread of their own

Cause: the replica's ticks, heartbeats and votes, and the links that carry them, shared a runtime with one thread with the scheduler, the HTTP server, the gates' links and the calls to engines.

The replica itself costs 0.03% of the leader's samples, so it is not its own work that is late. A longer election timeout: it would lengthen each real loss of a leader.

Change: a thread "replica" with a current-thread runtime of its own runs the replica, the listener, and the links between keepers in both directions. The messages between it and the rest are those of before (a queue of requests, a watched status, the registry in a queue). It never takes the lock of the coordinator, which a round of the scheduler holds for its whole length. The listener reads the first frame of a connection: a keeper's link is opened on the replica's thread and passes on what is not for the replica, any other connection is handed over, with the bytes already read, and opened on the main thread. A broken link to a keeper is told to the replica directly. The thread ends with its keeper.

A leader whose main thread hangs for good now keeps its leadership; before, the silence elected another one. Nothing watches for this yet.

--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -8,22 +8,25 @@
 use base::Name;
 use fleet::message::Frame;
 use fleet::message::Hello;
+use fleet::registry::Registry;
 use link::Inbox;
 use link::Link;
 use meter::Meter;
 use parking_lot::Mutex;
 use parking_lot::RwLock;
 use tokio::net::TcpListener;
+use tokio::runtime::Handle;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
+use crate::acceptor::Acceptor;
+use crate::acceptor::Incoming;
 use crate::coordinator::Coordinator;
 use crate::engines::Engines;
 use crate::error::Error;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::peers::Update;
 use crate::replica;
 use crate::replica::Replica;
 use crate::replica::Request;
@@ -32,6 +35,7 @@
 use crate::settings::Settings;
 use crate::settings::WARM_UP;
 use crate::state::State;
+use crate::thread::Thread;
 
 /// Capacity of the replica's request queue.
 const MAX_QUEUED_REQUESTS: usize = 4_096;
@@ -47,6 +51,8 @@
     pub(crate) peers: Arc<Peers>,
     pub(crate) metrics: Metrics,
     pub(crate) scheduler_wakeup: Notify,
+    /// Runs the replica and the links between keepers.
+    _thread: Thread,
 }
 
 impl<E: Engines> Keeper<E> {
@@ -57,8 +63,9 @@
         engines: E,
         meter: &Meter,
     ) -> Result<(Arc<Keeper<E>>, mpsc::Receiver<Error>), Error> {
-        let address = settings.address;
-        let listener = link::bind(address).map_err(|source| Error::Listen { address, source })?;
+        let thread = Thread::start("replica")?;
+        let runtime = thread.runtime().clone();
+        let listener = listen(settings.address, &runtime)?;
         let hello = Hello {
             node: settings.node.clone(),
             incarnation: rand::random(),
@@ -66,20 +73,21 @@
             front: None,
             accepting: false,
         };
-        let (updates, peer_updates) = mpsc::unbounded_channel();
-        let peers = Peers::new(hello, address, settings.seeds.clone(), updates);
+        let (sender, inbox) = mpsc::channel(MAX_QUEUED_REQUESTS);
+        let (registries, received) = mpsc::unbounded_channel();
+        let (address, seeds) = (settings.address, settings.seeds.clone());
+        let peers = Peers::new(hello, address, seeds, runtime.clone(), sender.clone(), registries);
         let known = crate::storage::exists(&settings.data_dir);
         let state = Arc::new(RwLock::new(State::default()));
-        let (sender, status) = watch::channel(Status::default());
-        let status_sender = Arc::new(sender);
+        let (publisher, status) = watch::channel(Status::default());
+        let publisher = Arc::new(publisher);
         let replica =
-            Replica::open(&settings, peers.clone(), state.clone(), status_sender.clone()).await?;
+            Replica::open(&settings, peers.clone(), state.clone(), publisher.clone()).await?;
         let identity = replica.identity();
         base::event!(
             INFO, Event::Started, node = %settings.node, address = %address, known,
             replica = identity.replica, group = identity.group
         );
-        let (sender, inbox) = mpsc::channel(MAX_QUEUED_REQUESTS);
         let keeper = Arc::new(Keeper {
             coordinator: Mutex::new(Coordinator::new(
                 settings.scheduler.clone(),
@@ -88,31 +96,34 @@
             engines,
             state,
             status,
-            replica: sender,
+            replica: sender.clone(),
             peers: peers.clone(),
             metrics: Metrics::new(meter),
             scheduler_wakeup: Notify::new(),
             settings,
+            _thread: thread,
         });
         let (failed, failures) = mpsc::channel(1);
         let supervised = replica::supervise(
             keeper.settings.clone(),
             peers.clone(),
             keeper.state.clone(),
-            status_sender,
+            publisher,
             replica,
             inbox,
         );
-        tokio::spawn(async move {
+        runtime.spawn(async move {
             if let Err(error) = supervised.await {
                 // Fails only if the program is already shutting down.
                 failed.send(error).await.ok();
             }
         });
         peers.start();
-        tokio::spawn(keeper.clone().accept(listener));
+        let (incoming, accepted) = mpsc::unbounded_channel();
+        runtime.spawn(Acceptor { peers, replica: sender, incoming }.run(listener));
+        tokio::spawn(keeper.clone().serve_links(accepted));
         tokio::spawn(keeper.clone().watch_replica());
-        tokio::spawn(keeper.clone().handle_peer_updates(peer_updates));
+        tokio::spawn(keeper.clone().replace_registry(received));
         tokio::spawn(keeper.clone().run_maintenance());
         tokio::spawn(keeper.clone().run_scheduler());
         Ok((keeper, failures))
@@ -136,25 +147,23 @@
         self.scheduler_wakeup.notify_one();
     }
 
-    async fn accept(self: Arc<Keeper<E>>, listener: TcpListener) {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) if link::set_options(&stream).is_ok() => {
-                    let (link, inbox) = link::open(stream, Frame::Ping);
-                    tokio::spawn(self.clone().serve(link, inbox));
+    async fn serve_links(self: Arc<Keeper<E>>, mut accepted: mpsc::UnboundedReceiver<Incoming>) {
+        while let Some(incoming) = accepted.recv().await {
+            let (first, link, inbox) = match incoming {
+                Incoming::Keeper(first, link, inbox) => (first, link, inbox),
+                Incoming::Other(first, accepted) => {
+                    let Ok((link, inbox)) = accepted.open(Frame::Ping) else { continue };
+                    (first, link, inbox)
                 }
-                Ok(_) => {}
-                Err(error) => {
-                    base::event!(ERROR, Event::Fault, error = %error, "failed to accept a link");
-                    tokio::time::sleep(MAINTENANCE_INTERVAL).await;
-                }
-            }
+            };
+            tokio::spawn(self.clone().serve(first, link, inbox));
         }
     }
 
     /// Handles the frames of a link until it closes.
-    async fn serve(self: Arc<Keeper<E>>, link: Link<Frame>, mut inbox: Inbox<Frame>) {
+    async fn serve(self: Arc<Keeper<E>>, first: Frame, link: Link<Frame>, mut inbox: Inbox<Frame>) {
         let link_id = self.coordinator.lock().links.next_id();
+        self.handle(link_id, &link, first);
         while let Some(frame) = inbox.recv().await {
             self.handle(link_id, &link, frame);
         }
@@ -172,12 +181,6 @@
                 let mut coordinator = self.coordinator.lock();
                 coordinator.handle_hello(link_id, hello, link, &self.state.read());
             }
-            // A message dropped because the queue is full is sent again by the other replica.
-            Frame::Raft(envelope) => drop(self.replica.try_send(Request::Deliver(envelope))),
-            Frame::Join { id, host } => {
-                self.peers.dial(&host);
-                drop(self.replica.try_send(Request::Join { id, host }));
-            }
             Frame::Call(number, call) => {
                 let (keeper, link) = (self.clone(), link.clone());
                 tokio::spawn(async move {
@@ -235,19 +238,13 @@
         }
     }
 
-    /// Handles updates from the links to other keepers.
-    async fn handle_peer_updates(
+    /// Takes over the registries that the leader sends.
+    async fn replace_registry(
         self: Arc<Keeper<E>>,
-        mut peer_updates: mpsc::UnboundedReceiver<Update>,
+        mut registries: mpsc::UnboundedReceiver<Registry>,
     ) {
-        while let Some(update) = peer_updates.recv().await {
-            match update {
-                Update::Registry(registry) => self.coordinator.lock().replace_registry(*registry),
-                // Starts an election early, without waiting for missed heartbeats of the leader.
-                Update::LinkDown(host) => {
-                    drop(self.replica.try_send(Request::Disconnected { host }));
-                }
-            }
+        while let Some(registry) = registries.recv().await {
+            self.coordinator.lock().replace_registry(registry);
         }
     }
 
@@ -265,3 +262,9 @@
         }
     }
 }
+
+/// Binds a listener on a runtime.
+fn listen(address: SocketAddr, runtime: &Handle) -> Result<TcpListener, Error> {
+    let _guard = runtime.enter();
+    link::bind(address).map_err(|source| Error::Listen { address, source })
+}
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -1,11 +1,16 @@
 //! A keeper of a cell: a replica of the plan and the adapter versions, the registry of endpoints
 //! and, while it leads, the scheduler that assigns requests to engines and sends orders to them.
 //!
+//! The replica and the links between keepers run on a thread of their own, so that neither a long
+//! scheduler round nor a burst of requests delays the leader's heartbeats. That thread never takes
+//! the lock of `coordinator`.
+//!
 //! Lock order: `coordinator` before `state`. Neither lock is held across an await.
 
 pub mod engines;
 pub mod settings;
 
+mod acceptor;
 mod calls;
 mod coordinator;
 mod dispatch;
@@ -17,6 +22,7 @@
 mod replica;
 mod state;
 mod storage;
+mod thread;
 
 pub use crate::error::Error;
 pub use crate::keeper::Keeper;
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -16,10 +16,12 @@
 use fleet::registry::Registry;
 use link::Link;
 use parking_lot::Mutex;
+use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::replica::Request;
 use crate::settings::CALL_TIMEOUT;
 
 /// Timeout of a connection attempt.
@@ -31,15 +33,6 @@
 /// Number of consecutive failures after which an address that is not a seed is dropped.
 const MAX_FAILURES: u32 = 20;
 
-/// An update from the link to another keeper.
-#[derive(Debug)]
-pub(crate) enum Update {
-    /// The leader's registry.
-    Registry(Box<Registry>),
-    /// The link to a keeper closed.
-    LinkDown(Name),
-}
-
 /// Outgoing links to the other keepers.
 #[derive(Debug)]
 pub(crate) struct Peers {
@@ -49,7 +42,11 @@
     links: Mutex<Map<Name, Option<Link<Frame>>>>,
     calls: Mutex<Map<u64, oneshot::Sender<Reply>>>,
     next_call: AtomicU64,
-    updates: mpsc::UnboundedSender<Update>,
+    /// The runtime of the links.
+    runtime: Handle,
+    replica: mpsc::Sender<Request>,
+    /// The leader's registry, each time that it is received.
+    registries: mpsc::UnboundedSender<Registry>,
 }
 
 impl Peers {
@@ -57,7 +54,9 @@
         hello: Hello,
         address: SocketAddr,
         seeds: Vec<SocketAddr>,
-        updates: mpsc::UnboundedSender<Update>,
+        runtime: Handle,
+        replica: mpsc::Sender<Request>,
+        registries: mpsc::UnboundedSender<Registry>,
     ) -> Arc<Peers> {
         Arc::new(Peers {
             hello,
@@ -66,7 +65,9 @@
             links: Mutex::default(),
             calls: Mutex::default(),
             next_call: AtomicU64::new(1),
-            updates,
+            runtime,
+            replica,
+            registries,
         })
     }
 
@@ -83,7 +84,7 @@
         let mut links = self.links.lock();
         if address != self.address && !links.contains_key(host) {
             links.insert(host.clone(), None);
-            tokio::spawn(self.clone().maintain_link(host.clone(), address));
+            self.runtime.spawn(self.clone().maintain_link(host.clone(), address));
         }
     }
 
@@ -102,8 +103,8 @@
                 }
                 base::event!(WARN, Event::LinkDown, peer = %host);
                 self.links.lock().insert(host.clone(), None);
-                // Fails only if the keeper is shutting down.
-                self.updates.send(Update::LinkDown(host.clone())).ok();
+                // Starts an election early, without waiting for missed heartbeats of the leader.
+                drop(self.replica.try_send(Request::Disconnected { host: host.clone() }));
                 if since.elapsed() > MAX_BACKOFF {
                     // A connection of a live process that was reset usually reopens at once, so
                     // skip the backoff.
@@ -133,7 +134,7 @@
                     self.dial(member);
                 }
             }
-            Frame::Registry(registry) => drop(self.updates.send(Update::Registry(registry))),
+            Frame::Registry(registry) => drop(self.registries.send(*registry)),
             _ => {}
         }
     }
--- /dev/null
+++ b/crates/cell/tests/leadership.rs
@@ -0,0 +1,165 @@
+//! Tests of the leadership of a cell whose keepers run in the test process.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::Name;
+use cell::Keeper;
+use cell::engines::Engines;
+use cell::engines::Holder;
+use cell::settings::Settings;
+use fleet::endpoint::Announcement;
+use fleet::endpoint::Endpoint;
+use fleet::endpoint::State;
+use fleet::message::Call;
+use fleet::message::Frame;
+use fleet::message::Hello;
+use fleet::message::Reply;
+use meter::Meter;
+use sched::action::Answer;
+use sched::action::Order;
+use sched::action::Report;
+use tempfile::TempDir;
+use tokio::sync::watch;
+
+const LINK_PORT: u16 = 7_005;
+const TIMEOUT: Duration = Duration::from_secs(20);
+/// Longer than any election timeout, shorter than the read timeout of a link.
+const BUSY: Duration = Duration::from_secs(1);
+
+/// Engines that keep the thread of their caller busy once.
+#[derive(Clone, Debug, Default)]
+struct BusyEngines {
+    was_busy: Arc<AtomicBool>,
+}
+
+impl Engines for BusyEngines {
+    async fn order(&self, _order: &Order, _holder: &Holder) -> Answer {
+        Answer::Lost
+    }
+
+    async fn inspect(&self, _endpoint: &Endpoint) -> Option<Report> {
+        if !self.was_busy.load(Ordering::SeqCst) {
+            thread::sleep(BUSY);
+            self.was_busy.store(true, Ordering::SeqCst);
+        }
+        None
+    }
+}
+
+/// A keeper with a runtime of its own, which ends when this value is dropped.
+struct Running {
+    keeper: Arc<Keeper<BusyEngines>>,
+    _stop: mpsc::Sender<()>,
+}
+
+fn start(settings: Settings, engines: BusyEngines) -> Running {
+    let (started, keeper) = mpsc::channel();
+    let (stop, stopped) = mpsc::channel::<()>();
+    thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.expect("a runtime");
+        runtime.block_on(async move {
+            let (keeper, _failures) =
+                Keeper::start(settings, engines, &Meter::default()).await.expect("a keeper");
+            started.send(keeper).expect("the test waits for the keeper");
+            tokio::task::spawn_blocking(move || stopped.recv()).await.ok();
+        });
+    });
+    Running { keeper: keeper.recv().expect("a keeper"), _stop: stop }
+}
+
+/// Returns the addresses of three keepers, on a network of this process.
+fn addresses() -> Vec<SocketAddr> {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let ip = |number| IpAddr::V4(Ipv4Addr::new(127, 1 + high % 250, low, number));
+    (1..=3).map(|number| SocketAddr::new(ip(number), LINK_PORT)).collect()
+}
+
+fn settings(address: SocketAddr, seeds: &[SocketAddr], directory: &TempDir) -> Settings {
+    Settings {
+        node: Name::from(address.to_string()),
+        domain: Name::from("a"),
+        address,
+        seeds: seeds.to_vec(),
+        bootstrap: true,
+        data_dir: directory.path().join(address.ip().to_string()),
+        scheduler: sched::settings::Settings::default(),
+        endpoint_timeout: TIMEOUT,
+    }
+}
+
+/// Opens the link of a gate to a keeper and records the highest term that a keeper leads in, with the
+/// keeper's index.
+async fn watch_terms(index: usize, keeper: SocketAddr, terms: Arc<watch::Sender<(u64, usize)>>) {
+    let stream = link::connect(keeper.ip(), keeper, TIMEOUT).await.expect("a connection");
+    let (link, mut inbox) = link::open(stream, Frame::Ping);
+    link.send(Frame::Hello(Hello {
+        node: Name::from("gate"),
+        incarnation: 1,
+        domain: Name::from("a"),
+        front: Some(Name::from("127.0.0.1:1")),
+        accepting: true,
+    }));
+    while let Some(frame) = inbox.recv().await {
+        if let Frame::Welcome(welcome) = frame
+            && let Some(term) = welcome.leads
+        {
+            terms.send_if_modified(|known| {
+                let later = term > known.0;
+                *known = (*known).max((term, index));
+                later
+            });
+        }
+    }
+}
+
+fn engine(sequence: u64) -> Announcement {
+    Announcement {
+        id: Name::from("i-1"),
+        born: 1,
+        sequence,
+        service: Name::from("llm"),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        domain: Name::from("a"),
+        slots: 1,
+        state: State::Ready,
+        held: Some(Vec::new()),
+    }
+}
+
+/// The replica shared a thread with the scheduler and with the calls to engines, so its heartbeats came
+/// late whenever that thread was busy.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leader_whose_main_thread_is_busy_keeps_its_leadership() {
+    let directory = TempDir::new().expect("a directory");
+    let (seeds, engines) = (addresses(), BusyEngines::default());
+    let keepers: Vec<Running> = seeds
+        .iter()
+        .map(|seed| start(settings(*seed, &seeds, &directory), engines.clone()))
+        .collect();
+    let (sender, mut leader) = watch::channel((0, 0));
+    let terms = Arc::new(sender);
+    for (index, seed) in seeds.iter().enumerate() {
+        tokio::spawn(watch_terms(index, *seed, terms.clone()));
+    }
+    let elected = leader.wait_for(|(term, _)| *term > 0);
+    let first = *tokio::time::timeout(TIMEOUT, elected).await.expect("in time").expect("a term");
+    let announced = keepers[first.1].keeper.call(Call::Announce(engine(1))).await;
+    assert_eq!(announced, Reply::Done);
+    let start = Instant::now();
+    while !engines.was_busy.load(Ordering::SeqCst) {
+        assert!(start.elapsed() < TIMEOUT, "the engine was not inspected");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    tokio::time::sleep(BUSY).await;
+    assert_eq!(*terms.borrow(), first, "another keeper was elected");
+}
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -7,6 +7,8 @@
 pub use crate::connect::bind;
 pub use crate::connect::connect;
 pub use crate::connect::set_options;
+pub use crate::link::Accepted;
 pub use crate::link::Inbox;
 pub use crate::link::Link;
+pub use crate::link::accept;
 pub use crate::link::open;
--- a/crates/link/src/link.rs
+++ b/crates/link/src/link.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use futures::SinkExt;
 use futures::StreamExt;
 use serde::Serialize;
@@ -12,6 +13,9 @@
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
+use tokio_util::codec::Framed;
+use tokio_util::codec::FramedParts;
 use tokio_util::codec::FramedRead;
 use tokio_util::codec::FramedWrite;
 use tokio_util::codec::LengthDelimitedCodec;
@@ -76,9 +80,61 @@
     }
 }
 
+impl<T: Send + 'static> Inbox<T> {
+    /// Passes each frame to `handle` in a task of the current runtime. The returned inbox yields the
+    /// frames that `handle` gives back; those that it has no room for are dropped.
+    pub fn filter(mut self, handle: impl Fn(T) -> Option<T> + Send + 'static) -> Inbox<T> {
+        let (sender, inbox) = mpsc::channel(RECEIVE_QUEUE_FRAMES);
+        tokio::spawn(async move {
+            while let Some(frame) = self.recv().await {
+                let Some(frame) = handle(frame) else { continue };
+                if let Err(TrySendError::Closed(_)) = sender.try_send(frame) {
+                    return;
+                }
+            }
+        });
+        Inbox(inbox)
+    }
+}
+
+/// An accepted connection whose first frame has been read.
+#[derive(Debug)]
+pub struct Accepted {
+    stream: std::net::TcpStream,
+    received: BytesMut,
+}
+
+impl Accepted {
+    /// Starts the link on the current runtime; `ping` as in [`open`].
+    pub fn open<T>(self, ping: T) -> io::Result<(Link<T>, Inbox<T>)>
+    where
+        T: Serialize + DeserializeOwned + Clone + Send + Sync + 'static,
+    {
+        Ok(start(TcpStream::from_std(self.stream)?, self.received, ping))
+    }
+}
+
+/// Reads the first frame of a connection, which tells the caller on which runtime to open the link.
+pub async fn accept<T: DeserializeOwned>(stream: TcpStream) -> io::Result<(T, Accepted)> {
+    let mut frames = FramedRead::new(stream, codec());
+    let next = tokio::time::timeout(READ_TIMEOUT, frames.next()).await;
+    let bytes = next.map_err(|_| io::ErrorKind::TimedOut)?;
+    let first = decode(&bytes.ok_or(io::ErrorKind::UnexpectedEof)??)?;
+    let received = std::mem::take(frames.read_buffer_mut());
+    let stream = frames.into_inner().into_std()?;
+    Ok((first, Accepted { stream, received }))
+}
+
 /// Starts a link over a connection; `ping` is sent when the send queue has been empty for a ping
 /// interval.
 pub fn open<T>(stream: TcpStream, ping: T) -> (Link<T>, Inbox<T>)
+where
+    T: Serialize + DeserializeOwned + Clone + Send + Sync + 'static,
+{
+    start(stream, BytesMut::new(), ping)
+}
+
+fn start<T>(stream: TcpStream, received: BytesMut, ping: T) -> (Link<T>, Inbox<T>)
 where
     T: Serialize + DeserializeOwned + Clone + Send + Sync + 'static,
 {
@@ -87,7 +143,7 @@
     let (sender, inbox) = mpsc::channel(RECEIVE_QUEUE_FRAMES);
     let closed = CancellationToken::new();
     let link = Link { queue, closed: closed.clone() };
-    tokio::spawn(run_half(closed.clone(), read_frames(read, sender)));
+    tokio::spawn(run_half(closed.clone(), read_frames(read, received, sender)));
     tokio::spawn(run_half(closed, write_frames(write, frames, ping)));
     (link, Inbox(inbox))
 }
@@ -104,13 +160,16 @@
 
 async fn read_frames<T: DeserializeOwned>(
     read: OwnedReadHalf,
+    received: BytesMut,
     sender: mpsc::Sender<T>,
 ) -> io::Result<()> {
-    let mut frames = FramedRead::new(read, codec());
+    let mut parts = FramedParts::new::<Bytes>(read, codec());
+    parts.read_buf = received;
+    let mut frames = Framed::from_parts(parts);
     loop {
         let next = tokio::time::timeout(READ_TIMEOUT, frames.next()).await;
         let Some(bytes) = next.map_err(|_| io::ErrorKind::TimedOut)? else { return Ok(()) };
-        let frame = postcard::from_bytes(&bytes?).map_err(io::Error::other)?;
+        let frame = decode(&bytes?)?;
         if sender.send(frame).await.is_err() {
             return Ok(());
         }
@@ -144,6 +203,10 @@
     postcard::to_stdvec(frame).map(Bytes::from).map_err(io::Error::other)
 }
 
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> io::Result<T> {
+    postcard::from_bytes(bytes).map_err(io::Error::other)
+}
+
 fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
 }
