--- a/crates/cell/src/dispatch.rs
+++ b/crates/cell/src/dispatch.rs
@@ -15,11 +15,16 @@
 use crate::engines::Holder;
 use crate::keeper::Keeper;
 use crate::settings::HEARTBEAT_INTERVAL;
+use crate::settings::MAX_SCHEDULER_PAUSE;
+use crate::settings::MIN_SCHEDULER_PAUSE;
 use crate::settings::SCHEDULER_INTERVAL;
 
 impl<E: Engines> Keeper<E> {
-    /// Runs the scheduler when it is woken, and periodically while it has pending work.
+    /// Runs the scheduler when it is woken, and periodically while it has pending work. Pauses
+    /// after each round for as long as the round took, so that events share rounds and the other
+    /// tasks get at least half of the time.
     pub(crate) async fn run_scheduler(self: Arc<Keeper<E>>) {
+        let mut pause_end = Instant::now();
         loop {
             let pending = {
                 let coordinator = self.coordinator.lock();
@@ -36,17 +41,21 @@
             } else {
                 self.scheduler_wakeup.notified().await;
             }
-            let started = Instant::now();
+            tokio::time::sleep_until(pause_end).await;
+            let start = Instant::now();
             let (actions, term) = {
                 let mut coordinator = self.coordinator.lock();
                 let actions = coordinator.poll_scheduler();
                 (actions, coordinator.leadership.as_ref().map(|leadership| leadership.term))
             };
-            self.record_pass(started.elapsed(), actions.len());
-            let Some(fence) = term else { continue };
-            for action in actions {
-                self.dispatch(action, fence);
+            self.record_pass(start.elapsed(), actions.len());
+            if let Some(fence) = term {
+                for action in actions {
+                    self.dispatch(action, fence);
+                }
             }
+            let pause = start.elapsed().clamp(MIN_SCHEDULER_PAUSE, MAX_SCHEDULER_PAUSE);
+            pause_end = Instant::now() + pause;
         }
     }
 
