base: a process waits until its last log lines are written

Cause: the thread that writes the lines collects them for 50 ms, and the process ended within that time.

Change: base::start_log returns a guard; dropping it wakes the thread and waits 300 ms at most. All programs hold it until they return.

Test: draining_waits_until_the_lines_are_written (new interface, so it cannot run on the code before), draining_ends_although_the_output_is_blocked; base passes.

--- a/crates/base/examples/lines.rs
+++ b/crates/base/examples/lines.rs
@@ -15,7 +15,7 @@
 const LOADS: [(u64, u64); 3] = [(15, 50), (35, 50), (500, 1_000)];
 
 fn main() {
-    base::start_log(base::Format::Json, "info");
+    let _log = base::start_log(base::Format::Json, "info");
     let request = Name::from("08a64b9483028203");
     let endpoint = Name::from("i-077da4bd65");
     let adapter = Name::from("a775");
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -13,6 +13,7 @@
 pub use crate::hash::Map;
 pub use crate::hash::Set;
 pub use crate::log::Format;
+pub use crate::log::Guard as LogGuard;
 pub use crate::log::Writer as LogWriter;
 pub use crate::log::build as build_log;
 pub use crate::log::start as start_log;
--- a/crates/base/src/log.rs
+++ b/crates/base/src/log.rs
@@ -13,6 +13,7 @@
 use std::io;
 use std::io::Write;
 use std::str::FromStr;
+use std::time::Duration;
 
 use tracing::Dispatch;
 use tracing_subscriber::EnvFilter;
@@ -44,17 +45,36 @@
     }
 }
 
+/// The longest time for which a process waits for its last lines to be written.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The log of a process. Dropping it waits a bounded time until the last lines are written.
+#[derive(Debug)]
+#[must_use = "the last lines are lost unless the log is dropped at the end of the process"]
+pub struct Guard(Writer);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.drain(DRAIN_TIMEOUT);
+    }
+}
+
 /// Starts the log on standard output; `filter` has the syntax of `RUST_LOG`, and an invalid one is
 /// replaced by `info`.
-pub fn start(format: Format, filter: &str) {
+pub fn start(format: Format, filter: &str) -> Guard {
+    let lines = Writer::start(io::stdout());
     // Fails if a log is already started, which then stays in use.
-    build(format, filter, io::stdout()).try_init().ok();
+    subscriber(format, filter, lines.clone()).try_init().ok();
+    Guard(lines)
 }
 
 /// Builds a log that writes to `output`, without making it the log of the process.
 pub fn build(format: Format, filter: &str, output: impl Write + Send + 'static) -> Dispatch {
+    subscriber(format, filter, Writer::start(output))
+}
+
+fn subscriber(format: Format, filter: &str, lines: Writer) -> Dispatch {
     let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
-    let lines = Writer::start(output);
     let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(lines);
     match format {
         Format::Json => {
--- a/crates/base/src/log/writer.rs
+++ b/crates/base/src/log/writer.rs
@@ -48,6 +48,11 @@
         let queues = self.sender.0.lock();
         queues.state.dropped() + queues.request.dropped()
     }
+
+    /// Waits until all lines so far are written, or until `timeout` has passed.
+    pub fn drain(&self, timeout: Duration) {
+        self.sender.0.drain(timeout);
+    }
 }
 
 impl Write for Writer {
@@ -95,6 +100,8 @@
     /// Locked for the copy of a line or the exchange of a buffer, never while the output is written.
     queues: Mutex<Queues>,
     filled: Condvar,
+    /// Notified after each batch.
+    written: Condvar,
 }
 
 #[derive(Debug)]
@@ -103,6 +110,10 @@
     request: Queue,
     /// Whether the thread waits for a line.
     idle: bool,
+    /// Whether the thread writes a batch.
+    writing: bool,
+    /// Whether lines are to be written without waiting for more.
+    draining: bool,
     closed: bool,
 }
 
@@ -112,6 +123,8 @@
             state: Queue::new(STATE_BYTES_PER_S),
             request: Queue::new(REQUEST_BYTES_PER_S),
             idle: false,
+            writing: false,
+            draining: false,
             closed: false,
         }
     }
@@ -146,8 +159,9 @@
     fn write_lines(&self, mut output: impl Write) {
         let (mut state, mut request) = (Vec::new(), Vec::new());
         while self.wait() {
-            thread::sleep(WRITE_INTERVAL);
+            self.pause();
             let mut queues = self.lock();
+            queues.writing = true;
             let lost_states = queues.state.take(&mut state);
             let lost_requests = queues.request.take(&mut request);
             drop(queues);
@@ -157,9 +171,26 @@
             // A failed write means that the reader is gone, so the error cannot be reported.
             output.write_all(&state).and_then(|()| output.flush()).ok();
             state.clear();
+            self.lock().writing = false;
+            self.written.notify_all();
         }
     }
 
+    /// Waits for more lines of the same batch.
+    fn pause(&self) {
+        let collecting = |queues: &mut Queues| !queues.draining && !queues.closed;
+        drop(self.filled.wait_timeout_while(self.lock(), WRITE_INTERVAL, collecting));
+    }
+
+    fn drain(&self, timeout: Duration) {
+        let mut queues = self.lock();
+        queues.draining = true;
+        self.filled.notify_one();
+        let unwritten = |queues: &mut Queues| queues.writing || !queues.is_empty();
+        let waited = self.written.wait_timeout_while(queues, timeout, unwritten);
+        waited.unwrap_or_else(PoisonError::into_inner).0.draining = false;
+    }
+
     /// Waits for a line; returns `false` when none will come.
     fn wait(&self) -> bool {
         let mut queues = self.lock();
--- a/crates/base/tests/log.rs
+++ b/crates/base/tests/log.rs
@@ -80,3 +80,24 @@
     let written = recorder.wait_for("LinesDropped");
     assert!(written.len() < 600 << 10, "{} bytes", written.len());
 }
+
+// Guards against a process that ends before its last lines are written.
+#[test]
+fn draining_waits_until_the_lines_are_written() {
+    let recorder = Recorder::default();
+    let mut writer = LogWriter::start(recorder.clone());
+    for number in 0..100 {
+        writeln!(writer, "line {number}").expect("writing does not fail");
+        writer.drain(Duration::from_secs(10));
+        let written = recorder.0.lock().expect("not poisoned").clone();
+        assert!(written.ends_with(format!("line {number}\n").as_bytes()), "{number}");
+    }
+}
+
+#[test]
+fn draining_ends_although_the_output_is_blocked() {
+    let (_sender, receiver) = mpsc::channel();
+    let mut writer = LogWriter::start(Blocked(receiver));
+    writeln!(writer, "a line").expect("writing does not fail");
+    writer.drain(Duration::from_millis(50));
+}
--- a/crates/gate/src/main.rs
+++ b/crates/gate/src/main.rs
@@ -44,7 +44,7 @@
 
 #[tokio::main]
 async fn run(settings: conf::Config, host: &str) -> ExitCode {
-    base::start_log(settings.log.format, &settings.log.filter);
+    let _log = base::start_log(settings.log.format, &settings.log.filter);
     match Gate::bind(settings, host).await {
         Err(error) => fail(&error, 1),
         Ok(gate) => {
--- a/crates/keeper/src/main.rs
+++ b/crates/keeper/src/main.rs
@@ -53,7 +53,7 @@
     if command.check {
         return Ok(());
     }
-    base::start_log(config.log.format, &config.log.filter);
+    let _log = base::start_log(config.log.format, &config.log.filter);
     let mut options = Options::new(config, command.host);
     options.bootstrap = command.bootstrap;
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
--- a/crates/stub/src/program.rs
+++ b/crates/stub/src/program.rs
@@ -28,7 +28,7 @@
     match command {
         Command::Help | Command::Version => Ok(()),
         Command::Engine(common, settings) => {
-            base::start_log(common.format, "info");
+            let _log = base::start_log(common.format, "info");
             let listener = listen(common.address).await?;
             let engine = Engine::start(listener, settings).map_err(|error| error.to_string())?;
             wait_for_signal(Some(engine.address())).await?;
@@ -36,7 +36,7 @@
             Ok(())
         }
         Command::Service(common, settings) => {
-            base::start_log(common.format, "info");
+            let _log = base::start_log(common.format, "info");
             let listener = listen(common.address).await?;
             let service = Service::start(listener, settings).map_err(|error| error.to_string())?;
             wait_for_signal(Some(service.address())).await?;
@@ -44,13 +44,13 @@
             Ok(())
         }
         Command::Store(common, settings) => {
-            base::start_log(common.format, "info");
+            let _log = base::start_log(common.format, "info");
             let listener = listen(common.address).await?;
             let store = Store::start(listener, settings).map_err(|error| error.to_string())?;
             wait_for_signal(Some(store.address())).await
         }
         Command::Proxy(options) => {
-            base::start_log(options.format, "info");
+            let _log = base::start_log(options.format, "info");
             run_proxy(options).await
         }
     }
