sched: record the decisions of runs with fixed seeds

Cause: the coming changes are to save processor time without changing a decision, and the tests check what callers get, not each decision.

Ruled out: a file of all actions, which nobody would read. The totals beside the digest show the size of a change.

--- /dev/null
+++ b/crates/sched/tests/golden.rs
@@ -0,0 +1,53 @@
+//! The decisions of a run with a fixed seed. A change of the code that is to keep all decisions
+//! leaves them as they are; a change of a decision records them anew, with its reason.
+
+mod common;
+
+use std::time::Duration;
+
+use common::load::Load;
+use common::load::Site;
+use common::load::Totals;
+use common::load::Unobserved;
+
+fn site(seed: u64) -> Site {
+    Site {
+        engines: 24,
+        adapter_slots: 4,
+        adapters: 1_500,
+        gates: 5,
+        requests_per_s: 130.0,
+        store_loads: 14,
+        seed,
+    }
+}
+
+/// Plays usual load, a burst, new versions, replaced engines, and a new leader that gets many
+/// requests at once. Returns the numbers of requests submitted, granted, denied and on time, the
+/// number of orders and the digest of all actions.
+fn play(seed: u64) -> String {
+    let mut load = Load::new(site(seed), Unobserved);
+    load.run(Duration::from_secs(4), 1.0);
+    load.publish_version();
+    load.run(Duration::from_secs(2), 3.0);
+    load.replace_engine(24);
+    load.replace_engine(25);
+    load.run(Duration::from_secs(2), 1.0);
+    load.start_scheduler();
+    load.submit(100);
+    load.run(Duration::from_secs(3), 1.0);
+    let Totals { submitted, granted, denied, on_time, orders } = load.totals;
+    let digest = load.digest;
+    format!("{submitted} {granted} {denied} {on_time} {orders} {digest:016x}")
+}
+
+#[test]
+fn decisions_of_fixed_seeds_are_unchanged() {
+    let runs = [1, 2, 3].map(play);
+    let recorded = [
+        "2265 1761 481 1601 1873 4eb09da716a3c2b0",
+        "2325 1772 541 1563 2066 f78317c7c7e46833",
+        "2311 1768 526 1597 1981 3251930062950cfd",
+    ];
+    assert_eq!(runs, recorded);
+}
