sched: dispatch orders only to engines that may have orders due

Cause: after each request and at each poll, `dispatch_orders` cloned and sorted the names of all engines, and each estimate counted queued loads and trusted engines over all engines.

Change: the engines are kept in `Pool`, a sorted list that notes which of them may have changed (`get_mut`) and updates its figures for just these: the engines for which an order may be due, those whose health may reject a request, and the queued loads from the store by rank. A new version of an adapter visits the engines that hold it.

Ruled out: counters updated at each change of a slot's stage. There are about twenty such places, and one that is forgotten gives wrong decisions; marking the engine in `get_mut` can't be forgotten.

--- a/crates/sched/src/engine.rs
+++ b/crates/sched/src/engine.rs
@@ -153,6 +153,13 @@
         self.backlog_tokens / self.prefill_speed.tokens_per_ms + overdue
     }
 
+    /// Returns whether an order or an inspection is in progress or may become due as time passes.
+    pub(crate) fn has_work(&self) -> bool {
+        !matches!(self.order_state, OrderState::Idle(_))
+            || matches!(self.base, Base::Queued(_) | Base::Loading { .. })
+            || self.adapter_slots.values().any(|slot| slot.stage != Stage::Loaded)
+    }
+
     /// Returns the number of queued and running loads.
     pub(crate) fn load_count(&self) -> usize {
         let loads = self.adapter_slots.values().filter(|slot| slot.is_loading());
--- a/crates/sched/src/health.rs
+++ b/crates/sched/src/health.rs
@@ -51,6 +51,11 @@
         now >= self.backoff_until && (self.failure_rate < SUSPECT_RATE || running == 0)
     }
 
+    /// Returns whether [`Health::admits`] is true at any time and with any number of requests.
+    pub(crate) fn admits_always(&self) -> bool {
+        self.backoff_until.is_zero() && self.failure_rate < SUSPECT_RATE
+    }
+
     /// Returns the share of recent requests that failed, from 0 to 1.
     pub(crate) fn failure_rate(&self) -> f64 {
         self.failure_rate
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -15,6 +15,7 @@
 mod engine;
 mod health;
 mod order;
+mod pool;
 mod popularity;
 mod prefix;
 mod request;
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -51,9 +51,10 @@
 impl Scheduler {
     /// Issues the next order of each engine, within the limits of the store.
     pub(crate) fn dispatch_orders(&mut self, now: Duration) {
+        self.engines.refresh();
         let mut names: Vec<((u8, Duration), Name)> = self
             .engines
-            .values()
+            .working()
             .map(|engine| (self.load_priority(engine, now), engine.endpoint.id.clone()))
             .collect();
         names.sort();
@@ -75,9 +76,10 @@
 
     /// Issues an engine's next order, or inspects the engine if its sequence is unknown.
     fn dispatch_order(&mut self, name: &Name, now: Duration) {
-        let Some(engine) = self.engines.get_mut(name) else { return };
+        let Some(engine) = self.engines.get(name) else { return };
         match engine.order_state {
             OrderState::Unknown { min_sequence, inspect_at } if now >= inspect_at => {
+                let Some(engine) = self.engines.get_mut(name) else { return };
                 engine.order_state = OrderState::Inspecting { min_sequence };
                 self.actions.push(Action::Inspect(engine.endpoint.clone()));
             }
@@ -437,17 +439,6 @@
         let (endpoint, adapter) = (id.clone(), adapter.clone());
         self.actions.push(Action::Publish(Holding { endpoint, adapter, held }));
     }
-
-    /// Returns the number of queued loads from the store for requests of at most `rank`, that is,
-    /// of the same or higher urgency.
-    pub(crate) fn queued_store_loads(&self, rank: u8) -> usize {
-        let engines = self.engines.values();
-        let queued = engines.flat_map(|engine| {
-            let slots = engine.adapter_slots.iter().filter(|(_, slot)| slot.rank <= rank);
-            slots.filter(|(name, slot)| slot.stage == Stage::Queued && !engine.is_warm(name))
-        });
-        queued.count()
-    }
 }
 
 /// Returns whether an engine has accepted the current order for a base model or an adapter.
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -4,7 +4,6 @@
 mod completion;
 mod placement;
 
-use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -18,8 +17,8 @@
 use crate::action::Action;
 use crate::engine::Base;
 use crate::engine::Engine;
-use crate::engine::OrderState;
 use crate::engine::Stage;
+use crate::pool::Pool;
 use crate::popularity::Popularity;
 use crate::request::Assignment;
 use crate::request::Key;
@@ -50,7 +49,7 @@
     pub(crate) specs: Map<Name, EngineSpec>,
     /// The adapter versions in force, by base model and adapter.
     versions: Map<(Name, Name), u64>,
-    pub(crate) engines: BTreeMap<Name, Engine>,
+    pub(crate) engines: Pool,
     pub(crate) assignments: Map<Key, Assignment>,
     /// The requests without an engine.
     queue: VecDeque<Pending>,
@@ -76,7 +75,7 @@
         Scheduler {
             specs: Map::default(),
             versions: Map::default(),
-            engines: BTreeMap::new(),
+            engines: Pool::default(),
             assignments: Map::default(),
             queue: VecDeque::new(),
             engine_losses: Map::default(),
@@ -110,7 +109,11 @@
         let key = (version.model.clone(), version.adapter.clone());
         let known = self.versions.entry(key).or_default();
         *known = (*known).max(version.version);
-        let ids: Vec<Name> = self.engines.keys().cloned().collect();
+        let holders = self
+            .engines
+            .values()
+            .filter(|engine| engine.adapter_slots.contains_key(&version.adapter));
+        let ids: Vec<Name> = holders.map(|engine| engine.endpoint.id.clone()).collect();
         for id in ids {
             self.unload_outdated(&id, &version.adapter);
         }
@@ -137,7 +140,7 @@
         self.remove_engine(&announcement.id, now);
         let mut engine = Engine::new(announcement, &self.settings, now);
         queue_base(&mut engine, &self.specs);
-        self.engines.insert(announcement.id.clone(), engine);
+        self.engines.insert(engine);
         self.dirty = true;
     }
 
@@ -161,7 +164,7 @@
 
     /// Returns the ids of all engines.
     pub fn engines(&self) -> impl Iterator<Item = &Name> {
-        self.engines.keys()
+        self.engines.values().map(|engine| &engine.endpoint.id)
     }
 
     /// Expires and schedules queued requests and issues the orders that are due. Returns the
@@ -187,12 +190,7 @@
 
     /// Returns whether [`Scheduler::poll`] may have work to do without another event.
     pub fn has_pending_work(&self) -> bool {
-        let has_work = |engine: &Engine| {
-            !matches!(engine.order_state, OrderState::Idle(_))
-                || matches!(engine.base, Base::Queued(_) | Base::Loading { .. })
-                || engine.adapter_slots.values().any(|slot| slot.stage != Stage::Loaded)
-        };
-        self.dirty || !self.queue.is_empty() || self.engines.values().any(has_work)
+        self.dirty || !self.queue.is_empty() || self.engines.has_work()
     }
 }
 
--- a/crates/sched/src/scheduler/admission.rs
+++ b/crates/sched/src/scheduler/admission.rs
@@ -160,7 +160,7 @@
             running: engine.map_or(0, |engine| engine.running),
             held_ms: pending.held_ms(now),
             cold: best.cold,
-            loads: self.store.loading + self.queued_store_loads(u8::MAX),
+            loads: self.store.loading + self.engines.queued_store_loads(u8::MAX),
         }
     }
 
--- a/crates/sched/src/scheduler/placement.rs
+++ b/crates/sched/src/scheduler/placement.rs
@@ -37,6 +37,7 @@
 impl Scheduler {
     /// Assigns a request to an engine or refuses it; returns it if it must be queued.
     pub(super) fn schedule(&mut self, mut pending: Pending, now: Duration) -> Option<Pending> {
+        self.engines.refresh();
         let target_ms = pending.target_ms(now) - self.settings.network_ms;
         let margin = 1.0 - self.settings.rank_margin * f64::from(pending.query.rank).min(4.0);
         let best = self.best_candidate(&pending, target_ms * margin, now);
@@ -99,8 +100,7 @@
     /// free slot.
     pub(super) fn best_deferral(&self, pending: &Pending, now: Duration) -> Option<Deferral> {
         let context = self.context(pending, now)?;
-        let engines = self.engines.values();
-        let engines = engines.filter(|engine| engine.endpoint.service == pending.query.service);
+        let engines = self.engines.of_service(&pending.query.service);
         let mut waiting: Map<&Name, usize> = Map::default();
         for awaited in self.queue.iter().filter_map(|other| other.awaited_engine.as_ref()) {
             *waiting.entry(awaited).or_default() += 1;
@@ -116,7 +116,7 @@
     pub(super) fn accepts_late(&self, best: &Candidate, pending: &Pending, now: Duration) -> bool {
         let Some(engine) = self.engines.get(&best.engine) else { return false };
         // Late requests must not delay the loads of requests that can still meet their target.
-        let store_idle = self.store.utilization(self.queued_store_loads(u8::MAX))
+        let store_idle = self.store.utilization(self.engines.queued_store_loads(u8::MAX))
             < self.settings.late_store_share;
         (store_idle || !best.cold)
             && engine.queue_ms(now) <= self.settings.late_backlog_ms
@@ -132,8 +132,7 @@
         now: Duration,
     ) -> Option<Candidate> {
         let context = self.context(pending, now)?;
-        let engines = self.engines.values();
-        let engines = engines.filter(|engine| engine.endpoint.service == pending.query.service);
+        let engines = self.engines.of_service(&pending.query.service);
         let candidates = engines.filter_map(|engine| context.candidate(engine, pending));
         let misses = |candidate: &Candidate| !self.meets_target(candidate, target_ms);
         let key = |candidate: &Candidate| {
@@ -148,25 +147,14 @@
             settings: &self.settings,
             spec: self.specs.get(&pending.query.service)?,
             store: &self.store,
-            queued_loads: self.queued_store_loads(pending.query.rank),
+            queued_loads: self.engines.queued_store_loads(pending.query.rank),
             popularity: &self.popularity,
-            ignore_health: self.trusted_share(&pending.query.service, now) < TRUSTED_SHARE,
+            ignore_health: self.engines.trusted_share(&pending.query.service, now) < TRUSTED_SHARE,
             min_version: self.min_version(&pending.query),
             now,
         })
     }
 
-    /// Returns the share of a service's engines whose health admits a request.
-    pub(super) fn trusted_share(&self, service: &Name, now: Duration) -> f64 {
-        let engines = self.engines.values().filter(|engine| engine.endpoint.service == *service);
-        let (mut all, mut trusted) = (0, 0);
-        for engine in engines {
-            all += 1;
-            trusted += u32::from(engine.health.admits(engine.running, now));
-        }
-        f64::from(trusted) / f64::from(all.max(1))
-    }
-
     /// Returns whether a candidate meets a target, with a margin if its adapter must come from the
     /// store.
     pub(super) fn meets_target(&self, candidate: &Candidate, target_ms: f64) -> bool {
