sched: rule out engines before the costly parts of their estimates

Cause: for each request, `best_candidate` computed for each engine the digest of the adapter, twice the digests and lookups of all prefixes of the prompt, the popularity of all idle adapters, and a copy of the engine's name; `is_warm` compared up to 30 names.

Change: `better_rating` compares an engine with the best one so far, first with lower bounds that need neither the prefix cache nor a popularity; only the best engine becomes a `Candidate`. The digests of a prompt's prefixes are computed once a request.

Ruled out: popularity as logarithms that need no exp2; near ties could be decided in another way by rounding.

--- a/crates/sched/src/candidate.rs
+++ b/crates/sched/src/candidate.rs
@@ -15,6 +15,9 @@
 use crate::settings::Settings;
 use crate::store::Limiter;
 
+/// The lowest number of prompt tokens that an engine is expected to process.
+const MIN_PREFILL_TOKENS: f64 = 1.0;
+
 /// The availability of a request's adapter at an engine.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Availability {
@@ -66,22 +69,103 @@
     pub(crate) now: Duration,
 }
 
+/// The rank of an engine among those that could run a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Rating {
+    /// Whether the request would miss its target.
+    misses: bool,
+    /// The cost, or the expected time to the first event if the request would miss its target; in
+    /// ms.
+    ms: f64,
+}
+
+/// How an engine would get the adapter of a request.
+struct Access {
+    availability: Kind,
+    /// Whether the adapter must be loaded from the store.
+    cold: bool,
+    /// The expected time until the adapter is loaded, in ms.
+    load_ms: f64,
+    /// The penalty for loading it, without that for an eviction, in ms.
+    penalty: f64,
+}
+
+/// The kinds of [`Availability`].
+#[derive(Clone, Copy, PartialEq)]
+enum Kind {
+    Loaded,
+    Loading,
+    /// A slot is free for the adapter.
+    NeedsLoad,
+    /// Another adapter must be evicted for it.
+    NeedsEviction,
+}
+
+impl Rating {
+    fn precedes(&self, other: &Rating) -> bool {
+        (self.misses, self.ms) < (other.misses, other.ms)
+    }
+}
+
 impl Context<'_> {
     /// Returns the estimate for an engine; `None` if the engine can't take the request now.
     pub(crate) fn candidate(&self, engine: &Engine, pending: &Pending) -> Option<Candidate> {
         if !self.can_run(engine, pending) {
             return None;
         }
-        let query = &pending.query;
-        let (availability, load_ms, penalty) = self.availability(engine, &query.adapter)?;
+        let access = self.access(engine, &pending.query.adapter)?;
+        let mut penalty = access.penalty;
+        let availability = match access.availability {
+            Kind::Loaded => Availability::Loaded,
+            Kind::Loading => Availability::Loading,
+            Kind::NeedsLoad => Availability::NeedsLoad(None),
+            Kind::NeedsEviction => {
+                let (victim, eviction_penalty) = self.victim(engine)?;
+                penalty += eviction_penalty;
+                Availability::NeedsLoad(Some(victim.clone()))
+            }
+        };
         let prefill_tokens = prefill_tokens(engine, pending);
-        let (expected_ms, cost) = self.latency_and_cost(engine, pending, load_ms, penalty);
-        let cold =
-            matches!(availability, Availability::NeedsLoad(_)) && !engine.is_warm(&query.adapter);
-        let engine = engine.endpoint.id.clone();
+        let queue_ms = engine.queue_ms(self.now).max(access.load_ms);
+        let (expected_ms, cost) =
+            self.latency_and_cost(engine, pending, queue_ms, prefill_tokens, penalty);
+        let (engine, cold) = (engine.endpoint.id.clone(), access.cold);
         Some(Candidate { engine, availability, cold, prefill_tokens, expected_ms, cost })
     }
 
+    /// Returns the rating of an engine for a request that is to get its first event within
+    /// `target_ms`; `None` if the engine can't take the request now or is not better than `best`.
+    pub(crate) fn better_rating(
+        &self,
+        engine: &Engine,
+        pending: &Pending,
+        target_ms: f64,
+        best: Option<&Rating>,
+    ) -> Option<Rating> {
+        if !self.can_run(engine, pending) {
+            return None;
+        }
+        let access = self.access(engine, &pending.query.adapter)?;
+        let queue_ms = engine.queue_ms(self.now).max(access.load_ms);
+        let limit_ms = target_ms * self.settings.target_share(access.cold);
+        let better = |prefill_tokens: f64, penalty: f64| {
+            let (expected_ms, cost) =
+                self.latency_and_cost(engine, pending, queue_ms, prefill_tokens, penalty);
+            let misses = expected_ms > limit_ms;
+            let rating = Rating { misses, ms: if misses { expected_ms } else { cost } };
+            best.is_none_or(|best| rating.precedes(best)).then_some(rating)
+        };
+        // Most engines are ruled out without the prefix cache and the adapters' popularity.
+        better(MIN_PREFILL_TOKENS, access.penalty)?;
+        let prefill_tokens = prefill_tokens(engine, pending);
+        let rating = better(prefill_tokens, access.penalty)?;
+        if access.availability != Kind::NeedsEviction {
+            return Some(rating);
+        }
+        let (_, eviction_penalty) = self.victim(engine)?;
+        better(prefill_tokens, access.penalty + eviction_penalty)
+    }
+
     /// Returns the estimate for waiting until an engine that caches the adapter has a free slot;
     /// `ahead` other requests wait for its slots. Returns `None` if that is not possible.
     pub(crate) fn deferral(
@@ -96,9 +180,11 @@
             return None;
         }
         let slot_ms = engine.slot_wait(ahead, self.now)?.as_secs_f64() * 1e3;
-        let load_ms = slot_ms + self.settings.warm_load_ms;
+        let queue_ms = engine.queue_ms(self.now).max(slot_ms + self.settings.warm_load_ms);
+        let prefill_tokens = prefill_tokens(engine, pending);
         let penalty = self.settings.slot_penalty_ms;
-        let (expected_ms, cost) = self.latency_and_cost(engine, pending, load_ms, penalty);
+        let (expected_ms, cost) =
+            self.latency_and_cost(engine, pending, queue_ms, prefill_tokens, penalty);
         Some(Deferral { engine: engine.endpoint.id.clone(), expected_ms, cost })
     }
 
@@ -117,17 +203,17 @@
             && !query.excluded.contains(&engine.endpoint.id)
     }
 
-    /// Returns the expected time to the first event if the adapter is loaded after `load_ms`, and
-    /// that time plus penalties, both in ms.
+    /// Returns the expected time to the first event if the prefill starts after `queue_ms`, and that
+    /// time plus penalties, both in ms.
     fn latency_and_cost(
         &self,
         engine: &Engine,
         pending: &Pending,
-        load_ms: f64,
+        queue_ms: f64,
+        prefill_tokens: f64,
         penalty: f64,
     ) -> (f64, f64) {
-        let queue_ms = engine.queue_ms(self.now).max(load_ms);
-        let prefill_ms = prefill_tokens(engine, pending) / engine.prefill_speed.tokens_per_ms;
+        let prefill_ms = prefill_tokens / engine.prefill_speed.tokens_per_ms;
         let expected_ms = queue_ms + prefill_ms + self.settings.first_event_ms;
         let remote = engine.endpoint.domain != pending.domain;
         let domain = if remote { self.settings.domain_penalty_ms } else { 0.0 };
@@ -135,19 +221,21 @@
         (expected_ms, expected_ms + penalty + domain + risk)
     }
 
-    /// Returns the availability of an adapter at an engine, the time until it is loaded and the
-    /// penalty for loading it, both in ms.
-    fn availability(&self, engine: &Engine, adapter: &Name) -> Option<(Availability, f64, f64)> {
+    /// Returns how an engine would get an adapter; `None` if it can't get it now.
+    fn access(&self, engine: &Engine, adapter: &Name) -> Option<Access> {
+        let access = |availability, load_ms| {
+            Some(Access { availability, cold: false, load_ms, penalty: 0.0 })
+        };
         if adapter.is_empty() {
-            return Some((Availability::Loaded, 0.0, 0.0));
+            return access(Kind::Loaded, 0.0);
         }
         match engine.adapter_slots.get(adapter) {
             Some(Slot { stage: Stage::Unloading { .. }, .. }) => None,
             Some(slot) if slot.version >= self.min_version && slot.stage == Stage::Loaded => {
-                Some((Availability::Loaded, 0.0, 0.0))
+                access(Kind::Loaded, 0.0)
             }
             Some(slot) if slot.version >= self.min_version => {
-                Some((Availability::Loading, self.remaining_load_ms(slot), 0.0))
+                access(Kind::Loading, self.remaining_load_ms(slot))
             }
             // The old version is unloaded before the new one is loaded, since together they need
             // two slots.
@@ -165,34 +253,36 @@
         (self.store.expected_ms(0) - elapsed).max(self.settings.warm_load_ms)
     }
 
-    /// Returns the estimate of [`Context::availability`] for an adapter that is not at the engine:
-    /// loaded into a free slot, or in place of the least popular idle adapter.
-    fn new_load(&self, engine: &Engine, adapter: &Name) -> Option<(Availability, f64, f64)> {
+    /// Returns how an engine would load an adapter that it does not hold: into a free slot, or in
+    /// place of the least popular idle adapter.
+    fn new_load(&self, engine: &Engine, adapter: &Name) -> Option<Access> {
         if !accepts_orders(engine) || engine.load_count() >= self.settings.engine_load_limit {
             return None;
         }
-        let (load_ms, mut penalty) = if engine.is_warm(adapter) {
-            (self.settings.warm_load_ms, self.settings.slot_penalty_ms)
-        } else {
+        let cold = !engine.is_warm(adapter);
+        let (load_ms, penalty) = if cold {
             // When the store is fully used, a load delays those of other requests.
             let share = self.store.utilization(self.queued_loads);
             let penalty = self.settings.cold_penalty_ms * share + self.settings.slot_penalty_ms;
             (self.store.expected_ms(self.queued_loads), penalty)
+        } else {
+            (self.settings.warm_load_ms, self.settings.slot_penalty_ms)
         };
-        if engine.adapter_slots.len() < self.adapter_slots() {
-            return Some((Availability::NeedsLoad(None), load_ms, penalty));
-        }
+        let has_free_slot = engine.adapter_slots.len() < self.adapter_slots();
+        let availability = if has_free_slot { Kind::NeedsLoad } else { Kind::NeedsEviction };
+        Some(Access { availability, cold, load_ms, penalty })
+    }
+
+    /// Returns the adapter that an engine would evict, and the penalty for its eviction in ms.
+    fn victim<'a>(&self, engine: &'a Engine) -> Option<(&'a Name, f64)> {
         let idle = engine.adapter_slots.iter().filter(|(_, slot)| slot.is_idle());
-        let popularity = |name: &Name| self.popularity.score(name, self.now);
-        let victim = idle.min_by(|(a, x), (b, y)| {
-            popularity(a)
-                .total_cmp(&popularity(b))
-                .then_with(|| x.last_used_at.cmp(&y.last_used_at))
+        let idle = idle.map(|(name, slot)| (self.popularity.score(name, self.now), name, slot));
+        let (popularity, victim, _) = idle.min_by(|(x, a, slot), (y, b, other)| {
+            x.total_cmp(y)
+                .then_with(|| slot.last_used_at.cmp(&other.last_used_at))
                 .then_with(|| a.cmp(b))
-        });
-        let (victim, _) = victim?;
-        penalty += self.settings.slot_penalty_ms * popularity(victim).min(4.0) / 2.0;
-        Some((Availability::NeedsLoad(Some(victim.clone())), load_ms, penalty))
+        })?;
+        Some((victim, self.settings.slot_penalty_ms * popularity.min(4.0) / 2.0))
     }
 
     /// Returns the number of adapter slots of an engine.
@@ -201,11 +291,10 @@
     }
 }
 
-/// Returns the prompt tokens of a request that are not in an engine's prefix cache, at least 1.
+/// Returns the prompt tokens of a request that are not in an engine's prefix cache.
 fn prefill_tokens(engine: &Engine, pending: &Pending) -> f64 {
-    let seed = base::digest(pending.query.adapter.as_bytes());
-    let cached = engine.prefix_cache.cached_tokens(seed, &pending.query.parts);
-    f64::from(pending.query.input.saturating_sub(cached)).max(1.0)
+    let cached = engine.prefix_cache.cached_tokens(&pending.prefixes);
+    f64::from(pending.query.input.saturating_sub(cached)).max(MIN_PREFILL_TOKENS)
 }
 
 /// Returns whether an engine's sequence is known, which new orders require.
--- a/crates/sched/src/engine.rs
+++ b/crates/sched/src/engine.rs
@@ -1,6 +1,5 @@
 //! The scheduler's state of an engine.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use base::Map;
@@ -13,6 +12,7 @@
 use crate::request::Key;
 use crate::settings::Settings;
 use crate::speed::Prefill;
+use crate::warm;
 
 /// The limit on the time that an overdue first event adds to its engine's expected queue.
 const MAX_OVERDUE: Duration = Duration::from_secs(2);
@@ -30,8 +30,7 @@
     /// Invariant: all but the queued ones fit the engine's adapter slots; a queued load is ordered
     /// when no adapter is being unloaded.
     pub(crate) adapter_slots: Map<Name, Slot>,
-    /// The recently unloaded adapters that the engine is assumed to cache, the latest last.
-    pub(crate) warm: VecDeque<Name>,
+    pub(crate) warm: warm::Cache,
     /// The prompt tokens of requests without a first event.
     pub(crate) backlog_tokens: f64,
     /// The number of requests that are granted or reserved and have not ended.
@@ -131,7 +130,7 @@
             endpoint: Endpoint::from(announcement),
             base,
             adapter_slots,
-            warm: VecDeque::new(),
+            warm: warm::Cache::default(),
             backlog_tokens: 0.0,
             running: 0,
             kv_tokens: 0,
@@ -185,11 +184,7 @@
     pub(crate) fn remove_adapter(&mut self, adapter: &Name, max_warm: usize) -> Option<Slot> {
         let slot = self.adapter_slots.remove(adapter)?;
         if !slot.is_loading() {
-            self.warm.retain(|name| name != adapter);
-            self.warm.push_back(adapter.clone());
-            if self.warm.len() > max_warm {
-                self.warm.pop_front();
-            }
+            self.warm.insert(adapter, max_warm);
         }
         Some(slot)
     }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -23,5 +23,6 @@
 mod scheduler;
 mod speed;
 mod store;
+mod warm;
 
 pub use crate::scheduler::Scheduler;
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -313,7 +313,7 @@
         slot.stage = Stage::Loaded;
         slot.last_used_at = now;
         let waiting = std::mem::take(&mut slot.waiting);
-        engine.warm.retain(|name| name != adapter);
+        engine.warm.remove(adapter);
         self.publish(id, adapter, true);
         for key in waiting {
             self.grant_reserved(key, now);
--- a/crates/sched/src/prefix.rs
+++ b/crates/sched/src/prefix.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use base::Map;
+use base::Name;
 
 /// The number of prompt parts that are assumed to be cached; the engine may have evicted older
 /// ones.
@@ -19,28 +20,37 @@
     order: VecDeque<u64>,
 }
 
-impl Cache {
-    /// Returns the length of the longest cached prefix of a prompt, in tokens.
-    pub(crate) fn cached_tokens(&self, adapter: u64, parts: &[(u64, u32)]) -> u32 {
-        let mut prefix = adapter;
+/// The prefixes of a prompt at the ends of its parts, as digest and length in tokens, the shortest
+/// first.
+#[derive(Clone, Debug)]
+pub(crate) struct Prefixes(Vec<(u64, u32)>);
+
+impl Prefixes {
+    /// Computes the prefixes of a prompt for an adapter from the digest and the length of each part.
+    pub(crate) fn new(adapter: &Name, parts: &[(u64, u32)]) -> Prefixes {
+        let mut prefix = base::digest(adapter.as_bytes());
         let mut tokens = 0;
-        for (id, part) in parts {
+        let prefixes = parts.iter().map(|(id, part)| {
             prefix = extend(prefix, *id);
-            if !self.counts.contains_key(&prefix) {
-                break;
-            }
             tokens += part;
-        }
-        tokens
+            (prefix, tokens)
+        });
+        Prefixes(prefixes.collect())
+    }
+}
+
+impl Cache {
+    /// Returns the length of the longest cached prefix of a prompt, in tokens.
+    pub(crate) fn cached_tokens(&self, prefixes: &Prefixes) -> u32 {
+        let cached = prefixes.0.iter().take_while(|(prefix, _)| self.counts.contains_key(prefix));
+        cached.last().map_or(0, |(_, tokens)| *tokens)
     }
 
     /// Adds all prefixes of a prompt that is sent to the engine.
-    pub(crate) fn insert(&mut self, adapter: u64, parts: &[(u64, u32)]) {
-        let mut prefix = adapter;
-        for (id, _) in parts {
-            prefix = extend(prefix, *id);
-            *self.counts.entry(prefix).or_default() += 1;
-            self.order.push_back(prefix);
+    pub(crate) fn insert(&mut self, prefixes: &Prefixes) {
+        for (prefix, _) in &prefixes.0 {
+            *self.counts.entry(*prefix).or_default() += 1;
+            self.order.push_back(*prefix);
         }
         while self.order.len() > MAX_PARTS {
             let oldest = self.order.pop_front().expect("longer than 0");
--- a/crates/sched/src/request.rs
+++ b/crates/sched/src/request.rs
@@ -5,6 +5,8 @@
 use base::Name;
 use fleet::message::Query;
 
+use crate::prefix::Prefixes;
+
 /// Identifies a request: the gate's link and the gate's number for the request.
 pub(crate) type Key = (u64, u64);
 
@@ -47,6 +49,7 @@
     /// The failure domain of the gate.
     pub(crate) domain: Name,
     pub(crate) query: Query,
+    pub(crate) prefixes: Prefixes,
     pub(crate) received_at: Duration,
     /// When the first attempt was received; earlier than `received_at` for a retry.
     pub(crate) first_received_at: Duration,
--- a/crates/sched/src/scheduler/admission.rs
+++ b/crates/sched/src/scheduler/admission.rs
@@ -13,6 +13,7 @@
 use crate::action::Action;
 use crate::action::Reason;
 use crate::candidate::Candidate;
+use crate::prefix::Prefixes;
 use crate::request::Assignment;
 use crate::request::Key;
 use crate::request::Pending;
@@ -31,6 +32,7 @@
         let pending = Pending {
             key,
             domain: domain.clone(),
+            prefixes: Prefixes::new(&query.adapter, &query.parts),
             query,
             received_at: now,
             first_received_at,
--- a/crates/sched/src/scheduler/placement.rs
+++ b/crates/sched/src/scheduler/placement.rs
@@ -11,6 +11,8 @@
 use crate::candidate::Candidate;
 use crate::candidate::Context;
 use crate::candidate::Deferral;
+use crate::candidate::Rating;
+use crate::engine::Engine;
 use crate::engine::Slot;
 use crate::engine::Stage;
 use crate::request::Assignment;
@@ -132,13 +134,14 @@
         now: Duration,
     ) -> Option<Candidate> {
         let context = self.context(pending, now)?;
-        let engines = self.engines.of_service(&pending.query.service);
-        let candidates = engines.filter_map(|engine| context.candidate(engine, pending));
-        let misses = |candidate: &Candidate| !self.meets_target(candidate, target_ms);
-        let key = |candidate: &Candidate| {
-            if misses(candidate) { candidate.expected_ms } else { candidate.cost }
-        };
-        candidates.min_by(|a, b| misses(a).cmp(&misses(b)).then_with(|| key(a).total_cmp(&key(b))))
+        let mut best: Option<(&Engine, Rating)> = None;
+        for engine in self.engines.of_service(&pending.query.service) {
+            let known = best.as_ref().map(|(_, rating)| rating);
+            if let Some(rating) = context.better_rating(engine, pending, target_ms, known) {
+                best = Some((engine, rating));
+            }
+        }
+        best.and_then(|(engine, _)| context.candidate(engine, pending))
     }
 
     /// Returns the inputs of the estimates for a request; `None` if its service has no engines.
@@ -158,8 +161,7 @@
     /// Returns whether a candidate meets a target, with a margin if its adapter must come from the
     /// store.
     pub(super) fn meets_target(&self, candidate: &Candidate, target_ms: f64) -> bool {
-        let share = if candidate.cold { self.settings.cold_target_share } else { 1.0 };
-        candidate.expected_ms <= target_ms * share
+        candidate.expected_ms <= self.settings.target_share(candidate.cold) * target_ms
     }
 
     /// Returns the announced version of a request's adapter, which must be served; `None` if there
@@ -189,7 +191,7 @@
         engine.running += 1;
         let kv_tokens = u64::from(query.input) + u64::from(query.output);
         engine.kv_tokens += kv_tokens;
-        engine.prefix_cache.insert(base::digest(query.adapter.as_bytes()), &query.parts);
+        engine.prefix_cache.insert(&pending.prefixes);
         if let Availability::NeedsLoad(victim) = &best.availability {
             if let Some(victim) =
                 victim.as_ref().and_then(|name| engine.adapter_slots.get_mut(name))
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -60,6 +60,13 @@
     pub max_engine_losses: u32,
 }
 
+impl Settings {
+    /// Returns the share of the target within which a request must get its first event.
+    pub(crate) fn target_share(&self, cold: bool) -> f64 {
+        if cold { self.cold_target_share } else { 1.0 }
+    }
+}
+
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
