sched: skip engines whose next order is not due yet

Cause: `dispatch_orders`, after each request and at each poll, also visited the engines that wait for an answer, a report or the end of a load.

Change: `Engine::due_at` gives the earliest time of the next order, and `Pool::due` leaves out the engines before it. It is a lower bound: `next_order` still decides.

Ruled out: dispatching only to the engine of the request. Orders that became due at other engines would be issued later than now.

--- a/crates/sched/src/engine.rs
+++ b/crates/sched/src/engine.rs
@@ -159,6 +159,22 @@
             || self.adapter_slots.values().any(|slot| slot.stage != Stage::Loaded)
     }
 
+    /// Returns the earliest time at which an order or an inspection may be due; [`Duration::MAX`]
+    /// if that takes another event.
+    pub(crate) fn due_at(&self) -> Duration {
+        match (&self.order_state, &self.base) {
+            (OrderState::Unknown { inspect_at, .. }, _) => *inspect_at,
+            (OrderState::Inspecting { .. } | OrderState::Busy(_), _) => Duration::MAX,
+            (OrderState::Idle(_), Base::Empty) => Duration::MAX,
+            (OrderState::Idle(_), Base::Queued(_)) => Duration::ZERO,
+            (OrderState::Idle(_), Base::Loading { poll_at, .. }) => *poll_at,
+            (OrderState::Idle(_), Base::Loaded(_)) => {
+                let due = self.adapter_slots.values().filter_map(Slot::due_at);
+                due.min().unwrap_or(Duration::MAX)
+            }
+        }
+    }
+
     /// Returns the number of queued and running loads.
     pub(crate) fn load_count(&self) -> usize {
         let loads = self.adapter_slots.values().filter(|slot| slot.is_loading());
@@ -230,6 +246,16 @@
         matches!(self.stage, Stage::Queued | Stage::Loading { .. })
     }
 
+    /// Returns the earliest time at which an order for the adapter may be due, if there is one.
+    fn due_at(&self) -> Option<Duration> {
+        match self.stage {
+            Stage::Queued => Some(Duration::ZERO),
+            Stage::Loading { poll_at, .. } => Some(poll_at),
+            Stage::Loaded => None,
+            Stage::Unloading { poll_at } => Some(poll_at.unwrap_or_default()),
+        }
+    }
+
     /// Sets when a request that uses the adapter is expected to end.
     pub(crate) fn expect_end(&mut self, key: Key, at: Duration) {
         self.expected_ends.retain(|(user, _)| *user != key);
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -54,7 +54,7 @@
         self.engines.refresh();
         let mut names: Vec<((u8, Duration), Name)> = self
             .engines
-            .working()
+            .due(now)
             .map(|engine| (self.load_priority(engine, now), engine.endpoint.id.clone()))
             .collect();
         names.sort();
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -28,7 +28,7 @@
     ///
     /// Invariant: these are the engines with [`Share::stale`].
     changed: Vec<usize>,
-    /// The engines for which orders may be due.
+    /// The engines for which orders are in progress or may become due.
     working: BTreeSet<usize>,
     /// The engines whose health may not admit a request.
     distrusted: BTreeSet<usize>,
@@ -41,6 +41,8 @@
 struct Share {
     /// Whether the engine may have changed since this was computed.
     stale: bool,
+    /// [`Engine::due_at`].
+    due_at: Duration,
     /// The ranks of its queued loads from the store.
     queued_loads: Vec<u8>,
 }
@@ -121,6 +123,7 @@
         while let Some(position) = self.changed.pop() {
             let (engine, share) = (&self.engines[position], &mut self.shares[position]);
             share.stale = false;
+            share.due_at = engine.due_at();
             set_member(&mut self.working, position, engine.has_work());
             set_member(&mut self.distrusted, position, !engine.health.admits_always());
             for rank in share.queued_loads.drain(..) {
@@ -138,11 +141,12 @@
     }
 
     /// Returns the engines for which orders may be due, in the order of their ids.
-    pub(crate) fn working(&self) -> impl Iterator<Item = &Engine> {
-        self.working.iter().map(|position| &self.engines[*position])
+    pub(crate) fn due(&self, now: Duration) -> impl Iterator<Item = &Engine> {
+        let due = self.working.iter().filter(move |position| now >= self.shares[**position].due_at);
+        due.map(|position| &self.engines[*position])
     }
 
-    /// Returns whether orders may be due for any engine, also without a refresh.
+    /// Returns whether orders are in progress or may become due, also without a refresh.
     pub(crate) fn has_work(&self) -> bool {
         self.working.iter().any(|position| !self.shares[*position].stale)
             || self.changed.iter().any(|position| self.engines[*position].has_work())
