sched: keep the figures that all requests compare close together

Change: the pool keeps the `Figures` of each engine in one list, with models and domains as numbers, and an index of the engines that know each adapter. Those engines are rated first, since they rule out most others; the engine's position decides between equal ones, as the order of visits did. Waiting for a slot considers only engines that know the adapter. `Slots` and `warm::Cache` count their changes, so that the index is compared only after one.

--- a/crates/sched/src/candidate.rs
+++ b/crates/sched/src/candidate.rs
@@ -5,11 +5,11 @@
 use base::Name;
 use fleet::plan::EngineSpec;
 
-use crate::engine::Base;
 use crate::engine::Engine;
-use crate::engine::OrderState;
 use crate::engine::Slot;
 use crate::engine::Stage;
+use crate::figures::Figures;
+use crate::pool::Member;
 use crate::popularity::Popularity;
 use crate::request::Pending;
 use crate::settings::Settings;
@@ -19,14 +19,16 @@
 const MIN_PREFILL_TOKENS: f64 = 1.0;
 
 /// The availability of a request's adapter at an engine.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Availability {
     /// The adapter is loaded.
     Loaded,
     /// The adapter is queued or being loaded.
     Loading,
-    /// The adapter must be loaded; the named adapter must be evicted for it if no slot is free.
-    NeedsLoad(Option<Name>),
+    /// The adapter must be loaded into a free slot.
+    NeedsLoad,
+    /// The adapter must be loaded in place of another one.
+    NeedsEviction,
 }
 
 /// An engine that could run a request.
@@ -34,6 +36,8 @@
 pub(crate) struct Candidate {
     pub(crate) engine: Name,
     pub(crate) availability: Availability,
+    /// The adapter that must be evicted, if any.
+    pub(crate) victim: Option<Name>,
     /// Whether the adapter must be loaded from the store.
     pub(crate) cold: bool,
     /// The prompt tokens that are not in the engine's prefix cache.
@@ -66,6 +70,10 @@
     pub(crate) ignore_health: bool,
     /// The oldest version of the adapter that may be served.
     pub(crate) min_version: u64,
+    /// The number of the base model in the pool, if an engine has it.
+    pub(crate) model: Option<usize>,
+    /// The number of the gate's failure domain in the pool, if an engine is in it.
+    pub(crate) domain: Option<usize>,
     pub(crate) now: Duration,
 }
 
@@ -77,11 +85,13 @@
     /// The cost, or the expected time to the first event if the request would miss its target; in
     /// ms.
     ms: f64,
+    /// The engine's position, which decides between equal engines.
+    pub(crate) position: usize,
 }
 
 /// How an engine would get the adapter of a request.
 struct Access {
-    availability: Kind,
+    availability: Availability,
     /// Whether the adapter must be loaded from the store.
     cold: bool,
     /// The expected time until the adapter is loaded, in ms.
@@ -90,76 +100,67 @@
     penalty: f64,
 }
 
-/// The kinds of [`Availability`].
-#[derive(Clone, Copy, PartialEq)]
-enum Kind {
-    Loaded,
-    Loading,
-    /// A slot is free for the adapter.
-    NeedsLoad,
-    /// Another adapter must be evicted for it.
-    NeedsEviction,
-}
-
 impl Rating {
     fn precedes(&self, other: &Rating) -> bool {
-        (self.misses, self.ms) < (other.misses, other.ms)
+        (self.misses, self.ms, self.position) < (other.misses, other.ms, other.position)
     }
 }
 
 impl Context<'_> {
     /// Returns the estimate for an engine; `None` if the engine can't take the request now.
-    pub(crate) fn candidate(&self, engine: &Engine, pending: &Pending) -> Option<Candidate> {
-        if !self.can_run(engine, pending) {
-            return None;
-        }
+    pub(crate) fn candidate(&self, engine: Member<'_>, pending: &Pending) -> Option<Candidate> {
         let access = self.access(engine, &pending.query.adapter)?;
         let mut penalty = access.penalty;
-        let availability = match access.availability {
-            Kind::Loaded => Availability::Loaded,
-            Kind::Loading => Availability::Loading,
-            Kind::NeedsLoad => Availability::NeedsLoad(None),
-            Kind::NeedsEviction => {
-                let (victim, eviction_penalty) = self.victim(engine)?;
-                penalty += eviction_penalty;
-                Availability::NeedsLoad(Some(victim.clone()))
-            }
-        };
-        let prefill_tokens = prefill_tokens(engine, pending);
-        let queue_ms = engine.queue_ms(self.now).max(access.load_ms);
+        let mut victim = None;
+        if access.availability == Availability::NeedsEviction {
+            let (name, eviction_penalty) = self.victim(engine.engine)?;
+            penalty += eviction_penalty;
+            victim = Some(name.clone());
+        }
+        let prefill_tokens = prefill_tokens(engine.engine, pending);
+        let queue_ms = engine.figures.queue_ms(self.now).max(access.load_ms);
         let (expected_ms, cost) =
-            self.latency_and_cost(engine, pending, queue_ms, prefill_tokens, penalty);
-        let (engine, cold) = (engine.endpoint.id.clone(), access.cold);
-        Some(Candidate { engine, availability, cold, prefill_tokens, expected_ms, cost })
+            self.latency_and_cost(engine.figures, pending, queue_ms, prefill_tokens, penalty);
+        Some(Candidate {
+            engine: engine.engine.endpoint.id.clone(),
+            availability: access.availability,
+            victim,
+            cold: access.cold,
+            prefill_tokens,
+            expected_ms,
+            cost,
+        })
     }
 
     /// Returns the rating of an engine for a request that is to get its first event within
     /// `target_ms`; `None` if the engine can't take the request now or is not better than `best`.
     pub(crate) fn better_rating(
         &self,
-        engine: &Engine,
+        member: Member<'_>,
         pending: &Pending,
         target_ms: f64,
         best: Option<&Rating>,
     ) -> Option<Rating> {
-        if !self.can_run(engine, pending) {
+        if !self.can_run(member, pending) {
             return None;
         }
-        let access = self.access(engine, &pending.query.adapter)?;
-        let queue_ms = engine.queue_ms(self.now).max(access.load_ms);
+        let Member { position, engine, figures, .. } = member;
+        let access = self.access(member, &pending.query.adapter)?;
+        let queue_ms = figures.queue_ms(self.now).max(access.load_ms);
         let limit_ms = target_ms * self.settings.target_share(access.cold);
         let better = |prefill_tokens: f64, penalty: f64| {
             let (expected_ms, cost) =
-                self.latency_and_cost(engine, pending, queue_ms, prefill_tokens, penalty);
+                self.latency_and_cost(figures, pending, queue_ms, prefill_tokens, penalty);
             let misses = expected_ms > limit_ms;
-            let rating = Rating { misses, ms: if misses { expected_ms } else { cost } };
+            let ms = if misses { expected_ms } else { cost };
+            let rating = Rating { misses, ms, position };
             best.is_none_or(|best| rating.precedes(best)).then_some(rating)
         };
         // Most engines are ruled out without the prefix cache and the adapters' popularity.
         better(MIN_PREFILL_TOKENS, access.penalty)?;
         let prefill_tokens = prefill_tokens(engine, pending);
         let rating = better(prefill_tokens, access.penalty)?;
-        if access.availability != Kind::NeedsEviction {
+        if access.availability != Availability::NeedsEviction {
             return Some(rating);
         }
         let (_, eviction_penalty) = self.victim(engine)?;
@@ -170,36 +171,37 @@
     /// `ahead` other requests wait for its slots. Returns `None` if that is not possible.
     pub(crate) fn deferral(
         &self,
-        engine: &Engine,
+        member: Member<'_>,
         pending: &Pending,
         ahead: usize,
     ) -> Option<Deferral> {
+        let Member { engine, figures, .. } = member;
         let adapter = &pending.query.adapter;
         let cached = engine.is_warm(adapter) && !engine.adapter_slots.contains_key(adapter);
-        if !cached || !accepts_orders(engine) || !self.can_run(engine, pending) {
+        if !cached || !figures.accepts_orders || !self.can_run(member, pending) {
             return None;
         }
         let slot_ms = engine.slot_wait(ahead, self.now)?.as_secs_f64() * 1e3;
-        let queue_ms = engine.queue_ms(self.now).max(slot_ms + self.settings.warm_load_ms);
+        let queue_ms = figures.queue_ms(self.now).max(slot_ms + self.settings.warm_load_ms);
         let prefill_tokens = prefill_tokens(engine, pending);
         let penalty = self.settings.slot_penalty_ms;
         let (expected_ms, cost) =
-            self.latency_and_cost(engine, pending, queue_ms, prefill_tokens, penalty);
+            self.latency_and_cost(figures, pending, queue_ms, prefill_tokens, penalty);
         Some(Deferral { engine: engine.endpoint.id.clone(), expected_ms, cost })
     }
 
     /// Returns whether an engine could take a request if its adapter were loaded.
-    fn can_run(&self, engine: &Engine, pending: &Pending) -> bool {
+    fn can_run(&self, member: Member<'_>, pending: &Pending) -> bool {
+        let Member { engine, figures, .. } = member;
         let query = &pending.query;
-        let base_loaded = matches!(&engine.base, Base::Loaded(model) if *model == query.model);
         let tokens = u64::from(query.input) + u64::from(query.output);
         let memory = self.spec.kv_tokens as f64 * self.settings.kv_memory_share;
-        let fits = (engine.kv_tokens + tokens) as f64 <= memory || engine.running == 0;
-        base_loaded
+        let fits = (figures.kv_tokens + tokens) as f64 <= memory || figures.running == 0;
+        figures.model.is_some_and(|model| Some(model) == self.model)
             && fits
-            && engine.running < self.spec.slots
-            && self.now >= engine.full_until
-            && (self.ignore_health || engine.health.admits(engine.running, self.now))
+            && figures.running < self.spec.slots
+            && self.now >= figures.full_until
+            && (self.ignore_health || figures.health.admits(figures.running, self.now))
             && !query.excluded.contains(&engine.endpoint.id)
     }
 
@@ -207,40 +209,44 @@
     /// time plus penalties, both in ms.
     fn latency_and_cost(
         &self,
-        engine: &Engine,
+        figures: &Figures,
         pending: &Pending,
         queue_ms: f64,
         prefill_tokens: f64,
         penalty: f64,
     ) -> (f64, f64) {
-        let prefill_ms = prefill_tokens / engine.prefill_speed.tokens_per_ms;
+        let prefill_ms = prefill_tokens / figures.prefill_tokens_per_ms;
         let expected_ms = queue_ms + prefill_ms + self.settings.first_event_ms;
-        let remote = engine.endpoint.domain != pending.domain;
+        let remote = Some(figures.domain) != self.domain;
         let domain = if remote { self.settings.domain_penalty_ms } else { 0.0 };
-        let risk = f64::from(pending.query.target_ms) * engine.health.failure_rate();
+        let risk = f64::from(pending.query.target_ms) * figures.health.failure_rate();
         (expected_ms, expected_ms + penalty + domain + risk)
     }
 
     /// Returns how an engine would get an adapter; `None` if it can't get it now.
-    fn access(&self, engine: &Engine, adapter: &Name) -> Option<Access> {
+    fn access(&self, member: Member<'_>, adapter: &Name) -> Option<Access> {
         let access = |availability, load_ms| {
             Some(Access { availability, cold: false, load_ms, penalty: 0.0 })
         };
         if adapter.is_empty() {
-            return access(Kind::Loaded, 0.0);
+            return access(Availability::Loaded, 0.0);
+        }
+        let Member { engine, figures, knows_adapter, .. } = member;
+        if !knows_adapter {
+            return self.new_load(figures, true);
         }
         match engine.adapter_slots.get(adapter) {
             Some(Slot { stage: Stage::Unloading { .. }, .. }) => None,
             Some(slot) if slot.version >= self.min_version && slot.stage == Stage::Loaded => {
-                access(Kind::Loaded, 0.0)
+                access(Availability::Loaded, 0.0)
             }
             Some(slot) if slot.version >= self.min_version => {
-                access(Kind::Loading, self.remaining_load_ms(slot))
+                access(Availability::Loading, self.remaining_load_ms(slot))
             }
             // The old version is unloaded before the new one is loaded, since together they need
             // two slots.
             Some(_) => None,
-            None => self.new_load(engine, adapter),
+            None => self.new_load(figures, !engine.is_warm(adapter)),
         }
     }
 
@@ -255,11 +261,10 @@
 
     /// Returns how an engine would load an adapter that it does not hold: into a free slot, or in
     /// place of the least popular idle adapter.
-    fn new_load(&self, engine: &Engine, adapter: &Name) -> Option<Access> {
-        if !accepts_orders(engine) || engine.load_count() >= self.settings.engine_load_limit {
+    fn new_load(&self, figures: &Figures, cold: bool) -> Option<Access> {
+        if !figures.accepts_orders || figures.loads >= self.settings.engine_load_limit {
             return None;
         }
-        let cold = !engine.is_warm(adapter);
         let (load_ms, penalty) = if cold {
             // When the store is fully used, a load delays those of other requests.
             let share = self.store.utilization(self.queued_loads);
@@ -268,8 +273,9 @@
         } else {
             (self.settings.warm_load_ms, self.settings.slot_penalty_ms)
         };
-        let has_free_slot = engine.adapter_slots.len() < self.adapter_slots();
-        let availability = if has_free_slot { Kind::NeedsLoad } else { Kind::NeedsEviction };
+        let has_free_slot = figures.used_slots < self.spec.adapter_slots as usize;
+        let availability =
+            if has_free_slot { Availability::NeedsLoad } else { Availability::NeedsEviction };
         Some(Access { availability, cold, load_ms, penalty })
     }
 
@@ -284,11 +290,6 @@
         })?;
         Some((victim, self.settings.slot_penalty_ms * popularity.min(4.0) / 2.0))
     }
-
-    /// Returns the number of adapter slots of an engine.
-    fn adapter_slots(&self) -> usize {
-        self.spec.adapter_slots as usize
-    }
 }
 
 /// Returns the prompt tokens of a request that are not in an engine's prefix cache.
@@ -296,8 +297,3 @@
     let cached = engine.prefix_cache.cached_tokens(&pending.prefixes);
     f64::from(pending.query.input.saturating_sub(cached)).max(MIN_PREFILL_TOKENS)
 }
-
-/// Returns whether an engine's sequence is known, which new orders require.
-fn accepts_orders(engine: &Engine) -> bool {
-    matches!(engine.order_state, OrderState::Idle(_) | OrderState::Busy(_))
-}
--- a/crates/sched/src/engine.rs
+++ b/crates/sched/src/engine.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use base::Map;
 use base::Name;
 use fleet::endpoint::Announcement;
 use fleet::endpoint::Endpoint;
@@ -11,12 +10,10 @@
 use crate::prefix::Cache;
 use crate::request::Key;
 use crate::settings::Settings;
+use crate::slots::Slots;
 use crate::speed::Prefill;
 use crate::warm;
 
-/// The limit on the time that an overdue first event adds to its engine's expected queue.
-const MAX_OVERDUE: Duration = Duration::from_secs(2);
-
 /// The shortest remaining time that is expected of an overdue request.
 const MIN_OVERDUE_REMAINING: Duration = Duration::from_millis(50);
 
@@ -29,7 +26,7 @@
     ///
     /// Invariant: all but the queued ones fit the engine's adapter slots; a queued load is ordered
     /// when no adapter is being unloaded.
-    pub(crate) adapter_slots: Map<Name, Slot>,
+    pub(crate) adapter_slots: Slots,
     pub(crate) warm: warm::Cache,
     /// The prompt tokens of requests without a first event.
     pub(crate) backlog_tokens: f64,
@@ -144,14 +141,6 @@
         }
     }
 
-    /// Returns the expected time until the first events of all assigned requests have arrived, in
-    /// ms.
-    pub(crate) fn queue_ms(&self, now: Duration) -> f64 {
-        let overdue = self.start_deadlines.iter().map(|(_, at)| now.saturating_sub(*at));
-        let overdue = overdue.max().unwrap_or_default().min(MAX_OVERDUE).as_secs_f64() * 1e3;
-        self.backlog_tokens / self.prefill_speed.tokens_per_ms + overdue
-    }
-
     /// Returns whether an order or an inspection is in progress or may become due as time passes.
     pub(crate) fn has_work(&self) -> bool {
         !matches!(self.order_state, OrderState::Idle(_))
@@ -195,6 +184,16 @@
         self.warm.contains(adapter)
     }
 
+    /// Returns the adapters in its slots and those that it caches.
+    pub(crate) fn known_adapters(&self) -> impl Iterator<Item = &Name> {
+        self.adapter_slots.keys().chain(self.warm.iter())
+    }
+
+    /// Returns a number that grows with each change of [`Engine::known_adapters`].
+    pub(crate) fn adapters_revision(&self) -> u64 {
+        self.adapter_slots.revision() + self.warm.revision()
+    }
+
     /// Frees the slot of an adapter. If the adapter was loaded, the engine now caches it; the
     /// oldest one beyond `max_warm` is dropped.
     pub(crate) fn remove_adapter(&mut self, adapter: &Name, max_warm: usize) -> Option<Slot> {
--- /dev/null
+++ b/crates/sched/src/figures.rs
@@ -0,0 +1,64 @@
+//! The figures of an engine that decide whether it can take a request and when.
+
+use std::time::Duration;
+
+use crate::engine::Engine;
+use crate::engine::OrderState;
+use crate::health::Health;
+
+/// The limit on the time that an overdue first event adds to its engine's expected queue.
+const MAX_OVERDUE: Duration = Duration::from_secs(2);
+
+/// The figures of an engine, kept close together because each request compares all engines.
+#[derive(Clone, Debug)]
+pub(crate) struct Figures {
+    /// The number of the loaded base model in the pool.
+    pub(crate) model: Option<usize>,
+    /// The number of the failure domain in the pool.
+    pub(crate) domain: usize,
+    /// See [`Engine::running`].
+    pub(crate) running: u32,
+    /// See [`Engine::kv_tokens`].
+    pub(crate) kv_tokens: u64,
+    /// See [`Engine::full_until`].
+    pub(crate) full_until: Duration,
+    pub(crate) health: Health,
+    /// Whether the engine's sequence is known, which new orders require.
+    pub(crate) accepts_orders: bool,
+    /// The number of queued and running loads.
+    pub(crate) loads: usize,
+    /// The number of adapters in its adapter slots.
+    pub(crate) used_slots: usize,
+    pub(crate) prefill_tokens_per_ms: f64,
+    /// The time to prefill [`Engine::backlog_tokens`], in ms.
+    backlog_ms: f64,
+    /// The earliest of [`Engine::start_deadlines`].
+    start_deadline: Option<Duration>,
+}
+
+impl Figures {
+    pub(crate) fn new(engine: &Engine, model: Option<usize>, domain: usize) -> Figures {
+        let order_state = &engine.order_state;
+        Figures {
+            model,
+            domain,
+            running: engine.running,
+            kv_tokens: engine.kv_tokens,
+            full_until: engine.full_until,
+            health: engine.health.clone(),
+            accepts_orders: matches!(order_state, OrderState::Idle(_) | OrderState::Busy(_)),
+            loads: engine.load_count(),
+            used_slots: engine.adapter_slots.len(),
+            prefill_tokens_per_ms: engine.prefill_speed.tokens_per_ms,
+            backlog_ms: engine.backlog_tokens / engine.prefill_speed.tokens_per_ms,
+            start_deadline: engine.start_deadlines.iter().map(|(_, at)| *at).min(),
+        }
+    }
+
+    /// Returns the expected time until the first events of all assigned requests have arrived, in
+    /// ms.
+    pub(crate) fn queue_ms(&self, now: Duration) -> f64 {
+        let overdue = self.start_deadline.map(|at| now.saturating_sub(at)).unwrap_or_default();
+        self.backlog_ms + overdue.min(MAX_OVERDUE).as_secs_f64() * 1e3
+    }
+}
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod candidate;
 mod engine;
+mod figures;
 mod health;
 mod order;
 mod pool;
@@ -21,6 +22,7 @@
 mod request;
 mod retries;
 mod scheduler;
+mod slots;
 mod speed;
 mod store;
 mod warm;
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -374,11 +374,10 @@
         let mut completed = Vec::new();
         let mut outdated = Vec::new();
         for (name, version) in &loaded {
-            let slot = engine.adapter_slots.entry(name.clone());
             // Requests that a former leader granted may be known before their adapter.
             let uses =
                 |assignment: &&Assignment| assignment.engine == *id && assignment.adapter == *name;
-            let slot = slot.or_insert_with(|| {
+            let slot = engine.adapter_slots.get_or_insert_with(name, || {
                 let users = self.assignments.values().filter(uses).count() as u32;
                 Slot { users, ..Slot::loaded(*version, now) }
             });
@@ -394,8 +393,8 @@
             }
         }
         for (name, version) in &report.loading {
-            let slot = engine.adapter_slots.entry(name.clone());
-            let slot = slot.or_insert_with(|| Slot::queued(*version, now));
+            let slot =
+                engine.adapter_slots.get_or_insert_with(name, || Slot::queued(*version, now));
             if slot.stage == Stage::Queued {
                 slot.stage = Stage::Loading { since: now, poll_at: now + LOAD_POLL_INTERVAL };
                 slot.uses_store = true;
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -6,9 +6,12 @@
 
 use base::Map;
 use base::Name;
+use base::Set;
 
+use crate::engine::Base;
 use crate::engine::Engine;
 use crate::engine::Stage;
+use crate::figures::Figures;
 
 /// The engines of a scheduler.
 ///
@@ -22,7 +25,15 @@
     positions: Map<Name, usize>,
     /// The positions of each service's engines, in ascending order.
     services: Map<Name, Vec<usize>>,
-    /// The share of each engine in the figures below.
+    /// The figures of each engine.
+    ///
+    /// Invariant: empty, or as long as `engines`.
+    figures: Vec<Figures>,
+    /// The numbers of base models and failure domains in [`Figures`].
+    numbers: Vec<Name>,
+    /// The engines that have each adapter in a slot or in their cache, in ascending order.
+    knowing: Map<Name, Vec<usize>>,
+    /// The share of each engine in the indexes and sums.
     shares: Vec<Share>,
     /// The engines that may have changed since the last refresh.
     ///
@@ -36,7 +47,17 @@
     queued_loads: BTreeMap<u8, usize>,
 }
 
-/// What an engine contributes to the figures of its pool.
+/// An engine of a pool.
+#[derive(Clone, Copy)]
+pub(crate) struct Member<'a> {
+    pub(crate) position: usize,
+    pub(crate) engine: &'a Engine,
+    pub(crate) figures: &'a Figures,
+    /// Whether the engine has the adapter of the request in a slot or in its cache.
+    pub(crate) knows_adapter: bool,
+}
+
+/// What an engine contributes to the indexes and sums of its pool.
 #[derive(Debug, Default)]
 struct Share {
     /// Whether the engine may have changed since this was computed.
@@ -45,6 +66,10 @@
     due_at: Duration,
     /// The ranks of its queued loads from the store.
     queued_loads: Vec<u8>,
+    /// The adapters that it has in a slot or in its cache.
+    adapters: Set<Name>,
+    /// The [`Engine::adapters_revision`] of `adapters`.
+    adapters_revision: Option<u64>,
 }
 
 impl Pool {
@@ -71,10 +96,54 @@
         self.engines.iter_mut()
     }
 
-    /// Returns the engines of a service, in the order of their ids.
-    pub(crate) fn of_service(&self, service: &Name) -> impl Iterator<Item = &Engine> {
-        let positions = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
-        positions.iter().map(|position| &self.engines[*position])
+    /// Returns the engines of a service that have an adapter in a slot or in their cache, in the
+    /// order of their ids.
+    pub(crate) fn knowing(
+        &self,
+        service: &Name,
+        adapter: &Name,
+    ) -> impl Iterator<Item = Member<'_>> {
+        let knowing = self.knowing.get(adapter).map(Vec::as_slice).unwrap_or_default();
+        let members = knowing.iter().map(|position| self.member(*position, true));
+        members.filter(move |member| member.engine.endpoint.service == *service)
+    }
+
+    /// Returns the other engines of a service, in the order of their ids.
+    pub(crate) fn not_knowing(
+        &self,
+        service: &Name,
+        adapter: &Name,
+    ) -> impl Iterator<Item = Member<'_>> {
+        let all = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
+        let knowing = self.knowing.get(adapter).map(Vec::as_slice).unwrap_or_default();
+        let others = all.iter().filter(|position| !knowing.contains(position));
+        others.map(|position| self.member(*position, false))
+    }
+
+    /// Returns the engine at a position, for a request whose adapter it knows or does not know.
+    pub(crate) fn member(&self, position: usize, knows_adapter: bool) -> Member<'_> {
+        let (engine, figures) = (&self.engines[position], &self.figures[position]);
+        Member { position, engine, figures, knows_adapter }
+    }
+
+    /// Returns whether the engine at a position has an adapter in a slot or in its cache.
+    pub(crate) fn knows(&self, position: usize, adapter: &Name) -> bool {
+        self.knowing.get(adapter).is_some_and(|knowing| knowing.contains(&position))
+    }
+
+    /// Returns the number of a base model or a failure domain, if an engine has it.
+    pub(crate) fn number(&self, name: &Name) -> Option<usize> {
+        self.numbers.iter().position(|known| known == name)
+    }
+
+    /// Returns [`Figures::queue_ms`] of an engine.
+    pub(crate) fn queue_ms(&self, id: &Name, now: Duration) -> Option<f64> {
+        self.positions.get(id).map(|position| self.figures[*position].queue_ms(now))
+    }
+
+    /// Returns the lowest [`Figures::queue_ms`] of all engines.
+    pub(crate) fn min_queue_ms(&self, now: Duration) -> Option<f64> {
+        self.figures.iter().map(|figures| figures.queue_ms(now)).min_by(f64::total_cmp)
     }
 
     pub(crate) fn is_empty(&self) -> bool {
@@ -102,6 +171,8 @@
             self.positions.insert(engine.endpoint.id.clone(), position);
             self.services.entry(engine.endpoint.service.clone()).or_default().push(position);
         }
+        self.figures.clear();
+        self.knowing.clear();
         self.shares.clear();
         self.shares.resize_with(self.engines.len(), || Share { stale: true, ..Share::default() });
         self.changed = (0..self.engines.len()).collect();
@@ -120,9 +191,22 @@
 
     /// Updates the figures of the engines that may have changed.
     pub(crate) fn refresh(&mut self) {
+        if self.figures.is_empty() {
+            let figures = self.engines.iter().map(|engine| Figures::new(engine, None, 0));
+            self.figures = figures.collect();
+        }
         while let Some(position) = self.changed.pop() {
             let (engine, share) = (&self.engines[position], &mut self.shares[position]);
             share.stale = false;
+            let model = match &engine.base {
+                Base::Loaded(model) => Some(number(&mut self.numbers, model)),
+                _ => None,
+            };
+            let domain = number(&mut self.numbers, &engine.endpoint.domain);
+            self.figures[position] = Figures::new(engine, model, domain);
+            if share.adapters_revision != Some(engine.adapters_revision()) {
+                update_adapters(&mut self.knowing, share, position, engine);
+            }
             share.due_at = engine.due_at();
             set_member(&mut self.working, position, engine.has_work());
             set_member(&mut self.distrusted, position, !engine.health.admits_always());
@@ -169,6 +253,38 @@
     }
 }
 
+/// Returns the number of a name, and adds the name if it is new.
+fn number(names: &mut Vec<Name>, name: &Name) -> usize {
+    names.iter().position(|known| known == name).unwrap_or_else(|| {
+        names.push(name.clone());
+        names.len() - 1
+    })
+}
+
+/// Updates the index of the engines that know each adapter after the adapters of one have changed.
+fn update_adapters(
+    knowing: &mut Map<Name, Vec<usize>>,
+    share: &mut Share,
+    position: usize,
+    engine: &Engine,
+) {
+    share.adapters_revision = Some(engine.adapters_revision());
+    let adapters: Set<Name> = engine.known_adapters().cloned().collect();
+    for adapter in adapters.difference(&share.adapters) {
+        let positions = knowing.entry(adapter.clone()).or_default();
+        let index = positions.partition_point(|other| *other < position);
+        positions.insert(index, position);
+    }
+    for adapter in share.adapters.difference(&adapters) {
+        let Some(positions) = knowing.get_mut(adapter) else { continue };
+        positions.retain(|other| *other != position);
+        if positions.is_empty() {
+            knowing.remove(adapter);
+        }
+    }
+    share.adapters = adapters;
+}
+
 fn set_member(set: &mut BTreeSet<usize>, position: usize, member: bool) {
     if member {
         set.insert(position);
--- a/crates/sched/src/scheduler/admission.rs
+++ b/crates/sched/src/scheduler/admission.rs
@@ -174,8 +174,8 @@
         reason: Option<Reason>,
         now: Duration,
     ) {
-        let queues = self.engines.values().map(|engine| engine.queue_ms(now));
-        let queue_ms = queues.min_by(f64::total_cmp).unwrap_or(f64::MAX);
+        self.engines.refresh();
+        let queue_ms = self.engines.min_queue_ms(now).unwrap_or(f64::MAX);
         let excess_ms = queue_ms - f64::from(pending.query.target_ms) / 2.0;
         let (min, max) = self.settings.retry_after_ms;
         // Spread by request, so that callers that were refused together do not retry together.
--- a/crates/sched/src/scheduler/placement.rs
+++ b/crates/sched/src/scheduler/placement.rs
@@ -12,7 +12,6 @@
 use crate::candidate::Context;
 use crate::candidate::Deferral;
 use crate::candidate::Rating;
-use crate::engine::Engine;
 use crate::engine::Slot;
 use crate::engine::Stage;
 use crate::request::Assignment;
@@ -102,26 +101,27 @@
     /// free slot.
     pub(super) fn best_deferral(&self, pending: &Pending, now: Duration) -> Option<Deferral> {
         let context = self.context(pending, now)?;
-        let engines = self.engines.of_service(&pending.query.service);
+        let query = &pending.query;
         let mut waiting: Map<&Name, usize> = Map::default();
         for awaited in self.queue.iter().filter_map(|other| other.awaited_engine.as_ref()) {
             *waiting.entry(awaited).or_default() += 1;
         }
-        let deferrals = engines.filter_map(|engine| {
-            let ahead = waiting.get(&engine.endpoint.id).copied().unwrap_or_default();
-            context.deferral(engine, pending, ahead)
+        let members = self.engines.knowing(&query.service, &query.adapter);
+        let deferrals = members.filter_map(|member| {
+            let ahead = waiting.get(&member.engine.endpoint.id).copied().unwrap_or_default();
+            context.deferral(member, pending, ahead)
         });
         deferrals.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
 
     /// Returns whether an engine has capacity for a request that will miss its target.
     pub(super) fn accepts_late(&self, best: &Candidate, pending: &Pending, now: Duration) -> bool {
-        let Some(engine) = self.engines.get(&best.engine) else { return false };
+        let Some(queue_ms) = self.engines.queue_ms(&best.engine, now) else { return false };
         // Late requests must not delay the loads of requests that can still meet their target.
         let store_idle = self.store.utilization(self.engines.queued_store_loads(u8::MAX))
             < self.settings.late_store_share;
         (store_idle || !best.cold)
-            && engine.queue_ms(now) <= self.settings.late_backlog_ms
+            && queue_ms <= self.settings.late_backlog_ms
             && best.expected_ms <= pending.left_ms(now) * DEADLINE_SHARE
     }
 
@@ -134,14 +134,16 @@
         now: Duration,
     ) -> Option<Candidate> {
         let context = self.context(pending, now)?;
-        let mut best: Option<(&Engine, Rating)> = None;
-        for engine in self.engines.of_service(&pending.query.service) {
-            let known = best.as_ref().map(|(_, rating)| rating);
-            if let Some(rating) = context.better_rating(engine, pending, target_ms, known) {
-                best = Some((engine, rating));
-            }
-        }
-        best.and_then(|(engine, _)| context.candidate(engine, pending))
+        let (service, adapter) = (&pending.query.service, &pending.query.adapter);
+        // Engines that know the adapter are usually better and rule out most of the others.
+        let members = self.engines.knowing(service, adapter);
+        let members = members.chain(self.engines.not_knowing(service, adapter));
+        let best = members.fold(None, |best: Option<Rating>, member| {
+            context.better_rating(member, pending, target_ms, best.as_ref()).or(best)
+        });
+        let position = best?.position;
+        let member = self.engines.member(position, self.engines.knows(position, adapter));
+        context.candidate(member, pending)
     }
 
     /// Returns the inputs of the estimates for a request; `None` if its service has no engines.
@@ -154,6 +156,8 @@
             popularity: &self.popularity,
             ignore_health: self.engines.trusted_share(&pending.query.service, now) < TRUSTED_SHARE,
             min_version: self.min_version(&pending.query),
+            model: self.engines.number(&pending.query.model),
+            domain: self.engines.number(&pending.domain),
             now,
         })
     }
@@ -192,9 +196,9 @@
         let kv_tokens = u64::from(query.input) + u64::from(query.output);
         engine.kv_tokens += kv_tokens;
         engine.prefix_cache.insert(&pending.prefixes);
-        if let Availability::NeedsLoad(victim) = &best.availability {
+        if matches!(best.availability, Availability::NeedsLoad | Availability::NeedsEviction) {
             if let Some(victim) =
-                victim.as_ref().and_then(|name| engine.adapter_slots.get_mut(name))
+                best.victim.as_ref().and_then(|name| engine.adapter_slots.get_mut(name))
             {
                 victim.stage = Stage::UNLOAD;
             }
--- a/crates/sched/src/warm.rs
+++ b/crates/sched/src/warm.rs
@@ -12,6 +12,8 @@
     order: VecDeque<Name>,
     /// The same adapters.
     names: Set<Name>,
+    /// Grows with each adapter that is added or removed.
+    revision: u64,
 }
 
 impl Cache {
@@ -22,6 +24,7 @@
     /// Adds an adapter as the latest one, and drops the oldest beyond `max`.
     pub(crate) fn insert(&mut self, adapter: &Name, max: usize) {
         self.remove(adapter);
+        self.revision += 1;
         self.order.push_back(adapter.clone());
         self.names.insert(adapter.clone());
         if self.order.len() > max
@@ -33,7 +36,16 @@
 
     pub(crate) fn remove(&mut self, adapter: &Name) {
         if self.names.remove(adapter) {
+            self.revision += 1;
             self.order.retain(|name| name != adapter);
         }
     }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Name> {
+        self.order.iter()
+    }
+
+    pub(crate) fn revision(&self) -> u64 {
+        self.revision
+    }
 }
