sched: look for expired requests only when one can have expired

Cause: each poll visited all assignments, and moved the whole queue, to find the few that expire.

Change: `next_expiry` is a time before which no assignment expires, lowered by each new one and computed anew by each search. The queue is split only if a request in it has expired.

Ruled out: assignments sorted by their expiry. Those that expire at once would be handled in another order.

--- a/crates/sched/src/request.rs
+++ b/crates/sched/src/request.rs
@@ -6,6 +6,7 @@
 use fleet::message::Query;
 
 use crate::prefix::Prefixes;
+use crate::scheduler::DEADLINE_SHARE;
 
 /// Identifies a request: the gate's link and the gate's number for the request.
 pub(crate) type Key = (u64, u64);
@@ -31,6 +32,19 @@
     pub(crate) expires_at: Duration,
 }
 
+impl Assignment {
+    /// Returns a time before which the request does not expire, whatever its phase will be.
+    pub(crate) fn earliest_expiry(&self) -> Duration {
+        match &self.phase {
+            Phase::Reserved(pending) => {
+                let wait = Duration::from_millis(u64::from(pending.query.left_ms));
+                self.expires_at.min(pending.received_at + wait.mul_f64(DEADLINE_SHARE))
+            }
+            Phase::Granted | Phase::Started(_) => self.expires_at,
+        }
+    }
+}
+
 /// The phase of a request that has an engine.
 #[derive(Debug)]
 pub(crate) enum Phase {
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -33,7 +33,7 @@
 const URGENCY_ON_TIME: u8 = 3;
 /// The share of the time until the deadline within which a request that misses its target must be
 /// expected to get its first event, and after which a request stops waiting for its adapter.
-const DEADLINE_SHARE: f64 = 0.6;
+pub(crate) const DEADLINE_SHARE: f64 = 0.6;
 /// The interval at which requests that wait for an adapter slot are reconsidered. Less than
 /// `AWAIT_SLACK_MS`, so that a load from the store can still meet the target.
 const AWAIT_POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -51,6 +51,8 @@
     versions: Map<(Name, Name), u64>,
     pub(crate) engines: Pool,
     pub(crate) assignments: Map<Key, Assignment>,
+    /// A time before which no assignment expires.
+    next_expiry: Duration,
     /// The requests without an engine.
     queue: VecDeque<Pending>,
     /// How often an engine was lost while it ran a request, by the request's fingerprint.
@@ -77,6 +79,7 @@
             versions: Map::default(),
             engines: Pool::default(),
             assignments: Map::default(),
+            next_expiry: Duration::MAX,
             queue: VecDeque::new(),
             engine_losses: Map::default(),
             store: Limiter::new(settings.cold_load_ms, settings.cold_load_limit),
--- a/crates/sched/src/scheduler/admission.rs
+++ b/crates/sched/src/scheduler/admission.rs
@@ -84,6 +84,7 @@
                 phase: Phase::Started(now),
                 expires_at: now + Duration::from_millis(u64::from(request.left_ms)) + EXPIRY_GRACE,
             };
+            self.next_expiry = self.next_expiry.min(assignment.expires_at);
             self.assignments.insert((gate, request.request), assignment);
         }
     }
--- a/crates/sched/src/scheduler/completion.rs
+++ b/crates/sched/src/scheduler/completion.rs
@@ -119,11 +119,16 @@
         let share = self.settings.queue_target_share;
         let in_time =
             |pending: &Pending| pending.held_ms(now) < f64::from(pending.query.target_ms) * share;
-        let (kept, expired): (VecDeque<Pending>, VecDeque<Pending>) =
-            std::mem::take(&mut self.queue).into_iter().partition(in_time);
-        self.queue = kept;
-        for pending in expired {
-            self.deny(&pending, Code::NoEndpoint, None, now);
+        if !self.queue.iter().all(in_time) {
+            let (kept, expired): (VecDeque<Pending>, VecDeque<Pending>) =
+                std::mem::take(&mut self.queue).into_iter().partition(in_time);
+            self.queue = kept;
+            for pending in expired {
+                self.deny(&pending, Code::NoEndpoint, None, now);
+            }
+        }
+        if now < self.next_expiry {
+            return;
         }
         let expired = self.assignments.iter().filter(|(_, assignment)| match &assignment.phase {
             Phase::Reserved(pending) => {
@@ -138,5 +143,7 @@
                 self.deny(&pending, Code::LoadFailed, None, now);
             }
         }
+        let expiries = self.assignments.values().map(Assignment::earliest_expiry);
+        self.next_expiry = expiries.min().unwrap_or(Duration::MAX);
     }
 }
--- a/crates/sched/src/scheduler/placement.rs
+++ b/crates/sched/src/scheduler/placement.rs
@@ -228,12 +228,15 @@
             expires_at: now + Duration::from_millis(u64::from(query.left_ms)) + EXPIRY_GRACE,
         };
         let key = pending.key;
+        self.next_expiry = self.next_expiry.min(assignment.expires_at);
         if best.availability == Availability::Loaded {
             self.assignments.insert(key, assignment);
             self.grant(&pending, &best.engine, best.expected_ms, urgency, now);
         } else {
             let phase = Phase::Reserved(Box::new(pending));
-            self.assignments.insert(key, Assignment { phase, ..assignment });
+            let assignment = Assignment { phase, ..assignment };
+            self.next_expiry = self.next_expiry.min(assignment.earliest_expiry());
+            self.assignments.insert(key, assignment);
         }
         self.dispatch_orders(now);
     }
