sched: estimate evictions by a lower bound of the popularity

Cause: nearly all slots are in use, so a request whose adapter is not loaded asked each engine for its least popular idle adapter, with a lookup and an exp2 for each slot. The terms of a load from the store were computed for each engine too.

Change: `Figures` keep the lowest popularity of the idle adapters as last computed. Scores grow with requests and decay alike, so its decayed value is a lower bound until the engine changes or counts are dropped (`Popularity::record` says so). Engines without an idle adapter are left out at once. The time and the penalty of a load from the store are computed once a request.

Ruled out: keeping the adapter to be evicted. Another one may have become less popular; the exact one is still found for the engines that the bound leaves.

--- a/crates/sched/src/candidate.rs
+++ b/crates/sched/src/candidate.rs
@@ -18,6 +18,9 @@
 /// The lowest number of prompt tokens that an engine is expected to process.
 const MIN_PREFILL_TOKENS: f64 = 1.0;
 
+/// Keeps a lower bound of a popularity below the exact value despite rounding.
+const ROUNDING_MARGIN: f64 = 1.0 - 1e-9;
+
 /// The availability of a request's adapter at an engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Availability {
@@ -63,8 +66,10 @@
     pub(crate) settings: &'a Settings,
     pub(crate) spec: &'a EngineSpec,
     pub(crate) store: &'a Limiter,
-    /// The number of queued loads from the store.
-    pub(crate) queued_loads: usize,
+    /// The expected time of one more load from the store, in ms.
+    pub(crate) store_load_ms: f64,
+    /// The penalty for one more load from the store, in ms.
+    pub(crate) store_penalty_ms: f64,
     pub(crate) popularity: &'a Popularity,
     /// Whether suspected engines are treated like others, because most engines are suspected.
     pub(crate) ignore_health: bool,
@@ -108,21 +113,21 @@
 
 impl Context<'_> {
     /// Returns the estimate for an engine; `None` if the engine can't take the request now.
-    pub(crate) fn candidate(&self, engine: Member<'_>, pending: &Pending) -> Option<Candidate> {
-        let access = self.access(engine, &pending.query.adapter)?;
+    pub(crate) fn candidate(&self, member: Member<'_>, pending: &Pending) -> Option<Candidate> {
+        let access = self.access(member, &pending.query.adapter)?;
         let mut penalty = access.penalty;
         let mut victim = None;
         if access.availability == Availability::NeedsEviction {
-            let (name, eviction_penalty) = self.victim(engine.engine)?;
+            let (name, eviction_penalty) = self.victim(member)?;
             penalty += eviction_penalty;
             victim = Some(name.clone());
         }
-        let prefill_tokens = prefill_tokens(engine.engine, pending);
-        let queue_ms = engine.figures.queue_ms(self.now).max(access.load_ms);
+        let prefill_tokens = prefill_tokens(member.engine, pending);
+        let queue_ms = member.figures.queue_ms(self.now).max(access.load_ms);
         let (expected_ms, cost) =
-            self.latency_and_cost(engine.figures, pending, queue_ms, prefill_tokens, penalty);
+            self.latency_and_cost(member.figures, pending, queue_ms, prefill_tokens, penalty);
         Some(Candidate {
-            engine: engine.engine.endpoint.id.clone(),
+            engine: member.engine.endpoint.id.clone(),
             availability: access.availability,
             victim,
             cold: access.cold,
@@ -160,10 +165,11 @@
         better(MIN_PREFILL_TOKENS, access.penalty)?;
         let prefill_tokens = prefill_tokens(engine, pending);
         let rating = better(prefill_tokens, access.penalty)?;
-        if access.availability != Availability::NeedsEviction {
+        if access.availability != Availability::NeedsEviction || rating.misses {
             return Some(rating);
         }
-        let (_, eviction_penalty) = self.victim(engine)?;
+        better(prefill_tokens, access.penalty + self.min_eviction_penalty(figures))?;
+        let (_, eviction_penalty) = self.victim(member)?;
         better(prefill_tokens, access.penalty + eviction_penalty)
     }
 
@@ -253,7 +259,7 @@
     /// Returns the expected time until a queued or running load ends, in ms.
     fn remaining_load_ms(&self, slot: &Slot) -> f64 {
         let Stage::Loading { since, .. } = slot.stage else {
-            return self.store.expected_ms(self.queued_loads);
+            return self.store_load_ms;
         };
         let elapsed = self.now.saturating_sub(since).as_secs_f64() * 1e3;
         (self.store.expected_ms(0) - elapsed).max(self.settings.warm_load_ms)
@@ -265,22 +271,23 @@
         if !figures.accepts_orders || figures.loads >= self.settings.engine_load_limit {
             return None;
         }
+        let availability = if figures.used_slots < self.spec.adapter_slots as usize {
+            Availability::NeedsLoad
+        } else if figures.has_idle_adapter {
+            Availability::NeedsEviction
+        } else {
+            return None;
+        };
         let (load_ms, penalty) = if cold {
-            // When the store is fully used, a load delays those of other requests.
-            let share = self.store.utilization(self.queued_loads);
-            let penalty = self.settings.cold_penalty_ms * share + self.settings.slot_penalty_ms;
-            (self.store.expected_ms(self.queued_loads), penalty)
+            (self.store_load_ms, self.store_penalty_ms)
         } else {
             (self.settings.warm_load_ms, self.settings.slot_penalty_ms)
         };
-        let has_free_slot = figures.used_slots < self.spec.adapter_slots as usize;
-        let availability =
-            if has_free_slot { Availability::NeedsLoad } else { Availability::NeedsEviction };
         Some(Access { availability, cold, load_ms, penalty })
     }
 
     /// Returns the adapter that an engine would evict, and the penalty for its eviction in ms.
-    fn victim<'a>(&self, engine: &'a Engine) -> Option<(&'a Name, f64)> {
+    fn victim<'a>(&self, Member { engine, figures, .. }: Member<'a>) -> Option<(&'a Name, f64)> {
         let idle = engine.adapter_slots.iter().filter(|(_, slot)| slot.is_idle());
         let idle = idle.map(|(name, slot)| (self.popularity.score(name, self.now), name, slot));
         let (popularity, victim, _) = idle.min_by(|(x, a, slot), (y, b, other)| {
@@ -288,7 +295,19 @@
                 .then_with(|| slot.last_used_at.cmp(&other.last_used_at))
                 .then_with(|| a.cmp(b))
         })?;
-        Some((victim, self.settings.slot_penalty_ms * popularity.min(4.0) / 2.0))
+        figures.idle_popularity.set(Some((popularity, self.now)));
+        Some((victim, self.eviction_penalty(popularity)))
+    }
+
+    /// Returns a lower bound of the penalty for an eviction, in ms.
+    fn min_eviction_penalty(&self, figures: &Figures) -> f64 {
+        let popularity = figures.idle_popularity.get();
+        let popularity = popularity.map_or(0.0, |known| self.popularity.decayed(known, self.now));
+        self.eviction_penalty(popularity * ROUNDING_MARGIN)
+    }
+
+    fn eviction_penalty(&self, popularity: f64) -> f64 {
+        self.settings.slot_penalty_ms * popularity.min(4.0) / 2.0
     }
 }
 
--- a/crates/sched/src/figures.rs
+++ b/crates/sched/src/figures.rs
@@ -1,9 +1,11 @@
 //! The figures of an engine that decide whether it can take a request and when.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use crate::engine::Engine;
 use crate::engine::OrderState;
+use crate::engine::Slot;
 use crate::health::Health;
 
 /// The limit on the time that an overdue first event adds to its engine's expected queue.
@@ -29,7 +31,12 @@
     pub(crate) loads: usize,
     /// The number of adapters in its adapter slots.
     pub(crate) used_slots: usize,
+    /// Whether one of those adapters can be evicted.
+    pub(crate) has_idle_adapter: bool,
     pub(crate) prefill_tokens_per_ms: f64,
+    /// The lowest popularity of its idle adapters, and when it was computed. It only grows until the
+    /// figures are updated, except that it decays.
+    pub(crate) idle_popularity: Cell<Option<(f64, Duration)>>,
     /// The time to prefill [`Engine::backlog_tokens`], in ms.
     backlog_ms: f64,
     /// The earliest of [`Engine::start_deadlines`].
@@ -49,7 +56,9 @@
             accepts_orders: matches!(order_state, OrderState::Idle(_) | OrderState::Busy(_)),
             loads: engine.load_count(),
             used_slots: engine.adapter_slots.len(),
+            has_idle_adapter: engine.adapter_slots.values().any(Slot::is_idle),
             prefill_tokens_per_ms: engine.prefill_speed.tokens_per_ms,
+            idle_popularity: Cell::new(None),
             backlog_ms: engine.backlog_tokens / engine.prefill_speed.tokens_per_ms,
             start_deadline: engine.start_deadlines.iter().map(|(_, at)| *at).min(),
         }
@@ -58,7 +67,11 @@
     /// Returns the expected time until the first events of all assigned requests have arrived, in
     /// ms.
     pub(crate) fn queue_ms(&self, now: Duration) -> f64 {
-        let overdue = self.start_deadline.map(|at| now.saturating_sub(at)).unwrap_or_default();
-        self.backlog_ms + overdue.min(MAX_OVERDUE).as_secs_f64() * 1e3
+        match self.start_deadline {
+            Some(at) if at < now => {
+                self.backlog_ms + (now - at).min(MAX_OVERDUE).as_secs_f64() * 1e3
+            }
+            _ => self.backlog_ms,
+        }
     }
 }
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -90,9 +90,7 @@
 
     /// Returns all engines, in the order of their ids.
     pub(crate) fn values_mut(&mut self) -> impl Iterator<Item = &mut Engine> {
-        for position in 0..self.engines.len() {
-            self.mark_changed(position);
-        }
+        self.mark_all_changed();
         self.engines.iter_mut()
     }
 
@@ -181,6 +179,12 @@
         self.queued_loads.clear();
     }
 
+    pub(crate) fn mark_all_changed(&mut self) {
+        for position in 0..self.engines.len() {
+            self.mark_changed(position);
+        }
+    }
+
     fn mark_changed(&mut self, position: usize) {
         let share = &mut self.shares[position];
         if !share.stale {
--- a/crates/sched/src/popularity.rs
+++ b/crates/sched/src/popularity.rs
@@ -21,19 +21,26 @@
         Popularity { half_life_s: half_life.as_secs_f64(), counts: Map::default() }
     }
 
-    /// Counts a request.
-    pub(crate) fn record(&mut self, adapter: &Name, now: Duration) {
+    /// Counts a request. Returns whether counts were dropped; otherwise no score falls except with
+    /// time.
+    pub(crate) fn record(&mut self, adapter: &Name, now: Duration) -> bool {
         let count = self.score(adapter, now) + 1.0;
         self.counts.insert(adapter.clone(), (count, now));
-        if self.counts.len() > MAX_ADAPTERS {
+        let excess = self.counts.len() > MAX_ADAPTERS;
+        if excess {
             self.shrink(now);
         }
+        excess
     }
 
     /// Returns the decayed count of an adapter.
     pub(crate) fn score(&self, adapter: &Name, now: Duration) -> f64 {
-        let Some((count, at)) = self.counts.get(adapter) else { return 0.0 };
-        let age = now.saturating_sub(*at).as_secs_f64();
+        self.counts.get(adapter).map_or(0.0, |count| self.decayed(*count, now))
+    }
+
+    /// Returns the value that a count from an earlier time has now.
+    pub(crate) fn decayed(&self, (count, at): (f64, Duration), now: Duration) -> f64 {
+        let age = now.saturating_sub(at).as_secs_f64();
         count * (-age / self.half_life_s).exp2()
     }
 
--- a/crates/sched/src/scheduler/admission.rs
+++ b/crates/sched/src/scheduler/admission.rs
@@ -26,7 +26,9 @@
     /// Schedules a new request of a gate in the failure domain `domain`: grants it, queues it or
     /// refuses it.
     pub fn submit(&mut self, gate: u64, domain: &Name, query: Query, now: Duration) {
-        self.popularity.record(&query.adapter, now);
+        if self.popularity.record(&query.adapter, now) {
+            self.engines.mark_all_changed();
+        }
         let key = (gate, query.request);
         let first_received_at = self.retries.first_received_at(&query, now);
         let pending = Pending {
--- a/crates/sched/src/scheduler/placement.rs
+++ b/crates/sched/src/scheduler/placement.rs
@@ -148,11 +148,15 @@
 
     /// Returns the inputs of the estimates for a request; `None` if its service has no engines.
     pub(super) fn context(&self, pending: &Pending, now: Duration) -> Option<Context<'_>> {
+        let queued_loads = self.engines.queued_store_loads(pending.query.rank);
+        // When the store is fully used, a load delays those of other requests.
+        let share = self.store.utilization(queued_loads);
         Some(Context {
             settings: &self.settings,
             spec: self.specs.get(&pending.query.service)?,
             store: &self.store,
-            queued_loads: self.engines.queued_store_loads(pending.query.rank),
+            store_load_ms: self.store.expected_ms(queued_loads),
+            store_penalty_ms: self.settings.cold_penalty_ms * share + self.settings.slot_penalty_ms,
             popularity: &self.popularity,
             ignore_health: self.engines.trusted_share(&pending.query.service, now) < TRUSTED_SHARE,
             min_version: self.min_version(&pending.query),
