sched: leave out new loads when a loaded adapter is better

Cause: a request whose adapter is loaded at an idle engine still compared all engines that would have to load it from the store.

Change: those engines are left out if the best of the engines that know the adapter costs less than the least that a load from the store can cost. Engines that know an adapter are left out of the others by a binary search.

Ruled out: the same for a request that would miss its target everywhere; an engine without the adapter may be the only one that meets it.

--- a/crates/sched/src/candidate.rs
+++ b/crates/sched/src/candidate.rs
@@ -173,6 +173,13 @@
         better(prefill_tokens, access.penalty + eviction_penalty)
     }
 
+    /// Returns whether a rating precedes those of all engines that must load the adapter from the
+    /// store.
+    pub(crate) fn precedes_new_loads(&self, rating: &Rating, adapter: &Name) -> bool {
+        let min_cost = self.store_load_ms + self.settings.first_event_ms + self.store_penalty_ms;
+        !adapter.is_empty() && !rating.misses && rating.ms < min_cost
+    }
+
     /// Returns the estimate for waiting until an engine that caches the adapter has a free slot;
     /// `ahead` other requests wait for its slots. Returns `None` if that is not possible.
     pub(crate) fn deferral(
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -114,7 +114,7 @@
     ) -> impl Iterator<Item = Member<'_>> {
         let all = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
         let knowing = self.knowing.get(adapter).map(Vec::as_slice).unwrap_or_default();
-        let others = all.iter().filter(|position| !knowing.contains(position));
+        let others = all.iter().filter(|position| knowing.binary_search(position).is_err());
         others.map(|position| self.member(*position, false))
     }
 
@@ -126,7 +126,7 @@
 
     /// Returns whether the engine at a position has an adapter in a slot or in its cache.
     pub(crate) fn knows(&self, position: usize, adapter: &Name) -> bool {
-        self.knowing.get(adapter).is_some_and(|knowing| knowing.contains(&position))
+        self.knowing.get(adapter).is_some_and(|knowing| knowing.binary_search(&position).is_ok())
     }
 
     /// Returns the number of a base model or a failure domain, if an engine has it.
--- a/crates/sched/src/scheduler/placement.rs
+++ b/crates/sched/src/scheduler/placement.rs
@@ -136,11 +136,13 @@
         let context = self.context(pending, now)?;
         let (service, adapter) = (&pending.query.service, &pending.query.adapter);
         // Engines that know the adapter are usually better and rule out most of the others.
-        let members = self.engines.knowing(service, adapter);
-        let members = members.chain(self.engines.not_knowing(service, adapter));
-        let best = members.fold(None, |best: Option<Rating>, member| {
+        let better = |best: Option<Rating>, member| {
             context.better_rating(member, pending, target_ms, best.as_ref()).or(best)
-        });
+        };
+        let mut best = self.engines.knowing(service, adapter).fold(None, better);
+        if !best.is_some_and(|best| context.precedes_new_loads(&best, adapter)) {
+            best = self.engines.not_knowing(service, adapter).fold(best, better);
+        }
         let position = best?.position;
         let member = self.engines.member(position, self.engines.knows(position, adapter));
         context.candidate(member, pending)
