sched: count the users of an engine's adapters once a report

Cause: a new leader inspects all engines, and for each adapter in a report it compared all restored requests to count those that use it; 40% of the time of a new leader with 140 engines in a profile.

Change: one pass over the requests counts the users of all adapters of the engine.

Ruled out: an index of requests by engine, which only reports would use.

--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use base::Event;
+use base::Map;
 use base::Name;
 use fleet::message::Holding;
 
@@ -20,7 +21,6 @@
 use crate::engine::OrderState;
 use crate::engine::Slot;
 use crate::engine::Stage;
-use crate::request::Assignment;
 use crate::scheduler::Scheduler;
 use crate::settings::Settings;
 
@@ -373,12 +373,14 @@
             adapters.map(|adapter| (adapter.name.clone(), adapter.version)).collect();
         let mut completed = Vec::new();
         let mut outdated = Vec::new();
+        // Requests that a former leader granted may be known before their adapter.
+        let mut users: Map<&Name, u32> = Map::default();
+        for assignment in self.assignments.values().filter(|assignment| assignment.engine == *id) {
+            *users.entry(&assignment.adapter).or_default() += 1;
+        }
         for (name, version) in &loaded {
-            // Requests that a former leader granted may be known before their adapter.
-            let uses =
-                |assignment: &&Assignment| assignment.engine == *id && assignment.adapter == *name;
             let slot = engine.adapter_slots.get_or_insert_with(name, || {
-                let users = self.assignments.values().filter(uses).count() as u32;
+                let users = users.get(name).copied().unwrap_or_default();
                 Slot { users, ..Slot::loaded(*version, now) }
             });
             if slot.is_loading() && *version >= slot.version {
