sched: record decisions while plans, gates, engines and leaders change

Cause: the recorded runs have no new plan, no lost gate and no late reports, and in `cost` all reports reach a new leader at once, while a busy keeper gets them one by one.

Change: a simulated site can spread its reports (`report_spread`; the other runs draw the same random numbers as before).

Ruled out: recording these runs from the current code alone.

--- a/crates/sched/examples/cost.rs
+++ b/crates/sched/examples/cost.rs
@@ -82,4 +82,9 @@
     load.submit(400);
     load.run(Duration::from_secs(2), 1.0);
     report("new leader", &mut load);
+    load.report_spread = Duration::from_millis(300);
+    load.start_scheduler();
+    load.submit(400);
+    load.run(Duration::from_millis(500), 1.0);
+    report("new leader, slow reports", &mut load);
 }
--- a/crates/sched/tests/common/load.rs
+++ b/crates/sched/tests/common/load.rs
@@ -97,6 +97,8 @@
     pub totals: Totals,
     /// A digest of all actions in their order.
     pub digest: u64,
+    /// The time within which reports of engines arrive, each at a random time.
+    pub report_spread: Duration,
     settings: Settings,
     engines: BTreeMap<Name, (Announcement, Engine)>,
     prefill_ends: BTreeMap<Name, Duration>,
@@ -129,6 +131,7 @@
             now: Duration::from_secs(1),
             totals: Totals::default(),
             digest: 0,
+            report_spread: Duration::ZERO,
             engines: BTreeMap::new(),
             prefill_ends: BTreeMap::new(),
             prefixes: BTreeSet::new(),
@@ -307,7 +310,12 @@
                 self.totals.orders += 1;
                 self.schedule(MESSAGE, Event::Order(order));
             }
-            Action::Inspect(endpoint) => self.schedule(MESSAGE * 2, Event::Inspect(endpoint.id)),
+            Action::Inspect(endpoint) => {
+                let spread_ms = self.report_spread.as_millis() as u64;
+                let delay_ms = if spread_ms == 0 { 0 } else { self.random(spread_ms) };
+                let after = MESSAGE * 2 + Duration::from_millis(delay_ms);
+                self.schedule(after, Event::Inspect(endpoint.id));
+            }
             Action::Publish(_) => {}
         }
     }
--- a/crates/sched/tests/golden.rs
+++ b/crates/sched/tests/golden.rs
@@ -36,6 +36,29 @@
     load.start_scheduler();
     load.submit(100);
     load.run(Duration::from_secs(3), 1.0);
+    result(&load)
+}
+
+/// Plays new plans, versions, engines, gates and leaders in turn, with reports that arrive late.
+fn play_changes(seed: u64) -> String {
+    let mut load = Load::new(site(seed), Unobserved);
+    load.report_spread = Duration::from_millis(300);
+    for round in 0..3 {
+        load.run(Duration::from_secs(1), 1.5);
+        load.scheduler.set_plan(&common::plan());
+        load.publish_version();
+        load.run(Duration::from_millis(500), 3.0);
+        load.replace_engine(24 + round);
+        load.scheduler.gate_disconnected(round as u64, load.now);
+        load.run(Duration::from_millis(500), 0.5);
+        load.start_scheduler();
+        load.submit(60);
+    }
+    load.run(Duration::from_secs(1), 1.0);
+    result(&load)
+}
+
+fn result(load: &Load<Unobserved>) -> String {
     let Totals { submitted, granted, denied, on_time, orders } = load.totals;
     let digest = load.digest;
     format!("{submitted} {granted} {denied} {on_time} {orders} {digest:016x}")
@@ -51,3 +74,14 @@
     ];
     assert_eq!(runs, recorded);
 }
+
+#[test]
+fn decisions_while_the_site_changes_are_unchanged() {
+    let runs = [1, 2, 3].map(play_changes);
+    let recorded = [
+        "1924 1158 661 978 1363 e20f3d62aa7ac4b4",
+        "1817 1144 572 979 1382 7a13728402123774",
+        "1917 1231 618 1070 1437 3c8697e5a5228145",
+    ];
+    assert_eq!(runs, recorded);
+}
