sched: compare only engines that may load an adapter

Cause: while the slots of all engines are in use, or a new leader does not know the engines' sequences yet, a queued request compared all engines at each poll to find that none can load its adapter.

Change: the pool keeps, for each service, the engines that may load one more adapter: the base model is loaded, the sequence is known, and a slot is free or an adapter idle. `Engine::max_adapters` holds the number of slots from the plan, for that. The sets of positions are sorted lists.

Ruled out: reconsidering the queue less often. It would change decisions, and the passes are short now.

--- a/crates/sched/src/candidate.rs
+++ b/crates/sched/src/candidate.rs
@@ -275,15 +275,13 @@
     /// Returns how an engine would load an adapter that it does not hold: into a free slot, or in
     /// place of the least popular idle adapter.
     fn new_load(&self, figures: &Figures, cold: bool) -> Option<Access> {
-        if !figures.accepts_orders || figures.loads >= self.settings.engine_load_limit {
+        if !figures.may_load() || figures.loads >= self.settings.engine_load_limit {
             return None;
         }
-        let availability = if figures.used_slots < self.spec.adapter_slots as usize {
+        let availability = if figures.has_free_slot {
             Availability::NeedsLoad
-        } else if figures.has_idle_adapter {
-            Availability::NeedsEviction
         } else {
-            return None;
+            Availability::NeedsEviction
         };
         let (load_ms, penalty) = if cold {
             (self.store_load_ms, self.store_penalty_ms)
--- a/crates/sched/src/engine.rs
+++ b/crates/sched/src/engine.rs
@@ -27,6 +27,8 @@
     /// Invariant: all but the queued ones fit the engine's adapter slots; a queued load is ordered
     /// when no adapter is being unloaded.
     pub(crate) adapter_slots: Slots,
+    /// The number of its adapter slots; 0 until the plan has its service.
+    pub(crate) max_adapters: usize,
     pub(crate) warm: warm::Cache,
     /// The prompt tokens of requests without a first event.
     pub(crate) backlog_tokens: f64,
@@ -127,6 +129,7 @@
             endpoint: Endpoint::from(announcement),
             base,
             adapter_slots,
+            max_adapters: 0,
             warm: warm::Cache::default(),
             backlog_tokens: 0.0,
             running: 0,
--- a/crates/sched/src/figures.rs
+++ b/crates/sched/src/figures.rs
@@ -29,9 +29,9 @@
     pub(crate) accepts_orders: bool,
     /// The number of queued and running loads.
     pub(crate) loads: usize,
-    /// The number of adapters in its adapter slots.
-    pub(crate) used_slots: usize,
-    /// Whether one of those adapters can be evicted.
+    /// Whether an adapter slot is free.
+    pub(crate) has_free_slot: bool,
+    /// Whether one of the adapters in its slots can be evicted.
     pub(crate) has_idle_adapter: bool,
     pub(crate) prefill_tokens_per_ms: f64,
     /// The lowest popularity of its idle adapters, and when it was computed. It only grows until the
@@ -55,7 +55,7 @@
             health: engine.health.clone(),
             accepts_orders: matches!(order_state, OrderState::Idle(_) | OrderState::Busy(_)),
             loads: engine.load_count(),
-            used_slots: engine.adapter_slots.len(),
+            has_free_slot: engine.adapter_slots.len() < engine.max_adapters,
             has_idle_adapter: engine.adapter_slots.values().any(Slot::is_idle),
             prefill_tokens_per_ms: engine.prefill_speed.tokens_per_ms,
             idle_popularity: Cell::new(None),
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Returns whether the engine may load one more adapter.
+    pub(crate) fn may_load(&self) -> bool {
+        self.model.is_some() && self.accepts_orders && (self.has_free_slot || self.has_idle_adapter)
+    }
+
     /// Returns the expected time until the first events of all assigned requests have arrived, in
     /// ms.
     pub(crate) fn queue_ms(&self, now: Duration) -> f64 {
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -1,7 +1,6 @@
 //! The engines of a scheduler, with figures over all of them that follow each change of an engine.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use base::Map;
@@ -23,8 +22,7 @@
     /// engine until one is added or removed.
     engines: Vec<Engine>,
     positions: Map<Name, usize>,
-    /// The positions of each service's engines, in ascending order.
-    services: Map<Name, Vec<usize>>,
+    services: Map<Name, Service>,
     /// The figures of each engine.
     ///
     /// Invariant: empty, or as long as `engines`.
@@ -39,10 +37,10 @@
     ///
     /// Invariant: these are the engines with [`Share::stale`].
     changed: Vec<usize>,
-    /// The engines for which orders are in progress or may become due.
-    working: BTreeSet<usize>,
-    /// The engines whose health may not admit a request.
-    distrusted: BTreeSet<usize>,
+    /// The engines for which orders are in progress or may become due, in ascending order.
+    working: Vec<usize>,
+    /// The engines whose health may not admit a request, in ascending order.
+    distrusted: Vec<usize>,
     /// The numbers of queued loads from the store, by rank.
     queued_loads: BTreeMap<u8, usize>,
 }
@@ -57,6 +55,14 @@
     pub(crate) knows_adapter: bool,
 }
 
+/// The positions of a service's engines, in ascending order.
+#[derive(Debug, Default)]
+struct Service {
+    all: Vec<usize>,
+    /// Those that may load one more adapter.
+    loadable: Vec<usize>,
+}
+
 /// What an engine contributes to the indexes and sums of its pool.
 #[derive(Debug, Default)]
 struct Share {
@@ -106,15 +112,21 @@
         members.filter(move |member| member.engine.endpoint.service == *service)
     }
 
-    /// Returns the other engines of a service, in the order of their ids.
+    /// Returns the other engines of a service that may load the adapter, in the order of their ids;
+    /// all engines if it is the base model itself.
     pub(crate) fn not_knowing(
         &self,
         service: &Name,
         adapter: &Name,
     ) -> impl Iterator<Item = Member<'_>> {
-        let all = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
+        let service = self.services.get(service);
+        let engines = service.map(|service| match adapter.is_empty() {
+            true => service.all.as_slice(),
+            false => service.loadable.as_slice(),
+        });
+        let engines = engines.unwrap_or_default();
         let knowing = self.knowing.get(adapter).map(Vec::as_slice).unwrap_or_default();
-        let others = all.iter().filter(|position| knowing.binary_search(position).is_err());
+        let others = engines.iter().filter(|position| knowing.binary_search(position).is_err());
         others.map(|position| self.member(*position, false))
     }
 
@@ -167,7 +179,8 @@
         self.services.clear();
         for (position, engine) in self.engines.iter().enumerate() {
             self.positions.insert(engine.endpoint.id.clone(), position);
-            self.services.entry(engine.endpoint.service.clone()).or_default().push(position);
+            let service = self.services.entry(engine.endpoint.service.clone()).or_default();
+            service.all.push(position);
         }
         self.figures.clear();
         self.knowing.clear();
@@ -208,12 +221,15 @@
             };
             let domain = number(&mut self.numbers, &engine.endpoint.domain);
             self.figures[position] = Figures::new(engine, model, domain);
+            if let Some(service) = self.services.get_mut(&engine.endpoint.service) {
+                set_sorted(&mut service.loadable, position, self.figures[position].may_load());
+            }
             if share.adapters_revision != Some(engine.adapters_revision()) {
                 update_adapters(&mut self.knowing, share, position, engine);
             }
             share.due_at = engine.due_at();
-            set_member(&mut self.working, position, engine.has_work());
-            set_member(&mut self.distrusted, position, !engine.health.admits_always());
+            set_sorted(&mut self.working, position, engine.has_work());
+            set_sorted(&mut self.distrusted, position, !engine.health.admits_always());
             for rank in share.queued_loads.drain(..) {
                 *self.queued_loads.entry(rank).or_default() -= 1;
             }
@@ -248,7 +264,7 @@
 
     /// Returns the share of a service's engines whose health admits a request.
     pub(crate) fn trusted_share(&self, service: &Name, now: Duration) -> f64 {
-        let all = self.services.get(service).map_or(0, Vec::len) as u32;
+        let all = self.services.get(service).map_or(0, |service| service.all.len()) as u32;
         let distrusted = self.distrusted.iter().map(|position| &self.engines[*position]);
         let rejecting = distrusted.filter(|engine| {
             engine.endpoint.service == *service && !engine.health.admits(engine.running, now)
@@ -276,12 +292,11 @@
     let adapters: Set<Name> = engine.known_adapters().cloned().collect();
     for adapter in adapters.difference(&share.adapters) {
         let positions = knowing.entry(adapter.clone()).or_default();
-        let index = positions.partition_point(|other| *other < position);
-        positions.insert(index, position);
+        set_sorted(positions, position, true);
     }
     for adapter in share.adapters.difference(&adapters) {
         let Some(positions) = knowing.get_mut(adapter) else { continue };
-        positions.retain(|other| *other != position);
+        set_sorted(positions, position, false);
         if positions.is_empty() {
             knowing.remove(adapter);
         }
@@ -289,10 +304,13 @@
     share.adapters = adapters;
 }
 
-fn set_member(set: &mut BTreeSet<usize>, position: usize, member: bool) {
-    if member {
-        set.insert(position);
-    } else {
-        set.remove(&position);
+/// Adds a position to a sorted list or removes it.
+fn set_sorted(positions: &mut Vec<usize>, position: usize, member: bool) {
+    match positions.binary_search(&position) {
+        Ok(index) if !member => {
+            positions.remove(index);
+        }
+        Err(index) if member => positions.insert(index, position),
+        _ => {}
     }
 }
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -102,7 +102,7 @@
             .filter_map(|service| Some((service.name.clone(), service.engine.clone()?)));
         self.specs = engines.collect();
         for engine in self.engines.values_mut() {
-            queue_base(engine, &self.specs);
+            apply_spec(engine, &self.specs);
         }
         self.dirty = true;
     }
@@ -142,7 +142,7 @@
         }
         self.remove_engine(&announcement.id, now);
         let mut engine = Engine::new(announcement, &self.settings, now);
-        queue_base(&mut engine, &self.specs);
+        apply_spec(&mut engine, &self.specs);
         self.engines.insert(engine);
         self.dirty = true;
     }
@@ -197,11 +197,13 @@
     }
 }
 
-/// Queues the load of the service's first base model if an engine has none.
-fn queue_base(engine: &mut Engine, specs: &Map<Name, EngineSpec>) {
+/// Updates the size of an engine, and queues the load of the service's first base model if it has
+/// none.
+fn apply_spec(engine: &mut Engine, specs: &Map<Name, EngineSpec>) {
+    let Some(spec) = specs.get(&engine.endpoint.service) else { return };
+    engine.max_adapters = spec.adapter_slots as usize;
     if engine.base == Base::Empty
-        && let Some(model) =
-            specs.get(&engine.endpoint.service).and_then(|spec| spec.models.first())
+        && let Some(model) = spec.models.first()
     {
         engine.base = Base::Queued(model.name.clone());
     }
