--- a/crates/sched/src/candidate.rs
+++ b/crates/sched/src/candidate.rs
@@ -5,25 +5,33 @@
 use base::Name;
 use fleet::plan::EngineSpec;
 
-use crate::engine::Base;
 use crate::engine::Engine;
-use crate::engine::OrderState;
 use crate::engine::Slot;
 use crate::engine::Stage;
+use crate::figures::Figures;
+use crate::pool::Member;
 use crate::popularity::Popularity;
 use crate::request::Pending;
 use crate::settings::Settings;
 use crate::store::Limiter;
 
+/// The lowest number of prompt tokens that an engine is expected to process.
+const MIN_PREFILL_TOKENS: f64 = 1.0;
+
+/// Keeps a lower bound of a popularity below the exact value despite rounding.
+const ROUNDING_MARGIN: f64 = 1.0 - 1e-9;
+
 /// The availability of a request's adapter at an engine.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Availability {
     /// The adapter is loaded.
     Loaded,
     /// The adapter is queued or being loaded.
     Loading,
-    /// The adapter must be loaded; the named adapter must be evicted for it if no slot is free.
-    NeedsLoad(Option<Name>),
+    /// The adapter must be loaded into a free slot.
+    NeedsLoad,
+    /// The adapter must be loaded in place of another one.
+    NeedsEviction,
 }
 
 /// An engine that could run a request.
@@ -31,6 +39,8 @@
 pub(crate) struct Candidate {
     pub(crate) engine: Name,
     pub(crate) availability: Availability,
+    /// The adapter that must be evicted, if any.
+    pub(crate) victim: Option<Name>,
     /// Whether the adapter must be loaded from the store.
     pub(crate) cold: bool,
     /// The prompt tokens that are not in the engine's prefix cache.
@@ -56,162 +66,261 @@
     pub(crate) settings: &'a Settings,
     pub(crate) spec: &'a EngineSpec,
     pub(crate) store: &'a Limiter,
-    /// The number of queued loads from the store.
-    pub(crate) queued_loads: usize,
     /// The time until orders to engines may start, in ms.
     pub(crate) order_delay_ms: f64,
+    /// The expected time of one more load from the store, `order_delay_ms` included, in ms.
+    pub(crate) store_load_ms: f64,
+    /// The penalty for one more load from the store, in ms.
+    pub(crate) store_penalty_ms: f64,
     pub(crate) popularity: &'a Popularity,
     /// Whether suspected engines are treated like others, because most engines are suspected.
     pub(crate) ignore_health: bool,
     /// The oldest version of the adapter that may be served.
     pub(crate) min_version: u64,
+    /// The number of the base model in the pool, if an engine has it.
+    pub(crate) model: Option<usize>,
+    /// The number of the gate's failure domain in the pool, if an engine is in it.
+    pub(crate) domain: Option<usize>,
     pub(crate) now: Duration,
 }
 
+/// The rank of an engine among those that could run a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Rating {
+    /// Whether the request would miss its target.
+    misses: bool,
+    /// The cost, or the expected time to the first event if the request would miss its target; in
+    /// ms.
+    ms: f64,
+    /// The engine's position, which decides between equal engines.
+    pub(crate) position: usize,
+}
+
+/// How an engine would get the adapter of a request.
+struct Access {
+    availability: Availability,
+    /// Whether the adapter must be loaded from the store.
+    cold: bool,
+    /// The expected time until the adapter is loaded, in ms.
+    load_ms: f64,
+    /// The penalty for loading it, without that for an eviction, in ms.
+    penalty: f64,
+}
+
+impl Rating {
+    fn precedes(&self, other: &Rating) -> bool {
+        (self.misses, self.ms, self.position) < (other.misses, other.ms, other.position)
+    }
+}
+
 impl Context<'_> {
     /// Returns the estimate for an engine; `None` if the engine can't take the request now.
-    pub(crate) fn candidate(&self, engine: &Engine, pending: &Pending) -> Option<Candidate> {
-        if !self.can_run(engine, pending) {
+    pub(crate) fn candidate(&self, member: Member<'_>, pending: &Pending) -> Option<Candidate> {
+        let access = self.access(member, &pending.query.adapter)?;
+        let mut penalty = access.penalty;
+        let mut victim = None;
+        if access.availability == Availability::NeedsEviction {
+            let (name, eviction_penalty) = self.victim(member)?;
+            penalty += eviction_penalty;
+            victim = Some(name.clone());
+        }
+        let prefill_tokens = prefill_tokens(member.engine, pending);
+        let queue_ms = member.figures.queue_ms(self.now).max(access.load_ms);
+        let (expected_ms, cost) =
+            self.latency_and_cost(member.figures, pending, queue_ms, prefill_tokens, penalty);
+        Some(Candidate {
+            engine: member.engine.endpoint.id.clone(),
+            availability: access.availability,
+            victim,
+            cold: access.cold,
+            prefill_tokens,
+            expected_ms,
+            cost,
+        })
+    }
+
+    /// Returns the rating of an engine for a request that is to get its first event within
+    /// `target_ms`; `None` if the engine can't take the request now or is not better than `best`.
+    pub(crate) fn better_rating(
+        &self,
+        member: Member<'_>,
+        pending: &Pending,
+        target_ms: f64,
+        best: Option<&Rating>,
+    ) -> Option<Rating> {
+        if !self.can_run(member, pending) {
             return None;
         }
-        let query = &pending.query;
-        let (availability, load_ms, penalty) = self.availability(engine, &query.adapter)?;
+        let Member { position, engine, figures, .. } = member;
+        let access = self.access(member, &pending.query.adapter)?;
+        let queue_ms = figures.queue_ms(self.now).max(access.load_ms);
+        let limit_ms = target_ms * self.settings.target_share(access.cold);
+        let better = |prefill_tokens: f64, penalty: f64| {
+            let (expected_ms, cost) =
+                self.latency_and_cost(figures, pending, queue_ms, prefill_tokens, penalty);
+            let misses = expected_ms > limit_ms;
+            let ms = if misses { expected_ms } else { cost };
+            let rating = Rating { misses, ms, position };
+            best.is_none_or(|best| rating.precedes(best)).then_some(rating)
+        };
+        // Most engines are ruled out without the prefix cache and the adapters' popularity.
+        better(MIN_PREFILL_TOKENS, access.penalty)?;
         let prefill_tokens = prefill_tokens(engine, pending);
-        let (expected_ms, cost) = self.latency_and_cost(engine, pending, load_ms, penalty);
-        let cold =
-            matches!(availability, Availability::NeedsLoad(_)) && !engine.is_warm(&query.adapter);
-        let engine = engine.endpoint.id.clone();
-        Some(Candidate { engine, availability, cold, prefill_tokens, expected_ms, cost })
+        let rating = better(prefill_tokens, access.penalty)?;
+        if access.availability != Availability::NeedsEviction || rating.misses {
+            return Some(rating);
+        }
+        better(prefill_tokens, access.penalty + self.min_eviction_penalty(figures))?;
+        let (_, eviction_penalty) = self.victim(member)?;
+        better(prefill_tokens, access.penalty + eviction_penalty)
+    }
+
+    /// Returns whether a rating precedes those of all engines that must load the adapter from the
+    /// store.
+    pub(crate) fn precedes_new_loads(&self, rating: &Rating, adapter: &Name) -> bool {
+        let min_cost = self.store_load_ms + self.settings.first_event_ms + self.store_penalty_ms;
+        !adapter.is_empty() && !rating.misses && rating.ms < min_cost
     }
 
     /// Returns the estimate for waiting until an engine that caches the adapter has a free slot;
     /// `ahead` other requests wait for its slots. Returns `None` if that is not possible.
     pub(crate) fn deferral(
         &self,
-        engine: &Engine,
+        member: Member<'_>,
         pending: &Pending,
         ahead: usize,
     ) -> Option<Deferral> {
+        let Member { engine, figures, .. } = member;
         let adapter = &pending.query.adapter;
         let cached = engine.is_warm(adapter) && !engine.adapter_slots.contains_key(adapter);
-        if !cached || !accepts_orders(engine) || !self.can_run(engine, pending) {
+        if !cached || !figures.accepts_orders || !self.can_run(member, pending) {
             return None;
         }
         let slot_ms = engine.slot_wait(ahead, self.now)?.as_secs_f64() * 1e3;
         let load_ms = slot_ms.max(self.order_delay_ms) + self.settings.warm_load_ms;
+        let queue_ms = figures.queue_ms(self.now).max(load_ms);
+        let prefill_tokens = prefill_tokens(engine, pending);
         let penalty = self.settings.slot_penalty_ms;
-        let (expected_ms, cost) = self.latency_and_cost(engine, pending, load_ms, penalty);
+        let (expected_ms, cost) =
+            self.latency_and_cost(figures, pending, queue_ms, prefill_tokens, penalty);
         Some(Deferral { engine: engine.endpoint.id.clone(), expected_ms, cost })
     }
 
     /// Returns whether an engine could take a request if its adapter were loaded.
-    fn can_run(&self, engine: &Engine, pending: &Pending) -> bool {
+    fn can_run(&self, member: Member<'_>, pending: &Pending) -> bool {
+        let Member { engine, figures, .. } = member;
         let query = &pending.query;
-        let base_loaded = matches!(&engine.base, Base::Loaded(model) if *model == query.model);
         let tokens = u64::from(query.input) + u64::from(query.output);
         let memory = self.spec.kv_tokens as f64 * self.settings.kv_memory_share;
-        let fits = (engine.kv_tokens + tokens) as f64 <= memory || engine.running == 0;
-        base_loaded
+        let fits = (figures.kv_tokens + tokens) as f64 <= memory || figures.running == 0;
+        figures.model.is_some_and(|model| Some(model) == self.model)
             && fits
-            && engine.running < self.spec.slots
-            && self.now >= engine.full_until
-            && (self.ignore_health || engine.health.admits(engine.running, self.now))
+            && figures.running < self.spec.slots
+            && self.now >= figures.full_until
+            && (self.ignore_health || figures.health.admits(figures.running, self.now))
             && !query.excluded.contains(&engine.endpoint.id)
     }
 
-    /// Returns the expected time to the first event if the adapter is loaded after `load_ms`, and
-    /// that time plus penalties, both in ms.
+    /// Returns the expected time to the first event if the prefill starts after `queue_ms`, and that
+    /// time plus penalties, both in ms.
     fn latency_and_cost(
         &self,
-        engine: &Engine,
+        figures: &Figures,
         pending: &Pending,
-        load_ms: f64,
+        queue_ms: f64,
+        prefill_tokens: f64,
         penalty: f64,
     ) -> (f64, f64) {
-        let queue_ms = engine.queue_ms(self.now).max(load_ms);
-        let prefill_ms = prefill_tokens(engine, pending) / engine.prefill_speed.tokens_per_ms;
+        let prefill_ms = prefill_tokens / figures.prefill_tokens_per_ms;
         let expected_ms = queue_ms + prefill_ms + self.settings.first_event_ms;
-        let remote = engine.endpoint.domain != pending.domain;
+        let remote = Some(figures.domain) != self.domain;
         let domain = if remote { self.settings.domain_penalty_ms } else { 0.0 };
-        let risk = f64::from(pending.query.target_ms) * engine.health.failure_rate();
+        let risk = f64::from(pending.query.target_ms) * figures.health.failure_rate();
         (expected_ms, expected_ms + penalty + domain + risk)
     }
 
-    /// Returns the availability of an adapter at an engine, the time until it is loaded and the
-    /// penalty for loading it, both in ms.
-    fn availability(&self, engine: &Engine, adapter: &Name) -> Option<(Availability, f64, f64)> {
+    /// Returns how an engine would get an adapter; `None` if it can't get it now.
+    fn access(&self, member: Member<'_>, adapter: &Name) -> Option<Access> {
+        let access = |availability, load_ms| {
+            Some(Access { availability, cold: false, load_ms, penalty: 0.0 })
+        };
         if adapter.is_empty() {
-            return Some((Availability::Loaded, 0.0, 0.0));
+            return access(Availability::Loaded, 0.0);
+        }
+        let Member { engine, figures, knows_adapter, .. } = member;
+        if !knows_adapter {
+            return self.new_load(figures, true);
         }
         match engine.adapter_slots.get(adapter) {
             Some(Slot { stage: Stage::Unloading { .. }, .. }) => None,
             Some(slot) if slot.version >= self.min_version && slot.stage == Stage::Loaded => {
-                Some((Availability::Loaded, 0.0, 0.0))
+                access(Availability::Loaded, 0.0)
             }
             Some(slot) if slot.version >= self.min_version => {
-                Some((Availability::Loading, self.remaining_load_ms(slot), 0.0))
+                access(Availability::Loading, self.remaining_load_ms(slot))
             }
             // The old version is unloaded before the new one is loaded, since together they need
             // two slots.
             Some(_) => None,
-            None => self.new_load(engine, adapter),
+            None => self.new_load(figures, !engine.is_warm(adapter)),
         }
     }
 
     /// Returns the expected time until a queued or running load ends, in ms.
     fn remaining_load_ms(&self, slot: &Slot) -> f64 {
         let Stage::Loading { since, .. } = slot.stage else {
-            return self.order_delay_ms + self.store.expected_ms(self.queued_loads);
+            return self.store_load_ms;
         };
         let elapsed = self.now.saturating_sub(since).as_secs_f64() * 1e3;
         (self.store.expected_ms(0) - elapsed).max(self.settings.warm_load_ms)
     }
 
-    /// Returns the estimate of [`Context::availability`] for an adapter that is not at the engine:
-    /// loaded into a free slot, or in place of the least popular idle adapter.
-    fn new_load(&self, engine: &Engine, adapter: &Name) -> Option<(Availability, f64, f64)> {
-        if !accepts_orders(engine) || engine.load_count() >= self.settings.engine_load_limit {
+    /// Returns how an engine would load an adapter that it does not hold: into a free slot, or in
+    /// place of the least popular idle adapter.
+    fn new_load(&self, figures: &Figures, cold: bool) -> Option<Access> {
+        if !figures.may_load() || figures.loads >= self.settings.engine_load_limit {
             return None;
         }
-        let (load_ms, mut penalty) = if engine.is_warm(adapter) {
-            (self.settings.warm_load_ms, self.settings.slot_penalty_ms)
+        let availability = if figures.has_free_slot {
+            Availability::NeedsLoad
         } else {
-            // When the store is fully used, a load delays those of other requests.
-            let share = self.store.utilization(self.queued_loads);
-            let penalty = self.settings.cold_penalty_ms * share + self.settings.slot_penalty_ms;
-            (self.store.expected_ms(self.queued_loads), penalty)
+            Availability::NeedsEviction
         };
-        let load_ms = self.order_delay_ms + load_ms;
-        if engine.adapter_slots.len() < self.adapter_slots() {
-            return Some((Availability::NeedsLoad(None), load_ms, penalty));
-        }
+        let (load_ms, penalty) = if cold {
+            (self.store_load_ms, self.store_penalty_ms)
+        } else {
+            (self.order_delay_ms + self.settings.warm_load_ms, self.settings.slot_penalty_ms)
+        };
+        Some(Access { availability, cold, load_ms, penalty })
+    }
+
+    /// Returns the adapter that an engine would evict, and the penalty for its eviction in ms.
+    fn victim<'a>(&self, Member { engine, figures, .. }: Member<'a>) -> Option<(&'a Name, f64)> {
         let idle = engine.adapter_slots.iter().filter(|(_, slot)| slot.is_idle());
-        let popularity = |name: &Name| self.popularity.score(name, self.now);
-        let victim = idle.min_by(|(a, x), (b, y)| {
-            popularity(a)
-                .total_cmp(&popularity(b))
-                .then_with(|| x.last_used_at.cmp(&y.last_used_at))
+        let idle = idle.map(|(name, slot)| (self.popularity.score(name, self.now), name, slot));
+        let (popularity, victim, _) = idle.min_by(|(x, a, slot), (y, b, other)| {
+            x.total_cmp(y)
+                .then_with(|| slot.last_used_at.cmp(&other.last_used_at))
                 .then_with(|| a.cmp(b))
-        });
-        let (victim, _) = victim?;
-        penalty += self.settings.slot_penalty_ms * popularity(victim).min(4.0) / 2.0;
-        Some((Availability::NeedsLoad(Some(victim.clone())), load_ms, penalty))
+        })?;
+        figures.idle_popularity.set(Some((popularity, self.now)));
+        Some((victim, self.eviction_penalty(popularity)))
     }
 
-    /// Returns the number of adapter slots of an engine.
-    fn adapter_slots(&self) -> usize {
-        self.spec.adapter_slots as usize
+    /// Returns a lower bound of the penalty for an eviction, in ms.
+    fn min_eviction_penalty(&self, figures: &Figures) -> f64 {
+        let popularity = figures.idle_popularity.get();
+        let popularity = popularity.map_or(0.0, |known| self.popularity.decayed(known, self.now));
+        self.eviction_penalty(popularity * ROUNDING_MARGIN)
     }
-}
 
-/// Returns the prompt tokens of a request that are not in an engine's prefix cache, at least 1.
-fn prefill_tokens(engine: &Engine, pending: &Pending) -> f64 {
-    let seed = base::digest(pending.query.adapter.as_bytes());
-    let cached = engine.prefix_cache.cached_tokens(seed, &pending.query.parts);
-    f64::from(pending.query.input.saturating_sub(cached)).max(1.0)
+    fn eviction_penalty(&self, popularity: f64) -> f64 {
+        self.settings.slot_penalty_ms * popularity.min(4.0) / 2.0
+    }
 }
 
-/// Returns whether an engine's sequence is known, which new orders require.
-fn accepts_orders(engine: &Engine) -> bool {
-    matches!(engine.order_state, OrderState::Idle(_) | OrderState::Busy(_))
+/// Returns the prompt tokens of a request that are not in an engine's prefix cache.
+fn prefill_tokens(engine: &Engine, pending: &Pending) -> f64 {
+    let cached = engine.prefix_cache.cached_tokens(&pending.prefixes);
+    f64::from(pending.query.input.saturating_sub(cached)).max(MIN_PREFILL_TOKENS)
 }
--- a/crates/sched/src/engine.rs
+++ b/crates/sched/src/engine.rs
@@ -1,9 +1,7 @@
 //! The scheduler's state of an engine.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
-use base::Map;
 use base::Name;
 use fleet::endpoint::Announcement;
 use fleet::endpoint::Endpoint;
@@ -12,10 +10,9 @@
 use crate::prefix::Cache;
 use crate::request::Key;
 use crate::settings::Settings;
+use crate::slots::Slots;
 use crate::speed::Prefill;
-
-/// The limit on the time that an overdue first event adds to its engine's expected queue.
-const MAX_OVERDUE: Duration = Duration::from_secs(2);
+use crate::warm;
 
 /// The shortest remaining time that is expected of an overdue request.
 const MIN_OVERDUE_REMAINING: Duration = Duration::from_millis(50);
@@ -29,9 +26,10 @@
     ///
     /// Invariant: all but the queued ones fit the engine's adapter slots; a queued load is ordered
     /// when no adapter is being unloaded.
-    pub(crate) adapter_slots: Map<Name, Slot>,
-    /// The recently unloaded adapters that the engine is assumed to cache, the latest last.
-    pub(crate) warm: VecDeque<Name>,
+    pub(crate) adapter_slots: Slots,
+    /// The number of its adapter slots; 0 until the plan has its service.
+    pub(crate) max_adapters: usize,
+    pub(crate) warm: warm::Cache,
     /// The prompt tokens of requests without a first event.
     pub(crate) backlog_tokens: f64,
     /// The number of requests that are granted or reserved and have not ended.
@@ -131,7 +129,8 @@
             endpoint: Endpoint::from(announcement),
             base,
             adapter_slots,
-            warm: VecDeque::new(),
+            max_adapters: 0,
+            warm: warm::Cache::default(),
             backlog_tokens: 0.0,
             running: 0,
             kv_tokens: 0,
@@ -145,12 +144,27 @@
         }
     }
 
-    /// Returns the expected time until the first events of all assigned requests have arrived, in
-    /// ms.
-    pub(crate) fn queue_ms(&self, now: Duration) -> f64 {
-        let overdue = self.start_deadlines.iter().map(|(_, at)| now.saturating_sub(*at));
-        let overdue = overdue.max().unwrap_or_default().min(MAX_OVERDUE).as_secs_f64() * 1e3;
-        self.backlog_tokens / self.prefill_speed.tokens_per_ms + overdue
+    /// Returns whether an order or an inspection is in progress or may become due as time passes.
+    pub(crate) fn has_work(&self) -> bool {
+        !matches!(self.order_state, OrderState::Idle(_))
+            || matches!(self.base, Base::Queued(_) | Base::Loading { .. })
+            || self.adapter_slots.values().any(|slot| slot.stage != Stage::Loaded)
+    }
+
+    /// Returns the earliest time at which an order or an inspection may be due; [`Duration::MAX`]
+    /// if that takes another event.
+    pub(crate) fn due_at(&self) -> Duration {
+        match (&self.order_state, &self.base) {
+            (OrderState::Unknown { inspect_at, .. }, _) => *inspect_at,
+            (OrderState::Inspecting { .. } | OrderState::Busy(_), _) => Duration::MAX,
+            (OrderState::Idle(_), Base::Empty) => Duration::MAX,
+            (OrderState::Idle(_), Base::Queued(_)) => Duration::ZERO,
+            (OrderState::Idle(_), Base::Loading { poll_at, .. }) => *poll_at,
+            (OrderState::Idle(_), Base::Loaded(_)) => {
+                let due = self.adapter_slots.values().filter_map(Slot::due_at);
+                due.min().unwrap_or(Duration::MAX)
+            }
+        }
     }
 
     /// Returns the number of queued and running loads.
@@ -173,16 +187,22 @@
         self.warm.contains(adapter)
     }
 
+    /// Returns the adapters in its slots and those that it caches.
+    pub(crate) fn known_adapters(&self) -> impl Iterator<Item = &Name> {
+        self.adapter_slots.keys().chain(self.warm.iter())
+    }
+
+    /// Returns a number that grows with each change of [`Engine::known_adapters`].
+    pub(crate) fn adapters_revision(&self) -> u64 {
+        self.adapter_slots.revision() + self.warm.revision()
+    }
+
     /// Frees the slot of an adapter. If the adapter was loaded, the engine now caches it; the
     /// oldest one beyond `max_warm` is dropped.
     pub(crate) fn remove_adapter(&mut self, adapter: &Name, max_warm: usize) -> Option<Slot> {
         let slot = self.adapter_slots.remove(adapter)?;
         if !slot.is_loading() {
-            self.warm.retain(|name| name != adapter);
-            self.warm.push_back(adapter.clone());
-            if self.warm.len() > max_warm {
-                self.warm.pop_front();
-            }
+            self.warm.insert(adapter, max_warm);
         }
         Some(slot)
     }
@@ -228,6 +248,16 @@
         matches!(self.stage, Stage::Queued | Stage::Loading { .. })
     }
 
+    /// Returns the earliest time at which an order for the adapter may be due, if there is one.
+    fn due_at(&self) -> Option<Duration> {
+        match self.stage {
+            Stage::Queued => Some(Duration::ZERO),
+            Stage::Loading { poll_at, .. } => Some(poll_at),
+            Stage::Loaded => None,
+            Stage::Unloading { poll_at } => Some(poll_at.unwrap_or_default()),
+        }
+    }
+
     /// Sets when a request that uses the adapter is expected to end.
     pub(crate) fn expect_end(&mut self, key: Key, at: Duration) {
         self.expected_ends.retain(|(user, _)| *user != key);
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -13,14 +13,18 @@
 
 mod candidate;
 mod engine;
+mod figures;
 mod health;
 mod order;
+mod pool;
 mod popularity;
 mod prefix;
 mod request;
 mod retries;
 mod scheduler;
+mod slots;
 mod speed;
 mod store;
+mod warm;
 
 pub use crate::scheduler::Scheduler;
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use base::Event;
+use base::Map;
 use base::Name;
 use fleet::message::Holding;
 
@@ -20,7 +21,6 @@
 use crate::engine::OrderState;
 use crate::engine::Slot;
 use crate::engine::Stage;
-use crate::request::Assignment;
 use crate::scheduler::Scheduler;
 use crate::settings::Settings;
 
@@ -51,9 +51,10 @@
 impl Scheduler {
     /// Issues the next order of each engine, within the limits of the store.
     pub(crate) fn dispatch_orders(&mut self, now: Duration) {
+        self.engines.refresh();
         let mut names: Vec<((u8, Duration), Name)> = self
             .engines
-            .values()
+            .due(now)
             .map(|engine| (self.load_priority(engine, now), engine.endpoint.id.clone()))
             .collect();
         names.sort();
@@ -75,9 +76,10 @@
 
     /// Issues an engine's next order, or inspects the engine if its sequence is unknown.
     fn dispatch_order(&mut self, name: &Name, now: Duration) {
-        let Some(engine) = self.engines.get_mut(name) else { return };
+        let Some(engine) = self.engines.get(name) else { return };
         match engine.order_state {
             OrderState::Unknown { min_sequence, inspect_at } if now >= inspect_at => {
+                let Some(engine) = self.engines.get_mut(name) else { return };
                 engine.order_state = OrderState::Inspecting { min_sequence };
                 self.actions.push(Action::Inspect(engine.endpoint.clone()));
             }
@@ -311,7 +313,7 @@
         slot.stage = Stage::Loaded;
         slot.last_used_at = now;
         let waiting = std::mem::take(&mut slot.waiting);
-        engine.warm.retain(|name| name != adapter);
+        engine.warm.remove(adapter);
         self.publish(id, adapter, true);
         for key in waiting {
             self.grant_reserved(key, now);
@@ -371,13 +373,14 @@
             adapters.map(|adapter| (adapter.name.clone(), adapter.version)).collect();
         let mut completed = Vec::new();
         let mut outdated = Vec::new();
+        // Requests that a former leader granted may be known before their adapter.
+        let mut users: Map<&Name, u32> = Map::default();
+        for assignment in self.assignments.values().filter(|assignment| assignment.engine == *id) {
+            *users.entry(&assignment.adapter).or_default() += 1;
+        }
         for (name, version) in &loaded {
-            let slot = engine.adapter_slots.entry(name.clone());
-            // Requests that a former leader granted may be known before their adapter.
-            let uses =
-                |assignment: &&Assignment| assignment.engine == *id && assignment.adapter == *name;
-            let slot = slot.or_insert_with(|| {
-                let users = self.assignments.values().filter(uses).count() as u32;
+            let slot = engine.adapter_slots.get_or_insert_with(name, || {
+                let users = users.get(name).copied().unwrap_or_default();
                 Slot { users, ..Slot::loaded(*version, now) }
             });
             if slot.is_loading() && *version >= slot.version {
@@ -392,8 +395,8 @@
             }
         }
         for (name, version) in &report.loading {
-            let slot = engine.adapter_slots.entry(name.clone());
-            let slot = slot.or_insert_with(|| Slot::queued(*version, now));
+            let slot =
+                engine.adapter_slots.get_or_insert_with(name, || Slot::queued(*version, now));
             if slot.stage == Stage::Queued {
                 slot.stage = Stage::Loading { since: now, poll_at: now + LOAD_POLL_INTERVAL };
                 slot.uses_store = true;
@@ -437,17 +440,6 @@
         let (endpoint, adapter) = (id.clone(), adapter.clone());
         self.actions.push(Action::Publish(Holding { endpoint, adapter, held }));
     }
-
-    /// Returns the number of queued loads from the store for requests of at most `rank`, that is,
-    /// of the same or higher urgency.
-    pub(crate) fn queued_store_loads(&self, rank: u8) -> usize {
-        let engines = self.engines.values();
-        let queued = engines.flat_map(|engine| {
-            let slots = engine.adapter_slots.iter().filter(|(_, slot)| slot.rank <= rank);
-            slots.filter(|(name, slot)| slot.stage == Stage::Queued && !engine.is_warm(name))
-        });
-        queued.count()
-    }
 }
 
 /// Returns whether an engine has accepted the current order for a base model or an adapter.
--- a/crates/sched/src/request.rs
+++ b/crates/sched/src/request.rs
@@ -5,6 +5,9 @@
 use base::Name;
 use fleet::message::Query;
 
+use crate::prefix::Prefixes;
+use crate::scheduler::DEADLINE_SHARE;
+
 /// Identifies a request: the gate's link and the gate's number for the request.
 pub(crate) type Key = (u64, u64);
 
@@ -29,6 +32,19 @@
     pub(crate) expires_at: Duration,
 }
 
+impl Assignment {
+    /// Returns a time before which the request does not expire, whatever its phase will be.
+    pub(crate) fn earliest_expiry(&self) -> Duration {
+        match &self.phase {
+            Phase::Reserved(pending) => {
+                let wait = Duration::from_millis(u64::from(pending.query.left_ms));
+                self.expires_at.min(pending.received_at + wait.mul_f64(DEADLINE_SHARE))
+            }
+            Phase::Granted | Phase::Started(_) => self.expires_at,
+        }
+    }
+}
+
 /// The phase of a request that has an engine.
 #[derive(Debug)]
 pub(crate) enum Phase {
@@ -47,6 +63,7 @@
     /// The failure domain of the gate.
     pub(crate) domain: Name,
     pub(crate) query: Query,
+    pub(crate) prefixes: Prefixes,
     pub(crate) received_at: Duration,
     /// When the first attempt was received; earlier than `received_at` for a retry.
     pub(crate) first_received_at: Duration,
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -4,7 +4,6 @@
 mod completion;
 mod placement;
 
-use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -18,8 +17,8 @@
 use crate::action::Action;
 use crate::engine::Base;
 use crate::engine::Engine;
-use crate::engine::OrderState;
 use crate::engine::Stage;
+use crate::pool::Pool;
 use crate::popularity::Popularity;
 use crate::request::Assignment;
 use crate::request::Key;
@@ -34,7 +33,7 @@
 const URGENCY_ON_TIME: u8 = 3;
 /// The share of the time until the deadline within which a request that misses its target must be
 /// expected to get its first event, and after which a request stops waiting for its adapter.
-const DEADLINE_SHARE: f64 = 0.6;
+pub(crate) const DEADLINE_SHARE: f64 = 0.6;
 /// The interval at which requests that wait for an adapter slot are reconsidered. Less than
 /// `AWAIT_SLACK_MS`, so that a load from the store can still meet the target.
 const AWAIT_POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -50,8 +49,10 @@
     pub(crate) specs: Map<Name, EngineSpec>,
     /// The adapter versions in force, by base model and adapter.
     versions: Map<(Name, Name), u64>,
-    pub(crate) engines: BTreeMap<Name, Engine>,
+    pub(crate) engines: Pool,
     pub(crate) assignments: Map<Key, Assignment>,
+    /// A time before which no assignment expires.
+    next_expiry: Duration,
     /// The requests without an engine.
     queue: VecDeque<Pending>,
     /// How often an engine was lost while it ran a request, by the request's fingerprint.
@@ -78,8 +79,9 @@
         Scheduler {
             specs: Map::default(),
             versions: Map::default(),
-            engines: BTreeMap::new(),
+            engines: Pool::default(),
             assignments: Map::default(),
+            next_expiry: Duration::MAX,
             queue: VecDeque::new(),
             engine_losses: Map::default(),
             store: Limiter::new(settings.cold_load_ms, settings.cold_load_limit),
@@ -108,7 +110,7 @@
             .filter_map(|service| Some((service.name.clone(), service.engine.clone()?)));
         self.specs = engines.collect();
         for engine in self.engines.values_mut() {
-            queue_base(engine, &self.specs);
+            apply_spec(engine, &self.specs);
         }
         self.dirty = true;
     }
@@ -118,7 +120,11 @@
         let key = (version.model.clone(), version.adapter.clone());
         let known = self.versions.entry(key).or_default();
         *known = (*known).max(version.version);
-        let ids: Vec<Name> = self.engines.keys().cloned().collect();
+        let holders = self
+            .engines
+            .values()
+            .filter(|engine| engine.adapter_slots.contains_key(&version.adapter));
+        let ids: Vec<Name> = holders.map(|engine| engine.endpoint.id.clone()).collect();
         for id in ids {
             self.unload_outdated(&id, &version.adapter);
         }
@@ -144,8 +150,8 @@
         }
         self.remove_engine(&announcement.id, now);
         let mut engine = Engine::new(announcement, &self.settings, now);
-        queue_base(&mut engine, &self.specs);
-        self.engines.insert(announcement.id.clone(), engine);
+        apply_spec(&mut engine, &self.specs);
+        self.engines.insert(engine);
         self.dirty = true;
     }
 
@@ -169,7 +175,7 @@
 
     /// Returns the ids of all engines.
     pub fn engines(&self) -> impl Iterator<Item = &Name> {
-        self.engines.keys()
+        self.engines.values().map(|engine| &engine.endpoint.id)
     }
 
     /// Expires and schedules queued requests and issues the orders that are due. Returns the
@@ -195,20 +201,17 @@
 
     /// Returns whether [`Scheduler::poll`] may have work to do without another event.
     pub fn has_pending_work(&self) -> bool {
-        let has_work = |engine: &Engine| {
-            !matches!(engine.order_state, OrderState::Idle(_))
-                || matches!(engine.base, Base::Queued(_) | Base::Loading { .. })
-                || engine.adapter_slots.values().any(|slot| slot.stage != Stage::Loaded)
-        };
-        self.dirty || !self.queue.is_empty() || self.engines.values().any(has_work)
+        self.dirty || !self.queue.is_empty() || self.engines.has_work()
     }
 }
 
-/// Queues the load of the service's first base model if an engine has none.
-fn queue_base(engine: &mut Engine, specs: &Map<Name, EngineSpec>) {
+/// Updates the size of an engine, and queues the load of the service's first base model if it has
+/// none.
+fn apply_spec(engine: &mut Engine, specs: &Map<Name, EngineSpec>) {
+    let Some(spec) = specs.get(&engine.endpoint.service) else { return };
+    engine.max_adapters = spec.adapter_slots as usize;
     if engine.base == Base::Empty
-        && let Some(model) =
-            specs.get(&engine.endpoint.service).and_then(|spec| spec.models.first())
+        && let Some(model) = spec.models.first()
     {
         engine.base = Base::Queued(model.name.clone());
     }
--- a/crates/sched/src/scheduler/admission.rs
+++ b/crates/sched/src/scheduler/admission.rs
@@ -13,6 +13,7 @@
 use crate::action::Action;
 use crate::action::Reason;
 use crate::candidate::Candidate;
+use crate::prefix::Prefixes;
 use crate::request::Assignment;
 use crate::request::Key;
 use crate::request::Pending;
@@ -25,12 +26,15 @@
     /// Schedules a new request of a gate in the failure domain `domain`: grants it, queues it or
     /// refuses it.
     pub fn submit(&mut self, gate: u64, domain: &Name, query: Query, now: Duration) {
-        self.popularity.record(&query.adapter, now);
+        if self.popularity.record(&query.adapter, now) {
+            self.engines.mark_all_changed();
+        }
         let key = (gate, query.request);
         let first_received_at = self.retries.first_received_at(&query, now);
         let pending = Pending {
             key,
             domain: domain.clone(),
+            prefixes: Prefixes::new(&query.adapter, &query.parts),
             query,
             received_at: now,
             first_received_at,
@@ -82,6 +86,7 @@
                 phase: Phase::Started(now),
                 expires_at: now + Duration::from_millis(u64::from(request.left_ms)) + EXPIRY_GRACE,
             };
+            self.next_expiry = self.next_expiry.min(assignment.expires_at);
             self.assignments.insert((gate, request.request), assignment);
         }
     }
@@ -160,7 +165,7 @@
             running: engine.map_or(0, |engine| engine.running),
             held_ms: pending.held_ms(now),
             cold: best.cold,
-            loads: self.store.loading + self.queued_store_loads(u8::MAX),
+            loads: self.store.loading + self.engines.queued_store_loads(u8::MAX),
         }
     }
 
@@ -172,8 +177,8 @@
         reason: Option<Reason>,
         now: Duration,
     ) {
-        let queues = self.engines.values().map(|engine| engine.queue_ms(now));
-        let queue_ms = queues.min_by(f64::total_cmp).unwrap_or(f64::MAX);
+        self.engines.refresh();
+        let queue_ms = self.engines.min_queue_ms(now).unwrap_or(f64::MAX);
         let excess_ms = queue_ms - f64::from(pending.query.target_ms) / 2.0;
         let (min, max) = self.settings.retry_after_ms;
         // Spread by request, so that callers that were refused together do not retry together.
--- a/crates/sched/src/scheduler/placement.rs
+++ b/crates/sched/src/scheduler/placement.rs
@@ -11,6 +11,7 @@
 use crate::candidate::Candidate;
 use crate::candidate::Context;
 use crate::candidate::Deferral;
+use crate::candidate::Rating;
 use crate::engine::Slot;
 use crate::engine::Stage;
 use crate::request::Assignment;
@@ -37,6 +38,7 @@
 impl Scheduler {
     /// Assigns a request to an engine or refuses it; returns it if it must be queued.
     pub(super) fn schedule(&mut self, mut pending: Pending, now: Duration) -> Option<Pending> {
+        self.engines.refresh();
         let target_ms = pending.target_ms(now) - self.settings.network_ms;
         let margin = 1.0 - self.settings.rank_margin * f64::from(pending.query.rank).min(4.0);
         let best = self.best_candidate(&pending, target_ms * margin, now);
@@ -99,27 +101,27 @@
     /// free slot.
     pub(super) fn best_deferral(&self, pending: &Pending, now: Duration) -> Option<Deferral> {
         let context = self.context(pending, now)?;
-        let engines = self.engines.values();
-        let engines = engines.filter(|engine| engine.endpoint.service == pending.query.service);
+        let query = &pending.query;
         let mut waiting: Map<&Name, usize> = Map::default();
         for awaited in self.queue.iter().filter_map(|other| other.awaited_engine.as_ref()) {
             *waiting.entry(awaited).or_default() += 1;
         }
-        let deferrals = engines.filter_map(|engine| {
-            let ahead = waiting.get(&engine.endpoint.id).copied().unwrap_or_default();
-            context.deferral(engine, pending, ahead)
+        let members = self.engines.knowing(&query.service, &query.adapter);
+        let deferrals = members.filter_map(|member| {
+            let ahead = waiting.get(&member.engine.endpoint.id).copied().unwrap_or_default();
+            context.deferral(member, pending, ahead)
         });
         deferrals.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
 
     /// Returns whether an engine has capacity for a request that will miss its target.
     pub(super) fn accepts_late(&self, best: &Candidate, pending: &Pending, now: Duration) -> bool {
-        let Some(engine) = self.engines.get(&best.engine) else { return false };
+        let Some(queue_ms) = self.engines.queue_ms(&best.engine, now) else { return false };
         // Late requests must not delay the loads of requests that can still meet their target.
-        let store_idle = self.store.utilization(self.queued_store_loads(u8::MAX))
+        let store_idle = self.store.utilization(self.engines.queued_store_loads(u8::MAX))
             < self.settings.late_store_share;
         (store_idle || !best.cold)
-            && engine.queue_ms(now) <= self.settings.late_backlog_ms
+            && queue_ms <= self.settings.late_backlog_ms
             && best.expected_ms <= pending.left_ms(now) * DEADLINE_SHARE
     }
 
@@ -132,47 +134,46 @@
         now: Duration,
     ) -> Option<Candidate> {
         let context = self.context(pending, now)?;
-        let engines = self.engines.values();
-        let engines = engines.filter(|engine| engine.endpoint.service == pending.query.service);
-        let candidates = engines.filter_map(|engine| context.candidate(engine, pending));
-        let misses = |candidate: &Candidate| !self.meets_target(candidate, target_ms);
-        let key = |candidate: &Candidate| {
-            if misses(candidate) { candidate.expected_ms } else { candidate.cost }
+        let (service, adapter) = (&pending.query.service, &pending.query.adapter);
+        // Engines that know the adapter are usually better and rule out most of the others.
+        let better = |best: Option<Rating>, member| {
+            context.better_rating(member, pending, target_ms, best.as_ref()).or(best)
         };
-        candidates.min_by(|a, b| misses(a).cmp(&misses(b)).then_with(|| key(a).total_cmp(&key(b))))
+        let mut best = self.engines.knowing(service, adapter).fold(None, better);
+        if !best.is_some_and(|best| context.precedes_new_loads(&best, adapter)) {
+            best = self.engines.not_knowing(service, adapter).fold(best, better);
+        }
+        let position = best?.position;
+        let member = self.engines.member(position, self.engines.knows(position, adapter));
+        context.candidate(member, pending)
     }
 
     /// Returns the inputs of the estimates for a request; `None` if its service has no engines.
     pub(super) fn context(&self, pending: &Pending, now: Duration) -> Option<Context<'_>> {
+        let queued_loads = self.engines.queued_store_loads(pending.query.rank);
+        // When the store is fully used, a load delays those of other requests.
+        let share = self.store.utilization(queued_loads);
+        let order_delay_ms = self.orders_from.saturating_sub(now).as_secs_f64() * 1e3;
         Some(Context {
             settings: &self.settings,
             spec: self.specs.get(&pending.query.service)?,
             store: &self.store,
-            queued_loads: self.queued_store_loads(pending.query.rank),
-            order_delay_ms: self.orders_from.saturating_sub(now).as_secs_f64() * 1e3,
+            order_delay_ms,
+            store_load_ms: order_delay_ms + self.store.expected_ms(queued_loads),
+            store_penalty_ms: self.settings.cold_penalty_ms * share + self.settings.slot_penalty_ms,
             popularity: &self.popularity,
-            ignore_health: self.trusted_share(&pending.query.service, now) < TRUSTED_SHARE,
+            ignore_health: self.engines.trusted_share(&pending.query.service, now) < TRUSTED_SHARE,
             min_version: self.min_version(&pending.query),
+            model: self.engines.number(&pending.query.model),
+            domain: self.engines.number(&pending.domain),
             now,
         })
     }
 
-    /// Returns the share of a service's engines whose health admits a request.
-    pub(super) fn trusted_share(&self, service: &Name, now: Duration) -> f64 {
-        let engines = self.engines.values().filter(|engine| engine.endpoint.service == *service);
-        let (mut all, mut trusted) = (0, 0);
-        for engine in engines {
-            all += 1;
-            trusted += u32::from(engine.health.admits(engine.running, now));
-        }
-        f64::from(trusted) / f64::from(all.max(1))
-    }
-
     /// Returns whether a candidate meets a target, with a margin if its adapter must come from the
     /// store.
     pub(super) fn meets_target(&self, candidate: &Candidate, target_ms: f64) -> bool {
-        let share = if candidate.cold { self.settings.cold_target_share } else { 1.0 };
-        candidate.expected_ms <= target_ms * share
+        candidate.expected_ms <= self.settings.target_share(candidate.cold) * target_ms
     }
 
     /// Returns the announced version of a request's adapter, which must be served; `None` if there
@@ -202,10 +203,10 @@
         engine.running += 1;
         let kv_tokens = u64::from(query.input) + u64::from(query.output);
         engine.kv_tokens += kv_tokens;
-        engine.prefix_cache.insert(base::digest(query.adapter.as_bytes()), &query.parts);
-        if let Availability::NeedsLoad(victim) = &best.availability {
+        engine.prefix_cache.insert(&pending.prefixes);
+        if matches!(best.availability, Availability::NeedsLoad | Availability::NeedsEviction) {
             if let Some(victim) =
-                victim.as_ref().and_then(|name| engine.adapter_slots.get_mut(name))
+                best.victim.as_ref().and_then(|name| engine.adapter_slots.get_mut(name))
             {
                 victim.stage = Stage::UNLOAD;
             }
@@ -235,12 +236,15 @@
             expires_at: now + Duration::from_millis(u64::from(query.left_ms)) + EXPIRY_GRACE,
         };
         let key = pending.key;
+        self.next_expiry = self.next_expiry.min(assignment.expires_at);
         if best.availability == Availability::Loaded {
             self.assignments.insert(key, assignment);
             self.grant(&pending, &best.engine, best.expected_ms, urgency, now);
         } else {
             let phase = Phase::Reserved(Box::new(pending));
-            self.assignments.insert(key, Assignment { phase, ..assignment });
+            let assignment = Assignment { phase, ..assignment };
+            self.next_expiry = self.next_expiry.min(assignment.earliest_expiry());
+            self.assignments.insert(key, assignment);
         }
         self.dispatch_orders(now);
     }
