cell, link: a change of the endpoints is encoded once and sent once a round

Cause: each endpoint that joined, drained or left had the whole list of endpoints cloned, queued and encoded for each gate, and the whole registry for each keeper: with 18 engines replaced, 54 changes times 23 gates times 144 endpoints. Each frame was encoded into a vector of its own that grew step by step, copied to the codec's buffer, and written in pieces of 8 KB.

Ruled out: sending differences only; the layout of frames is fixed.

Change: `link::broadcast` encodes a frame once and queues the bytes on all links. A link encodes the frames of a batch into one buffer, behind their lengths, and writes it at once; the bytes on the wire are the same. Changes of the endpoints go to the scheduler at once, as before, and to the nodes with the next round of the scheduler, before its grants and holdings. The answer to a heartbeat or a deregistration that changed something waits for that round, so the queues of the gates' links still have the change before the endpoint is told; if the keeper lost its term meanwhile, the answer is `Unsure` and the call is repeated.

--- a/crates/cell/src/calls.rs
+++ b/crates/cell/src/calls.rs
@@ -61,10 +61,10 @@
                 Reply::Done
             }
             Call::Announce(announcement) => {
-                self.update_registry(|coordinator| coordinator.announce(announcement))
+                self.update_registry(|coordinator| coordinator.announce(announcement)).await
             }
             Call::Leave { id, born } => {
-                self.update_registry(|coordinator| coordinator.leave(&id, born))
+                self.update_registry(|coordinator| coordinator.leave(&id, born)).await
             }
         }
     }
@@ -75,18 +75,23 @@
         state.plan.as_ref().is_none_or(|plan| plan.service(service).is_some())
     }
 
-    /// Applies a change to the registry; `change` returns whether it had an effect.
-    fn update_registry(&self, change: impl FnOnce(&mut Coordinator) -> bool) -> Reply {
-        let mut coordinator = self.coordinator.lock();
-        if coordinator.leadership.is_none() {
-            return Reply::Unsure;
-        }
-        let changed = change(&mut coordinator);
-        drop(coordinator);
-        if changed {
-            self.wake_scheduler();
-        }
-        Reply::Done
+    /// Applies a change to the registry; `change` returns whether it had an effect. Waits until the
+    /// queues of the gates' links contain the change, so that an endpoint that was told that it may
+    /// leave gets no request that a gate chose later.
+    async fn update_registry(&self, change: impl FnOnce(&mut Coordinator) -> bool) -> Reply {
+        let mut sent = self.sent_changes.subscribe();
+        let (term, number) = {
+            let mut coordinator = self.coordinator.lock();
+            let Some(term) = coordinator.term() else { return Reply::Unsure };
+            if !change(&mut coordinator) {
+                return Reply::Done;
+            }
+            (term, coordinator.changes)
+        };
+        self.wake_scheduler();
+        let is_sent = sent.wait_for(|sent| *sent >= number).await.is_ok();
+        let still_leads = self.coordinator.lock().term() == Some(term);
+        if is_sent && still_leads { Reply::Done } else { Reply::Unsure }
     }
 
     async fn propose(&self, command: Command) -> Reply {
--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -43,6 +43,10 @@
     endpoint_timeout: Duration,
     /// Time of the last check for expired endpoints.
     last_expiry_check: Duration,
+    /// Number of changes of the endpoints.
+    pub(crate) changes: u64,
+    /// Number of changes of the endpoints that the queues of all links contain.
+    pub(crate) sent_changes: u64,
     /// Version of the plan last sent to the gates.
     sent_plan_version: Option<u64>,
     /// Sum of the adapter versions last sent to the gates. Versions only grow, so the sum changes
@@ -64,6 +68,8 @@
             settings,
             endpoint_timeout,
             last_expiry_check: Duration::ZERO,
+            changes: 0,
+            sent_changes: 0,
             sent_plan_version: None,
             sent_versions_sum: 0,
         }
@@ -74,6 +80,11 @@
         self.started.elapsed()
     }
 
+    /// Returns the term in which this keeper leads.
+    pub(crate) fn term(&self) -> Option<u64> {
+        self.leadership.as_ref().map(|leadership| leadership.term)
+    }
+
     /// Applies a new status of the replica: leadership, members and applied state.
     pub(crate) fn apply_status(&mut self, status: Status, state: &State) {
         let previous = std::mem::replace(&mut self.status, status);
@@ -239,7 +250,8 @@
         }
     }
 
-    /// Brings the scheduler and all nodes in line with the registry.
+    /// Brings the scheduler in line with the registry. The next scheduler round tells the nodes, once
+    /// for all changes since the last one.
     fn registry_changed(&mut self, now: Duration) {
         if let Some(leadership) = &mut self.leadership {
             let gone = leadership.scheduler.engines().filter(|id| {
@@ -252,10 +264,11 @@
                 leadership.holdings.retain(|holding| holding.endpoint != id);
             }
         }
-        self.broadcast_endpoints();
+        self.changes += 1;
     }
 
-    fn broadcast_endpoints(&self) {
+    fn broadcast_endpoints(&mut self) {
+        self.sent_changes = self.changes;
         if self.leadership.is_none() {
             return;
         }
@@ -263,10 +276,13 @@
         self.links.broadcast_to_keepers(&Frame::Registry(Box::new(self.registry.clone())));
     }
 
-    /// Returns the scheduler's pending actions, after sending changes of what engines hold to the
-    /// gates.
+    /// Returns the scheduler's pending actions, after sending changes of the endpoints to all nodes
+    /// and changes of what engines hold to the gates.
     pub(crate) fn poll_scheduler(&mut self) -> Vec<Action> {
         let now = self.now();
+        if self.sent_changes != self.changes {
+            self.broadcast_endpoints();
+        }
         let Some(leadership) = &mut self.leadership else { return Vec::new() };
         let actions = leadership.scheduler.poll(now);
         let mut holdings = Vec::new();
--- a/crates/cell/src/dispatch.rs
+++ b/crates/cell/src/dispatch.rs
@@ -44,7 +44,8 @@
             let (actions, term) = {
                 let mut coordinator = self.coordinator.lock();
                 let actions = coordinator.poll_scheduler();
-                (actions, coordinator.leadership.as_ref().map(|leadership| leadership.term))
+                self.sent_changes.send_replace(coordinator.sent_changes);
+                (actions, coordinator.term())
             };
             if let Some(fence) = term {
                 for action in actions {
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -51,6 +51,8 @@
     pub(crate) peers: Arc<Peers>,
     pub(crate) metrics: Metrics,
     pub(crate) scheduler_wakeup: Notify,
+    /// Number of changes of the endpoints that the queues of all links contain.
+    pub(crate) sent_changes: watch::Sender<u64>,
     /// Runs the replica and the links between keepers.
     _thread: Thread,
 }
@@ -100,6 +102,7 @@
             peers: peers.clone(),
             metrics: Metrics::new(meter),
             scheduler_wakeup: Notify::new(),
+            sent_changes: watch::Sender::new(0),
             settings,
             _thread: thread,
         });
--- a/crates/cell/src/links.rs
+++ b/crates/cell/src/links.rs
@@ -50,15 +50,11 @@
     }
 
     pub(crate) fn broadcast_to_gates(&self, frame: &Frame) {
-        for gate in self.gates() {
-            gate.link.send(frame.clone());
-        }
+        link::broadcast(self.gates().map(|gate| &gate.link), frame);
     }
 
     pub(crate) fn broadcast_to_keepers(&self, frame: &Frame) {
-        for keeper in self.keepers() {
-            keeper.link.send(frame.clone());
-        }
+        link::broadcast(self.keepers().map(|keeper| &keeper.link), frame);
     }
 
     /// Returns the addresses of gates that accept callers, with their failure domains.
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -154,9 +154,7 @@
 
     /// Sends a frame over all open links.
     pub(crate) fn broadcast(&self, frame: &Frame) {
-        for link in self.links.lock().values().flatten() {
-            link.send(frame.clone());
-        }
+        link::broadcast(self.links.lock().values().flatten(), frame);
     }
 
     /// Sends a call to the leader and returns its reply, or `Reply::Unsure` if the link is down or
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -11,4 +11,5 @@
 pub use crate::link::Inbox;
 pub use crate::link::Link;
 pub use crate::link::accept;
+pub use crate::link::broadcast;
 pub use crate::link::open;
--- a/crates/link/src/link.rs
+++ b/crates/link/src/link.rs
@@ -5,10 +5,10 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use futures::SinkExt;
 use futures::StreamExt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -17,7 +17,6 @@
 use tokio_util::codec::Framed;
 use tokio_util::codec::FramedParts;
 use tokio_util::codec::FramedRead;
-use tokio_util::codec::FramedWrite;
 use tokio_util::codec::LengthDelimitedCodec;
 use tokio_util::sync::CancellationToken;
 
@@ -31,13 +30,25 @@
 const RECEIVE_QUEUE_FRAMES: usize = 1_024;
 /// The largest frame, in bytes; above the largest snapshot of a plan with its document.
 const MAX_FRAME_BYTES: usize = 64 << 20;
-/// The maximum number of frames written before a flush.
+/// The maximum number of frames in one write.
 const WRITE_BATCH_FRAMES: usize = 64;
+/// The size of the length before each frame, in bytes.
+const LENGTH_BYTES: usize = size_of::<u32>();
+/// The capacity that the write buffer keeps between writes, in bytes.
+const WRITE_BUFFER_BYTES: usize = 64 << 10;
+
+/// A frame in the send queue.
+#[derive(Debug)]
+enum Outgoing<T> {
+    Frame(T),
+    /// A frame that was encoded once for several links.
+    Encoded(Bytes),
+}
 
 /// The sending side of a link; cheap to clone.
 #[derive(Debug)]
 pub struct Link<T> {
-    queue: mpsc::Sender<T>,
+    queue: mpsc::Sender<Outgoing<T>>,
     closed: CancellationToken,
 }
 
@@ -51,6 +62,10 @@
     /// Queues a frame without waiting and returns whether it was queued; a link whose queue is full is
     /// closed.
     pub fn send(&self, frame: T) -> bool {
+        self.enqueue(Outgoing::Frame(frame))
+    }
+
+    fn enqueue(&self, frame: Outgoing<T>) -> bool {
         let sent = self.queue.try_send(frame).is_ok();
         if !sent {
             self.closed.cancel();
@@ -69,6 +84,21 @@
     }
 }
 
+/// Queues a frame on several links as [`Link::send`] does, and encodes it only once.
+pub fn broadcast<'a, T: Serialize + 'a>(links: impl Iterator<Item = &'a Link<T>>, frame: &T) {
+    let mut links = links.peekable();
+    if links.peek().is_none() {
+        return;
+    }
+    let encoded = postcard::to_stdvec(frame).map(Bytes::from);
+    for link in links {
+        match &encoded {
+            Ok(bytes) => drop(link.enqueue(Outgoing::Encoded(bytes.clone()))),
+            Err(_) => link.close(),
+        }
+    }
+}
+
 /// The receiving side of a link.
 #[derive(Debug)]
 pub struct Inbox<T>(mpsc::Receiver<T>);
@@ -177,12 +207,12 @@
 }
 
 async fn write_frames<T: Serialize + Clone>(
-    write: OwnedWriteHalf,
-    mut frames: mpsc::Receiver<T>,
+    mut write: OwnedWriteHalf,
+    mut frames: mpsc::Receiver<Outgoing<T>>,
     ping: T,
 ) -> io::Result<()> {
-    let mut sink = FramedWrite::new(write, codec());
     let mut batch = Vec::with_capacity(WRITE_BATCH_FRAMES);
+    let mut buffer = Vec::new();
     loop {
         let waited =
             tokio::time::timeout(PING_INTERVAL, frames.recv_many(&mut batch, WRITE_BATCH_FRAMES))
@@ -190,17 +220,33 @@
         match waited {
             Ok(0) => return Ok(()),
             Ok(_) => {}
-            Err(_) => batch.push(ping.clone()),
+            Err(_) => batch.push(Outgoing::Frame(ping.clone())),
         }
         for frame in batch.drain(..) {
-            sink.feed(encode(&frame)?).await?;
+            buffer = append(buffer, &frame)?;
         }
-        SinkExt::<Bytes>::flush(&mut sink).await?;
+        write.write_all(&buffer).await?;
+        buffer.clear();
+        buffer.shrink_to(WRITE_BUFFER_BYTES);
     }
 }
 
-fn encode<T: Serialize>(frame: &T) -> io::Result<Bytes> {
-    postcard::to_stdvec(frame).map(Bytes::from).map_err(io::Error::other)
+/// Appends a frame with its length, as [`codec`] reads it.
+fn append<T: Serialize>(mut buffer: Vec<u8>, frame: &Outgoing<T>) -> io::Result<Vec<u8>> {
+    let start = buffer.len();
+    buffer.extend([0; LENGTH_BYTES]);
+    match frame {
+        Outgoing::Frame(frame) => {
+            buffer = postcard::to_extend(frame, buffer).map_err(io::Error::other)?;
+        }
+        Outgoing::Encoded(bytes) => buffer.extend_from_slice(bytes),
+    }
+    let length = buffer.len() - start - LENGTH_BYTES;
+    if length > MAX_FRAME_BYTES {
+        return Err(io::ErrorKind::InvalidData.into());
+    }
+    buffer[start..start + LENGTH_BYTES].copy_from_slice(&(length as u32).to_be_bytes());
+    Ok(buffer)
 }
 
 fn decode<T: DeserializeOwned>(bytes: &[u8]) -> io::Result<T> {
