sched: check in debug builds that figures are refreshed before they are read

Cause: a figure of the pool that is read between a change and `Pool::refresh` would be outdated, and the decision wrong without a sign.

Change: the methods that read figures assert in debug builds that no engine is marked as changed.

Ruled out: refreshing in each of these methods; they would need the pool exclusively, while the estimates of a request share it.

Release builds are as before.

--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -107,6 +107,7 @@
         service: &Name,
         adapter: &Name,
     ) -> impl Iterator<Item = Member<'_>> {
+        self.check_fresh();
         let knowing = self.knowing.get(adapter).map(Vec::as_slice).unwrap_or_default();
         let members = knowing.iter().map(|position| self.member(*position, true));
         members.filter(move |member| member.engine.endpoint.service == *service)
@@ -119,6 +120,7 @@
         service: &Name,
         adapter: &Name,
     ) -> impl Iterator<Item = Member<'_>> {
+        self.check_fresh();
         let service = self.services.get(service);
         let engines = service.map(|service| match adapter.is_empty() {
             true => service.all.as_slice(),
@@ -148,11 +150,13 @@
 
     /// Returns [`Figures::queue_ms`] of an engine.
     pub(crate) fn queue_ms(&self, id: &Name, now: Duration) -> Option<f64> {
+        self.check_fresh();
         self.positions.get(id).map(|position| self.figures[*position].queue_ms(now))
     }
 
     /// Returns the lowest [`Figures::queue_ms`] of all engines.
     pub(crate) fn min_queue_ms(&self, now: Duration) -> Option<f64> {
+        self.check_fresh();
         self.figures.iter().map(|figures| figures.queue_ms(now)).min_by(f64::total_cmp)
     }
 
@@ -244,8 +248,14 @@
         }
     }
 
+    /// Checks in debug builds that the figures are up to date.
+    fn check_fresh(&self) {
+        debug_assert!(self.changed.is_empty(), "read before a refresh");
+    }
+
     /// Returns the engines for which orders may be due, in the order of their ids.
     pub(crate) fn due(&self, now: Duration) -> impl Iterator<Item = &Engine> {
+        self.check_fresh();
         let due = self.working.iter().filter(move |position| now >= self.shares[**position].due_at);
         due.map(|position| &self.engines[*position])
     }
@@ -259,11 +269,13 @@
     /// Returns the number of queued loads from the store for requests of at most `rank`, that is,
     /// of the same or higher urgency.
     pub(crate) fn queued_store_loads(&self, rank: u8) -> usize {
+        self.check_fresh();
         self.queued_loads.range(..=rank).map(|(_, loads)| loads).sum()
     }
 
     /// Returns the share of a service's engines whose health admits a request.
     pub(crate) fn trusted_share(&self, service: &Name, now: Duration) -> f64 {
+        self.check_fresh();
         let all = self.services.get(service).map_or(0, |service| service.all.len()) as u32;
         let distrusted = self.distrusted.iter().map(|position| &self.engines[*position]);
         let rejecting = distrusted.filter(|engine| {
