cell: a wake-up during the scheduler's pause causes no second round

Cause: an event that came while the scheduler paused was handled by the round after the pause, but its wake-up stayed and caused one more round after the next pause, with nothing to do.

Change: the round takes the wake-up with it.

Tests: cargo test -p cell -p link -p platform, all green.

--- a/crates/cell/src/dispatch.rs
+++ b/crates/cell/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Carries out the scheduler's actions.
 
+use std::pin::pin;
 use std::sync::Arc;
 
 use base::Event;
@@ -40,6 +41,8 @@
                 self.scheduler_wakeup.notified().await;
             }
             tokio::time::sleep_until(pause_end).await;
+            // The round also covers the wake-ups during the pause.
+            pin!(self.scheduler_wakeup.notified()).as_mut().enable();
             let start = Instant::now();
             let (actions, term) = {
                 let mut coordinator = self.coordinator.lock();
