sched: loads in progress are seen to end while orders are held back

Cause: the end of a load is learned by repeating its order, and orders are held.

Change: while orders are held, an engine with a load in progress is inspected instead, each 100 ms; a report is no order.

Ruled out: letting repeated orders through, they count as orders.

--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -26,6 +26,8 @@
 
 /// The interval at which a load is checked for its end.
 const LOAD_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// The interval at which a load is checked for its end by a report, while orders are held back.
+const HELD_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// The interval at which an unload is checked for its end.
 const UNLOAD_POLL_INTERVAL: Duration = Duration::from_millis(30);
 /// The interval at which the load of a base model is checked for its end.
@@ -83,7 +85,10 @@
                 engine.order_state = OrderState::Inspecting { min_sequence };
                 self.actions.push(Action::Inspect(engine.endpoint.clone()));
             }
-            OrderState::Idle(sequence) if now >= self.orders_from => {
+            OrderState::Idle(sequence) if now < self.orders_from => {
+                self.inspect_loads(name, sequence, now);
+            }
+            OrderState::Idle(sequence) => {
                 let Some(order) = self.next_order(name, sequence, now) else { return };
                 self.reserve_load(name, &order);
                 if let Some(engine) = self.engines.get_mut(name) {
@@ -95,6 +100,26 @@
         }
     }
 
+    /// Inspects an engine with loads in progress. While orders are held back, reports take the place
+    /// of repeated orders.
+    fn inspect_loads(&mut self, name: &Name, min_sequence: u64, now: Duration) {
+        let Some(engine) = self.engines.get(name) else { return };
+        let base_due = matches!(engine.base, Base::Loading { poll_at, .. } if now >= poll_at);
+        let is_due =
+            |slot: &Slot| matches!(slot.stage, Stage::Loading { poll_at, .. } if now >= poll_at);
+        if !base_due && !engine.adapter_slots.values().any(is_due) {
+            return;
+        }
+        let Some(engine) = self.engines.get_mut(name) else { return };
+        for slot in engine.adapter_slots.values_mut() {
+            if let Stage::Loading { poll_at, .. } = &mut slot.stage {
+                *poll_at = now + HELD_POLL_INTERVAL;
+            }
+        }
+        engine.order_state = OrderState::Inspecting { min_sequence };
+        self.actions.push(Action::Inspect(engine.endpoint.clone()));
+    }
+
     /// Counts a load from the store as soon as it is ordered.
     fn reserve_load(&mut self, name: &Name, order: &Order) {
         let Some(adapter) = &order.adapter else { return };
--- a/crates/sched/src/slots.rs
+++ b/crates/sched/src/slots.rs
@@ -20,6 +20,10 @@
         self.slots.get_mut(adapter)
     }
 
+    pub(crate) fn values_mut(&mut self) -> impl Iterator<Item = &mut Slot> {
+        self.slots.values_mut()
+    }
+
     /// Adds an adapter unless it has a slot, and returns its slot.
     pub(crate) fn get_or_insert_with(
         &mut self,
--- a/crates/sched/tests/orders.rs
+++ b/crates/sched/tests/orders.rs
@@ -54,6 +54,18 @@
     assert!(cell.granted_engine(later).is_some());
 }
 
+#[test]
+fn a_load_in_progress_is_seen_to_end_while_orders_are_held_back() {
+    let mut cell = Cell::new(1);
+    let request = cell.submit("x");
+    cell.advance(50);
+    cell.scheduler.hold_orders(cell.now + MS(2_000));
+    let orders = cell.orders.len();
+    cell.advance(700);
+    assert!(cell.granted_engine(request).is_some());
+    assert_eq!(cell.orders.len(), orders);
+}
+
 #[test]
 fn a_request_that_held_back_orders_make_too_late_is_refused_at_once() {
     let mut cell = Cell::new(1);
