cell: an order of a lost term is not sent, and a late answer extends the lease

Change: send_order compares the term with the replica's status right before it sends and records the order then; answers and reports are given to the scheduler of the same term only; the answer to an order of an earlier term postpones the present one's orders.

Left: the replica itself learns of the loss within milliseconds of a wake, and nothing covers that moment but the fencing token; a restarted process does not know its former orders (lease.rs says so).

--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -41,7 +41,7 @@
     pub(crate) registry: Registry,
     pub(crate) status: Status,
     pub(crate) leadership: Option<Leadership>,
-    pub(crate) lease: Lease,
+    lease: Lease,
     settings: sched::settings::Settings,
     endpoint_timeout: Duration,
     /// Time of the last check for expired endpoints.
@@ -133,6 +133,19 @@
         Leadership { term, scheduler, holdings: Vec::new() }
     }
 
+    /// Returns the leadership if it is that of `term`.
+    pub(crate) fn leadership_in(&mut self, term: u64) -> Option<&mut Leadership> {
+        self.leadership.as_mut().filter(|leadership| leadership.term == term)
+    }
+
+    /// Records that an order of `term` is sent or answered.
+    pub(crate) fn record_order(&mut self, term: u64) {
+        let orders_from = self.lease.record_order(term, self.now());
+        if let Some(leadership) = &mut self.leadership {
+            leadership.scheduler.hold_orders(orders_from);
+        }
+    }
+
     /// Sends a new plan and new adapter versions to the gates and the scheduler.
     fn broadcast_state(&mut self, state: &State) {
         let version = state.plan.as_ref().map(|plan| plan.version);
--- a/crates/cell/src/dispatch.rs
+++ b/crates/cell/src/dispatch.rs
@@ -101,17 +101,14 @@
                 );
                 self.send_to_gate(gate, Frame::Denial(denial));
             }
-            Action::Order(order) => {
-                self.record_order();
-                tokio::spawn(self.clone().send_order(order, fence));
-            }
+            Action::Order(order) => drop(tokio::spawn(self.clone().send_order(order, fence))),
             Action::Inspect(endpoint) => {
                 let keeper = self.clone();
                 tokio::spawn(async move {
                     let report = keeper.engines.inspect(&endpoint).await;
                     let mut coordinator = keeper.coordinator.lock();
                     let now = coordinator.now();
-                    if let Some(leadership) = &mut coordinator.leadership {
+                    if let Some(leadership) = coordinator.leadership_in(fence) {
                         leadership.scheduler.engine_inspected(&endpoint.id, report, now);
                     }
                     drop(coordinator);
@@ -134,14 +131,13 @@
         }
     }
 
-    fn record_order(&self) {
-        let mut coordinator = self.coordinator.lock();
-        let now = coordinator.now();
-        coordinator.lease.record_order(now);
-    }
-
-    /// Sends an order to an engine and reports the answer to the scheduler.
+    /// Sends an order to an engine and reports the answer to the scheduler. Sends nothing if the
+    /// replica has lost the term, which the scheduler may not know yet.
     async fn send_order(self: Arc<Keeper<E>>, order: Order, fence: u64) {
+        if self.status.borrow().leads != Some(fence) {
+            return;
+        }
+        self.coordinator.lock().record_order(fence);
         let holder = Holder { node: self.settings.node.clone(), fence };
         let answer = self.engines.order(&order, &holder).await;
         let operation = match order.operation {
@@ -155,10 +151,10 @@
             adapter = order.adapter.as_deref().unwrap_or_default(),
             expected = order.expected, fence, answer = answer_name
         );
-        self.record_order();
         let mut coordinator = self.coordinator.lock();
+        coordinator.record_order(fence);
         let now = coordinator.now();
-        if let Some(leadership) = &mut coordinator.leadership {
+        if let Some(leadership) = coordinator.leadership_in(fence) {
             leadership.scheduler.order_answered(&order, answer, now);
         }
         drop(coordinator);
--- a/crates/cell/src/lease.rs
+++ b/crates/cell/src/lease.rs
@@ -1,8 +1,9 @@
 //! The lease of the keeper that orders the engines.
 //!
 //! Each leader orders the engines under its term as fencing token, so an engine that checks the
-//! token refuses a former leader. In addition, no keeper orders again within a lease of its last
-//! order if another one may have ordered in between.
+//! token refuses a former leader. In addition, no process orders again within a lease of its last
+//! order if another keeper may have ordered in between. A process that was restarted does not know
+//! its former orders.
 
 use std::time::Duration;
 
@@ -13,9 +14,11 @@
     /// Whether engines refuse orders with an outdated fencing token. Otherwise a new leader also
     /// waits until the orders of its predecessor must have ended.
     fenced: bool,
-    /// The last term in which this keeper led.
+    /// The last term in which this process led.
     last_term: Option<u64>,
-    /// The last time at which this keeper may have ordered an engine.
+    /// Whether another keeper may have led between this process's last two terms.
+    superseded: bool,
+    /// When this process last sent an order or got the answer to one.
     last_order_at: Duration,
     /// Invariant: never decreases.
     not_before: Duration,
@@ -28,6 +31,7 @@
             duration,
             fenced,
             last_term: None,
+            superseded: false,
             last_order_at: Duration::ZERO,
             not_before: Duration::ZERO,
         }
@@ -35,9 +39,9 @@
 
     /// Starts a term of this keeper at `now`. Returns when it may order the engines.
     pub fn start(&mut self, term: u64, now: Duration) -> Duration {
-        let superseded = self.last_term.is_some_and(|last| last + 1 < term);
+        self.superseded = self.last_term.is_some_and(|last| last + 1 < term);
         self.last_term = Some(term);
-        let not_before = match (self.fenced, superseded) {
+        let not_before = match (self.fenced, self.superseded) {
             (false, _) => now + self.duration,
             (true, true) => self.last_order_at + self.duration,
             (true, false) => now,
@@ -46,8 +50,14 @@
         self.not_before
     }
 
-    /// Records that an order is sent or answered at `now`.
-    pub fn record_order(&mut self, now: Duration) {
+    /// Records that an order of `term` is sent or answered at `now`. Returns when this keeper may
+    /// order the engines in its present term, which the late answer to an order of an earlier term
+    /// postpones.
+    pub fn record_order(&mut self, term: u64, now: Duration) -> Duration {
         self.last_order_at = now;
+        if self.superseded && self.last_term != Some(term) {
+            self.not_before = self.not_before.max(now + self.duration);
+        }
+        self.not_before
     }
 }
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -24,7 +24,7 @@
     /// Settings of the scheduler.
     pub scheduler: sched::settings::Settings,
     /// The time after a keeper's last order in which it does not order again once another keeper
-    /// has led.
+    /// has led, and after an election if orders are not fenced.
     pub order_lease: Duration,
     /// Whether engines refuse orders with an outdated fencing token.
     pub fenced_orders: bool,
--- a/crates/cell/tests/lease.rs
+++ b/crates/cell/tests/lease.rs
@@ -19,7 +19,7 @@
 fn a_leader_that_is_elected_again_without_another_one_in_between_orders_at_once() {
     let mut lease = Lease::new(LEASE, true);
     lease.start(2, MS(100));
-    lease.record_order(MS(500));
+    lease.record_order(2, MS(500));
     assert_eq!(lease.start(3, MS(900)), MS(900));
 }
 
@@ -27,9 +27,9 @@
 fn a_leader_after_another_one_waits_for_a_lease_after_its_last_order() {
     let mut lease = Lease::new(LEASE, true);
     lease.start(2, MS(100));
-    lease.record_order(MS(500));
+    lease.record_order(2, MS(500));
     // An order that is answered after the term has ended may have arrived until then.
-    lease.record_order(MS(600));
+    lease.record_order(2, MS(600));
     assert_eq!(lease.start(4, MS(900)), MS(3_600));
     assert_eq!(lease.start(6, MS(5_000)), MS(3_600));
 }
@@ -38,7 +38,7 @@
 fn a_wait_that_has_not_ended_goes_on_in_the_next_term() {
     let mut lease = Lease::new(LEASE, true);
     lease.start(2, MS(100));
-    lease.record_order(MS(500));
+    lease.record_order(2, MS(500));
     assert_eq!(lease.start(4, MS(900)), MS(3_500));
     assert_eq!(lease.start(5, MS(1_500)), MS(3_500));
 }
@@ -49,3 +49,13 @@
     assert_eq!(lease.start(2, MS(100)), MS(3_100));
     assert_eq!(lease.start(3, MS(4_000)), MS(7_000));
 }
+
+#[test]
+fn the_answer_to_an_order_of_an_earlier_term_postpones_the_next_one() {
+    let mut lease = Lease::new(LEASE, true);
+    lease.start(2, MS(100));
+    lease.record_order(2, MS(500));
+    assert_eq!(lease.start(4, MS(510)), MS(3_500));
+    assert_eq!(lease.record_order(2, MS(590)), MS(3_590));
+    assert_eq!(lease.record_order(4, MS(3_600)), MS(3_590));
+}
