raft: keep a number of voters; other replicas are standbys

A group of four voters stops for good when two of them lose their disks at the same moment: the other two are no majority. How many voters a group needs follows from the losses that it must bear (2f + 1), not from the number of hosts, and more voters than that only make each commit wait for more hosts.

Node::set_voters(min, max) sets the numbers to keep. A caught-up learner is promoted only below max, or in place of its host's former voter, as before. Node::replace(id) replaces a voter that does not respond: a caught-up, responsive learner is promoted, and then the voter is removed, each as a single-server change that is checked again when it is appended. Without such a learner the voter stays, unless there are more than min voters. If there are more than max (data of an earlier version) and all of them respond, the leader demotes one after the other to learner. By default there is no limit, so crate keeper does not change.

Ruled out: removing the lost voter first. Promoted first, the group goes on once the silent voter is back.

--- a/crates/raft/src/membership.rs
+++ b/crates/raft/src/membership.rs
@@ -26,12 +26,15 @@
     Add(Member),
     /// Remove a member.
     Remove(Id),
+    /// Replace a voter that does not respond.
+    Replace(Id),
 }
 
 impl Node {
     /// Adds a learner and replaces the former learner of the same host. No-op if the replica is a
     /// member already. Takes effect once no other change is in progress. When the learner has
-    /// caught up, the leader removes the host's former voter and promotes the learner.
+    /// caught up, the leader removes the host's former voter and promotes the learner, unless the
+    /// group has enough voters without it.
     pub fn add_learner(&mut self, member: Member) -> Result<(), NotLeader> {
         self.check_leader()?;
         self.queue_change(Change::Add(member));
@@ -46,6 +49,22 @@
         Ok(())
     }
 
+    /// Takes the next step of the replacement of a voter that does not respond: a caught-up learner
+    /// is promoted, then the voter is removed. Without such a learner the voter is removed only
+    /// while there are more than the minimum number of voters. No-op if it responds again.
+    pub fn replace(&mut self, id: Id) -> Result<(), NotLeader> {
+        self.check_leader()?;
+        self.queue_change(Change::Replace(id));
+        Ok(())
+    }
+
+    /// Sets the numbers of voters to keep. The leader promotes caught-up learners up to `max`
+    /// voters, and [`Node::replace`] leaves at least `min`. By default there is no limit.
+    pub fn set_voters(&mut self, min: usize, max: usize) {
+        self.min_voters = min;
+        self.max_voters = max;
+    }
+
     /// Returns the current members.
     pub fn members(&self) -> &Members {
         &self.members[self.members.len() - 1].1
@@ -101,7 +120,7 @@
     }
 
     /// Returns the members after the next change: the next queued one, or else a step of a
-    /// learner's promotion.
+    /// learner's promotion, or else a surplus voter's demotion.
     fn next_change(&mut self) -> Option<Members> {
         if !self.is_voter(self.id) {
             return None;
@@ -110,12 +129,13 @@
             let changed = match change {
                 Change::Add(member) => self.with_learner(member),
                 Change::Remove(id) => self.without_member(id),
+                Change::Replace(id) => self.next_replacement(id),
             };
             if changed.is_some() {
                 return changed;
             }
         }
-        self.next_promotion()
+        self.next_promotion().or_else(|| self.next_demotion())
     }
 
     /// Returns the members with a new learner, which replaces its host's former learner. Returns
@@ -146,22 +166,70 @@
     }
 
     /// Returns the members after the next step of a caught-up learner's promotion: its host's
-    /// former voter is removed first, then the learner becomes a voter.
+    /// former voter is removed first, then the learner becomes a voter if there are too few.
     fn next_promotion(&self) -> Option<Members> {
-        let learners = &self.members().learners;
-        let learner = learners.iter().find(|member| self.is_caught_up(member.id))?;
-        let voters = &self.members().voters;
-        let former = voters.iter().find(|member| member.host == learner.host);
-        match former {
+        let Members { voters, learners } = self.members();
+        let needed = voters.len() < self.max_voters;
+        let mut caught_up = learners.iter().filter(|member| self.is_caught_up(member.id));
+        let learner = caught_up.find(|member| needed || self.former_voter(member).is_some())?;
+        match self.former_voter(learner) {
             Some(former) if voters.len() > 1 => self.without_member(former.id),
             Some(_) => None,
             None => Some(self.promoted(learner)),
         }
     }
 
+    /// Returns the members after the next step of a lost voter's replacement. The learner is
+    /// promoted first: if the lost voter's disk survives, the group can lose as many other disks
+    /// meanwhile as before.
+    fn next_replacement(&self, id: Id) -> Option<Members> {
+        let Members { voters, learners } = self.members();
+        if !self.is_voter(id) || self.is_responsive(id) {
+            return None;
+        }
+        if voters.len() > self.min_voters {
+            return self.without_member(id);
+        }
+        let standby = learners
+            .iter()
+            .find(|member| self.is_caught_up(member.id) && self.former_voter(member).is_none())?;
+        self.reaches_majority(&self.with_voter(standby)).then(|| self.promoted(standby))
+    }
+
+    /// Returns the members with a surplus voter demoted to learner. Waits until all voters respond,
+    /// so that lost voters are not kept in place of responsive ones.
+    fn next_demotion(&self) -> Option<Members> {
+        let mut members = self.members().clone();
+        let surplus = members.voters.len() > self.max_voters;
+        if !surplus || !members.voters.iter().all(|member| self.is_caught_up(member.id)) {
+            return None;
+        }
+        let last = members.voters.iter().rposition(|member| member.id != self.id)?;
+        let demoted = members.voters.remove(last);
+        base::event!(
+            INFO,
+            Event::VoterRemoved,
+            replica = demoted.id,
+            host = demoted.host,
+            reason = "surplus"
+        );
+        members.learners.push(demoted);
+        Some(members)
+    }
+
+    /// Returns the former voter of a learner's host.
+    fn former_voter(&self, learner: &Member) -> Option<&Member> {
+        self.members().voters.iter().find(|member| member.host == learner.host)
+    }
+
     /// Returns the members with a learner promoted to voter.
     fn promoted(&self, learner: &Member) -> Members {
         base::event!(INFO, Event::VoterAdded, replica = learner.id, host = learner.host);
+        self.with_voter(learner)
+    }
+
+    /// Returns the members with a learner as a voter.
+    fn with_voter(&self, learner: &Member) -> Members {
         let mut members = self.members().clone();
         members.learners.retain(|member| member.id != learner.id);
         members.voters.push(learner.clone());
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -136,6 +136,10 @@
     pub(crate) term_start_index: Index,
     pub(crate) reads: VecDeque<Read>,
     pub(crate) pending_changes: VecDeque<Change>,
+    /// Number of voters above which a lost one is removed without a replacement.
+    pub(crate) min_voters: usize,
+    /// Number of voters up to which learners are promoted.
+    pub(crate) max_voters: usize,
     pub(crate) messages: Vec<(Id, Message)>,
     retained_entries: Index,
 }
@@ -175,6 +179,8 @@
             term_start_index: 0,
             reads: VecDeque::new(),
             pending_changes: VecDeque::new(),
+            min_voters: 1,
+            max_voters: usize::MAX,
             messages: Vec::new(),
             retained_entries: RETAINED_ENTRIES,
         };
--- a/crates/raft/tests/log/main.rs
+++ b/crates/raft/tests/log/main.rs
@@ -3,3 +3,4 @@
 mod basics;
 mod schedules;
 mod sim;
+mod voters;
