cell, platform: the number of voters follows from the stated tolerance

A keeper took part in every vote, whatever the site stated: the settings' [FaultTolerance] was not read, and a silent voter was removed while more than three remained, so a group also shrank below what its site must bear.

platform::settings reads Machines, Zones and Regions (0 each if missing) and gives the keeper `tolerated_losses` and `all_vote`. The cell aims for 2f + 1 voters, at least 3; other keepers are standbys. A silent voter is replaced by a standby after 3.5 s and stays if there is none. With Zones or Regions over 0 all keepers vote and silent ones are removed down to that number, as before down to three: a member does not carry its failure domain, so voters can't be spread. Silent voters are looked for each heartbeat in place of each 438 ms, since a replacement now takes two steps.

A leader with fewer than 2f + 1 voters logs ToleranceNotMet (620), once for each term and list of members; keeper_state has `voters` and `standbys`. The messages and stored data are unchanged.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -88,6 +88,7 @@
     613 ReplicaDelayed "The task of a replica ran late or waited long for a write."
     614 SchedulerDelayed "A pass of the scheduler took longer than a heartbeat interval."
     615 OrdersHeld "A new leader waits for the end of a lease before it orders engines."
+    620 ToleranceNotMet "A leader has fewer voters than the stated fault tolerance requires."
     700 KeyClaimed "A non-idempotent request was claimed in the journal."
     701 KeyFinished "The answer of a non-idempotent request was recorded."
     702 KeyReleased "A claim was released because the request did not run."
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -235,6 +235,8 @@
             let leads = status.leads.is_some();
             self.metrics.state.with_label_values(&["leads"]).set(i64::from(leads));
             self.metrics.state.with_label_values(&["applied"]).set(status.applied as i64);
+            self.metrics.state.with_label_values(&["voters"]).set(status.voters as i64);
+            self.metrics.state.with_label_values(&["standbys"]).set(status.standbys as i64);
             self.coordinator.lock().apply_status(status, &self.state.read());
             self.wake_scheduler();
         }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -19,6 +19,7 @@
 mod replica;
 mod state;
 mod storage;
+mod tolerance;
 
 pub use crate::error::Error;
 pub use crate::keeper::Keeper;
--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -20,7 +20,7 @@
     pub(crate) replica: HistogramVec,
     /// Duration of a pass of the scheduler, in seconds.
     pub(crate) passes: HistogramVec,
-    /// Leadership, applied index, and numbers of gates and endpoints.
+    /// Leadership, applied index, and numbers of voters, standbys, gates and endpoints.
     pub(crate) state: IntGaugeVec,
 }
 
--- a/crates/cell/src/replica.rs
+++ b/crates/cell/src/replica.rs
@@ -35,7 +35,6 @@
 use crate::settings::ELECTION_TIMEOUT;
 use crate::settings::HEARTBEAT_INTERVAL;
 use crate::settings::JOIN_INTERVAL;
-use crate::settings::MIN_VOTERS;
 use crate::settings::REOPEN_DELAY;
 use crate::settings::Settings;
 use crate::settings::TICK_INTERVAL;
@@ -44,6 +43,7 @@
 use crate::state::State;
 use crate::storage::Recovery;
 use crate::storage::Storage;
+use crate::tolerance::Tolerance;
 
 /// Maximum number of requests handled before the log is written once for all of them.
 const MAX_REQUESTS_PER_WRITE: usize = 128;
@@ -103,6 +103,10 @@
     pub(crate) leader: Option<Name>,
     /// The members' link addresses.
     pub(crate) members: Vec<Name>,
+    /// The number of voters.
+    pub(crate) voters: usize,
+    /// The number of members that only receive the log.
+    pub(crate) standbys: usize,
     /// Index of the last applied entry.
     pub(crate) applied: Index,
 }
@@ -134,6 +138,7 @@
     join_timer_start: Duration,
     /// Time of the last check for unresponsive voters.
     last_voter_check: Duration,
+    tolerance: Tolerance,
     delay: Delay,
 }
 
@@ -160,12 +165,15 @@
             max_batch_bytes: MAX_MESSAGE_BYTES,
             seed: rand::random(),
         };
+        let mut node = Node::new(id, config, stored, Duration::ZERO);
+        let tolerance = Tolerance::new(settings);
+        tolerance.apply(&mut node);
         Ok(Replica {
             host: Name::from(settings.address.to_string()),
             group,
             identified: true,
             started: Instant::now(),
-            node: Node::new(id, config, stored, Duration::ZERO),
+            node,
             state,
             storage,
             peers,
@@ -179,6 +187,7 @@
             bytes_since_snapshot: 0,
             join_timer_start: Duration::ZERO,
             last_voter_check: Duration::ZERO,
+            tolerance,
             delay: Delay::new(delays),
         })
     }
@@ -207,7 +216,8 @@
             }
             self.process_ready().await?;
             self.request_to_join();
-            self.remove_unresponsive_voter();
+            self.replace_unresponsive_voter();
+            self.tolerance.check(&self.node);
             if self.applied >= self.snapshot_index + COMPACT_ENTRIES
                 || self.bytes_since_snapshot >= COMPACT_BYTES
             {
@@ -368,20 +378,16 @@
         self.peers.broadcast(&Frame::Join { id, host: self.host.clone() });
     }
 
-    /// Removes one unresponsive voter if more than `MIN_VOTERS` voters exist.
-    fn remove_unresponsive_voter(&mut self) {
+    /// Takes the next step of the replacement of an unresponsive voter.
+    fn replace_unresponsive_voter(&mut self) {
         let now = self.now();
-        if self.node.role() != Role::Leader || now < self.last_voter_check + VOTER_TIMEOUT / 8 {
+        if self.node.role() != Role::Leader || now < self.last_voter_check + HEARTBEAT_INTERVAL {
             return;
         }
         self.last_voter_check = now;
-        let voters = self.node.members().voters.len();
-        if voters <= MIN_VOTERS {
-            return;
-        }
         if let Some(unresponsive) = self.node.unresponsive_voters(VOTER_TIMEOUT).first() {
             // Can't fail: this replica leads, as checked above.
-            self.node.remove(*unresponsive).ok();
+            self.node.replace(*unresponsive).ok();
         }
     }
 
@@ -406,6 +412,8 @@
             leads: is_caught_up.then(|| self.node.term()),
             leader: all.clone().find(|member| Some(member.id) == leader).map(host),
             members: all.map(host).collect(),
+            voters: members.voters.len(),
+            standbys: members.learners.len(),
             applied: self.applied,
         };
         self.status.send_if_modified(|old| {
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -19,6 +19,12 @@
     pub seeds: Vec<SocketAddr>,
     /// Whether to bootstrap a new cell with the seeds as its first voters.
     pub bootstrap: bool,
+    /// Number of keepers that may be lost at the same time. It determines the number of voters; the
+    /// other keepers are standbys.
+    pub tolerated_losses: usize,
+    /// Whether all keepers vote. Needed to tolerate the loss of a failure domain or region, because
+    /// voters are chosen without regard to theirs.
+    pub all_vote: bool,
     /// The replica's data directory.
     pub data_dir: PathBuf,
     /// Settings of the scheduler.
@@ -40,9 +46,9 @@
 pub(crate) const TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// Timeout of a call to the leader.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(900);
-/// Time without contact after which a voter is removed, if enough others remain.
+/// Time without contact after which a voter is replaced.
 pub(crate) const VOTER_TIMEOUT: Duration = Duration::from_millis(3_500);
-/// Minimum number of voters that remain when an unresponsive one is removed.
+/// Minimum number of voters, if there are as many keepers.
 pub(crate) const MIN_VOTERS: usize = 3;
 /// Interval between requests to join.
 pub(crate) const JOIN_INTERVAL: Duration = Duration::from_millis(400);
