--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -25,6 +25,7 @@
 mod state;
 mod storage;
 mod thread;
+mod tolerance;
 
 pub use crate::error::Error;
 pub use crate::keeper::Keeper;
--- a/crates/cell/tests/leadership.rs
+++ b/crates/cell/tests/leadership.rs
@@ -95,6 +95,8 @@
         scheduler: sched::settings::Settings::default(),
         order_lease: BUSY,
         fenced_orders: true,
+        tolerated_losses: 1,
+        all_vote: false,
         endpoint_timeout: TIMEOUT,
     }
 }
