cell: a leader whose main thread hangs gives up the lead

Cause (from the review): since the replica has a thread of its own, a leader whose main thread hangs for good would send heartbeats for ever while it grants, loads and answers nothing; before, its silence elected another one within a second.

Change: the main thread's maintenance records a sign of life each 200 ms. Without one for 3 s the replica ticks no more: it sends no heartbeats and starts no election until the main thread responds (MainThreadStalled, MainThreadResumed). 3 s is longer than the lags seen of a leader at its limit, so that load alone does not change the leader.

Test: a_leader_whose_main_thread_hangs_is_replaced failed with the timeout set out of reach (1 of 1 run, 'in time'), passes now; the_busy one still passes. Ruled out: a vote of the replica to step down, which needs a call in raft and does not keep a stalled keeper from standing again.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -120,6 +120,8 @@
     613 ReplicaDelayed State "The task of a replica ran late or waited long for a write."
     614 SchedulerDelayed State "A pass of the scheduler took longer than a heartbeat interval."
     615 OrdersHeld State "A new leader waits for the end of a lease before it orders engines."
+    616 MainThreadStalled State "The main thread of a keeper does not respond, so its replica gives up the lead."
+    617 MainThreadResumed State "The main thread of a keeper responds again."
     620 ToleranceNotMet State "A leader has fewer voters than the stated fault tolerance requires."
     700 KeyClaimed Request "A non-idempotent request was claimed in the journal."
     701 KeyFinished Request "The answer of a non-idempotent request was recorded."
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -28,6 +28,7 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::replica;
+use crate::replica::Monitor;
 use crate::replica::Replica;
 use crate::replica::Request;
 use crate::replica::Status;
@@ -36,6 +37,7 @@
 use crate::settings::WARM_UP;
 use crate::state::State;
 use crate::thread::Thread;
+use crate::watchdog::Pulse;
 
 /// Capacity of the replica's request queue.
 const MAX_QUEUED_REQUESTS: usize = 4_096;
@@ -53,6 +55,7 @@
     pub(crate) scheduler_wakeup: Notify,
     /// Number of changes of the endpoints that the queues of all links contain.
     pub(crate) sent_changes: watch::Sender<u64>,
+    pulse: Pulse,
     /// Runs the replica and the links between keepers.
     _thread: Thread,
 }
@@ -84,12 +87,14 @@
         let (publisher, status) = watch::channel(Status::default());
         let publisher = Arc::new(publisher);
         let metrics = Metrics::new(meter);
+        let pulse = Pulse::new();
+        let monitor = Monitor { delays: metrics.replica.clone(), pulse: pulse.clone() };
         let replica = Replica::open(
             &settings,
             peers.clone(),
             state.clone(),
             publisher.clone(),
-            metrics.replica.clone(),
+            monitor.clone(),
         )
         .await?;
         let identity = replica.identity();
@@ -108,6 +113,7 @@
             scheduler_wakeup: Notify::new(),
             sent_changes: watch::Sender::new(0),
             settings,
+            pulse,
             _thread: thread,
         });
         let (failed, failures) = mpsc::channel(1);
@@ -116,7 +122,7 @@
             peers.clone(),
             keeper.state.clone(),
             publisher,
-            keeper.metrics.replica.clone(),
+            monitor,
             replica,
             inbox,
         );
@@ -260,6 +266,7 @@
 
     async fn run_maintenance(self: Arc<Keeper<E>>) {
         loop {
+            self.pulse.beat();
             tokio::time::sleep(MAINTENANCE_INTERVAL).await;
             let mut coordinator = self.coordinator.lock();
             coordinator.expire_endpoints();
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -26,6 +26,7 @@
 mod storage;
 mod thread;
 mod tolerance;
+mod watchdog;
 
 pub use crate::error::Error;
 pub use crate::keeper::Keeper;
--- a/crates/cell/src/replica.rs
+++ b/crates/cell/src/replica.rs
@@ -44,6 +44,8 @@
 use crate::storage::Recovery;
 use crate::storage::Storage;
 use crate::tolerance::Tolerance;
+use crate::watchdog::Pulse;
+use crate::watchdog::Watchdog;
 
 /// Maximum number of requests handled before the log is written once for all of them.
 const MAX_REQUESTS_PER_WRITE: usize = 128;
@@ -74,7 +76,7 @@
     peers: Arc<Peers>,
     state: Arc<RwLock<State>>,
     status: Arc<watch::Sender<Status>>,
-    delays: HistogramVec,
+    monitor: Monitor,
     first: Replica,
     mut inbox: mpsc::Receiver<Request>,
 ) -> Result<(), Error> {
@@ -89,11 +91,18 @@
         status.send_replace(Status::default());
         tokio::time::sleep(REOPEN_DELAY).await;
         opened =
-            Replica::open(&settings, peers.clone(), state.clone(), status.clone(), delays.clone())
+            Replica::open(&settings, peers.clone(), state.clone(), status.clone(), monitor.clone())
                 .await;
     }
 }
 
+/// What a replica watches and records besides the log.
+#[derive(Clone, Debug)]
+pub(crate) struct Monitor {
+    pub(crate) delays: HistogramVec,
+    pub(crate) pulse: Pulse,
+}
+
 /// The replica's status, published to the other tasks of the keeper.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Status {
@@ -140,6 +149,7 @@
     last_voter_check: Duration,
     tolerance: Tolerance,
     delay: Delay,
+    watchdog: Watchdog,
 }
 
 impl Replica {
@@ -150,7 +160,7 @@
         peers: Arc<Peers>,
         state: Arc<RwLock<State>>,
         status: Arc<watch::Sender<Status>>,
-        delays: HistogramVec,
+        monitor: Monitor,
     ) -> Result<Replica, Error> {
         let (storage, Recovery { id, group, stored }) = Storage::open(settings).await?;
         let restored = match &stored.snapshot {
@@ -188,7 +198,8 @@
             join_timer_start: Duration::ZERO,
             last_voter_check: Duration::ZERO,
             tolerance,
-            delay: Delay::new(delays),
+            delay: Delay::new(monitor.delays),
+            watchdog: Watchdog::new(monitor.pulse),
         })
     }
 
@@ -209,7 +220,9 @@
             self.delay.turn_started();
             // Ticks first, so that a leader that was suspended steps down before it handles a
             // request.
-            self.node.tick(self.now());
+            if !self.watchdog.is_stalled() {
+                self.node.tick(self.now());
+            }
             let more = std::iter::from_fn(|| inbox.try_recv().ok()).take(MAX_REQUESTS_PER_WRITE);
             for request in first.into_iter().chain(more) {
                 self.handle(request);
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -62,6 +62,8 @@
 pub(crate) const MIN_SCHEDULER_PAUSE: Duration = Duration::from_millis(2);
 /// Longest pause after a scheduler round.
 pub(crate) const MAX_SCHEDULER_PAUSE: Duration = Duration::from_millis(20);
+/// Time without a maintenance round after which the main thread counts as stalled.
+pub(crate) const MAIN_THREAD_TIMEOUT: Duration = Duration::from_secs(3);
 /// Interval between maintenance rounds.
 pub(crate) const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(200);
 /// Time after the start during which the list of gates is withheld, because gates are still
--- a/crates/cell/tests/leadership.rs
+++ b/crates/cell/tests/leadership.rs
@@ -35,12 +35,22 @@
 /// Longer than any election timeout, shorter than the read timeout of a link.
 const BUSY: Duration = Duration::from_secs(1);
 
+/// Longer than the time after which a main thread counts as stalled, and than an election.
+const HUNG: Duration = Duration::from_secs(10);
+
 /// Engines that keep the thread of their caller busy once.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct BusyEngines {
+    busy: Duration,
     was_busy: Arc<AtomicBool>,
 }
 
+impl BusyEngines {
+    fn new(busy: Duration) -> BusyEngines {
+        BusyEngines { busy, was_busy: Arc::default() }
+    }
+}
+
 impl Engines for BusyEngines {
     async fn order(&self, _order: &Order, _holder: &Holder) -> Answer {
         Answer::Lost
@@ -48,7 +58,7 @@
 
     async fn inspect(&self, _endpoint: &Endpoint) -> Option<Report> {
         if !self.was_busy.load(Ordering::SeqCst) {
-            thread::sleep(BUSY);
+            thread::sleep(self.busy);
             self.was_busy.store(true, Ordering::SeqCst);
         }
         None
@@ -77,11 +87,12 @@
     Running { keeper: keeper.recv().expect("a keeper"), _stop: stop }
 }
 
-/// Returns the addresses of three keepers, on a network of this process.
-fn addresses() -> Vec<SocketAddr> {
+/// Returns the addresses of three keepers, on a network of this process; `first` is the number of the
+/// first one.
+fn addresses(first: u8) -> Vec<SocketAddr> {
     let [_, _, high, low] = std::process::id().to_be_bytes();
     let ip = |number| IpAddr::V4(Ipv4Addr::new(127, 1 + high % 250, low, number));
-    (1..=3).map(|number| SocketAddr::new(ip(number), LINK_PORT)).collect()
+    (first..first + 3).map(|number| SocketAddr::new(ip(number), LINK_PORT)).collect()
 }
 
 fn settings(address: SocketAddr, seeds: &[SocketAddr], directory: &TempDir) -> Settings {
@@ -140,30 +151,58 @@
     }
 }
 
+/// Three keepers, the leader's main thread busy with an engine.
+struct Cell {
+    /// The term and the index of the first leader.
+    first: (u64, usize),
+    leader: watch::Receiver<(u64, usize)>,
+    _keepers: Vec<Running>,
+    _directory: TempDir,
+}
+
+impl Cell {
+    async fn start(first_address: u8, engines: &BusyEngines) -> Cell {
+        let directory = TempDir::new().expect("a directory");
+        let seeds = addresses(first_address);
+        let keepers: Vec<Running> = seeds
+            .iter()
+            .map(|seed| start(settings(*seed, &seeds, &directory), engines.clone()))
+            .collect();
+        let (sender, mut leader) = watch::channel((0, 0));
+        let terms = Arc::new(sender);
+        for (index, seed) in seeds.iter().enumerate() {
+            tokio::spawn(watch_terms(index, *seed, terms.clone()));
+        }
+        let elected = leader.wait_for(|(term, _)| *term > 0);
+        let first =
+            *tokio::time::timeout(TIMEOUT, elected).await.expect("in time").expect("a term");
+        let announced = keepers[first.1].keeper.call(Call::Announce(engine(1))).await;
+        assert_eq!(announced, Reply::Done);
+        Cell { first, leader, _keepers: keepers, _directory: directory }
+    }
+}
+
 /// The replica shared a thread with the scheduler and with the calls to engines, so its heartbeats came
 /// late whenever that thread was busy.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_leader_whose_main_thread_is_busy_keeps_its_leadership() {
-    let directory = TempDir::new().expect("a directory");
-    let (seeds, engines) = (addresses(), BusyEngines::default());
-    let keepers: Vec<Running> = seeds
-        .iter()
-        .map(|seed| start(settings(*seed, &seeds, &directory), engines.clone()))
-        .collect();
-    let (sender, mut leader) = watch::channel((0, 0));
-    let terms = Arc::new(sender);
-    for (index, seed) in seeds.iter().enumerate() {
-        tokio::spawn(watch_terms(index, *seed, terms.clone()));
-    }
-    let elected = leader.wait_for(|(term, _)| *term > 0);
-    let first = *tokio::time::timeout(TIMEOUT, elected).await.expect("in time").expect("a term");
-    let announced = keepers[first.1].keeper.call(Call::Announce(engine(1))).await;
-    assert_eq!(announced, Reply::Done);
+    let engines = BusyEngines::new(BUSY);
+    let cell = Cell::start(1, &engines).await;
     let start = Instant::now();
     while !engines.was_busy.load(Ordering::SeqCst) {
         assert!(start.elapsed() < TIMEOUT, "the engine was not inspected");
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     tokio::time::sleep(BUSY).await;
-    assert_eq!(*terms.borrow(), first, "another keeper was elected");
+    assert_eq!(*cell.leader.borrow(), cell.first, "another keeper was elected");
+}
+
+/// The replica has a thread of its own, so it would keep the lead of a keeper that does nothing else.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leader_whose_main_thread_hangs_is_replaced() {
+    let mut cell = Cell::start(11, &BusyEngines::new(HUNG)).await;
+    let first = cell.first;
+    let elected = cell.leader.wait_for(|(term, _)| *term > first.0);
+    let next = *tokio::time::timeout(HUNG, elected).await.expect("in time").expect("a term");
+    assert_ne!(next.1, first.1);
 }
