--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -7,8 +7,8 @@
 pub enum Class {
     /// A decision about a single request, adapter or order; there are many of them.
     Request,
-    /// A change of what the process believes, such as the leader, the members, the configuration or the
-    /// endpoints; such lines are rare and explain those about requests.
+    /// A change of the process's view of the cell, such as the leader, the members, the configuration or
+    /// the endpoints. Such lines are rare and explain those about requests.
     State,
 }
 
@@ -151,7 +151,7 @@
             $crate::Class::State => $crate::event!(@State, $level, $event $(, $($rest)*)?),
         }
     };
-    // The name in the static metadata, which is not part of the line, tells the log the class.
+    // The log derives the class from the name in the static metadata, which is not part of the line.
     (@$class:ident, $level:ident, $event:expr $(, $($rest:tt)*)?) => {
         $crate::tracing::event!(
             name: $crate::Class::$class.name(),
--- a/crates/base/src/log/json.rs
+++ b/crates/base/src/log/json.rs
@@ -116,7 +116,7 @@
     line.push('"');
 }
 
-/// Escapes what is written through it for a JSON string.
+/// A writer that escapes text for a JSON string.
 struct Escape<'a>(&'a mut String);
 
 impl Write for Escape<'_> {
--- a/crates/cell/src/calls.rs
+++ b/crates/cell/src/calls.rs
@@ -76,8 +76,8 @@
     }
 
     /// Applies a change to the registry; `change` returns whether it had an effect. Waits until the
-    /// queues of the gates' links contain the change, so that an endpoint that was told that it may
-    /// leave gets no request that a gate chose later.
+    /// queues of the gates' links contain the change, so that an endpoint that may leave after the
+    /// answer gets no further requests.
     async fn update_registry(&self, change: impl FnOnce(&mut Coordinator) -> bool) -> Reply {
         let mut sent = self.sent_changes.subscribe();
         let (term, number) = {
--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -270,8 +270,8 @@
         }
     }
 
-    /// Brings the scheduler in line with the registry. The next scheduler round tells the nodes, once
-    /// for all changes since the last one.
+    /// Brings the scheduler in line with the registry. The next scheduler round sends
+    /// the endpoints to all nodes, once for all changes since the last one.
     fn registry_changed(&mut self, now: Duration) {
         if let Some(leadership) = &mut self.leadership {
             let gone = leadership.scheduler.engines().filter(|id| {
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -254,7 +254,7 @@
         }
     }
 
-    /// Takes over the registries that the leader sends.
+    /// Replaces the registry by each one that the leader sends.
     async fn replace_registry(
         self: Arc<Keeper<E>>,
         mut registries: mpsc::UnboundedReceiver<Registry>,
--- a/crates/cell/src/replica.rs
+++ b/crates/cell/src/replica.rs
@@ -96,7 +96,7 @@
     }
 }
 
-/// What a replica watches and records besides the log.
+/// The metrics of a replica's task and the pulse of the main thread.
 #[derive(Clone, Debug)]
 pub(crate) struct Monitor {
     pub(crate) delays: HistogramVec,
--- a/crates/link/src/link.rs
+++ b/crates/link/src/link.rs
@@ -144,7 +144,7 @@
     }
 }
 
-/// Reads the first frame of a connection, which tells the caller on which runtime to open the link.
+/// Reads the first frame of a connection, from which the caller derives the runtime of the link.
 pub async fn accept<T: DeserializeOwned>(stream: TcpStream) -> io::Result<(T, Accepted)> {
     let mut frames = FramedRead::new(stream, codec());
     let next = tokio::time::timeout(READ_TIMEOUT, frames.next()).await;
