--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use crate::body::Body;
+use crate::framing::Framing;
 use crate::pool::Pool;
 use crate::pool::Sender;
 use crate::protocol::ResponseHead;
@@ -55,6 +56,7 @@
         &self,
         pool: &Arc<Pool>,
         response: Response<Incoming>,
+        framing: Framing,
         sender: Sender,
         parsed: &ResponseHead,
         mut tracker: Tracker,
@@ -94,13 +96,10 @@
         }
         let (head, body) = response.into_parts();
         let small = body.size_hint().upper().is_some_and(|bytes| bytes <= MAX_BUFFERED_BYTES);
-        if self.streams && !small {
-            let relay = Relay::new(&self.id, body, self.deadline, tracker, outcome, connection);
-            let response = Response::from_parts(head, Body::Relay(Box::new(relay)));
-            return Attempt::Response { response: Box::new(response), failed };
-        }
-        if !small && body.size_hint().upper().is_some() {
-            let relay = Relay::new(&self.id, body, self.deadline, tracker, outcome, connection);
+        let bounded = body.size_hint().upper().is_some();
+        if !small && (self.streams || bounded) {
+            let relay =
+                Relay::new(&self.id, body, framing, self.deadline, tracker, outcome, connection);
             let response = Response::from_parts(head, Body::Relay(Box::new(relay)));
             return Attempt::Response { response: Box::new(response), failed };
         }
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -30,6 +30,7 @@
 use crate::attempt::Exchange;
 use crate::body::Body;
 use crate::choose;
+use crate::framing::Framing;
 use crate::gate::Gate;
 use crate::keepers::Decision;
 use crate::protocol::Dispatch;
@@ -279,9 +280,10 @@
             Sent::Response(response, sender) => {
                 let (mut head, body) = response.into_parts();
                 let parsed = self.protocol.parse_response(&head, &call.request.id);
+                let framing = Framing::of(&head.headers);
                 strip_hop_by_hop(&mut head.headers);
                 let response = Response::from_parts(head, body);
-                exchange.receive(&self.pool, response, sender, &parsed, tracker).await
+                exchange.receive(&self.pool, response, framing, sender, &parsed, tracker).await
             }
             Sent::Unsent(reason) => {
                 tracker.set_outcome(Outcome::Lost);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -12,6 +12,7 @@
 mod budget;
 mod choose;
 mod forward;
+mod framing;
 mod gate;
 mod keepers;
 mod metrics;
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -18,6 +18,7 @@
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
+use crate::framing::Framing;
 use crate::pool::Pool;
 use crate::pool::Sender;
 use crate::tracker::Tracker;
@@ -39,6 +40,7 @@
     /// The caller's id of the request.
     id: Name,
     body: Incoming,
+    framing: Framing,
     /// Fires at the request's deadline, which aborts the response.
     deadline: Pin<Box<Sleep>>,
     tracker: Tracker,
@@ -54,6 +56,7 @@
     pub(crate) fn new(
         id: &Name,
         body: Incoming,
+        framing: Framing,
         deadline: Instant,
         tracker: Tracker,
         outcome: Outcome,
@@ -63,6 +66,7 @@
         let mut relay = Relay {
             id: id.clone(),
             body,
+            framing,
             deadline,
             tracker,
             outcome,
@@ -121,7 +125,10 @@
         let Some(connection) = self.connection.take() else { return };
         self.tracker.set_outcome(self.outcome);
         let ms = self.tracker.elapsed().as_millis() as u64;
-        base::event!(INFO, Event::Answered, request = %self.id, endpoint = %connection.endpoint, bytes = self.bytes, ms);
+        base::event!(
+            INFO, Event::Answered, request = %self.id, endpoint = %connection.endpoint,
+            framing = self.framing.name(), bytes = self.bytes, ms
+        );
         if let Some(idle_timeout) = connection.idle_timeout {
             connection.pool.put(&connection.endpoint, connection.sender, idle_timeout);
         }
@@ -134,7 +141,8 @@
             self.connection.take().map(|connection| connection.endpoint).unwrap_or_default();
         let ms = self.tracker.elapsed().as_millis() as u64;
         base::event!(
-            WARN, Event::AnswerBroken, request = %self.id, endpoint = %endpoint, bytes = self.bytes, ms, reason
+            WARN, Event::AnswerBroken, request = %self.id, endpoint = %endpoint,
+            framing = self.framing.name(), bytes = self.bytes, ms, reason
         );
         io::Error::other(reason.to_owned())
     }
