edge: a stream that ends inside an event is broken off

Cause: an answer with neither a length nor chunks ends with its connection. The HTTP client reports that end as a normal one, also when a crashed engine closes the connection, and the gate then sent the last chunk of its own framing. Ruled out: an error of the relay that gets lost (these requests are logged as Answered, not as AnswerBroken).

A stream without framing must have at least one event.

Found by the test: the version of an endpoint's answer was forwarded, so an endpoint with HTTP/1.0 made the gate answer without chunks, where a broken connection looks like the end. Answers are now version 1.1.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -9,9 +9,12 @@
 use fleet::message::Outcome;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::HeaderMap;
 use hyper::Response;
 use hyper::body::Body as _;
 use hyper::body::Incoming;
+use hyper::header;
+use sse::Scanner;
 use tokio::time::Instant;
 
 use crate::body::Body;
@@ -21,6 +24,8 @@
 use crate::protocol::ResponseHead;
 use crate::relay::Connection;
 use crate::relay::Relay;
+use crate::relay::Source;
+use crate::relay::TRUNCATED;
 use crate::settings::MAX_BUFFERED_BYTES;
 use crate::tracker::Tracker;
 
@@ -95,21 +100,29 @@
             self.log_failure(status.as_str());
         }
         let (head, body) = response.into_parts();
-        let small = body.size_hint().upper().is_some_and(|bytes| bytes <= MAX_BUFFERED_BYTES);
-        let bounded = body.size_hint().upper().is_some();
+        let events = status.is_success() && self.is_event_stream(&head.headers);
+        let mut source = Source { body, framing, events: events.then(Scanner::default) };
+        let small =
+            source.body.size_hint().upper().is_some_and(|bytes| bytes <= MAX_BUFFERED_BYTES);
+        let bounded = source.body.size_hint().upper().is_some();
         if !small && (self.streams || bounded) {
-            let relay =
-                Relay::new(&self.id, body, framing, self.deadline, tracker, outcome, connection);
+            let relay = Relay::new(&self.id, source, self.deadline, tracker, outcome, connection);
             let response = Response::from_parts(head, Body::Relay(Box::new(relay)));
             return Attempt::Response { response: Box::new(response), failed };
         }
-        match body.collect().await {
+        match (&mut source.body).collect().await {
             Ok(body) => {
+                let body = body.to_bytes();
                 tracker.record_first_byte();
+                source.scan(&body);
+                if source.is_truncated() {
+                    tracker.set_outcome(Outcome::Lost);
+                    self.log_failure(TRUNCATED);
+                    return Attempt::Lost(Code::ShortAnswer);
+                }
                 tracker.set_outcome(outcome);
                 release(connection);
-                let response =
-                    Response::from_parts(head, Body::Buffered(Full::new(body.to_bytes())));
+                let response = Response::from_parts(head, Body::Buffered(Full::new(body)));
                 Attempt::Response { response: Box::new(response), failed }
             }
             Err(error) => {
@@ -120,6 +133,13 @@
         }
     }
 
+    /// Returns whether the body of a response is an event stream.
+    fn is_event_stream(&self, headers: &HeaderMap) -> bool {
+        let Some(value) = headers.get(header::CONTENT_TYPE) else { return self.streams };
+        let media_type = value.to_str().unwrap_or_default().split(';').next().unwrap_or_default();
+        media_type.trim().eq_ignore_ascii_case("text/event-stream")
+    }
+
     /// Logs the reason why the attempt failed.
     pub(crate) fn log_failure(&self, reason: &str) {
         base::event!(
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -18,6 +18,7 @@
 use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Response;
+use hyper::Version;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderName;
@@ -282,6 +283,8 @@
                 let parsed = self.protocol.parse_response(&head, &call.request.id);
                 let framing = Framing::of(&head.headers);
                 strip_hop_by_hop(&mut head.headers);
+                // A version 1.0 response has no chunks, so that a truncated one would look complete.
+                head.version = Version::HTTP_11;
                 let response = Response::from_parts(head, body);
                 exchange.receive(&self.pool, response, framing, sender, &parsed, tracker).await
             }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -15,6 +15,7 @@
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
+use sse::Scanner;
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
@@ -23,6 +24,9 @@
 use crate::pool::Sender;
 use crate::tracker::Tracker;
 
+/// The reason for the failure of an event stream that ends inside an event.
+pub(crate) const TRUNCATED: &str = "the stream ended inside an event";
+
 /// The connection that carries a response; it returns to the pool once the response has ended.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -34,13 +38,39 @@
     pub(crate) idle_timeout: Option<Option<Duration>>,
 }
 
+/// A response body as the endpoint sends it.
+#[derive(Debug)]
+pub(crate) struct Source {
+    pub(crate) body: Incoming,
+    pub(crate) framing: Framing,
+    /// The position in the event stream; `None` if the body is not one.
+    pub(crate) events: Option<Scanner>,
+}
+
+impl Source {
+    /// Follows the events in bytes of the body.
+    pub(crate) fn scan(&mut self, data: &[u8]) {
+        if let Some(events) = &mut self.events {
+            events.scan(data);
+        }
+    }
+
+    /// Returns whether a body that ends here is an event stream that the endpoint broke off.
+    pub(crate) fn is_truncated(&self) -> bool {
+        self.events.as_ref().is_some_and(|events| {
+            // The end of a connection before the first event does not show that the stream is complete.
+            let empty = self.framing == Framing::Close && events.events() == 0;
+            empty || !events.is_at_boundary()
+        })
+    }
+}
+
 /// A response body that is forwarded to the caller while the endpoint sends it.
 #[derive(Debug)]
 pub(crate) struct Relay {
     /// The caller's id of the request.
     id: Name,
-    body: Incoming,
-    framing: Framing,
+    source: Source,
     /// Fires at the request's deadline, which aborts the response.
     deadline: Pin<Box<Sleep>>,
     tracker: Tracker,
@@ -55,8 +85,7 @@
 impl Relay {
     pub(crate) fn new(
         id: &Name,
-        body: Incoming,
-        framing: Framing,
+        source: Source,
         deadline: Instant,
         tracker: Tracker,
         outcome: Outcome,
@@ -65,15 +94,14 @@
         let deadline = Box::pin(tokio::time::sleep_until(deadline));
         let mut relay = Relay {
             id: id.clone(),
-            body,
-            framing,
+            source,
             deadline,
             tracker,
             outcome,
             connection: Some(connection),
             bytes: 0,
         };
-        if relay.body.is_end_stream() {
+        if relay.source.body.is_end_stream() {
             relay.finish();
         }
         relay
@@ -83,7 +111,7 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        let frame = match Pin::new(&mut self.body).poll_frame(context) {
+        let frame = match Pin::new(&mut self.source.body).poll_frame(context) {
             Poll::Pending => {
                 if self.deadline.as_mut().poll(context).is_ready() {
                     return Poll::Ready(Some(Err(self.fail("the deadline has passed"))));
@@ -95,9 +123,15 @@
         match frame {
             Some(Ok(frame)) => {
                 self.tracker.record_first_byte();
-                self.bytes += frame.data_ref().map_or(0, |data| data.len() as u64);
-                if self.body.is_end_stream() {
-                    self.finish();
+                if let Some(data) = frame.data_ref() {
+                    self.bytes += data.len() as u64;
+                    self.source.scan(data);
+                }
+                if self.source.body.is_end_stream() {
+                    // Without its last frame the response does not look complete.
+                    if let Err(error) = self.end() {
+                        return Poll::Ready(Some(Err(error)));
+                    }
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
@@ -105,19 +139,26 @@
                 self.tracker.set_outcome(Outcome::Lost);
                 Poll::Ready(Some(Err(self.fail(&error.to_string()))))
             }
-            None => {
-                self.finish();
-                Poll::Ready(None)
-            }
+            None => Poll::Ready(self.end().err().map(Err)),
         }
     }
 
     pub(crate) fn has_ended(&self) -> bool {
-        self.body.is_end_stream()
+        self.source.body.is_end_stream()
     }
 
     pub(crate) fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        self.source.body.size_hint()
+    }
+
+    /// Ends the response; returns an error if it is a stream that the endpoint broke off.
+    fn end(&mut self) -> io::Result<()> {
+        if self.source.is_truncated() {
+            self.tracker.set_outcome(Outcome::Lost);
+            return Err(self.fail(TRUNCATED));
+        }
+        self.finish();
+        Ok(())
     }
 
     /// Records that the whole response was forwarded, and releases the connection.
@@ -127,7 +168,7 @@
         let ms = self.tracker.elapsed().as_millis() as u64;
         base::event!(
             INFO, Event::Answered, request = %self.id, endpoint = %connection.endpoint,
-            framing = self.framing.name(), bytes = self.bytes, ms
+            framing = self.source.framing.name(), bytes = self.bytes, ms
         );
         if let Some(idle_timeout) = connection.idle_timeout {
             connection.pool.put(&connection.endpoint, connection.sender, idle_timeout);
@@ -142,7 +183,7 @@
         let ms = self.tracker.elapsed().as_millis() as u64;
         base::event!(
             WARN, Event::AnswerBroken, request = %self.id, endpoint = %endpoint,
-            framing = self.framing.name(), bytes = self.bytes, ms, reason
+            framing = self.source.framing.name(), bytes = self.bytes, ms, reason
         );
         io::Error::other(reason.to_owned())
     }
