fleet, platform: decode the software version of endpoints and log it

Neither the logs nor the messages knew an endpoint's software version, so that no line told whether a resumed stream stayed with it. Announcements and endpoints carry it as build; Announced and Routed log it, and Routed also the id of the attempt that began a resumed stream. A heartbeat without a version is malformed and names no endpoint, as one without any other field.

Gates and keepers of a cell encode endpoints with the new field, so that they have to be upgraded together.

--- a/crates/cell/tests/leadership.rs
+++ b/crates/cell/tests/leadership.rs
@@ -146,6 +146,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         domain: Name::from("a"),
         slots: 1,
+        build: Name::from("v1"),
         state: State::Ready,
         held: Some(Vec::new()),
     }
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -396,6 +396,7 @@
             Decision::Grant(grant) => {
                 base::event!(
                     INFO, Event::Routed, request = %call.request.id, endpoint = %grant.endpoint.id,
+                    build = %grant.endpoint.build, resumes = call.request.resumes.as_deref(),
                     adapter = %query.adapter, urgency = grant.urgency, target_ms = query.target_ms,
                     waited_ms = waited.as_millis() as u64
                 );
--- a/crates/edge/src/protocol.rs
+++ b/crates/edge/src/protocol.rs
@@ -32,8 +32,9 @@
     pub output: u32,
     /// The parts of the prompt, in order: the digest and the length in tokens of each.
     pub parts: Vec<(u64, u32)>,
-    /// Whether the request resumes an interrupted stream.
-    pub resumes: bool,
+    /// The caller's id of the attempt that began a stream, if the request resumes one; empty if the caller does
+    /// not state it.
+    pub resumes: Option<Name>,
 }
 
 /// The instructions that are sent to an endpoint with a request.
--- a/crates/edge/tests/balancing.rs
+++ b/crates/edge/tests/balancing.rs
@@ -19,6 +19,7 @@
         address: ([127, 0, 0, 1], 1).into(),
         domain: Name::from(domain),
         slots: 6,
+        build: Name::from("v1"),
     }
 }
 
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -30,6 +30,8 @@
     pub state: State,
     /// The base models in memory; `None` if the endpoint is not a model engine.
     pub held: Option<Vec<Model>>,
+    /// The version of its software. Builds have no order.
+    pub build: Name,
 }
 
 /// Whether an endpoint accepts new requests.
@@ -77,6 +79,8 @@
     pub domain: Name,
     /// The number of requests that it runs concurrently.
     pub slots: u32,
+    /// The version of its software, as in [`Announcement::build`].
+    pub build: Name,
 }
 
 impl From<&Announcement> for Endpoint {
@@ -88,6 +92,7 @@
             address: from.address,
             domain: from.domain.clone(),
             slots: from.slots,
+            build: from.build.clone(),
         }
     }
 }
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -58,11 +58,11 @@
         let was_ready = known.is_some_and(|entry| entry.announcement.state == State::Ready);
         let is_ready = new.state == State::Ready;
         self.addresses.insert(new.address, new.born);
-        let id = new.id.clone();
+        let (id, build) = (new.id.clone(), new.build.clone());
         self.entries.insert(id.clone(), Entry { announcement: new, heard: now });
         match (was_ready, is_ready) {
             (false, true) => {
-                base::event!(INFO, Event::Announced, endpoint = %id, replaced);
+                base::event!(INFO, Event::Announced, endpoint = %id, build = %build, replaced);
                 Change::Joined
             }
             (true, false) => {
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -19,6 +19,7 @@
         address: ([127, 0, 0, 1], port).into(),
         domain: Name::from("a"),
         slots: 6,
+        build: Name::from("v1"),
         state: State::Ready,
         held: None,
     }
--- a/crates/sched/tests/common/mod.rs
+++ b/crates/sched/tests/common/mod.rs
@@ -384,6 +384,7 @@
         address: ([127, 0, 0, 1], 9_000 + number).into(),
         domain: Name::from("a"),
         slots: 64,
+        build: Name::from("v1"),
         state: State::Ready,
         held: Some(vec![Model { model: Name::from(MODEL), version: 1, adapters: Vec::new() }]),
     }
