edge, cell, sched: a stream is resumed at the build that began it

Cause: no part of the system knew software versions, so that a request that resumes a stream was placed like a new one. It may come to any gate, and the gate that began the stream may be gone.

A gate records the service and build at which a resumable stream begins before it forwards the first bytes, in memory and at two keepers that are chosen by the stream; a keeper that restarts gets the gate's records again. A request that resumes a stream is located first, at its gate or at all keepers, and placed only at endpoints of that build, with and without the scheduler. Whether most engines are suspected, so that health is ignored, is counted among the engines that may run the request.

A stream of unknown origin is refused as not run (1310), and so is one whose build no endpoint has (1311), both at once and with a time to come back. If no keeper has a record, but the leader has known a single build for as long as a stream can last, the stream goes on there: callers that do not name the attempt that began their stream are served as before.

Ruled out: a version derived from the request's id (wrong while versions come and go), records at the leader alone (lost with it), records at the gate alone (lost with it).

--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -82,6 +82,8 @@
     1307 CallerLimit 429 No "The caller is over its limit."
     1308 OwnerUnreachable 503 No "The owner of the endpoint cannot be reached."
     1309 RetryBudget 503 No "The budget for retries is spent."
+    1310 UnknownOrigin 503 No "No node knows which software version began the stream that the request resumes."
+    1311 BuildUnavailable 503 No "No endpoint with the software version that began the stream accepts requests."
     1400 Quarantined 422 No "The request crashed endpoints that ran it and is quarantined."
     1401 Suspected 503 No "The request was in progress at endpoints that crashed; it waits for a verdict."
     1500 EndpointFailed 502 Unknown "The endpoint failed while it ran the request."
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -79,6 +79,7 @@
     210 AnswerBroken Request "An answer was cut off after its head was sent to the caller."
     211 AttemptFailed Request "An attempt to send a request to an endpoint failed."
     212 Waiting Request "A request waits for an engine, an adapter slot or a leader."
+    213 OriginLocated Request "The software version that began a resumed stream was looked up."
     300 Placed Request "An adapter was scheduled for loading on an endpoint."
     301 Loaded Request "An adapter was loaded."
     302 LoadFailed Request "The load of an adapter failed."
--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -10,6 +10,7 @@
 use fleet::message::Hello;
 use fleet::message::Holding;
 use fleet::message::Welcome;
+use fleet::origin;
 use fleet::registry::Change;
 use fleet::registry::Registry;
 use link::Link;
@@ -41,6 +42,8 @@
     pub(crate) registry: Registry,
     pub(crate) status: Status,
     pub(crate) leadership: Option<Leadership>,
+    /// The streams that gates have recorded here.
+    pub(crate) origins: origin::Table,
     lease: Lease,
     settings: sched::settings::Settings,
     endpoint_timeout: Duration,
@@ -65,6 +68,7 @@
             registry: Registry::default(),
             status: Status::default(),
             leadership: None,
+            origins: origin::Table::default(),
             lease: Lease::new(settings.order_lease, settings.fenced_orders),
             settings: settings.scheduler.clone(),
             endpoint_timeout: settings.endpoint_timeout,
@@ -247,6 +251,17 @@
         changed
     }
 
+    /// Returns the only build of a service in the time in which a stream that has not ended can have begun.
+    /// Only known to a leader that has run for that time.
+    pub(crate) fn sole_build(&self, service: &str, state: &State) -> Option<Name> {
+        let now = self.now();
+        let routes = &state.plan.as_ref()?.routes;
+        let longest = routes.iter().map(|route| route.timeout).max()?;
+        let window = longest + origin::GRACE;
+        let known = self.leadership.is_some() && now >= window;
+        known.then(|| self.registry.sole_build(service, window, now).cloned()).flatten()
+    }
+
     /// Replaces the registry by the leader's. Ignored while this keeper leads.
     pub(crate) fn replace_registry(&mut self, registry: Registry) {
         if self.leadership.is_none() {
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -202,6 +202,21 @@
                     link.send(Frame::Reply(number, reply));
                 });
             }
+            Frame::Origins(origins) => {
+                let mut coordinator = self.coordinator.lock();
+                let now = coordinator.now();
+                for origin in origins {
+                    coordinator.origins.record(origin, now);
+                }
+            }
+            Frame::Locate { lookup, stream, service } => {
+                let coordinator = self.coordinator.lock();
+                let origin = coordinator.origins.get(stream, coordinator.now());
+                let state = self.state.read();
+                let sole_build =
+                    service.and_then(|service| coordinator.sole_build(&service, &state));
+                link.send(Frame::Located { lookup, origin, sole_build });
+            }
             frame => {
                 if self.pass_to_scheduler(link_id, frame) {
                     self.wake_scheduler();
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -10,6 +10,8 @@
 use fleet::endpoint::Endpoint;
 use fleet::message::Outcome;
 use fleet::message::Query;
+use fleet::origin;
+use fleet::origin::Origin;
 use fleet::plan::Kind;
 use fleet::plan::Route;
 use http_body_util::BodyExt;
@@ -43,6 +45,7 @@
 use crate::settings::DEFAULT_RETRY_AFTER;
 use crate::settings::LEADER_WAIT_SHARE;
 use crate::settings::MAX_UNSENT;
+use crate::settings::ORIGIN_TIMEOUT;
 use crate::settings::PLAN_WAIT_SHARE;
 use crate::settings::SCHEDULER_QUEUE_SHARE;
 use crate::settings::SCHEDULER_REPLY_MARGIN;
@@ -72,6 +75,8 @@
     route: Route,
     /// The service that was picked from the route's splits.
     service: Name,
+    /// Where the stream began, if the request resumes one.
+    origin: Option<Origin>,
     /// The head as received.
     parts: Parts,
     body: Bytes,
@@ -89,6 +94,39 @@
     query: Option<Query>,
 }
 
+impl Call {
+    /// Returns the digest by which the origin of a stream is known; `None` if the route's streams cannot be
+    /// resumed. For a request that resumes a stream it is that of the attempt that began it.
+    fn stream(&self) -> Option<u64> {
+        let id = self.request.resumes.as_ref().unwrap_or(&self.request.id);
+        let resumable = self.route.kind == Kind::Stream { resumable: true };
+        resumable.then(|| base::digest(id.as_bytes()))
+    }
+
+    /// Returns the stream that the request resumes.
+    fn resumed_stream(&self) -> Option<u64> {
+        self.request.resumes.as_ref().and_then(|_| self.stream())
+    }
+
+    /// Returns the origin of the stream that the request begins at an endpoint.
+    fn new_origin(&self, endpoint: &Endpoint) -> Option<Origin> {
+        let stream = self.stream().filter(|_| self.request.resumes.is_none())?;
+        let left = self.request.deadline.unwrap_or(self.route.timeout) + origin::GRACE;
+        Some(Origin {
+            stream,
+            service: endpoint.service.clone(),
+            build: endpoint.build.clone(),
+            left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+        })
+    }
+
+    /// Returns whether an endpoint may run the request.
+    fn admits(&self, endpoint: &Endpoint) -> bool {
+        endpoint.service == self.service
+            && self.origin.as_ref().is_none_or(|origin| origin.build == endpoint.build)
+    }
+}
+
 impl<P: Protocol> Gate<P> {
     /// Serves a request and returns the response, or a refusal as a response.
     pub(crate) async fn handle(
@@ -165,12 +203,17 @@
         };
         self.budget.lock().record_request(self.view.now());
         let service = route.select_service(rand::random()).clone();
-        Ok(Call { request, route, service, parts, body, received, deadline })
+        Ok(Call { request, route, service, origin: None, parts, body, received, deadline })
     }
 
     /// Makes attempts until one succeeds or no more are allowed; returns the response, which may report a
     /// failure, or a refusal.
-    async fn forward(self: &Arc<Gate<P>>, call: Call) -> Result<Response<Body>, Refusal> {
+    async fn forward(self: &Arc<Gate<P>>, mut call: Call) -> Result<Response<Body>, Refusal> {
+        if let Some(stream) = call.resumed_stream() {
+            let origin = self.locate(&call, stream).await?;
+            call.service = origin.service.clone();
+            call.origin = Some(origin);
+        }
         let mut excluded = Vec::new();
         let mut attempts = 0;
         let mut unsent = 0;
@@ -235,6 +278,28 @@
         last.unwrap_or(Err(Refusal::retryable(Code::NoEndpoint, DEFAULT_RETRY_AFTER)))
     }
 
+    /// Returns where the stream began that a request resumes. Refuses the request if nobody knows it or if the
+    /// route no longer leads there, since what another service or build writes does not continue the stream.
+    async fn locate(&self, call: &Call, stream: u64) -> Result<Origin, Refusal> {
+        let start = Instant::now();
+        let mut services = call.route.splits.iter().filter(|split| split.weight > 0);
+        let service = services.next().filter(|_| services.next().is_none());
+        let service = service.map(|split| split.service.clone());
+        let located = self.keepers.locate_origin(stream, service, ORIGIN_TIMEOUT).await;
+        let source = located.as_ref().map_or("unknown", |located| located.source.name());
+        self.metrics.origins.with_label_values(&[source]).inc();
+        base::event!(
+            INFO, Event::OriginLocated, request = %call.request.id,
+            resumes = call.request.resumes.as_deref(), source,
+            build = located.as_ref().map(|located| &*located.origin.build),
+            waited_ms = start.elapsed().as_millis() as u64
+        );
+        let refuse = |code| Refusal::retryable(code, DEFAULT_RETRY_AFTER);
+        let origin = located.ok_or_else(|| refuse(Code::UnknownOrigin))?.origin;
+        let routed = call.route.splits.iter().any(|split| split.service == origin.service);
+        if routed { Ok(origin) } else { Err(refuse(Code::BuildUnavailable)) }
+    }
+
     /// Makes one attempt. If the request is idempotent and another attempt is allowed, the attempt times out
     /// before the deadline.
     async fn attempt(
@@ -280,6 +345,11 @@
         let attempt = match sent {
             Sent::Response(response, sender) => {
                 let (mut head, body) = response.into_parts();
+                if head.status.is_success()
+                    && let Some(origin) = call.new_origin(endpoint)
+                {
+                    tracker.set_origin(&self.keepers, origin);
+                }
                 let parsed = self.protocol.parse_response(&head, &call.request.id);
                 let framing = Framing::of(&head.headers);
                 strip_hop_by_hop(&mut head.headers);
@@ -351,7 +421,7 @@
     /// Chooses an endpoint of a service that has no model engines.
     fn choose_endpoint(&self, call: &Call, excluded: &[Name]) -> Result<Target, Refusal> {
         let endpoints = self.view.endpoints();
-        let candidates = endpoints.values().filter(|endpoint| endpoint.service == call.service);
+        let candidates = endpoints.values().filter(|endpoint| call.admits(endpoint));
         self.least_loaded(candidates, excluded, None)
     }
 
@@ -456,7 +526,7 @@
     ) -> Result<Target, Refusal> {
         let endpoints = self.view.endpoints();
         let candidates = endpoints.values().filter(|endpoint| {
-            endpoint.service == call.service
+            call.admits(endpoint)
                 && self.view.holds(&endpoint.id, &Name::default())
                 && (query.adapter.is_empty() || self.view.holds(&endpoint.id, &query.adapter))
         });
@@ -489,6 +559,7 @@
             left_ms: left.as_millis() as u32,
             rank: call.route.rank,
             excluded: excluded.to_vec(),
+            build: call.origin.as_ref().map(|origin| origin.build.clone()),
         }
     }
 
--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -19,6 +19,7 @@
 use fleet::message::Query;
 use fleet::message::Running;
 use fleet::message::Welcome;
+use fleet::origin::Origin;
 use link::Inbox;
 use link::Link;
 use parking_lot::Mutex;
@@ -26,6 +27,8 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::origins::Located;
+use crate::origins::Origins;
 use crate::pool::Pool;
 use crate::view::View;
 
@@ -86,6 +89,7 @@
     pending: Mutex<Map<u64, oneshot::Sender<Decision>>>,
     /// The scheduled requests at engines, by request number.
     in_flight: Mutex<Map<u64, InFlight>>,
+    origins: Origins,
     next_number: AtomicU64,
 }
 
@@ -108,6 +112,7 @@
             leader_known: Notify::new(),
             pending: Mutex::default(),
             in_flight: Mutex::default(),
+            origins: Origins::default(),
             next_number: AtomicU64::new(1),
         })
     }
@@ -164,6 +169,7 @@
         mut inbox: Inbox<Frame>,
     ) -> bool {
         link.send(Frame::Hello(self.hello.lock().clone()));
+        self.origins.restore(&link, self.view.now());
         self.links.lock().insert(address, link.clone());
         let mut received = false;
         while let Some(frame) = inbox.recv().await {
@@ -196,6 +202,9 @@
                     self.view.update_holding(holding);
                 }
             }
+            Frame::Located { lookup, origin, sole_build } => {
+                self.origins.handle_reply(lookup, origin, sole_build);
+            }
             Frame::Grant(grant) => self.resolve(grant.request, Decision::Grant(grant)),
             Frame::Denial(denial) => self.resolve(denial.request, Decision::Denial(denial)),
             _ => {}
@@ -334,6 +343,29 @@
         self.in_flight.lock().insert(query.request, InFlight { running, deadline });
     }
 
+    /// Records a stream that begins at this gate.
+    pub(crate) fn record_origin(&self, origin: &Origin) {
+        let links = self.links.lock();
+        let keepers = links
+            .iter()
+            .map(|(address, link)| (base::digest(address.to_string().as_bytes()), link));
+        self.origins.record(origin, keepers, self.view.now());
+    }
+
+    /// Returns where a stream began whose route leads to `service`; `None` if that is unknown.
+    pub(crate) async fn locate_origin(
+        &self,
+        stream: u64,
+        service: Option<Name>,
+        timeout: Duration,
+    ) -> Option<Located> {
+        if let Some(located) = self.origins.own(stream, self.view.now()) {
+            return Some(located);
+        }
+        let links: Vec<Link<Frame>> = self.links.lock().values().cloned().collect();
+        self.origins.look_up(stream, service, links.iter(), timeout).await
+    }
+
     /// Notifies the keepers that this gate accepts no more callers.
     pub(crate) fn drain(&self) {
         let mut hello = self.hello.lock();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,6 +16,7 @@
 mod gate;
 mod keepers;
 mod metrics;
+mod origins;
 mod pool;
 mod refusal;
 mod relay;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -15,6 +15,8 @@
     pub(crate) refusals: IntCounterVec,
     /// The attempts at endpoints, by outcome.
     pub(crate) attempts: IntCounterVec,
+    /// The lookups of where a resumed stream began, by the source of the answer.
+    pub(crate) origins: IntCounterVec,
     /// The time that routing decisions took, by result.
     pub(crate) decision_latency: HistogramVec,
 }
@@ -34,6 +36,11 @@
             ),
             refusals: meter.counters("gate_refusals_total", "Requests refused.", &["code"]),
             attempts: meter.counters("gate_attempts_total", "Sendings to endpoints.", &["outcome"]),
+            origins: meter.counters(
+                "gate_origins_total",
+                "Lookups of where a resumed stream began.",
+                &["source"],
+            ),
             decision_latency: meter.histograms(
                 "gate_grant_seconds",
                 "Time until a scheduler's answer.",
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -52,6 +52,8 @@
 /// The largest response that is buffered before it is forwarded, so that a broken one can be replaced by a
 /// retry; in bytes.
 pub(crate) const MAX_BUFFERED_BYTES: u64 = 256 << 10;
+/// The timeout for looking up where a resumed stream began; several round trips to a keeper.
+pub(crate) const ORIGIN_TIMEOUT: Duration = Duration::from_millis(250);
 /// The number of attempts without a byte sent, for example failed connects, after which a request is refused.
 pub(crate) const MAX_UNSENT: u32 = 3;
 /// The expected time from startup until a gate serves requests if the keepers start with it: an election and
--- a/crates/edge/src/tracker.rs
+++ b/crates/edge/src/tracker.rs
@@ -7,6 +7,7 @@
 use fleet::message::Ended;
 use fleet::message::Frame;
 use fleet::message::Outcome;
+use fleet::origin::Origin;
 use tokio::time::Instant;
 
 use crate::keepers::Keepers;
@@ -22,6 +23,8 @@
     endpoint: Name,
     sent: Instant,
     started: bool,
+    /// The origin to record when the stream begins, if it can be resumed.
+    origin: Option<(Arc<Keepers>, Origin)>,
     outcome: Outcome,
 }
 
@@ -38,6 +41,7 @@
             endpoint: endpoint.clone(),
             sent: Instant::now(),
             started: false,
+            origin: None,
             // A request that is dropped before it ends was cancelled by its caller.
             outcome: Outcome::Cancelled,
         }
@@ -48,12 +52,20 @@
         if std::mem::replace(&mut self.started, true) {
             return;
         }
+        if let Some((keepers, origin)) = self.origin.take() {
+            keepers.record_origin(&origin);
+        }
         if let Some((keepers, request)) = &self.scheduled {
             let after_ms = self.sent.elapsed().as_millis() as u32;
             keepers.send(Frame::Began { request: *request, after_ms });
         }
     }
 
+    /// Sets the origin to record when the response begins.
+    pub(crate) fn set_origin(&mut self, keepers: &Arc<Keepers>, origin: Origin) {
+        self.origin = Some((keepers.clone(), origin));
+    }
+
     /// Sets the outcome of the request.
     pub(crate) fn set_outcome(&mut self, outcome: Outcome) {
         self.outcome = outcome;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,8 +1,9 @@
 //! The data types that gates and keepers of a cell share: the plan of routes and services, the
-//! announcements of endpoints, and the messages between gates and keepers.
+//! announcements of endpoints, the origins of streams, and the messages between gates and keepers.
 
 pub mod endpoint;
 pub mod message;
+pub mod origin;
 pub mod plan;
 pub mod registry;
 pub mod routing;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -14,6 +14,7 @@
 
 use crate::endpoint::Announcement;
 use crate::endpoint::Endpoint;
+use crate::origin::Origin;
 use crate::plan::Plan;
 use crate::registry::Registry;
 
@@ -68,6 +69,27 @@
     Ended(Ended),
     /// The requests of a gate that are in flight at engines; sent to a new leader.
     Running(Vec<Running>),
+    /// A gate records where streams began.
+    Origins(Vec<Origin>),
+    /// A gate asks a keeper where a stream began; answered with [`Frame::Located`].
+    Locate {
+        /// The gate's number for the lookup.
+        lookup: u64,
+        /// The stream, as in [`Origin::stream`].
+        stream: u64,
+        /// The service to which the route leads; `None` if there are several.
+        service: Option<Name>,
+    },
+    /// The answer to [`Frame::Locate`].
+    Located {
+        /// The gate's number for the lookup.
+        lookup: u64,
+        /// Where the stream began; `None` if this keeper does not know it.
+        origin: Option<Origin>,
+        /// The only build of the service in the time in which the stream can have begun; `None` if there were
+        /// several, or if this keeper does not know.
+        sole_build: Option<Name>,
+    },
 }
 
 /// The sender of the frames on a link.
@@ -194,6 +216,8 @@
     pub rank: u8,
     /// The engines that must not be chosen.
     pub excluded: Vec<Name>,
+    /// The build that the engine must have, if the request resumes a stream.
+    pub build: Option<Name>,
 }
 
 /// The engine for a request.
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -17,6 +17,9 @@
 /// remembered so that a delayed announcement does not register them again.
 const MAX_ENDED_INCARNATIONS: usize = 4_096;
 
+/// The time for which a build is remembered after its last announcement.
+const BUILD_MEMORY: Duration = Duration::from_secs(600);
+
 /// The effect of an announcement or of a deregistration.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
@@ -45,6 +48,8 @@
     addresses: Map<SocketAddr, u64>,
     /// The latest start time of each endpoint that left or lost its address.
     ended: Map<Name, u64>,
+    /// When each build of a service was last announced, also if its endpoints have left.
+    builds: Map<Name, Map<Name, Duration>>,
 }
 
 impl Registry {
@@ -53,6 +58,8 @@
         if self.is_outdated(&new) {
             return Change::None;
         }
+        let builds = self.builds.entry(new.service.clone()).or_default();
+        builds.insert(new.build.clone(), now);
         let replaced = self.replace_address(&new);
         let known = self.entries.get(&new.id).filter(|entry| entry.announcement.born == new.born);
         let was_ready = known.is_some_and(|entry| entry.announcement.state == State::Ready);
@@ -114,6 +121,9 @@
 
     /// Removes the endpoints without an announcement within `timeout`; returns their ids.
     pub fn expire(&mut self, timeout: Duration, now: Duration) -> Vec<Name> {
+        for builds in self.builds.values_mut() {
+            builds.retain(|_, heard| now < *heard + BUILD_MEMORY);
+        }
         let expired = self.entries.iter().filter(|(_, entry)| now >= entry.heard + timeout);
         let ids: Vec<Name> = expired.map(|(id, _)| id.clone()).collect();
         for id in &ids {
@@ -153,11 +163,23 @@
         self.entries.get(id).map(|entry| &entry.announcement)
     }
 
+    /// Returns the build of a service if it is the only one that was announced within `window`, which is at
+    /// most ten minutes.
+    pub fn sole_build(&self, service: &str, window: Duration, now: Duration) -> Option<&Name> {
+        let builds = self.builds.get(service).filter(|_| window <= BUILD_MEMORY)?;
+        let mut recent = builds.iter().filter(|(_, heard)| now < **heard + window);
+        let (build, _) = recent.next()?;
+        recent.next().is_none().then_some(build)
+    }
+
     /// Restarts the timeouts of all endpoints, after a time in which announcements could not be
     /// received.
     pub fn refresh_all(&mut self, now: Duration) {
         for entry in self.entries.values_mut() {
             entry.heard = now;
         }
+        for heard in self.builds.values_mut().flat_map(Map::values_mut) {
+            *heard = now;
+        }
     }
 }
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -88,3 +88,25 @@
     let next = announcement("x", 1, 5, 2);
     assert_eq!(registry.announce(next, NOW + timeout * 2), Change::Joined);
 }
+
+#[test]
+fn the_sole_build_is_known_until_another_one_is_announced() {
+    let window = Duration::from_secs(20);
+    let mut registry = Registry::default();
+    assert_eq!(registry.sole_build("llm", window, Duration::ZERO), None);
+    let old = announcement("i-1", 1, 1, 1);
+    let service = old.service.clone();
+    registry.announce(old.clone(), Duration::from_secs(1));
+    let sole = |registry: &Registry, seconds| {
+        registry.sole_build(&service, window, Duration::from_secs(seconds)).cloned()
+    };
+    assert_eq!(sole(&registry, 5), Some(old.build.clone()));
+    let mut new = announcement("i-2", 2, 1, 1);
+    new.build = Name::from("v2");
+    registry.announce(new.clone(), Duration::from_secs(6));
+    assert_eq!(sole(&registry, 6), None);
+    // An endpoint that has left may have begun streams.
+    registry.leave(&old.id, None);
+    assert_eq!(sole(&registry, 20), None);
+    assert_eq!(sole(&registry, 21), Some(new.build));
+}
--- a/crates/sched/src/candidate.rs
+++ b/crates/sched/src/candidate.rs
@@ -219,6 +219,7 @@
             && self.now >= figures.full_until
             && (self.ignore_health || figures.health.admits(figures.running, self.now))
             && !query.excluded.contains(&engine.endpoint.id)
+            && query.build.as_ref().is_none_or(|build| engine.endpoint.build == *build)
     }
 
     /// Returns the expected time to the first event if the prefill starts after `queue_ms`, and that
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -100,6 +100,12 @@
         self.engines.iter_mut()
     }
 
+    /// Returns whether a service has an engine of a build.
+    pub(crate) fn has_build(&self, service: &Name, build: &Name) -> bool {
+        let endpoints = self.engines.iter().map(|engine| &engine.endpoint);
+        endpoints.into_iter().any(|known| known.service == *service && known.build == *build)
+    }
+
     /// Returns the engines of a service that have an adapter in a slot or in their cache, in the
     /// order of their ids.
     pub(crate) fn knowing(
@@ -274,14 +280,21 @@
     }
 
     /// Returns the share of a service's engines whose health admits a request.
-    pub(crate) fn trusted_share(&self, service: &Name, now: Duration) -> f64 {
+    pub(crate) fn trusted_share(&self, service: &Name, build: Option<&Name>, now: Duration) -> f64 {
         self.check_fresh();
-        let all = self.services.get(service).map_or(0, |service| service.all.len()) as u32;
+        let eligible = |engine: &Engine| {
+            engine.endpoint.service == *service
+                && build.is_none_or(|build| engine.endpoint.build == *build)
+        };
+        let all = match build {
+            None => self.services.get(service).map_or(0, |service| service.all.len()),
+            Some(_) => self.engines.iter().filter(|engine| eligible(engine)).count(),
+        };
         let distrusted = self.distrusted.iter().map(|position| &self.engines[*position]);
-        let rejecting = distrusted.filter(|engine| {
-            engine.endpoint.service == *service && !engine.health.admits(engine.running, now)
-        });
-        f64::from(all - rejecting.count() as u32) / f64::from(all.max(1))
+        let rejecting = distrusted
+            .filter(|engine| eligible(engine) && !engine.health.admits(engine.running, now))
+            .count();
+        (all - rejecting) as f64 / all.max(1) as f64
     }
 }
 
--- a/crates/sched/src/scheduler/admission.rs
+++ b/crates/sched/src/scheduler/admission.rs
@@ -45,6 +45,11 @@
         if losses >= self.settings.max_engine_losses {
             return self.deny(&pending, Code::Suspected, None, now);
         }
+        if let Some(build) = &pending.query.build
+            && !self.engines.has_build(&pending.query.service, build)
+        {
+            return self.deny(&pending, Code::BuildUnavailable, None, now);
+        }
         if let Some(pending) = self.schedule(pending, now) {
             if self.queue.len() >= self.settings.max_queued {
                 return self.deny(&pending, Code::QueueFull, None, now);
--- a/crates/sched/src/scheduler/placement.rs
+++ b/crates/sched/src/scheduler/placement.rs
@@ -162,7 +162,7 @@
             store_load_ms: order_delay_ms + self.store.expected_ms(queued_loads),
             store_penalty_ms: self.settings.cold_penalty_ms * share + self.settings.slot_penalty_ms,
             popularity: &self.popularity,
-            ignore_health: self.engines.trusted_share(&pending.query.service, now) < TRUSTED_SHARE,
+            ignore_health: self.trusted_share(pending, now) < TRUSTED_SHARE,
             min_version: self.min_version(&pending.query),
             model: self.engines.number(&pending.query.model),
             domain: self.engines.number(&pending.domain),
@@ -170,6 +170,12 @@
         })
     }
 
+    /// Returns the share of trusted engines among those that a request may run at.
+    fn trusted_share(&self, pending: &Pending, now: Duration) -> f64 {
+        let Query { service, build, .. } = &pending.query;
+        self.engines.trusted_share(service, build.as_ref(), now)
+    }
+
     /// Returns whether a candidate meets a target, with a margin if its adapter must come from the
     /// store.
     pub(super) fn meets_target(&self, candidate: &Candidate, target_ms: f64) -> bool {
--- a/crates/sched/tests/common/mod.rs
+++ b/crates/sched/tests/common/mod.rs
@@ -372,6 +372,7 @@
         left_ms: 4_000,
         rank: 1,
         excluded: Vec::new(),
+        build: None,
     }
 }
 
