edge: each service has a retry budget of its own

Cause: a gate had one budget for the requests of all services, so that a service whose endpoints fail spent what the requests for the others earn.

A gate now counts requests and retries by service. The slack is divided by twice the number of gates, at least 16, because a gate that restarts starts with an empty count; the leader tells the gates how many there are, and without that number a gate uses no slack.

--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -176,7 +176,11 @@
     }
 
     pub(crate) fn welcome(&self) -> Welcome {
-        Welcome { leads: self.status.leads, members: self.status.members.clone() }
+        Welcome {
+            leads: self.status.leads,
+            members: self.status.members.clone(),
+            gates: self.links.gate_count(),
+        }
     }
 
     /// Registers the node behind a link and sends it the current state.
@@ -191,7 +195,11 @@
         if !self.links.insert(link_id, hello, link) {
             return;
         }
-        link.send(Frame::Welcome(self.welcome()));
+        if is_gate && self.leadership.is_some() {
+            self.links.broadcast_to_gates(&Frame::Welcome(self.welcome()));
+        } else {
+            link.send(Frame::Welcome(self.welcome()));
+        }
         let Some(leadership) = &self.leadership else { return };
         if !is_gate {
             link.send(Frame::Registry(Box::new(self.registry.clone())));
--- a/crates/cell/src/links.rs
+++ b/crates/cell/src/links.rs
@@ -2,6 +2,7 @@
 
 use base::Map;
 use base::Name;
+use base::Set;
 use fleet::message::Frame;
 use fleet::message::Hello;
 use link::Link;
@@ -45,6 +46,12 @@
         self.nodes.values().filter(|node| node.hello.front.is_some())
     }
 
+    /// Returns the number of gates.
+    pub(crate) fn gate_count(&self) -> u32 {
+        let names: Set<&Name> = self.gates().map(|gate| &gate.hello.node).collect();
+        names.len() as u32
+    }
+
     pub(crate) fn keepers(&self) -> impl Iterator<Item = &Node> {
         self.nodes.values().filter(|node| node.hello.front.is_none())
     }
--- a/crates/edge/src/budget.rs
+++ b/crates/edge/src/budget.rs
@@ -1,49 +1,82 @@
-//! The retry budget.
+//! The retry budgets of the services.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Limits retries to a share of the recently received requests. Each gate enforces the ratio on its own
-/// requests, so that all gates together keep to it without coordination.
+use base::Map;
+use base::Name;
+
+/// The number of gates among which the slack is divided at least.
+const MIN_GATES: u32 = 8;
+/// The number of processes for each gate among which the slack is divided. A gate that restarts within the window
+/// starts with an empty count.
+const PROCESSES_PER_GATE: u32 = 2;
+
+/// The limit on the retries at a service, over all gates.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limit {
+    /// The retries per request.
+    pub ratio: f64,
+    /// The retries that all gates together may make on top of the ratio.
+    pub slack: f64,
+    /// The sliding window over which requests and retries are counted.
+    pub window: Duration,
+}
+
+/// Limits the retries at each service to a share of the recently received requests for that service. Each gate
+/// applies the ratio to its own requests and uses its share of the slack, so that all gates together keep to the
+/// limit without coordination.
 #[derive(Debug)]
 pub struct Budget {
-    ratio: f64,
-    window: Duration,
-    slack: f64,
+    limit: Limit,
+    services: Map<Name, Count>,
+}
+
+/// The requests and retries of a service in the window, by time.
+#[derive(Debug, Default)]
+struct Count {
     requests: VecDeque<Duration>,
     retries: VecDeque<Duration>,
 }
 
 impl Budget {
-    /// Creates a budget that allows `ratio` retries per request plus `slack` retries in a sliding `window`.
-    pub fn new(ratio: f64, window: Duration, slack: f64) -> Budget {
-        Budget { ratio, window, slack, requests: VecDeque::new(), retries: VecDeque::new() }
+    /// Creates a budget without requests.
+    pub fn new(limit: Limit) -> Budget {
+        Budget { limit, services: Map::default() }
     }
 
-    /// Counts a received request.
-    pub fn record_request(&mut self, now: Duration) {
+    /// Counts a received request for a service.
+    pub fn record_request(&mut self, service: &Name, now: Duration) {
         self.expire(now);
-        self.requests.push_back(now);
+        self.services.entry(service.clone()).or_default().requests.push_back(now);
     }
 
-    /// Takes one retry from the budget; returns false if none is left.
-    pub fn try_retry(&mut self, now: Duration) -> bool {
+    /// Takes one retry from the budget of a service; returns false if none is left. `gates` is the number of gates
+    /// of the cell; `None` if it is unknown, in which case the slack is not used.
+    pub fn try_retry(&mut self, service: &Name, gates: Option<u32>, now: Duration) -> bool {
         self.expire(now);
-        let allowed = self.requests.len() as f64 * self.ratio + self.slack;
-        let free = (self.retries.len() + 1) as f64 <= allowed;
+        let count = self.services.entry(service.clone()).or_default();
+        let slack = gates.map_or(0.0, |gates| {
+            self.limit.slack / f64::from(gates.max(MIN_GATES) * PROCESSES_PER_GATE)
+        });
+        let allowed = count.requests.len() as f64 * self.limit.ratio + slack;
+        let free = (count.retries.len() + 1) as f64 <= allowed;
         if free {
-            self.retries.push_back(now);
+            count.retries.push_back(now);
         }
         free
     }
 
-    /// Drops the times that have left the window.
+    /// Drops the times that have left the window, and the services without any.
     fn expire(&mut self, now: Duration) {
-        let window = self.window;
-        for times in [&mut self.requests, &mut self.retries] {
-            while times.front().is_some_and(|at| now >= *at + window) {
-                times.pop_front();
+        let window = self.limit.window;
+        self.services.retain(|_, Count { requests, retries }| {
+            for times in [&mut *requests, &mut *retries] {
+                while times.front().is_some_and(|at| now >= *at + window) {
+                    times.pop_front();
+                }
             }
-        }
+            !requests.is_empty() || !retries.is_empty()
+        });
     }
 }
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -201,8 +201,8 @@
             Ok(Err(_)) => return Err(refuse(Code::BadRequest)),
             Ok(Ok(body)) => body.to_bytes(),
         };
-        self.budget.lock().record_request(self.view.now());
         let service = route.select_service(rand::random()).clone();
+        self.budget.lock().record_request(&service, self.view.now());
         Ok(Call { request, route, service, origin: None, parts, body, received, deadline })
     }
 
@@ -224,7 +224,7 @@
                 Err(refusal) => return last.unwrap_or(Err(refusal)),
             };
             let retry = attempts > 0;
-            if retry && !self.budget.lock().try_retry(self.view.now()) {
+            if retry && !self.try_retry(&call.service) {
                 return last
                     .unwrap_or(Err(Refusal::retryable(Code::RetryBudget, DEFAULT_RETRY_AFTER)));
             }
@@ -278,6 +278,12 @@
         last.unwrap_or(Err(Refusal::retryable(Code::NoEndpoint, DEFAULT_RETRY_AFTER)))
     }
 
+    /// Takes one retry from the budget of a service; returns false if none is left.
+    fn try_retry(&self, service: &Name) -> bool {
+        let (gates, now) = (self.view.gates(), self.view.now());
+        self.budget.lock().try_retry(service, gates, now)
+    }
+
     /// Returns where the stream began that a request resumes. Refuses the request if nobody knows it or if the
     /// route no longer leads there, since what another service or build writes does not continue the stream.
     async fn locate(&self, call: &Call, stream: u64) -> Result<Origin, Refusal> {
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -49,7 +49,7 @@
         };
         let keepers = Keepers::new(&view, &pool, hello, settings.keepers.clone());
         keepers.start();
-        let budget = Budget::new(settings.retry_ratio, settings.retry_window, settings.retry_slack);
+        let budget = Budget::new(settings.retries);
         Arc::new(Gate {
             protocol,
             view,
--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -227,6 +227,7 @@
             self.dial(*member);
         }
         if welcome.leads.is_some() {
+            self.view.set_gates(welcome.gates);
             *self.members.lock() = members;
         }
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -26,6 +26,7 @@
 mod view;
 
 pub use crate::budget::Budget;
+pub use crate::budget::Limit;
 pub use crate::choose::choose;
 pub use crate::gate::Gate;
 pub use crate::refusal::Refusal;
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -6,6 +6,8 @@
 
 use base::Name;
 
+use crate::budget::Limit;
+
 /// The settings of a gate.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -19,12 +21,8 @@
     pub front: SocketAddr,
     /// The link addresses of the keepers known at startup.
     pub keepers: Vec<SocketAddr>,
-    /// The retry budget: retries per request, counted over `retry_window`.
-    pub retry_ratio: f64,
-    /// The sliding window over which requests and retries are counted.
-    pub retry_window: Duration,
-    /// The retries per window that are allowed on top of the ratio.
-    pub retry_slack: f64,
+    /// The limit on retries at each service.
+    pub retries: Limit,
     /// The time from the stop signal until the gate closes its listener and its idle connections.
     pub drain: Duration,
     /// The time from the stop signal until the process exits.
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -78,6 +79,8 @@
     /// The statistics of each endpoint.
     pub(crate) stats: Mutex<Map<Name, Stats>>,
     draining: AtomicBool,
+    /// The number of gates of the cell; 0 if it is unknown.
+    gates: AtomicU32,
 }
 
 impl View {
@@ -91,6 +94,7 @@
             holdings: RwLock::default(),
             stats: Mutex::default(),
             draining: AtomicBool::new(false),
+            gates: AtomicU32::new(0),
         }
     }
 
@@ -176,6 +180,16 @@
         self.holdings.read().get(endpoint).is_some_and(|held| held.contains(adapter))
     }
 
+    /// Sets the number of gates of the cell.
+    pub(crate) fn set_gates(&self, gates: u32) {
+        self.gates.store(gates, Ordering::Relaxed);
+    }
+
+    /// Returns the number of gates of the cell; `None` if it is unknown.
+    pub(crate) fn gates(&self) -> Option<u32> {
+        Some(self.gates.load(Ordering::Relaxed)).filter(|gates| *gates > 0)
+    }
+
     pub(crate) fn set_draining(&self) {
         self.draining.store(true, Ordering::Relaxed);
     }
--- a/crates/edge/tests/balancing.rs
+++ b/crates/edge/tests/balancing.rs
@@ -5,6 +5,7 @@
 use base::Map;
 use base::Name;
 use edge::Budget;
+use edge::Limit;
 use edge::Stats;
 use edge::choose;
 use fleet::endpoint::Endpoint;
@@ -73,15 +74,46 @@
     assert_eq!(chosen(&endpoints, &Map::default(), &[Name::from("x")]), "y");
 }
 
-#[test]
-fn retries_are_limited_to_the_budget() {
-    let window = Duration::from_secs(10);
-    let mut budget = Budget::new(0.2, window, 3.0);
+const LIMIT: Limit = Limit { ratio: 0.2, slack: 48.0, window: Duration::from_secs(10) };
+
+/// Takes retries from a budget until none is left; returns their number.
+fn take_all(budget: &mut Budget, service: &str, gates: Option<u32>, now: Duration) -> usize {
+    let service = Name::from(service);
+    (0..1_000).take_while(|_| budget.try_retry(&service, gates, now)).count()
+}
+
+/// Returns a budget that has counted 100 requests for the ledger.
+fn budget() -> Budget {
+    let mut budget = Budget::new(LIMIT);
     for ms in 0..100 {
-        budget.record_request(Duration::from_millis(ms));
+        budget.record_request(&Name::from("ledger"), Duration::from_millis(ms));
     }
+    budget
+}
+
+#[test]
+fn retries_are_limited_to_the_budget() {
+    let mut budget = budget();
     let now = Duration::from_millis(100);
-    assert_eq!((0..100).filter(|_| budget.try_retry(now)).count(), 23);
+    assert_eq!(take_all(&mut budget, "ledger", Some(5), now), 23);
     // Requests and retries leave the budget at the end of the window.
-    assert_eq!((0..100).filter(|_| budget.try_retry(now + window)).count(), 3);
+    assert_eq!(take_all(&mut budget, "ledger", Some(5), now + LIMIT.window), 3);
+}
+
+#[test]
+fn a_service_has_no_part_in_the_budget_of_another() {
+    let now = Duration::from_millis(100);
+    assert_eq!(take_all(&mut budget(), "llm", Some(5), now), 3);
+    assert_eq!(take_all(&mut budget(), "llm", None, now), 0);
+}
+
+// Guards against gates, started twice in a window, that use more than the slack in total.
+#[test]
+fn the_slack_is_divided_among_all_gates() {
+    for gates in [1, 5, 16, 32, 100, 700] {
+        let budgets = (0..2 * gates).map(|_| Budget::new(LIMIT));
+        let retries: usize =
+            budgets.map(|mut budget| take_all(&mut budget, "ledger", Some(gates), NOW)).sum();
+        assert!(retries as f64 <= LIMIT.slack, "{retries} retries of {gates} gates");
+    }
 }
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -114,6 +114,8 @@
     pub leads: Option<u64>,
     /// The addresses at which the known members accept links.
     pub members: Vec<Name>,
+    /// The number of gates with a link to this keeper.
+    pub gates: u32,
 }
 
 /// Raft messages from one replica to another.
