edge, platform: responses without an end are bounded

Cause: bodies of unknown length were collected without a bound on their bytes; the body of a refusal was read before the refusal was passed on.

A gate now holds 256 KB of a response at most and relays a larger one, which ends at its deadline. A refusal is passed on at once, and its body is read aside, up to 64 KB and 1 s, so that its connection can be reused. Heads of responses are limited to 64 KB (400 KB by default).

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -6,9 +6,11 @@
 use base::Event;
 use base::Name;
 use bytes::Bytes;
+use bytes::BytesMut;
 use fleet::message::Outcome;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::body::Body as _;
@@ -27,6 +29,8 @@
 use crate::relay::Source;
 use crate::relay::TRUNCATED;
 use crate::settings::MAX_BUFFERED_BYTES;
+use crate::settings::MAX_REFUSAL_BYTES;
+use crate::settings::REFUSAL_TIMEOUT;
 use crate::tracker::Tracker;
 
 /// The result of an attempt.
@@ -55,8 +59,8 @@
 }
 
 impl Exchange {
-    /// Checks a response and reads its body. A body larger than [`MAX_BUFFERED_BYTES`] is relayed, and so is
-    /// one of unknown length if the request is for a stream.
+    /// Checks a response and reads its body, up to [`MAX_BUFFERED_BYTES`]. A larger body is relayed, and so is one
+    /// of unknown length if the request is for a stream.
     pub(crate) async fn receive(
         &self,
         pool: &Arc<Pool>,
@@ -85,13 +89,7 @@
             let outcome = if parsed.misdirected { Outcome::Misdirected } else { Outcome::Refused };
             tracker.set_outcome(outcome);
             self.log_failure(status.as_str());
-            // The connection can be reused once the body of the refusal has been read.
-            let body = response.into_body();
-            if body.is_end_stream() {
-                release(connection);
-            } else if let Ok(Ok(_)) = tokio::time::timeout_at(self.deadline, body.collect()).await {
-                release(connection);
-            }
+            reuse(connection, response.into_body());
             return Attempt::Refused(outcome);
         }
         let failed = status.is_server_error();
@@ -101,18 +99,28 @@
         }
         let (head, body) = response.into_parts();
         let events = status.is_success() && self.is_event_stream(&head.headers);
-        let mut source = Source { body, framing, events: events.then(Scanner::default) };
+        let mut source =
+            Source { prefix: None, body, framing, events: events.then(Scanner::default) };
         let small =
             source.body.size_hint().upper().is_some_and(|bytes| bytes <= MAX_BUFFERED_BYTES);
         let bounded = source.body.size_hint().upper().is_some();
-        if !small && (self.streams || bounded) {
+        let relay = |source, tracker, connection| {
             let relay = Relay::new(&self.id, source, self.deadline, tracker, outcome, connection);
-            let response = Response::from_parts(head, Body::Relay(Box::new(relay)));
+            Body::Relay(Box::new(relay))
+        };
+        if !small && (self.streams || bounded) {
+            let response = Response::from_parts(head, relay(source, tracker, connection));
             return Attempt::Response { response: Box::new(response), failed };
         }
-        match (&mut source.body).collect().await {
-            Ok(body) => {
-                let body = body.to_bytes();
+        match buffer(&mut source.body).await {
+            Ok((prefix, false)) => {
+                tracker.record_first_byte();
+                source.scan(&prefix);
+                source.prefix = Some(prefix);
+                let response = Response::from_parts(head, relay(source, tracker, connection));
+                Attempt::Response { response: Box::new(response), failed }
+            }
+            Ok((body, true)) => {
                 tracker.record_first_byte();
                 source.scan(&body);
                 if source.is_truncated() {
@@ -148,6 +156,35 @@
     }
 }
 
+/// Reads a body until its end, or until it is larger than [`MAX_BUFFERED_BYTES`]; returns what was read and whether
+/// that is the whole body.
+async fn buffer(body: &mut Incoming) -> hyper::Result<(Bytes, bool)> {
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            read.extend_from_slice(&data);
+        }
+        if read.len() as u64 > MAX_BUFFERED_BYTES {
+            return Ok((read.freeze(), false));
+        }
+    }
+    Ok((read.freeze(), true))
+}
+
+/// Returns a connection to the pool once the body of a refusal, which is not forwarded, has been read. Closes it if
+/// the body is large or slow.
+fn reuse(connection: Connection, body: Incoming) {
+    if body.is_end_stream() {
+        return release(connection);
+    }
+    tokio::spawn(async move {
+        let body = Limited::new(body, MAX_REFUSAL_BYTES).collect();
+        if let Ok(Ok(_)) = tokio::time::timeout(REFUSAL_TIMEOUT, body).await {
+            release(connection);
+        }
+    });
+}
+
 /// Returns a connection to the pool unless the endpoint closes it.
 fn release(connection: Connection) {
     if let Some(idle_timeout) = connection.idle_timeout {
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -17,6 +17,7 @@
 use crate::settings::CONNECT_TIMEOUT;
 use crate::settings::DEFAULT_IDLE_TIMEOUT;
 use crate::settings::IDLE_TIMEOUT_SHARE;
+use crate::settings::MAX_HEAD_BYTES;
 
 /// The most idle connections per endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 64;
@@ -59,7 +60,10 @@
     /// Opens a connection.
     pub(crate) async fn open(&self, endpoint: &Endpoint) -> std::io::Result<Sender> {
         let stream = link::connect(self.ip, endpoint.address, CONNECT_TIMEOUT).await?;
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) = handshake.map_err(std::io::Error::other)?;
         // Errors of the connection are reported to the request that uses it.
         tokio::spawn(async move { connection.await.ok() });
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -41,6 +41,8 @@
 /// A response body as the endpoint sends it.
 #[derive(Debug)]
 pub(crate) struct Source {
+    /// The bytes that were read before the response is forwarded.
+    pub(crate) prefix: Option<Bytes>,
     pub(crate) body: Incoming,
     pub(crate) framing: Framing,
     /// The position in the event stream; `None` if the body is not one.
@@ -101,7 +103,7 @@
             connection: Some(connection),
             bytes: 0,
         };
-        if relay.source.body.is_end_stream() {
+        if relay.has_ended() {
             relay.finish();
         }
         relay
@@ -111,6 +113,10 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        if let Some(prefix) = self.source.prefix.take() {
+            self.bytes += prefix.len() as u64;
+            return Poll::Ready(Some(Ok(Frame::data(prefix))));
+        }
         let frame = match Pin::new(&mut self.source.body).poll_frame(context) {
             Poll::Pending => {
                 if self.deadline.as_mut().poll(context).is_ready() {
@@ -144,7 +150,7 @@
     }
 
     pub(crate) fn has_ended(&self) -> bool {
-        self.source.body.is_end_stream()
+        self.source.prefix.is_none() && self.source.body.is_end_stream()
     }
 
     pub(crate) fn size_hint(&self) -> SizeHint {
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -52,6 +52,12 @@
 pub(crate) const MAX_BUFFERED_BYTES: u64 = 256 << 10;
 /// The timeout for looking up where a resumed stream began; several round trips to a keeper.
 pub(crate) const ORIGIN_TIMEOUT: Duration = Duration::from_millis(250);
+/// The largest body of an endpoint's refusal that is read so that its connection can be reused, in bytes.
+pub(crate) const MAX_REFUSAL_BYTES: usize = 64 << 10;
+/// The timeout for reading it.
+pub(crate) const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
+/// The largest head of an endpoint's response, in bytes.
+pub(crate) const MAX_HEAD_BYTES: usize = 64 << 10;
 /// The number of attempts without a byte sent, for example failed connects, after which a request is refused.
 pub(crate) const MAX_UNSENT: u32 = 3;
 /// The expected time from startup until a gate serves requests if the keepers start with it: an election and
