tests: a reserved port can be bound while a child still holds the reservation

"Address already in use" at the start of a site (KNOWN-RED, the configuration test beside load, probably also one run of at_most_once whose output was not kept). Ports were reserved by listeners that the pool closed before the processes started. Between fork and exec the child that another test's thread starts still has copies of them, and a process that binds the port in that moment fails. Reservations are bound sockets that do not listen now, beside which a process can bind and listen.

That the one run without output had this cause is not shown.

--- a/tests/src/address.rs
+++ b/tests/src/address.rs
@@ -1,13 +1,18 @@
 //! Allocates loopback addresses that no other test uses.
 //!
 //! The ports are below the ephemeral port range of the system. Otherwise an outgoing connection could take a
-//! port between its release and the start of the process that binds it.
+//! port before the process under test binds it.
 
-use std::net::TcpListener;
+use std::io;
+use std::net::SocketAddr;
 use std::process;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
+
 static NEXT: AtomicU8 = AtomicU8::new(1);
 
 /// The first port to allocate.
@@ -17,8 +22,9 @@
 pub struct Pool {
     ip: String,
     next: u16,
-    /// Listeners that reserve the allocated ports until the release.
-    reserved: Vec<TcpListener>,
+    /// Sockets that reserve the allocated ports. They are bound and do not listen, so that a process under test
+    /// can bind the ports as well.
+    reserved: Vec<Socket>,
 }
 
 impl Default for Pool {
@@ -37,15 +43,20 @@
             let port = self.next;
             self.next += 1;
             // Skips a port that is still in use by a site of an earlier process.
-            if let Ok(listener) = TcpListener::bind((self.ip.as_str(), port)) {
-                self.reserved.push(listener);
-                return format!("{}:{port}", self.ip);
+            let address = format!("{}:{port}", self.ip);
+            if let Ok(socket) = reserve(&address) {
+                self.reserved.push(socket);
+                return address;
             }
         }
     }
+}
 
-    /// Releases the ports, so that the processes under test can bind them.
-    pub fn release(&mut self) {
-        self.reserved.clear();
-    }
+/// Binds a socket to an address; fails if another socket listens there.
+fn reserve(address: &str) -> io::Result<Socket> {
+    let address: SocketAddr = address.parse().map_err(io::Error::other)?;
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
 }
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -99,7 +99,6 @@
             endpoints.insert(format!("ledger-{number}"), pool.allocate());
         }
         let planned = options.proxied.then(|| Network::new(&config, &endpoints, &mut pool));
-        pool.release();
         write(&config, &folder.path().join(SETTINGS_FILE));
         for number in 1..=options.entries {
             let host_config = planned.as_ref().map_or(&config, |(_, configs)| &configs[number - 1]);
