--- a/crates/sse/src/lib.rs
+++ b/crates/sse/src/lib.rs
@@ -27,19 +27,6 @@
 }
 
 impl Scanner {
-    /// Consumes bytes up to the end of the next event and returns their number; `None` if all bytes were
-    /// consumed and no event ended in them.
-    pub fn next_end(&mut self, bytes: &[u8]) -> Option<usize> {
-        let before = self.events;
-        for (index, byte) in bytes.iter().enumerate() {
-            self.push(*byte);
-            if self.events > before {
-                return Some(index + 1);
-            }
-        }
-        None
-    }
-
     /// Consumes bytes.
     pub fn scan(&mut self, bytes: &[u8]) {
         for byte in bytes {
--- a/crates/sse/tests/scanner.rs
+++ b/crates/sse/tests/scanner.rs
@@ -48,15 +48,3 @@
         }
     }
 }
-
-#[test]
-fn events_are_separated_one_by_one() {
-    let stream = b"data: a\n\nid: 2\ndata: b\n\ndata: c";
-    let mut scanner = Scanner::default();
-    let first = scanner.next_end(stream).expect("an event");
-    assert_eq!(&stream[..first], b"data: a\n\n");
-    let second = scanner.next_end(&stream[first..]).expect("an event");
-    assert_eq!(&stream[first..][..second], b"id: 2\ndata: b\n\n");
-    assert_eq!(scanner.next_end(&stream[first + second..]), None);
-    assert!(!scanner.is_at_boundary());
-}
