edge: a response without a body is no broken stream

Found on reading the change: a response to HEAD on a route for streams has no body and no framing, so that it was taken for a stream that ended before its first event (502).

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -98,7 +98,9 @@
             self.log_failure(status.as_str());
         }
         let (head, body) = response.into_parts();
-        let events = status.is_success() && self.is_event_stream(&head.headers);
+        // A response to HEAD has no body, whatever its headers say.
+        let events =
+            status.is_success() && !body.is_end_stream() && self.is_event_stream(&head.headers);
         let mut source =
             Source { prefix: None, body, framing, events: events.then(Scanner::default) };
         let small =
