--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -59,8 +59,8 @@
 }
 
 impl Exchange {
-    /// Checks a response and reads its body, up to [`MAX_BUFFERED_BYTES`]. A larger body is relayed, and so is one
-    /// of unknown length if the request is for a stream.
+    /// Checks a response and reads its body, up to [`MAX_BUFFERED_BYTES`]. A larger body is relayed, and so is a
+    /// stream of unknown length.
     pub(crate) async fn receive(
         &self,
         pool: &Arc<Pool>,
@@ -101,44 +101,60 @@
         // A response to HEAD has no body, whatever its headers say.
         let events =
             status.is_success() && !body.is_end_stream() && self.is_event_stream(&head.headers);
-        let mut source =
-            Source { prefix: None, body, framing, events: events.then(Scanner::default) };
-        let small =
-            source.body.size_hint().upper().is_some_and(|bytes| bytes <= MAX_BUFFERED_BYTES);
-        let bounded = source.body.size_hint().upper().is_some();
-        let relay = |source, tracker, connection| {
+        let events = events.then(Scanner::default);
+        let source = Source { prefix: None, body, framing, events };
+        match self.read_body(source, connection, tracker, outcome).await {
+            Ok(body) => {
+                let response = Box::new(Response::from_parts(head, body));
+                Attempt::Response { response, failed }
+            }
+            Err(reason) => {
+                self.log_failure(&reason);
+                Attempt::Lost(Code::ShortAnswer)
+            }
+        }
+    }
+
+    /// Reads a small body, so that a broken one can be replaced by a retry, and prepares any other to be relayed.
+    /// Returns the reason if the body is not complete.
+    async fn read_body(
+        &self,
+        mut source: Source,
+        connection: Connection,
+        mut tracker: Tracker,
+        outcome: Outcome,
+    ) -> Result<Body, String> {
+        let relay = |source, connection, tracker| {
             let relay = Relay::new(&self.id, source, self.deadline, tracker, outcome, connection);
             Body::Relay(Box::new(relay))
         };
-        if !small && (self.streams || bounded) {
-            let response = Response::from_parts(head, relay(source, tracker, connection));
-            return Attempt::Response { response: Box::new(response), failed };
+        let length = source.body.size_hint().upper();
+        if length.map_or(self.streams, |length| length > MAX_BUFFERED_BYTES) {
+            return Ok(relay(source, connection, tracker));
         }
-        match buffer(&mut source.body).await {
-            Ok((prefix, false)) => {
-                tracker.record_first_byte();
+        let read = match buffer(&mut source.body).await {
+            Ok(read) => read,
+            Err(error) => {
+                tracker.set_outcome(Outcome::Lost);
+                return Err(error.to_string());
+            }
+        };
+        tracker.record_first_byte();
+        match read {
+            Buffered::Prefix(prefix) => {
                 source.scan(&prefix);
                 source.prefix = Some(prefix);
-                let response = Response::from_parts(head, relay(source, tracker, connection));
-                Attempt::Response { response: Box::new(response), failed }
+                Ok(relay(source, connection, tracker))
             }
-            Ok((body, true)) => {
-                tracker.record_first_byte();
+            Buffered::Whole(body) => {
                 source.scan(&body);
                 if source.is_truncated() {
                     tracker.set_outcome(Outcome::Lost);
-                    self.log_failure(TRUNCATED);
-                    return Attempt::Lost(Code::ShortAnswer);
+                    return Err(TRUNCATED.to_owned());
                 }
                 tracker.set_outcome(outcome);
                 release(connection);
-                let response = Response::from_parts(head, Body::Buffered(Full::new(body)));
-                Attempt::Response { response: Box::new(response), failed }
-            }
-            Err(error) => {
-                tracker.set_outcome(Outcome::Lost);
-                self.log_failure(&error.to_string());
-                Attempt::Lost(Code::ShortAnswer)
+                Ok(Body::Buffered(Full::new(body)))
             }
         }
     }
@@ -158,19 +174,25 @@
     }
 }
 
-/// Reads a body until its end, or until it is larger than [`MAX_BUFFERED_BYTES`]; returns what was read and whether
-/// that is the whole body.
-async fn buffer(body: &mut Incoming) -> hyper::Result<(Bytes, bool)> {
+/// The part of a body that was read into memory.
+enum Buffered {
+    Whole(Bytes),
+    /// The body is larger than [`MAX_BUFFERED_BYTES`].
+    Prefix(Bytes),
+}
+
+/// Reads a body until its end, or until it is larger than [`MAX_BUFFERED_BYTES`].
+async fn buffer(body: &mut Incoming) -> hyper::Result<Buffered> {
     let mut read = BytesMut::new();
     while let Some(frame) = body.frame().await {
         if let Ok(data) = frame?.into_data() {
             read.extend_from_slice(&data);
         }
         if read.len() as u64 > MAX_BUFFERED_BYTES {
-            return Ok((read.freeze(), false));
+            return Ok(Buffered::Prefix(read.freeze()));
         }
     }
-    Ok((read.freeze(), true))
+    Ok(Buffered::Whole(read.freeze()))
 }
 
 /// Returns a connection to the pool once the body of a refusal, which is not forwarded, has been read. Closes it if
--- /dev/null
+++ b/crates/edge/src/call.rs
@@ -0,0 +1,60 @@
+//! A caller's request while the gate serves it.
+
+use base::Name;
+use bytes::Bytes;
+use fleet::endpoint::Endpoint;
+use fleet::origin;
+use fleet::origin::Origin;
+use fleet::plan::Kind;
+use fleet::plan::Route;
+use hyper::http::request::Parts;
+use tokio::time::Instant;
+
+use crate::protocol::Request;
+
+/// A caller's request with its route.
+pub(crate) struct Call {
+    pub(crate) request: Request,
+    pub(crate) route: Route,
+    /// The service that was picked from the route's splits.
+    pub(crate) service: Name,
+    /// Where the stream began, if the request resumes one.
+    pub(crate) origin: Option<Origin>,
+    /// The head as received.
+    pub(crate) parts: Parts,
+    pub(crate) body: Bytes,
+    /// The time at which the head was received.
+    pub(crate) received: Instant,
+    pub(crate) deadline: Instant,
+}
+
+impl Call {
+    /// Returns the digest of the attempt that began the stream which the request resumes.
+    pub(crate) fn resumed_stream(&self) -> Option<u64> {
+        let began = self.request.resumes.as_ref()?;
+        matches!(self.route.kind, Kind::Stream { .. }).then(|| base::digest(began.as_bytes()))
+    }
+
+    /// Returns the origin of the stream that the request begins at an endpoint; `None` if it resumes one or if the
+    /// route's streams cannot be resumed.
+    pub(crate) fn new_origin(&self, endpoint: &Endpoint) -> Option<Origin> {
+        let resumable = self.route.kind == Kind::Stream { resumable: true };
+        if !resumable || self.request.resumes.is_some() {
+            return None;
+        }
+        let stream = base::digest(self.request.id.as_bytes());
+        let left = self.request.deadline.unwrap_or(self.route.timeout) + origin::GRACE;
+        Some(Origin {
+            stream,
+            service: endpoint.service.clone(),
+            build: endpoint.build.clone(),
+            left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+        })
+    }
+
+    /// Returns whether an endpoint may run the request.
+    pub(crate) fn admits(&self, endpoint: &Endpoint) -> bool {
+        endpoint.service == self.service
+            && self.origin.as_ref().is_none_or(|origin| origin.build == endpoint.build)
+    }
+}
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -10,10 +10,8 @@
 use fleet::endpoint::Endpoint;
 use fleet::message::Outcome;
 use fleet::message::Query;
-use fleet::origin;
 use fleet::origin::Origin;
 use fleet::plan::Kind;
-use fleet::plan::Route;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::LengthLimitError;
@@ -32,13 +30,13 @@
 use crate::attempt::Attempt;
 use crate::attempt::Exchange;
 use crate::body::Body;
+use crate::call::Call;
 use crate::choose;
 use crate::framing::Framing;
 use crate::gate::Gate;
 use crate::keepers::Decision;
 use crate::protocol::Dispatch;
 use crate::protocol::Protocol;
-use crate::protocol::Request;
 use crate::refusal::Refusal;
 use crate::send;
 use crate::send::Sent;
@@ -69,22 +67,6 @@
     header::UPGRADE,
 ];
 
-/// A caller's request with its route.
-struct Call {
-    request: Request,
-    route: Route,
-    /// The service that was picked from the route's splits.
-    service: Name,
-    /// Where the stream began, if the request resumes one.
-    origin: Option<Origin>,
-    /// The head as received.
-    parts: Parts,
-    body: Bytes,
-    /// The time at which the head was received.
-    received: Instant,
-    deadline: Instant,
-}
-
 /// The endpoint for an attempt.
 struct Target {
     endpoint: Endpoint,
@@ -94,37 +76,6 @@
     query: Option<Query>,
 }
 
-impl Call {
-    /// Returns the digest of the attempt that began the stream which the request resumes.
-    fn resumed_stream(&self) -> Option<u64> {
-        let began = self.request.resumes.as_ref()?;
-        matches!(self.route.kind, Kind::Stream { .. }).then(|| base::digest(began.as_bytes()))
-    }
-
-    /// Returns the origin of the stream that the request begins at an endpoint; `None` if it resumes one or if the
-    /// route's streams cannot be resumed.
-    fn new_origin(&self, endpoint: &Endpoint) -> Option<Origin> {
-        let resumable = self.route.kind == Kind::Stream { resumable: true };
-        if !resumable || self.request.resumes.is_some() {
-            return None;
-        }
-        let stream = base::digest(self.request.id.as_bytes());
-        let left = self.request.deadline.unwrap_or(self.route.timeout) + origin::GRACE;
-        Some(Origin {
-            stream,
-            service: endpoint.service.clone(),
-            build: endpoint.build.clone(),
-            left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
-        })
-    }
-
-    /// Returns whether an endpoint may run the request.
-    fn admits(&self, endpoint: &Endpoint) -> bool {
-        endpoint.service == self.service
-            && self.origin.as_ref().is_none_or(|origin| origin.build == endpoint.build)
-    }
-}
-
 impl<P: Protocol> Gate<P> {
     /// Serves a request and returns the response, or a refusal as a response.
     pub(crate) async fn handle(
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,6 +10,7 @@
 mod attempt;
 mod body;
 mod budget;
+mod call;
 mod choose;
 mod forward;
 mod framing;
