--- a/tests/tests/at_most_once.rs
+++ b/tests/tests/at_most_once.rs
@@ -33,7 +33,7 @@
 async fn send_until_final(site: &Site, gate: usize, key: &str, body: &str) -> Answer {
     wait::until("a final response", TIMEOUT, || async {
         let answer = site.sign(gate, key, body).await.ok()?;
-        let retryable = matches!(answer.code(), 1202 | 1300 | 1302 | 1308 | 1504 | 1700 | 1701);
+        let retryable = matches!(answer.code(), 1202 | 1300 | 1302 | 1308 | 1700 | 1701);
         (!retryable).then_some(answer)
     })
     .await
