edge: failed attempts log the digest of their request

The record of the incident at the ledger could not tell whether the requests in progress at the crashes were the same. AttemptFailed and AnswerBroken now have the field `fingerprint`; no decision changes.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -52,6 +52,8 @@
 pub(crate) struct Exchange {
     /// The caller's id of the request.
     pub(crate) id: Name,
+    /// The digest of the request's content, as in [`crate::call::Call::fingerprint`].
+    pub(crate) fingerprint: u64,
     pub(crate) endpoint: Name,
     pub(crate) deadline: Instant,
     /// Whether the response is an event stream, which is relayed as it arrives.
@@ -125,7 +127,7 @@
         outcome: Outcome,
     ) -> Result<Body, String> {
         let relay = |source, connection, tracker| {
-            let relay = Relay::new(&self.id, source, self.deadline, tracker, outcome, connection);
+            let relay = Relay::new(self, source, tracker, outcome, connection);
             Body::Relay(Box::new(relay))
         };
         let length = source.body.size_hint().upper();
@@ -169,7 +171,8 @@
     /// Logs the reason why the attempt failed.
     pub(crate) fn log_failure(&self, reason: &str) {
         base::event!(
-            WARN, Event::AttemptFailed, request = %self.id, endpoint = %self.endpoint, reason
+            WARN, Event::AttemptFailed, request = %self.id, fingerprint = %format_args!("{:016x}", self.fingerprint),
+            endpoint = %self.endpoint, reason
         );
     }
 }
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -20,6 +20,8 @@
     pub(crate) service: Name,
     /// Where the stream began, if the request resumes one.
     pub(crate) origin: Option<Origin>,
+    /// A digest of the request's content, which is the same for each attempt of its caller.
+    pub(crate) fingerprint: u64,
     /// The head as received.
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -152,7 +152,9 @@
         };
         let service = route.select_service(rand::random()).clone();
         self.budget.lock().record_request(&service, self.view.now());
-        Ok(Call { request, route, service, origin: None, parts, body, received, deadline })
+        let fingerprint = fingerprint(&parts, &body);
+        let origin = None;
+        Ok(Call { request, route, service, origin, fingerprint, parts, body, received, deadline })
     }
 
     /// Makes attempts until one succeeds or no more are allowed; returns the response, which may report a
@@ -265,6 +267,7 @@
     ) -> Attempt {
         let exchange = Exchange {
             id: call.request.id.clone(),
+            fingerprint: call.fingerprint,
             endpoint: target.endpoint.id.clone(),
             deadline: call.deadline,
             streams: matches!(call.route.kind, Kind::Stream { .. }),
@@ -506,7 +509,7 @@
             service: call.service.clone(),
             model: model.clone(),
             adapter: request.adapter.clone(),
-            fingerprint: self.fingerprint(call),
+            fingerprint: call.fingerprint,
             input: request.input,
             output: request.output,
             parts: request.parts.clone(),
@@ -517,12 +520,12 @@
             build: call.origin.as_ref().map(|origin| origin.build.clone()),
         }
     }
+}
 
-    /// Returns a digest of path, query string and body, by which a caller's retries are recognized.
-    fn fingerprint(&self, call: &Call) -> u64 {
-        let path = call.parts.uri.path_and_query().map_or("", |path| path.as_str());
-        base::digest(&call.body) ^ base::digest(path.as_bytes()).rotate_left(1)
-    }
+/// Returns a digest of path, query string and body, by which a caller's retries are recognized.
+fn fingerprint(parts: &Parts, body: &[u8]) -> u64 {
+    let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
+    base::digest(body) ^ base::digest(path.as_bytes()).rotate_left(1)
 }
 
 /// Removes the hop-by-hop headers and those listed in `Connection`.
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -16,9 +16,9 @@
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
 use sse::Scanner;
-use tokio::time::Instant;
 use tokio::time::Sleep;
 
+use crate::attempt::Exchange;
 use crate::framing::Framing;
 use crate::pool::Pool;
 use crate::pool::Sender;
@@ -72,6 +72,8 @@
 pub(crate) struct Relay {
     /// The caller's id of the request.
     id: Name,
+    /// The digest of the request's content, as in [`crate::call::Call::fingerprint`].
+    fingerprint: u64,
     source: Source,
     /// Fires at the request's deadline, which aborts the response.
     deadline: Pin<Box<Sleep>>,
@@ -86,16 +88,16 @@
 
 impl Relay {
     pub(crate) fn new(
-        id: &Name,
+        exchange: &Exchange,
         source: Source,
-        deadline: Instant,
         tracker: Tracker,
         outcome: Outcome,
         connection: Connection,
     ) -> Relay {
-        let deadline = Box::pin(tokio::time::sleep_until(deadline));
+        let deadline = Box::pin(tokio::time::sleep_until(exchange.deadline));
         let mut relay = Relay {
-            id: id.clone(),
+            id: exchange.id.clone(),
+            fingerprint: exchange.fingerprint,
             source,
             deadline,
             tracker,
@@ -188,7 +190,8 @@
             self.connection.take().map(|connection| connection.endpoint).unwrap_or_default();
         let ms = self.tracker.elapsed().as_millis() as u64;
         base::event!(
-            WARN, Event::AnswerBroken, request = %self.id, endpoint = %endpoint,
+            WARN, Event::AnswerBroken, request = %self.id, fingerprint = %format_args!("{:016x}", self.fingerprint),
+            endpoint = %endpoint,
             framing = self.source.framing.name(), bytes = self.bytes, ms, reason
         );
         io::Error::other(reason.to_owned())
