quarantine: requests that crash endpoints are refused at every gate

What callers saw: one request took all endpoints of a plain service down for as long as it came (BUDGET); other callers got 502 and 503 meanwhile.

Cause: only the scheduler counted losses, so only for requests that it granted. A gate places requests for plain services, and model requests without a leader, by itself. The counts were the leader's memory, were cleared as a whole when full, and counted any loss, also at an endpoint that lived on. Ruled out: differing digests (the log of the failing test shows one digest).

Change: gates report each connection that breaks while an endpoint of the current list runs a request, with the digest of host, path, query and body. The leader counts crashed incarnations (crate `quarantine`, pure) and quarantines a request after three; every gate refuses it with 1400, not run. A request that ends at an endpoint that survives is cleared; a loss whose endpoint goes on announcing itself is dropped; a crash under a quarantined request counts against no other. Verdicts are replicated, losses are reported again to each new leader, and a verdict ends ten minutes after the last refusal.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -129,6 +129,8 @@
     702 KeyReleased Request "A claim was released because the request did not run."
     703 Implicated Request "A request was in progress when its endpoint crashed."
     704 RequestQuarantined State "A request was quarantined."
+    705 QuarantineHit Request "A request was refused because it is quarantined."
+    706 QuarantineApplied State "The replicated list of quarantined requests changed."
     800 Commanded State "An operator's command was accepted or refused."
     900 FaultInjected Request "A stub injected a fault."
     901 Violation State "A stub observed a protocol violation."
--- a/crates/cell/src/calls.rs
+++ b/crates/cell/src/calls.rs
@@ -94,7 +94,7 @@
         if is_sent && still_leads { Reply::Done } else { Reply::Unsure }
     }
 
-    async fn propose(&self, command: Command) -> Reply {
+    pub(crate) async fn propose(&self, command: Command) -> Reply {
         let (reply, applied) = oneshot::channel();
         match self.request_replica(Request::Propose(command, reply), applied).await {
             true => Reply::Done,
--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -11,6 +11,9 @@
 use fleet::message::Holding;
 use fleet::message::Welcome;
 use fleet::origin;
+use fleet::quarantine::List;
+use fleet::quarantine::Loss;
+use fleet::quarantine::Subject;
 use fleet::registry::Change;
 use fleet::registry::Registry;
 use link::Link;
@@ -20,9 +23,11 @@
 
 use crate::lease::Lease;
 use crate::links::Links;
+use crate::quarantine::Quarantine;
 use crate::replica::Status;
 use crate::settings::MAINTENANCE_INTERVAL;
 use crate::settings::Settings;
+use crate::state::Command;
 use crate::state::State;
 
 /// The scheduler of a keeper that leads, with the state that it shares with the gates.
@@ -30,6 +35,7 @@
 pub(crate) struct Leadership {
     pub(crate) term: u64,
     pub(crate) scheduler: Scheduler,
+    pub(crate) quarantine: Quarantine,
     /// Which adapters each engine holds, as last sent to the gates.
     holdings: Vec<Holding>,
 }
@@ -58,6 +64,8 @@
     /// Sum of the adapter versions last sent to the gates. Versions only grow, so the sum changes
     /// with each new version.
     sent_versions_sum: usize,
+    /// The replicated quarantine last sent to the gates.
+    sent_quarantine: Option<List>,
 }
 
 impl Coordinator {
@@ -77,6 +85,7 @@
             sent_changes: 0,
             sent_plan_version: None,
             sent_versions_sum: 0,
+            sent_quarantine: None,
         }
     }
 
@@ -105,6 +114,7 @@
             if previous.leads != self.status.leads {
                 self.sent_plan_version = None;
                 self.sent_versions_sum = 0;
+                self.sent_quarantine = None;
                 self.broadcast_endpoints();
             }
             self.broadcast_state(state);
@@ -134,7 +144,7 @@
             scheduler.engine_announced(announcement, now);
         }
         base::event!(INFO, Event::LeaderElected, term, "scheduler started");
-        Leadership { term, scheduler, holdings: Vec::new() }
+        Leadership { term, scheduler, quarantine: Quarantine::default(), holdings: Vec::new() }
     }
 
     /// Returns the leadership if it is that of `term`.
@@ -173,6 +183,52 @@
             }
             self.links.broadcast_to_gates(&Frame::Versions(versions));
         }
+        if self.sent_quarantine.as_ref() != Some(&state.quarantine) {
+            self.sent_quarantine = Some(state.quarantine.clone());
+            self.broadcast_quarantine(state);
+        }
+    }
+
+    fn broadcast_quarantine(&self, state: &State) {
+        if let Some(leadership) = &self.leadership {
+            let subjects = leadership.quarantine.subjects(&state.quarantine);
+            self.links.broadcast_to_gates(&Frame::Quarantine(subjects));
+        }
+    }
+
+    /// Handles the losses that a gate reports. Ignored unless this keeper leads.
+    pub(crate) fn record_losses(&mut self, losses: &[Loss], state: &State) {
+        let now = self.now();
+        let Some(leadership) = &mut self.leadership else { return };
+        let effect = leadership.quarantine.record_losses(losses, &state.quarantine, now);
+        if !effect.suspects.is_empty() {
+            self.links.broadcast_to_gates(&Frame::Suspects(effect.suspects));
+        }
+        if effect.quarantined {
+            self.broadcast_quarantine(state);
+        }
+    }
+
+    /// Clears suspects. Ignored unless this keeper leads.
+    pub(crate) fn clear_suspects(&mut self, subjects: &[Subject]) {
+        if let Some(leadership) = &mut self.leadership {
+            leadership.quarantine.clear(subjects);
+        }
+    }
+
+    /// Records that a gate refused a request with a quarantined subject. Ignored unless this keeper leads.
+    pub(crate) fn record_quarantine_hit(&mut self, subject: Subject) {
+        let now = self.now();
+        if let Some(leadership) = &mut self.leadership {
+            leadership.quarantine.record_refusal(subject, now);
+        }
+    }
+
+    /// Returns the changes of the replicated quarantine to propose now; none unless this keeper leads.
+    pub(crate) fn quarantine_commands(&mut self, state: &State) -> Vec<Command> {
+        let now = self.now();
+        let Some(leadership) = &mut self.leadership else { return Vec::new() };
+        leadership.quarantine.commands(&state.quarantine, now)
     }
 
     pub(crate) fn welcome(&self) -> Welcome {
@@ -211,6 +267,7 @@
         link.send(Frame::Versions(state.versions()));
         link.send(Frame::Endpoints(self.registry.endpoints()));
         link.send(Frame::Holds(leadership.holdings.clone()));
+        link.send(Frame::Quarantine(leadership.quarantine.subjects(&state.quarantine)));
     }
 
     /// Removes a closed link. If it was a gate's, the scheduler drops the gate's requests; the gate
@@ -231,6 +288,9 @@
         let now = self.now();
         let id = announcement.id.clone();
         let is_engine = announcement.held.is_some();
+        if let Some(leadership) = &mut self.leadership {
+            leadership.quarantine.endpoint_announced(&id, announcement.born, now);
+        }
         let change = self.registry.announce(announcement, now);
         match change {
             Change::None => return false,
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -217,6 +217,14 @@
                     service.and_then(|service| coordinator.sole_build(&service, &state));
                 link.send(Frame::Located { lookup, origin, sole_build });
             }
+            Frame::Losses(losses) => {
+                self.coordinator.lock().record_losses(&losses, &self.state.read());
+                self.propose_quarantine();
+            }
+            Frame::Cleared(subjects) => self.coordinator.lock().clear_suspects(&subjects),
+            Frame::QuarantineHit(subject) => {
+                self.coordinator.lock().record_quarantine_hit(subject);
+            }
             frame => {
                 if self.pass_to_scheduler(link_id, frame) {
                     self.wake_scheduler();
@@ -251,6 +259,15 @@
         true
     }
 
+    /// Proposes changes of the quarantine. Those that are not applied are proposed again later.
+    fn propose_quarantine(self: &Arc<Keeper<E>>) {
+        let commands = self.coordinator.lock().quarantine_commands(&self.state.read());
+        for command in commands {
+            let keeper = self.clone();
+            tokio::spawn(async move { keeper.propose(command).await });
+        }
+    }
+
     /// Watches the replica's status and applies its changes.
     async fn watch_replica(self: Arc<Keeper<E>>) {
         let mut status = self.status.clone();
@@ -290,6 +307,9 @@
             drop(coordinator);
             self.metrics.state.with_label_values(&["gates"]).set(gates);
             self.metrics.state.with_label_values(&["endpoints"]).set(endpoints);
+            let quarantined = self.state.read().quarantine.iter().count() as i64;
+            self.metrics.state.with_label_values(&["quarantined"]).set(quarantined);
+            self.propose_quarantine();
             self.wake_scheduler();
         }
     }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -21,6 +21,7 @@
 mod links;
 mod metrics;
 mod peers;
+mod quarantine;
 mod replica;
 mod state;
 mod storage;
--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -20,7 +20,8 @@
     pub(crate) replica: HistogramVec,
     /// Duration of a pass of the scheduler, in seconds.
     pub(crate) passes: HistogramVec,
-    /// Leadership, applied index, and numbers of voters, standbys, gates and endpoints.
+    /// Leadership, applied index, and numbers of voters, standbys, gates, endpoints and quarantined
+    /// subjects.
     pub(crate) state: IntGaugeVec,
 }
 
--- a/crates/cell/src/replica.rs
+++ b/crates/cell/src/replica.rs
@@ -164,7 +164,7 @@
     ) -> Result<Replica, Error> {
         let (storage, Recovery { id, group, stored }) = Storage::open(settings).await?;
         let restored = match &stored.snapshot {
-            Some(snapshot) => decode(snapshot.index, &snapshot.data)?,
+            Some(snapshot) => decode_snapshot(snapshot.index, &snapshot.data)?,
             None => State::default(),
         };
         *state.write() = restored;
@@ -319,7 +319,7 @@
             self.delay.written(started.elapsed());
             self.send(std::mem::take(&mut ready.messages));
             if let Some(snapshot) = &ready.install {
-                *self.state.write() = decode(snapshot.index, &snapshot.data)?;
+                *self.state.write() = decode_snapshot(snapshot.index, &snapshot.data)?;
                 self.applied = snapshot.index;
                 self.snapshot_index = snapshot.index;
             }
@@ -445,6 +445,10 @@
     postcard::from_bytes(bytes).map_err(|error| Error::Entry { index, message: error.to_string() })
 }
 
+fn decode_snapshot(index: Index, bytes: &[u8]) -> Result<State, Error> {
+    State::decode(bytes).map_err(|error| Error::Entry { index, message: error.to_string() })
+}
+
 fn log_command(command: &Command) {
     match command {
         Command::Publish { plan, .. } => {
@@ -460,5 +464,11 @@
                 INFO, Event::VersionNamed, adapter = %version.adapter, version = version.version
             );
         }
+        Command::Quarantine(subject) => {
+            base::event!(INFO, Event::QuarantineApplied, subject = %subject, quarantined = true);
+        }
+        Command::Release(subject) => {
+            base::event!(INFO, Event::QuarantineApplied, subject = %subject, quarantined = false);
+        }
     }
 }
--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -1,4 +1,4 @@
-//! The replicated state machine: the plan and the adapter versions.
+//! The replicated state machine: the plan, the adapter versions and the quarantine.
 
 use std::sync::Arc;
 
@@ -7,6 +7,8 @@
 use bytes::Bytes;
 use fleet::message::Version;
 use fleet::plan::Plan;
+use fleet::quarantine::List;
+use fleet::quarantine::Subject;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -21,6 +23,10 @@
     },
     /// Puts a version of an adapter into force unless a newer one already is.
     Name(Version),
+    /// Quarantines a subject.
+    Quarantine(Subject),
+    /// Releases a subject from quarantine.
+    Release(Subject),
 }
 
 /// The replicated state.
@@ -30,9 +36,27 @@
     /// The plan document as received, before parsing.
     pub(crate) document: Option<Bytes>,
     versions: Map<(Name, Name), u64>,
+    pub(crate) quarantine: List,
+}
+
+/// The state as snapshots contained it before there was a quarantine.
+#[derive(Deserialize)]
+struct Former {
+    plan: Option<Arc<Plan>>,
+    document: Option<Bytes>,
+    versions: Map<(Name, Name), u64>,
 }
 
 impl State {
+    /// Decodes a snapshot, which an earlier release may have written.
+    pub(crate) fn decode(snapshot: &[u8]) -> Result<State, postcard::Error> {
+        postcard::from_bytes(snapshot).or_else(|error| {
+            let former = postcard::from_bytes(snapshot).map_err(|_| error)?;
+            let Former { plan, document, versions } = former;
+            Ok(State { plan, document, versions, quarantine: List::default() })
+        })
+    }
+
     /// Applies a command. Returns whether it changed the state.
     pub(crate) fn apply(&mut self, command: Command) -> bool {
         match command {
@@ -51,6 +75,8 @@
                 *current = named.version.max(*current);
                 newer
             }
+            Command::Quarantine(subject) => self.quarantine.insert(subject),
+            Command::Release(subject) => self.quarantine.remove(subject),
         }
     }
 
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -137,7 +137,7 @@
         let read = match buffer(&mut source.body).await {
             Ok(read) => read,
             Err(error) => {
-                tracker.set_outcome(Outcome::Lost);
+                tracker.record_break();
                 return Err(error.to_string());
             }
         };
@@ -151,10 +151,10 @@
             Buffered::Whole(body) => {
                 source.scan(&body);
                 if source.is_truncated() {
-                    tracker.set_outcome(Outcome::Lost);
+                    tracker.record_truncation(source.framing);
                     return Err(TRUNCATED.to_owned());
                 }
-                tracker.set_outcome(outcome);
+                tracker.record_end(outcome, source.framing);
                 release(connection);
                 Ok(Body::Buffered(Full::new(body)))
             }
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -1,5 +1,7 @@
 //! A caller's request while the gate serves it.
 
+use std::sync::Arc;
+
 use base::Name;
 use bytes::Bytes;
 use fleet::endpoint::Endpoint;
@@ -7,6 +9,7 @@
 use fleet::origin::Origin;
 use fleet::plan::Kind;
 use fleet::plan::Route;
+use fleet::quarantine::Subject;
 use hyper::http::request::Parts;
 use tokio::time::Instant;
 
@@ -22,6 +25,8 @@
     pub(crate) origin: Option<Origin>,
     /// A digest of the request's content, which is the same for each attempt of its caller.
     pub(crate) fingerprint: u64,
+    /// What the request can be recognized by if it crashes endpoints.
+    pub(crate) subjects: Arc<[Subject]>,
     /// The head as received.
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -8,10 +8,12 @@
 use base::Name;
 use bytes::Bytes;
 use fleet::endpoint::Endpoint;
+use fleet::message::Frame;
 use fleet::message::Outcome;
 use fleet::message::Query;
 use fleet::origin::Origin;
 use fleet::plan::Kind;
+use fleet::quarantine::Subject;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::LengthLimitError;
@@ -45,6 +47,7 @@
 use crate::settings::MAX_UNSENT;
 use crate::settings::ORIGIN_TIMEOUT;
 use crate::settings::PLAN_WAIT_SHARE;
+use crate::settings::QUARANTINE_RETRY_AFTER;
 use crate::settings::SCHEDULER_QUEUE_SHARE;
 use crate::settings::SCHEDULER_REPLY_MARGIN;
 use crate::settings::STARTUP_TIME;
@@ -152,9 +155,19 @@
         };
         let service = route.select_service(rand::random()).clone();
         self.budget.lock().record_request(&service, self.view.now());
-        let fingerprint = fingerprint(&parts, &body);
-        let origin = None;
-        Ok(Call { request, route, service, origin, fingerprint, parts, body, received, deadline })
+        let fingerprint = fingerprint(&request.host, &parts, &body);
+        Ok(Call {
+            request,
+            route,
+            service,
+            origin: None,
+            fingerprint,
+            subjects: Arc::new([Subject::Request(fingerprint)]),
+            parts,
+            body,
+            received,
+            deadline,
+        })
     }
 
     /// Makes attempts until one succeeds or no more are allowed; returns the response, which may report a
@@ -295,9 +308,10 @@
         let endpoint = &target.endpoint;
         let scheduled = target.query.as_ref().map(|query| {
             self.keepers.track(query, &endpoint.id);
-            (self.keepers.clone(), query.request)
+            query.request
         });
-        let mut tracker = Tracker::new(&self.view, scheduled, &endpoint.id);
+        let mut tracker =
+            Tracker::new(&self.view, &self.keepers, scheduled, endpoint, &call.subjects);
         let request = self.build_request(call, &target);
         let sent = send::send(&self.pool, endpoint, request).await;
         let attempt = match sent {
@@ -306,7 +320,7 @@
                 if head.status.is_success()
                     && let Some(origin) = call.new_origin(endpoint)
                 {
-                    tracker.set_origin(&self.keepers, origin);
+                    tracker.set_origin(origin);
                 }
                 let parsed = self.protocol.parse_response(&head, &call.request.id);
                 let framing = Framing::of(&head.headers);
@@ -322,7 +336,7 @@
                 Attempt::Unsent
             }
             Sent::Lost(reason) => {
-                tracker.set_outcome(Outcome::Lost);
+                tracker.record_break();
                 exchange.log_failure(&reason);
                 Attempt::Lost(Code::EndpointFailed)
             }
@@ -364,16 +378,32 @@
         request
     }
 
-    /// Chooses the endpoint for the next attempt.
+    /// Chooses the endpoint for the next attempt. A request that is quarantined, possibly while it waits for an
+    /// engine, gets none.
     async fn choose_target(
         self: &Arc<Gate<P>>,
         call: &Call,
         excluded: &[Name],
     ) -> Result<Target, Refusal> {
-        match call.request.model.clone() {
-            Some(model) => self.schedule(call, model, excluded).await,
-            None => self.choose_endpoint(call, excluded),
+        self.check_quarantine(call)?;
+        let target = match call.request.model.clone() {
+            Some(model) => self.schedule(call, model, excluded).await?,
+            None => self.choose_endpoint(call, excluded)?,
+        };
+        let admitted = self.check_quarantine(call);
+        if let (Err(_), Some(query)) = (&admitted, &target.query) {
+            self.keepers.send(Frame::Withdraw(query.request));
         }
+        admitted.map(|()| target)
+    }
+
+    /// Refuses a request that is quarantined.
+    fn check_quarantine(&self, call: &Call) -> Result<(), Refusal> {
+        let Some(subject) = self.keepers.quarantined(&call.subjects) else { return Ok(()) };
+        base::event!(
+            INFO, Event::QuarantineHit, request = %call.request.id, subject = %subject
+        );
+        Err(Refusal::retryable(Code::Quarantined, QUARANTINE_RETRY_AFTER))
     }
 
     /// Chooses an endpoint of a service that has no model engines.
@@ -522,10 +552,11 @@
     }
 }
 
-/// Returns a digest of path, query string and body, by which a caller's retries are recognized.
-fn fingerprint(parts: &Parts, body: &[u8]) -> u64 {
+/// Returns a digest of host, path, query string and body, by which a caller's retries are recognized.
+fn fingerprint(host: &str, parts: &Parts, body: &[u8]) -> u64 {
     let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
-    base::digest(body) ^ base::digest(path.as_bytes()).rotate_left(1)
+    let fields = [host.as_bytes(), path.as_bytes(), body];
+    base::digest(fields.map(|field| base::digest(field).to_le_bytes()).as_flattened())
 }
 
 /// Removes the hop-by-hop headers and those listed in `Connection`.
--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -11,6 +11,7 @@
 use base::Map;
 use base::Name;
 use base::Set;
+use fleet::endpoint::Endpoint;
 use fleet::message::Denial;
 use fleet::message::Ended;
 use fleet::message::Frame;
@@ -20,6 +21,8 @@
 use fleet::message::Running;
 use fleet::message::Welcome;
 use fleet::origin::Origin;
+use fleet::quarantine::Loss;
+use fleet::quarantine::Subject;
 use link::Inbox;
 use link::Link;
 use parking_lot::Mutex;
@@ -30,6 +33,7 @@
 use crate::origins::Located;
 use crate::origins::Origins;
 use crate::pool::Pool;
+use crate::quarantine::Quarantine;
 use crate::view::View;
 
 /// The timeout for opening a link.
@@ -90,6 +94,7 @@
     /// The scheduled requests at engines, by request number.
     in_flight: Mutex<Map<u64, InFlight>>,
     origins: Origins,
+    quarantine: Quarantine,
     next_number: AtomicU64,
 }
 
@@ -113,6 +118,7 @@
             pending: Mutex::default(),
             in_flight: Mutex::default(),
             origins: Origins::default(),
+            quarantine: Quarantine::default(),
             next_number: AtomicU64::new(1),
         })
     }
@@ -202,6 +208,10 @@
                     self.view.update_holding(holding);
                 }
             }
+            Frame::Quarantine(subjects) if self.is_leader(address) => {
+                self.quarantine.set_quarantined(&subjects);
+            }
+            Frame::Suspects(subjects) => self.quarantine.add_suspects(&subjects),
             Frame::Located { lookup, origin, sole_build } => {
                 self.origins.handle_reply(lookup, origin, sole_build);
             }
@@ -254,6 +264,11 @@
             ..request.running.clone()
         });
         link.send(Frame::Running(running.collect()));
+        drop(in_flight);
+        let losses = self.quarantine.losses(self.view.now());
+        if !losses.is_empty() {
+            link.send(Frame::Losses(losses));
+        }
     }
 
     fn is_leader(&self, address: SocketAddr) -> bool {
@@ -344,6 +359,39 @@
         self.in_flight.lock().insert(query.request, InFlight { running, deadline });
     }
 
+    /// Returns the first of a request's subjects that is quarantined, and reports the refusal.
+    pub(crate) fn quarantined(&self, subjects: &[Subject]) -> Option<Subject> {
+        let hit = self.quarantine.check(subjects, self.view.now())?;
+        if hit.report {
+            self.send(Frame::QuarantineHit(hit.subject));
+        }
+        Some(hit.subject)
+    }
+
+    /// Reports that an endpoint was lost while it ran a request, unless the endpoint was leaving.
+    pub(crate) fn report_loss(&self, endpoint: &Endpoint, subjects: &[Subject]) {
+        let known = self.view.endpoints();
+        if known.get(&endpoint.id).is_none_or(|known| known.born != endpoint.born) {
+            return;
+        }
+        let loss = Loss {
+            endpoint: endpoint.id.clone(),
+            born: endpoint.born,
+            subjects: subjects.to_vec(),
+            age_ms: 0,
+        };
+        self.quarantine.record_loss(loss.clone(), self.view.now());
+        self.send(Frame::Losses(vec![loss]));
+    }
+
+    /// Reports that a request ended at an endpoint that survived, if it was suspected.
+    pub(crate) fn report_survival(&self, subjects: &[Subject]) {
+        let cleared = self.quarantine.clear(subjects);
+        if !cleared.is_empty() {
+            self.send(Frame::Cleared(cleared));
+        }
+    }
+
     /// Records a stream that begins at this gate.
     pub(crate) fn record_origin(&self, origin: &Origin) {
         let links = self.links.lock();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,6 +19,7 @@
 mod metrics;
 mod origins;
 mod pool;
+mod quarantine;
 mod refusal;
 mod relay;
 mod send;
--- /dev/null
+++ b/crates/edge/src/quarantine.rs
@@ -0,0 +1,116 @@
+//! What a gate knows about requests that crash endpoints.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use base::Map;
+use base::Set;
+use fleet::quarantine::Loss;
+use fleet::quarantine::Subject;
+use parking_lot::Mutex;
+
+/// The limit on losses that are kept for the next leader; beyond it the oldest are dropped.
+const MAX_LOSSES: usize = 1_024;
+/// The time for which they are kept.
+const LOSS_RETENTION: Duration = Duration::from_secs(600);
+/// The limit on suspects; beyond it the oldest are dropped.
+const MAX_SUSPECTS: usize = 16_384;
+/// The interval at which refusals for the same subject are reported.
+const REFUSAL_INTERVAL: Duration = Duration::from_secs(10);
+
+/// What a gate knows about requests that crash endpoints.
+#[derive(Debug, Default)]
+pub(crate) struct Quarantine {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    /// The quarantined subjects, with the time at which a refusal was last reported.
+    quarantined: Map<Subject, Option<Duration>>,
+    /// The subjects whose end at an endpoint that survives is to be reported.
+    suspects: Set<Subject>,
+    /// The suspects in the order in which they became known; may contain some that have been cleared.
+    suspect_order: VecDeque<Subject>,
+    /// The losses at this gate, the oldest first. They are sent to each new leader.
+    losses: VecDeque<(Duration, Loss)>,
+}
+
+/// A quarantined subject of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Hit {
+    pub(crate) subject: Subject,
+    /// Whether the refusal is to be reported to the leader.
+    pub(crate) report: bool,
+}
+
+impl Quarantine {
+    /// Returns the first of a request's subjects that is quarantined.
+    pub(crate) fn check(&self, subjects: &[Subject], now: Duration) -> Option<Hit> {
+        let mut inner = self.inner.lock();
+        let subject =
+            subjects.iter().copied().find(|subject| inner.quarantined.contains_key(subject))?;
+        let reported = inner.quarantined.get_mut(&subject)?;
+        let report = reported.is_none_or(|at| now >= at + REFUSAL_INTERVAL);
+        if report {
+            *reported = Some(now);
+        }
+        Some(Hit { subject, report })
+    }
+
+    /// Replaces the quarantined subjects.
+    pub(crate) fn set_quarantined(&self, subjects: &[Subject]) {
+        let mut inner = self.inner.lock();
+        let former = std::mem::take(&mut inner.quarantined);
+        let reported = |subject| former.get(subject).copied().flatten();
+        inner.quarantined = subjects.iter().map(|subject| (*subject, reported(subject))).collect();
+    }
+
+    /// Adds subjects that were in progress when an endpoint was lost.
+    pub(crate) fn add_suspects(&self, subjects: &[Subject]) {
+        let mut inner = self.inner.lock();
+        for subject in subjects {
+            if inner.suspects.insert(*subject) {
+                inner.suspect_order.push_back(*subject);
+            }
+        }
+        while inner.suspect_order.len() > MAX_SUSPECTS {
+            let oldest = inner.suspect_order.pop_front().expect("longer than 0");
+            inner.suspects.remove(&oldest);
+        }
+    }
+
+    /// Records a loss at this gate.
+    pub(crate) fn record_loss(&self, loss: Loss, now: Duration) {
+        let mut inner = self.inner.lock();
+        inner.losses.push_back((now, loss));
+        if inner.losses.len() > MAX_LOSSES {
+            inner.losses.pop_front();
+        }
+    }
+
+    /// Returns the recent losses at this gate, with their age.
+    pub(crate) fn losses(&self, now: Duration) -> Vec<Loss> {
+        let mut inner = self.inner.lock();
+        inner.losses.retain(|(at, _)| now < *at + LOSS_RETENTION);
+        let losses = inner.losses.iter().map(|(at, loss)| Loss {
+            age_ms: now.saturating_sub(*at).as_millis() as u32,
+            ..loss.clone()
+        });
+        losses.collect()
+    }
+
+    /// Records that a request ended at an endpoint that survived; returns those of its subjects that were suspected.
+    pub(crate) fn clear(&self, subjects: &[Subject]) -> Vec<Subject> {
+        let mut inner = self.inner.lock();
+        let cleared: Vec<Subject> =
+            subjects.iter().copied().filter(|subject| inner.suspects.remove(subject)).collect();
+        if !cleared.is_empty() {
+            for (_, loss) in &mut inner.losses {
+                loss.subjects.retain(|subject| !cleared.contains(subject));
+            }
+            inner.losses.retain(|(_, loss)| !loss.subjects.is_empty());
+        }
+        cleared
+    }
+}
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -144,7 +144,7 @@
                 Poll::Ready(Some(Ok(frame)))
             }
             Some(Err(error)) => {
-                self.tracker.set_outcome(Outcome::Lost);
+                self.tracker.record_break();
                 Poll::Ready(Some(Err(self.fail(&error.to_string()))))
             }
             None => Poll::Ready(self.end().err().map(Err)),
@@ -162,7 +162,7 @@
     /// Ends the response; returns an error if it is a stream that the endpoint broke off.
     fn end(&mut self) -> io::Result<()> {
         if self.source.is_truncated() {
-            self.tracker.set_outcome(Outcome::Lost);
+            self.tracker.record_truncation(self.source.framing);
             return Err(self.fail(TRUNCATED));
         }
         self.finish();
@@ -172,7 +172,7 @@
     /// Records that the whole response was forwarded, and releases the connection.
     fn finish(&mut self) {
         let Some(connection) = self.connection.take() else { return };
-        self.tracker.set_outcome(self.outcome);
+        self.tracker.record_end(self.outcome, self.source.framing);
         let ms = self.tracker.elapsed().as_millis() as u64;
         base::event!(
             INFO, Event::Answered, request = %self.id, endpoint = %connection.endpoint,
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -47,6 +47,8 @@
 pub(crate) const PLAN_WAIT_SHARE: f64 = 0.125;
 /// The retry delay in a refusal for which there is no better estimate.
 pub(crate) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// The retry delay in the refusal of a quarantined request; a quarantine ends after ten minutes without such requests.
+pub(crate) const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(600);
 /// The largest response that is buffered before it is forwarded, so that a broken one can be replaced by a
 /// retry; in bytes.
 pub(crate) const MAX_BUFFERED_BYTES: u64 = 256 << 10;
--- a/crates/edge/src/tracker.rs
+++ b/crates/edge/src/tracker.rs
@@ -3,47 +3,68 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::Name;
+use fleet::endpoint::Endpoint;
 use fleet::message::Ended;
 use fleet::message::Frame;
 use fleet::message::Outcome;
 use fleet::origin::Origin;
+use fleet::quarantine::Subject;
 use tokio::time::Instant;
 
+use crate::framing::Framing;
 use crate::keepers::Keepers;
 use crate::view::View;
 
-/// Tracks a request at an endpoint. On drop it updates the endpoint's statistics and, if the scheduler placed
-/// the request, reports its end to the leader.
+/// Tracks a request at an endpoint. On drop it updates the endpoint's statistics and reports to the leader the end of
+/// the request, if the scheduler placed it, and what that shows about the endpoint.
 #[derive(Debug)]
 pub(crate) struct Tracker {
     view: Arc<View>,
-    /// The links to the keepers and the request's number, if the scheduler placed the request.
-    scheduled: Option<(Arc<Keepers>, u64)>,
-    endpoint: Name,
+    keepers: Arc<Keepers>,
+    /// The request's number, if the scheduler placed the request.
+    scheduled: Option<u64>,
+    endpoint: Endpoint,
+    /// What the request can be recognized by if it crashes the endpoint.
+    subjects: Arc<[Subject]>,
     sent: Instant,
     started: bool,
     /// The origin to record when the stream begins, if it can be resumed.
-    origin: Option<(Arc<Keepers>, Origin)>,
+    origin: Option<Origin>,
     outcome: Outcome,
+    fate: Fate,
+}
+
+/// What the end of a request shows about its endpoint.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fate {
+    Unknown,
+    /// The endpoint ended the response itself.
+    Survived,
+    /// The connection broke, as it does if the endpoint crashes.
+    Lost,
 }
 
 impl Tracker {
     pub(crate) fn new(
         view: &Arc<View>,
-        scheduled: Option<(Arc<Keepers>, u64)>,
-        endpoint: &Name,
+        keepers: &Arc<Keepers>,
+        scheduled: Option<u64>,
+        endpoint: &Endpoint,
+        subjects: &Arc<[Subject]>,
     ) -> Tracker {
-        view.stats.lock().entry(endpoint.clone()).or_default().running += 1;
+        view.stats.lock().entry(endpoint.id.clone()).or_default().running += 1;
         Tracker {
             view: view.clone(),
+            keepers: keepers.clone(),
             scheduled,
             endpoint: endpoint.clone(),
+            subjects: subjects.clone(),
             sent: Instant::now(),
             started: false,
             origin: None,
             // A request that is dropped before it ends was cancelled by its caller.
             outcome: Outcome::Cancelled,
+            fate: Fate::Unknown,
         }
     }
 
@@ -52,18 +73,18 @@
         if std::mem::replace(&mut self.started, true) {
             return;
         }
-        if let Some((keepers, origin)) = self.origin.take() {
-            keepers.record_origin(&origin);
+        if let Some(origin) = self.origin.take() {
+            self.keepers.record_origin(&origin);
         }
-        if let Some((keepers, request)) = &self.scheduled {
+        if let Some(request) = self.scheduled {
             let after_ms = self.sent.elapsed().as_millis() as u32;
-            keepers.send(Frame::Began { request: *request, after_ms });
+            self.keepers.send(Frame::Began { request, after_ms });
         }
     }
 
     /// Sets the origin to record when the response begins.
-    pub(crate) fn set_origin(&mut self, keepers: &Arc<Keepers>, origin: Origin) {
-        self.origin = Some((keepers.clone(), origin));
+    pub(crate) fn set_origin(&mut self, origin: Origin) {
+        self.origin = Some(origin);
     }
 
     /// Sets the outcome of the request.
@@ -71,10 +92,31 @@
         self.outcome = outcome;
     }
 
+    /// Records that the connection broke before the response was complete.
+    pub(crate) fn record_break(&mut self) {
+        self.outcome = Outcome::Lost;
+        self.fate = Fate::Lost;
+    }
+
+    /// Records the end of the response. The end of a connection does not show that the endpoint survived.
+    pub(crate) fn record_end(&mut self, outcome: Outcome, framing: Framing) {
+        self.outcome = outcome;
+        self.fate = if framing == Framing::Close { Fate::Unknown } else { Fate::Survived };
+    }
+
+    /// Records the end of a stream inside an event. If the end of its connection was the only end that it has, the
+    /// endpoint may have crashed.
+    pub(crate) fn record_truncation(&mut self, framing: Framing) {
+        match framing {
+            Framing::Close => self.record_break(),
+            _ => self.record_end(Outcome::Lost, framing),
+        }
+    }
+
     /// Records the number of requests that the endpoint reported.
     pub(crate) fn record_load(&self, requests: u32) {
         let now = self.view.now();
-        if let Some(stats) = self.view.stats.lock().get_mut(&self.endpoint) {
+        if let Some(stats) = self.view.stats.lock().get_mut(&self.endpoint.id) {
             stats.reported = Some((requests, now));
         }
     }
@@ -88,7 +130,7 @@
 impl Drop for Tracker {
     fn drop(&mut self) {
         let now = self.view.now();
-        if let Some(stats) = self.view.stats.lock().get_mut(&self.endpoint) {
+        if let Some(stats) = self.view.stats.lock().get_mut(&self.endpoint.id) {
             stats.running = stats.running.saturating_sub(1);
             match self.outcome {
                 Outcome::Done => stats.record(false, now),
@@ -96,8 +138,13 @@
                 Outcome::Misdirected | Outcome::Cancelled => {}
             }
         }
-        if let Some((keepers, request)) = &self.scheduled {
-            keepers.report_end(Ended { request: *request, outcome: self.outcome });
+        if let Some(request) = self.scheduled {
+            self.keepers.report_end(Ended { request, outcome: self.outcome });
+        }
+        match self.fate {
+            Fate::Unknown => {}
+            Fate::Survived => self.keepers.report_survival(&self.subjects),
+            Fate::Lost => self.keepers.report_loss(&self.endpoint, &self.subjects),
         }
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod message;
 pub mod origin;
 pub mod plan;
+pub mod quarantine;
 pub mod registry;
 pub mod routing;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -16,6 +16,8 @@
 use crate::endpoint::Endpoint;
 use crate::origin::Origin;
 use crate::plan::Plan;
+use crate::quarantine::Loss;
+use crate::quarantine::Subject;
 use crate::registry::Registry;
 
 /// A message over a link between two processes.
@@ -90,6 +92,16 @@
         /// several, or if this keeper does not know.
         sole_build: Option<Name>,
     },
+    /// A gate reports endpoints that were lost while they ran requests; also sent to a new leader.
+    Losses(Vec<Loss>),
+    /// The leader names subjects that were in progress when an endpoint was lost.
+    Suspects(Vec<Subject>),
+    /// A gate reports that a request with these suspects ended at an endpoint that survived.
+    Cleared(Vec<Subject>),
+    /// All subjects whose requests are to be refused.
+    Quarantine(Vec<Subject>),
+    /// A gate refused a request with a quarantined subject.
+    QuarantineHit(Subject),
 }
 
 /// The sender of the frames on a link.
--- a/crates/sched/src/request.rs
+++ b/crates/sched/src/request.rs
@@ -16,7 +16,6 @@
 pub(crate) struct Assignment {
     pub(crate) engine: Name,
     pub(crate) adapter: Name,
-    pub(crate) fingerprint: u64,
     /// The prompt tokens that are not in the engine's prefix cache.
     pub(crate) prefill_tokens: f64,
     /// The tokens in the KV cache at the end of the request.
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -55,8 +55,6 @@
     next_expiry: Duration,
     /// The requests without an engine.
     queue: VecDeque<Pending>,
-    /// How often an engine was lost while it ran a request, by the request's fingerprint.
-    engine_losses: Map<u64, u32>,
     pub(crate) store: Limiter,
     /// When orders to engines may start.
     pub(crate) orders_from: Duration,
@@ -83,7 +81,6 @@
             assignments: Map::default(),
             next_expiry: Duration::MAX,
             queue: VecDeque::new(),
-            engine_losses: Map::default(),
             store: Limiter::new(settings.cold_load_ms, settings.cold_load_limit),
             orders_from: Duration::ZERO,
             base_loads: VecDeque::new(),
--- a/crates/sched/src/scheduler/admission.rs
+++ b/crates/sched/src/scheduler/admission.rs
@@ -40,11 +40,6 @@
             first_received_at,
             awaited_engine: None,
         };
-        let losses =
-            self.engine_losses.get(&pending.query.fingerprint).copied().unwrap_or_default();
-        if losses >= self.settings.max_engine_losses {
-            return self.deny(&pending, Code::Suspected, None, now);
-        }
         if let Some(build) = &pending.query.build
             && !self.engines.has_build(&pending.query.service, build)
         {
@@ -82,7 +77,6 @@
             let assignment = Assignment {
                 engine: request.endpoint.clone(),
                 adapter: request.adapter.clone(),
-                fingerprint: 0,
                 prefill_tokens: 0.0,
                 kv_tokens: u64::from(request.tokens),
                 output_tokens: 0,
--- a/crates/sched/src/scheduler/completion.rs
+++ b/crates/sched/src/scheduler/completion.rs
@@ -18,8 +18,6 @@
 
 /// The time for which an engine gets no requests after it refused one.
 const FULL_BACKOFF: Duration = Duration::from_millis(100);
-/// The limit on requests for which engine losses are counted; beyond it all counts are cleared.
-const MAX_LOSS_COUNTS: usize = 4_096;
 
 impl Scheduler {
     /// Records the first event of a request, `after` it was sent to its engine.
@@ -43,12 +41,6 @@
     /// Records the end of a request.
     pub fn request_ended(&mut self, gate: u64, request: u64, outcome: Outcome, now: Duration) {
         let Some(assignment) = self.release((gate, request), now) else { return };
-        if matches!(outcome, Outcome::Lost) && assignment.fingerprint != 0 {
-            if self.engine_losses.len() >= MAX_LOSS_COUNTS {
-                self.engine_losses.clear();
-            }
-            *self.engine_losses.entry(assignment.fingerprint).or_default() += 1;
-        }
         let Some(engine) = self.engines.get_mut(&assignment.engine) else { return };
         match outcome {
             Outcome::Done => {
--- a/crates/sched/src/scheduler/placement.rs
+++ b/crates/sched/src/scheduler/placement.rs
@@ -232,7 +232,6 @@
         let assignment = Assignment {
             engine: best.engine.clone(),
             adapter: query.adapter.clone(),
-            fingerprint: query.fingerprint,
             prefill_tokens: best.prefill_tokens,
             kv_tokens,
             output_tokens: query.output,
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -55,9 +55,6 @@
     pub popularity_half_life: Duration,
     /// The limit on queued requests.
     pub max_queued: usize,
-    /// The number of times that an engine may be lost while it runs a request before that request
-    /// is refused.
-    pub max_engine_losses: u32,
 }
 
 impl Settings {
@@ -92,7 +89,6 @@
             retry_after_ms: (200.0, 1_300.0),
             popularity_half_life: Duration::from_secs(5),
             max_queued: 512,
-            max_engine_losses: 3,
         }
     }
 }
--- a/crates/sched/tests/requests.rs
+++ b/crates/sched/tests/requests.rs
@@ -242,18 +242,6 @@
     assert!(granted >= 55, "{granted} of 60 granted");
 }
 
-#[test]
-fn a_request_that_repeatedly_loses_its_engine_is_refused() {
-    let mut cell = Cell::new(6);
-    for _ in 0..3 {
-        let request = cell.submit_with("a", |query| query.fingerprint = 7);
-        cell.advance(300);
-        cell.end_at_gate(request, Outcome::Lost);
-    }
-    let request = cell.submit_with("a", |query| query.fingerprint = 7);
-    assert_eq!(cell.denial_code(request), Some(Code::Suspected));
-}
-
 #[test]
 fn requests_reserved_at_a_removed_engine_are_rescheduled() {
     let mut cell = Cell::new(2);
