edge: routed requests log the parts of their prompts

The record of the incident at the model engines could not tell what the requests in progress at the crashes had in common. `Routed` now has the field `parts`; no decision changes.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -455,7 +455,7 @@
                 base::event!(
                     INFO, Event::Routed, request = %call.request.id, endpoint = %grant.endpoint.id,
                     build = %grant.endpoint.build, resumes = call.request.resumes.as_deref(),
-                    adapter = %query.adapter, urgency = grant.urgency, target_ms = query.target_ms,
+                    adapter = %query.adapter, parts = part_ids(&query.parts), urgency = grant.urgency, target_ms = query.target_ms,
                     waited_ms = waited.as_millis() as u64
                 );
                 self.observe_decision("granted", waited);
@@ -552,6 +552,12 @@
     }
 }
 
+/// Returns the ids of the parts of a prompt, in hexadecimal and separated by commas.
+fn part_ids(parts: &[(u64, u32)]) -> String {
+    let ids: Vec<String> = parts.iter().map(|(id, _)| format!("{id:x}")).collect();
+    ids.join(",")
+}
+
 /// Returns a digest of host, path, query string and body, by which a caller's retries are recognized.
 fn fingerprint(host: &str, parts: &Parts, body: &[u8]) -> u64 {
     let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
