quarantine: a part of prompts that crashes engines is quarantined

Cause: losses were counted by the digest of the whole request, so requests that differ counted apart; the parts of a prompt were used for the prefix cache only.

Change: a loss names the parts of the prompt, without the last, and how long the request ran. A crash counts against a part only with a request that differs from those before and was sent after the crash before, so neither one bad request nor many engines that crash at a time suffice. An end at an engine that lives on for 500 ms starts the count anew, which keeps shared parts out; if nothing survives, the part with the fewest runs is the most specific one. Verdicts wait 200 ms for the reports of all gates. Request digests are judged as before.

--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -14,6 +14,7 @@
 use fleet::quarantine::List;
 use fleet::quarantine::Loss;
 use fleet::quarantine::Subject;
+use fleet::quarantine::Survival;
 use fleet::registry::Change;
 use fleet::registry::Registry;
 use link::Link;
@@ -200,19 +201,17 @@
     pub(crate) fn record_losses(&mut self, losses: &[Loss], state: &State) {
         let now = self.now();
         let Some(leadership) = &mut self.leadership else { return };
-        let effect = leadership.quarantine.record_losses(losses, &state.quarantine, now);
-        if !effect.suspects.is_empty() {
-            self.links.broadcast_to_gates(&Frame::Suspects(effect.suspects));
-        }
-        if effect.quarantined {
-            self.broadcast_quarantine(state);
+        let suspects = leadership.quarantine.record_losses(losses, &state.quarantine, now);
+        if !suspects.is_empty() {
+            self.links.broadcast_to_gates(&Frame::Suspects(suspects));
         }
     }
 
-    /// Clears suspects. Ignored unless this keeper leads.
-    pub(crate) fn clear_suspects(&mut self, subjects: &[Subject]) {
+    /// Records that an endpoint ended the response to a suspected request. Ignored unless this keeper leads.
+    pub(crate) fn record_survival(&mut self, survival: &Survival) {
+        let now = self.now();
         if let Some(leadership) = &mut self.leadership {
-            leadership.quarantine.clear(subjects);
+            leadership.quarantine.record_survival(survival, now);
         }
     }
 
@@ -224,10 +223,15 @@
         }
     }
 
-    /// Returns the changes of the replicated quarantine to propose now; none unless this keeper leads.
-    pub(crate) fn quarantine_commands(&mut self, state: &State) -> Vec<Command> {
+    /// Quarantines what crashes endpoints, and returns the changes of the replicated quarantine to propose now; none
+    /// unless this keeper leads.
+    pub(crate) fn update_quarantine(&mut self, state: &State) -> Vec<Command> {
         let now = self.now();
         let Some(leadership) = &mut self.leadership else { return Vec::new() };
+        if leadership.quarantine.judge(now) {
+            self.broadcast_quarantine(state);
+        }
+        let Some(leadership) = &mut self.leadership else { return Vec::new() };
         leadership.quarantine.commands(&state.quarantine, now)
     }
 
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -219,9 +219,8 @@
             }
             Frame::Losses(losses) => {
                 self.coordinator.lock().record_losses(&losses, &self.state.read());
-                self.propose_quarantine();
             }
-            Frame::Cleared(subjects) => self.coordinator.lock().clear_suspects(&subjects),
+            Frame::Survived(survival) => self.coordinator.lock().record_survival(&survival),
             Frame::QuarantineHit(subject) => {
                 self.coordinator.lock().record_quarantine_hit(subject);
             }
@@ -259,9 +258,9 @@
         true
     }
 
-    /// Proposes changes of the quarantine. Those that are not applied are proposed again later.
-    fn propose_quarantine(self: &Arc<Keeper<E>>) {
-        let commands = self.coordinator.lock().quarantine_commands(&self.state.read());
+    /// Updates the quarantine and proposes its changes. Those that are not applied are proposed again later.
+    fn update_quarantine(self: &Arc<Keeper<E>>) {
+        let commands = self.coordinator.lock().update_quarantine(&self.state.read());
         for command in commands {
             let keeper = self.clone();
             tokio::spawn(async move { keeper.propose(command).await });
@@ -309,7 +308,7 @@
             self.metrics.state.with_label_values(&["endpoints"]).set(endpoints);
             let quarantined = self.state.read().quarantine.iter().count() as i64;
             self.metrics.state.with_label_values(&["quarantined"]).set(quarantined);
-            self.propose_quarantine();
+            self.update_quarantine();
             self.wake_scheduler();
         }
     }
--- a/crates/cell/src/quarantine.rs
+++ b/crates/cell/src/quarantine.rs
@@ -7,7 +7,9 @@
 use fleet::quarantine::List;
 use fleet::quarantine::Loss;
 use fleet::quarantine::Subject;
+use fleet::quarantine::Survival;
 use quarantine::Detector;
+use quarantine::Verdict;
 
 use crate::state::Command;
 
@@ -27,22 +29,17 @@
     last_refused: Map<Subject, Duration>,
 }
 
-/// The effect of reported losses.
-#[derive(Debug, Default)]
-pub(crate) struct Effect {
-    /// The subjects that are newly suspected.
-    pub(crate) suspects: Vec<Subject>,
-    /// Whether a subject was quarantined.
-    pub(crate) quarantined: bool,
-}
-
 impl Quarantine {
-    /// Handles the losses that a gate reports.
-    pub(crate) fn record_losses(&mut self, losses: &[Loss], list: &List, now: Duration) -> Effect {
-        let mut effect = Effect::default();
+    /// Handles the losses that a gate reports; returns the subjects that gates should suspect.
+    pub(crate) fn record_losses(
+        &mut self,
+        losses: &[Loss],
+        list: &List,
+        now: Duration,
+    ) -> Vec<Subject> {
+        let mut suspects = Vec::new();
         for loss in losses {
-            let is_quarantined = |subject: &Subject| self.contains(*subject, list);
-            if loss.subjects.iter().any(is_quarantined) {
+            if loss.fingerprint.subjects().any(|subject| self.contains(subject, list)) {
                 self.detector.record_explained(loss, now);
                 continue;
             }
@@ -52,23 +49,31 @@
             }
             base::event!(
                 INFO, Event::Implicated, endpoint = %loss.endpoint, born = loss.born,
-                subjects = ?loss.subjects, age_ms = loss.age_ms
+                fingerprint = %format_args!("{:016x}", loss.fingerprint.request),
+                parts = ?loss.fingerprint.parts, ran_ms = loss.ran_ms, age_ms = loss.age_ms
             );
-            if let Some((subject, endpoints)) = self.detector.convict(&new) {
-                base::event!(
-                    WARN, Event::RequestQuarantined, subject = %subject, endpoints = ?endpoints
-                );
-                self.pending.insert(subject, None);
-                effect.quarantined = true;
-            }
-            effect.suspects.extend(new);
+            suspects.extend(new);
+        }
+        suspects.sort_unstable();
+        suspects.dedup();
+        suspects
+    }
+
+    /// Quarantines the subjects against which there is enough evidence; returns whether there are any.
+    pub(crate) fn judge(&mut self, now: Duration) -> bool {
+        let verdicts = self.detector.poll(now);
+        for Verdict { subject, endpoints } in &verdicts {
+            base::event!(
+                WARN, Event::RequestQuarantined, subject = %subject, endpoints = ?endpoints
+            );
+            self.pending.insert(*subject, None);
         }
-        effect
+        !verdicts.is_empty()
     }
 
-    /// Clears subjects, because a request with them has ended at an endpoint that survived.
-    pub(crate) fn clear(&mut self, subjects: &[Subject]) {
-        self.detector.clear(subjects);
+    /// Records that an endpoint ended the response to a suspected request.
+    pub(crate) fn record_survival(&mut self, survival: &Survival, now: Duration) {
+        self.detector.record_survival(survival, now);
     }
 
     /// Handles an endpoint's announcement.
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -52,7 +52,7 @@
 pub(crate) struct Exchange {
     /// The caller's id of the request.
     pub(crate) id: Name,
-    /// The digest of the request's content, as in [`crate::call::Call::fingerprint`].
+    /// The digest of the request's content, as in [`fleet::quarantine::Fingerprint::request`].
     pub(crate) fingerprint: u64,
     pub(crate) endpoint: Name,
     pub(crate) deadline: Instant,
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -9,7 +9,7 @@
 use fleet::origin::Origin;
 use fleet::plan::Kind;
 use fleet::plan::Route;
-use fleet::quarantine::Subject;
+use fleet::quarantine::Fingerprint;
 use hyper::http::request::Parts;
 use tokio::time::Instant;
 
@@ -23,10 +23,7 @@
     pub(crate) service: Name,
     /// Where the stream began, if the request resumes one.
     pub(crate) origin: Option<Origin>,
-    /// A digest of the request's content, which is the same for each attempt of its caller.
-    pub(crate) fingerprint: u64,
-    /// What the request can be recognized by if it crashes endpoints.
-    pub(crate) subjects: Arc<[Subject]>,
+    pub(crate) fingerprint: Arc<Fingerprint>,
     /// The head as received.
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -13,7 +13,7 @@
 use fleet::message::Query;
 use fleet::origin::Origin;
 use fleet::plan::Kind;
-use fleet::quarantine::Subject;
+use fleet::quarantine::Fingerprint;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::LengthLimitError;
@@ -155,14 +155,14 @@
         };
         let service = route.select_service(rand::random()).clone();
         self.budget.lock().record_request(&service, self.view.now());
-        let fingerprint = fingerprint(&request.host, &parts, &body);
+        let prompt = request.parts.iter().map(|(id, _)| *id);
+        let fingerprint = Fingerprint::new(digest(&request.host, &parts, &body), prompt);
         Ok(Call {
             request,
             route,
             service,
             origin: None,
-            fingerprint,
-            subjects: Arc::new([Subject::Request(fingerprint)]),
+            fingerprint: Arc::new(fingerprint),
             parts,
             body,
             received,
@@ -280,7 +280,7 @@
     ) -> Attempt {
         let exchange = Exchange {
             id: call.request.id.clone(),
-            fingerprint: call.fingerprint,
+            fingerprint: call.fingerprint.request,
             endpoint: target.endpoint.id.clone(),
             deadline: call.deadline,
             streams: matches!(call.route.kind, Kind::Stream { .. }),
@@ -311,7 +311,7 @@
             query.request
         });
         let mut tracker =
-            Tracker::new(&self.view, &self.keepers, scheduled, endpoint, &call.subjects);
+            Tracker::new(&self.view, &self.keepers, scheduled, endpoint, &call.fingerprint);
         let request = self.build_request(call, &target);
         let sent = send::send(&self.pool, endpoint, request).await;
         let attempt = match sent {
@@ -397,9 +397,9 @@
         admitted.map(|()| target)
     }
 
-    /// Refuses a request that is quarantined.
+    /// Refuses a request that is quarantined, or whose prompt contains a part that is.
     fn check_quarantine(&self, call: &Call) -> Result<(), Refusal> {
-        let Some(subject) = self.keepers.quarantined(&call.subjects) else { return Ok(()) };
+        let Some(subject) = self.keepers.quarantined(&call.fingerprint) else { return Ok(()) };
         base::event!(
             INFO, Event::QuarantineHit, request = %call.request.id, subject = %subject
         );
@@ -539,7 +539,7 @@
             service: call.service.clone(),
             model: model.clone(),
             adapter: request.adapter.clone(),
-            fingerprint: call.fingerprint,
+            fingerprint: call.fingerprint.request,
             input: request.input,
             output: request.output,
             parts: request.parts.clone(),
@@ -559,7 +559,7 @@
 }
 
 /// Returns a digest of host, path, query string and body, by which a caller's retries are recognized.
-fn fingerprint(host: &str, parts: &Parts, body: &[u8]) -> u64 {
+fn digest(host: &str, parts: &Parts, body: &[u8]) -> u64 {
     let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
     let fields = [host.as_bytes(), path.as_bytes(), body];
     base::digest(fields.map(|field| base::digest(field).to_le_bytes()).as_flattened())
--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -21,8 +21,10 @@
 use fleet::message::Running;
 use fleet::message::Welcome;
 use fleet::origin::Origin;
+use fleet::quarantine::Fingerprint;
 use fleet::quarantine::Loss;
 use fleet::quarantine::Subject;
+use fleet::quarantine::Survival;
 use link::Inbox;
 use link::Link;
 use parking_lot::Mutex;
@@ -360,8 +362,8 @@
     }
 
     /// Returns the first of a request's subjects that is quarantined, and reports the refusal.
-    pub(crate) fn quarantined(&self, subjects: &[Subject]) -> Option<Subject> {
-        let hit = self.quarantine.check(subjects, self.view.now())?;
+    pub(crate) fn quarantined(&self, fingerprint: &Fingerprint) -> Option<Subject> {
+        let hit = self.quarantine.check(fingerprint, self.view.now())?;
         if hit.report {
             self.send(Frame::QuarantineHit(hit.subject));
         }
@@ -369,7 +371,12 @@
     }
 
     /// Reports that an endpoint was lost while it ran a request, unless the endpoint was leaving.
-    pub(crate) fn report_loss(&self, endpoint: &Endpoint, subjects: &[Subject]) {
+    pub(crate) fn report_loss(
+        &self,
+        endpoint: &Endpoint,
+        fingerprint: &Fingerprint,
+        ran: Duration,
+    ) {
         let known = self.view.endpoints();
         if known.get(&endpoint.id).is_none_or(|known| known.born != endpoint.born) {
             return;
@@ -377,7 +384,8 @@
         let loss = Loss {
             endpoint: endpoint.id.clone(),
             born: endpoint.born,
-            subjects: subjects.to_vec(),
+            fingerprint: fingerprint.clone(),
+            ran_ms: ran.as_millis() as u32,
             age_ms: 0,
         };
         self.quarantine.record_loss(loss.clone(), self.view.now());
@@ -385,10 +393,11 @@
     }
 
     /// Reports that a request ended at an endpoint that survived, if it was suspected.
-    pub(crate) fn report_survival(&self, subjects: &[Subject]) {
-        let cleared = self.quarantine.clear(subjects);
-        if !cleared.is_empty() {
-            self.send(Frame::Cleared(cleared));
+    pub(crate) fn report_survival(&self, endpoint: &Endpoint, fingerprint: &Fingerprint) {
+        let subjects = self.quarantine.clear(fingerprint);
+        if !subjects.is_empty() {
+            let (endpoint, born) = (endpoint.id.clone(), endpoint.born);
+            self.send(Frame::Survived(Survival { endpoint, born, subjects }));
         }
     }
 
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -1,10 +1,11 @@
-//! What a gate knows about requests that crash endpoints.
+//! What a gate knows about requests and parts of prompts that crash endpoints.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use base::Map;
 use base::Set;
+use fleet::quarantine::Fingerprint;
 use fleet::quarantine::Loss;
 use fleet::quarantine::Subject;
 use parking_lot::Mutex;
@@ -46,10 +47,10 @@
 
 impl Quarantine {
     /// Returns the first of a request's subjects that is quarantined.
-    pub(crate) fn check(&self, subjects: &[Subject], now: Duration) -> Option<Hit> {
+    pub(crate) fn check(&self, fingerprint: &Fingerprint, now: Duration) -> Option<Hit> {
         let mut inner = self.inner.lock();
-        let subject =
-            subjects.iter().copied().find(|subject| inner.quarantined.contains_key(subject))?;
+        let mut subjects = fingerprint.subjects();
+        let subject = subjects.find(|subject| inner.quarantined.contains_key(subject))?;
         let reported = inner.quarantined.get_mut(&subject)?;
         let report = reported.is_none_or(|at| now >= at + REFUSAL_INTERVAL);
         if report {
@@ -100,16 +101,18 @@
         losses.collect()
     }
 
-    /// Records that a request ended at an endpoint that survived; returns those of its subjects that were suspected.
-    pub(crate) fn clear(&self, subjects: &[Subject]) -> Vec<Subject> {
+    /// Clears a request that ended at an endpoint that survived; returns those of its subjects that were suspected.
+    pub(crate) fn clear(&self, fingerprint: &Fingerprint) -> Vec<Subject> {
         let mut inner = self.inner.lock();
+        let subjects = fingerprint.subjects();
         let cleared: Vec<Subject> =
-            subjects.iter().copied().filter(|subject| inner.suspects.remove(subject)).collect();
+            subjects.filter(|subject| inner.suspects.remove(subject)).collect();
         if !cleared.is_empty() {
-            for (_, loss) in &mut inner.losses {
-                loss.subjects.retain(|subject| !cleared.contains(subject));
-            }
-            inner.losses.retain(|(_, loss)| !loss.subjects.is_empty());
+            inner.losses.retain_mut(|(_, loss)| {
+                let is_cleared = |subject| cleared.contains(&subject);
+                loss.fingerprint.parts.retain(|part| !is_cleared(Subject::Part(*part)));
+                !is_cleared(Subject::Request(loss.fingerprint.request))
+            });
         }
         cleared
     }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -72,7 +72,7 @@
 pub(crate) struct Relay {
     /// The caller's id of the request.
     id: Name,
-    /// The digest of the request's content, as in [`crate::call::Call::fingerprint`].
+    /// The digest of the request's content, as in [`fleet::quarantine::Fingerprint::request`].
     fingerprint: u64,
     source: Source,
     /// Fires at the request's deadline, which aborts the response.
--- a/crates/edge/src/tracker.rs
+++ b/crates/edge/src/tracker.rs
@@ -8,7 +8,7 @@
 use fleet::message::Frame;
 use fleet::message::Outcome;
 use fleet::origin::Origin;
-use fleet::quarantine::Subject;
+use fleet::quarantine::Fingerprint;
 use tokio::time::Instant;
 
 use crate::framing::Framing;
@@ -24,8 +24,7 @@
     /// The request's number, if the scheduler placed the request.
     scheduled: Option<u64>,
     endpoint: Endpoint,
-    /// What the request can be recognized by if it crashes the endpoint.
-    subjects: Arc<[Subject]>,
+    fingerprint: Arc<Fingerprint>,
     sent: Instant,
     started: bool,
     /// The origin to record when the stream begins, if it can be resumed.
@@ -50,7 +49,7 @@
         keepers: &Arc<Keepers>,
         scheduled: Option<u64>,
         endpoint: &Endpoint,
-        subjects: &Arc<[Subject]>,
+        fingerprint: &Arc<Fingerprint>,
     ) -> Tracker {
         view.stats.lock().entry(endpoint.id.clone()).or_default().running += 1;
         Tracker {
@@ -58,7 +57,7 @@
             keepers: keepers.clone(),
             scheduled,
             endpoint: endpoint.clone(),
-            subjects: subjects.clone(),
+            fingerprint: fingerprint.clone(),
             sent: Instant::now(),
             started: false,
             origin: None,
@@ -143,8 +142,10 @@
         }
         match self.fate {
             Fate::Unknown => {}
-            Fate::Survived => self.keepers.report_survival(&self.subjects),
-            Fate::Lost => self.keepers.report_loss(&self.endpoint, &self.subjects),
+            Fate::Survived => self.keepers.report_survival(&self.endpoint, &self.fingerprint),
+            Fate::Lost => {
+                self.keepers.report_loss(&self.endpoint, &self.fingerprint, self.sent.elapsed());
+            }
         }
     }
 }
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -18,6 +18,7 @@
 use crate::plan::Plan;
 use crate::quarantine::Loss;
 use crate::quarantine::Subject;
+use crate::quarantine::Survival;
 use crate::registry::Registry;
 
 /// A message over a link between two processes.
@@ -96,8 +97,8 @@
     Losses(Vec<Loss>),
     /// The leader names subjects that were in progress when an endpoint was lost.
     Suspects(Vec<Subject>),
-    /// A gate reports that a request with these suspects ended at an endpoint that survived.
-    Cleared(Vec<Subject>),
+    /// A gate reports that an endpoint ended the response to a suspected request.
+    Survived(Survival),
     /// All subjects whose requests are to be refused.
     Quarantine(Vec<Subject>),
     /// A gate refused a request with a quarantined subject.
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Requests that crash the endpoints that run them: what gates report, and what is quarantined.
+//! Requests and parts of prompts that crash the endpoints that run them: what gates report, and what is quarantined.
 
 use std::collections::VecDeque;
 use std::fmt;
@@ -15,16 +15,44 @@
 pub enum Subject {
     /// The requests with this digest of their content.
     Request(u64),
+    /// The requests whose prompt contains the part with this digest before its last part.
+    Part(u64),
 }
 
 impl fmt::Display for Subject {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Subject::Request(digest) => write!(f, "request {digest:016x}"),
+            Subject::Part(digest) => write!(f, "part {digest:x}"),
         }
     }
 }
 
+/// What a request can be recognized by if it crashes endpoints.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fingerprint {
+    /// A digest of the content, which is the same for each attempt of the caller.
+    pub request: u64,
+    /// The digests of the parts of the prompt, without the last one, which belongs to the request alone.
+    pub parts: Vec<u64>,
+}
+
+impl Fingerprint {
+    /// Creates the fingerprint of a request whose prompt has these parts.
+    pub fn new(request: u64, parts: impl DoubleEndedIterator<Item = u64>) -> Fingerprint {
+        let mut parts: Vec<u64> = parts.rev().skip(1).collect();
+        parts.sort_unstable();
+        parts.dedup();
+        Fingerprint { request, parts }
+    }
+
+    /// Returns the subjects whose quarantine covers the request.
+    pub fn subjects(&self) -> impl Iterator<Item = Subject> {
+        let parts = self.parts.iter().map(|part| Subject::Part(*part));
+        std::iter::once(Subject::Request(self.request)).chain(parts)
+    }
+}
+
 /// A gate's report that an endpoint's connection broke while the endpoint ran a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Loss {
@@ -32,12 +60,25 @@
     pub endpoint: Name,
     /// The start time of the endpoint, as in [`crate::endpoint::Announcement::born`].
     pub born: u64,
-    /// What the request can be recognized by.
-    pub subjects: Vec<Subject>,
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The time from sending the request to the loss, in ms.
+    pub ran_ms: u32,
     /// The time since the loss, in ms.
     pub age_ms: u32,
 }
 
+/// A gate's report that an endpoint ended the response to a suspected request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Survival {
+    /// The endpoint.
+    pub endpoint: Name,
+    /// The start time of the endpoint, as in [`crate::endpoint::Announcement::born`].
+    pub born: u64,
+    /// Those of the request's subjects that were suspected.
+    pub subjects: Vec<Subject>,
+}
+
 /// The quarantined subjects.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct List {
--- a/crates/quarantine/src/detector.rs
+++ b/crates/quarantine/src/detector.rs
@@ -1,74 +1,118 @@
-//! Finds out which requests crash endpoints.
+//! Finds out which requests, and which parts of prompts, crash endpoints.
 
+use std::cmp::Reverse;
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use base::Map;
 use base::Name;
 use base::Set;
 use fleet::quarantine::Loss;
 use fleet::quarantine::Subject;
+use fleet::quarantine::Survival;
 
-/// The number of crashed endpoints after which a subject that was in progress at each of them is quarantined.
+/// The number of crashes that are counted against a subject before it is quarantined.
 const MIN_CRASHES: usize = 3;
+/// The time after a crash within which all gates have reported what was in progress.
+const SETTLE_TIME: Duration = Duration::from_millis(200);
+/// The time that an endpoint must live on after the end of a request that it survived.
+const SURVIVAL_TIME: Duration = Duration::from_millis(500);
 /// The time after which a crash is no longer counted.
 const RETENTION: Duration = Duration::from_secs(600);
 /// The limit on remembered crashes; beyond it the oldest are dropped.
 const MAX_CRASHES: usize = 256;
+/// The limit on the runs and on the survivals that are remembered of a subject; beyond it the oldest are dropped.
+const MAX_RECORDS: usize = 64;
 /// The time after a loss from which an announcement shows that the endpoint did not crash; longer than an announcement
 /// may be delayed.
 const ANNOUNCEMENT_DELAY: Duration = Duration::from_secs(3);
 
 /// The recent crashes of endpoints and what was in progress at each.
-///
-/// A subject counts against a crash unless a request with it ended at an endpoint that survived, or the crash is
-/// explained by a subject that is quarantined.
 #[derive(Clone, Debug, Default)]
 pub struct Detector {
     /// The oldest first.
     ///
     /// Invariant: at most one for each incarnation of an endpoint, and [`MAX_CRASHES`] in total.
     crashes: VecDeque<Crash>,
+    next_crash: u64,
+    /// Invariant: each refers to at least one of `crashes`.
+    suspicions: Map<Subject, Suspicion>,
+    /// The subjects with a run at a crash since they were last judged.
+    unjudged: Set<Subject>,
 }
 
 /// A crash of an endpoint.
 #[derive(Clone, Debug)]
 struct Crash {
+    number: u64,
     endpoint: Name,
     /// The start time of the incarnation that crashed.
     born: u64,
     /// When the first loss was reported.
     at: Duration,
-    /// What was in progress and may have caused the crash.
-    ///
-    /// Invariant: empty if the crash is explained.
-    subjects: Set<Subject>,
-    /// Whether a quarantined subject was in progress.
+    /// Whether a quarantined subject was in progress, so that the crash speaks against no other.
     explained: bool,
 }
 
-impl Crash {
-    fn explain(&mut self) {
-        self.explained = true;
-        self.subjects.clear();
-    }
+/// What speaks for and against a subject.
+#[derive(Clone, Debug, Default)]
+struct Suspicion {
+    /// The runs that were in progress at crashes, in the order of the reports.
+    runs: VecDeque<Run>,
+    /// The ends of requests with the subject at endpoints that seemed to survive, in the order of the reports.
+    survivals: VecDeque<(Duration, Survival)>,
+}
+
+/// A request in progress at a crash.
+#[derive(Clone, Debug)]
+struct Run {
+    /// The number of the crash.
+    crash: u64,
+    /// The digest of the request.
+    request: u64,
+    /// When it was sent to the endpoint.
+    sent: Duration,
+}
+
+/// A subject that is to be quarantined.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Verdict {
+    /// The subject.
+    pub subject: Subject,
+    /// The endpoints that it crashed.
+    pub endpoints: Vec<Name>,
 }
 
 impl Detector {
     /// Records that an endpoint was lost while it ran a request; repeated reports of the same crash count once. Returns
-    /// the subjects that this report adds to the crash.
+    /// the subjects of the request that were not known to be in progress at the crash.
     pub fn record(&mut self, loss: &Loss, now: Duration) -> Vec<Subject> {
         let Some(crash) = self.crash(loss, now).filter(|crash| !crash.explained) else {
             return Vec::new();
         };
-        let new = loss.subjects.iter().filter(|subject| crash.subjects.insert(**subject));
-        new.copied().collect()
+        let sent = crash.at.saturating_sub(Duration::from_millis(u64::from(loss.ran_ms)));
+        let run = Run { crash: crash.number, request: loss.fingerprint.request, sent };
+        let mut new = Vec::new();
+        for subject in loss.fingerprint.subjects() {
+            let suspicion = self.suspicions.entry(subject).or_default();
+            let mut known = suspicion.runs.iter().filter(|known| known.crash == run.crash);
+            if known.clone().next().is_none() {
+                new.push(subject);
+            }
+            if known.all(|known| known.request != run.request) {
+                push_bounded(&mut suspicion.runs, run.clone());
+                self.unjudged.insert(subject);
+            }
+        }
+        new
     }
 
     /// Records the loss of an endpoint under a quarantined subject, which explains the crash.
     pub fn record_explained(&mut self, loss: &Loss, now: Duration) {
-        if let Some(crash) = self.crash(loss, now) {
-            crash.explain();
-        }
+        let Some(crash) = self.crash(loss, now) else { return };
+        crash.explained = true;
+        let number = crash.number;
+        self.retain_runs(|run| run.crash != number);
     }
 
     /// Returns the crash that a report belongs to; `None` if it is too old to count.
@@ -84,54 +128,151 @@
         }
         if self.crashes.len() >= MAX_CRASHES {
             self.crashes.pop_front();
+            self.drop_runs_without_crash();
         }
-        let index = self.crashes.partition_point(|crash| crash.at <= at);
+        let number = self.next_crash;
+        self.next_crash += 1;
         let (endpoint, born) = (loss.endpoint.clone(), loss.born);
-        let subjects = Set::default();
-        self.crashes.insert(index, Crash { endpoint, born, at, subjects, explained: false });
+        let index = self.crashes.partition_point(|crash| crash.at <= at);
+        self.crashes.insert(index, Crash { number, endpoint, born, at, explained: false });
         self.crashes.get_mut(index)
     }
 
-    /// Returns the subject with the most crashes if they suffice to quarantine it, with the endpoints that crashed. It
-    /// explains those crashes.
-    pub fn convict(&mut self, subjects: &[Subject]) -> Option<(Subject, Vec<Name>)> {
-        let counts = subjects.iter().map(|subject| (self.crashes_of(*subject).count(), *subject));
-        let (count, subject) = counts.max()?;
-        if count < MIN_CRASHES {
-            return None;
+    /// Records that a request with these subjects ended at an endpoint that survived.
+    pub fn record_survival(&mut self, survival: &Survival, now: Duration) {
+        for subject in &survival.subjects {
+            if let Some(suspicion) = self.suspicions.get_mut(subject) {
+                push_bounded(&mut suspicion.survivals, (now, survival.clone()));
+            }
         }
-        let endpoints = self.crashes_of(subject).map(|crash| crash.endpoint.clone()).collect();
-        for crash in self.crashes.iter_mut().filter(|crash| crash.subjects.contains(&subject)) {
-            crash.explain();
+    }
+
+    /// Handles an endpoint's announcement, which shows that a loss reported well before was no crash.
+    pub fn endpoint_announced(&mut self, endpoint: &str, born: u64, now: Duration) {
+        let survived = |crash: &Crash| {
+            &*crash.endpoint == endpoint
+                && crash.born == born
+                && now >= crash.at + ANNOUNCEMENT_DELAY
+        };
+        if self.crashes.iter().any(survived) {
+            self.crashes.retain(|crash| !survived(crash));
+            self.drop_runs_without_crash();
         }
-        Some((subject, endpoints))
     }
 
-    /// Clears subjects of all crashes so far, because a request with them has ended at an endpoint that survived.
-    pub fn clear(&mut self, subjects: &[Subject]) {
-        for crash in &mut self.crashes {
-            for subject in subjects {
-                crash.subjects.remove(subject);
+    /// Returns the subjects that are to be quarantined now. Each explains the crashes that it was in progress at. If
+    /// several subjects fit, the one with the fewest runs is the most specific, and is judged first.
+    pub fn poll(&mut self, now: Duration) -> Vec<Verdict> {
+        let mut verdicts = Vec::new();
+        loop {
+            let mut due = Vec::new();
+            let mut unsettled = Set::default();
+            for subject in std::mem::take(&mut self.unjudged) {
+                match self.decisive_crash(subject) {
+                    Some(at) if now >= at + SETTLE_TIME => due.push(subject),
+                    Some(_) => drop(unsettled.insert(subject)),
+                    None => {}
+                }
             }
+            let runs = |subject: &Subject| {
+                self.suspicions.get(subject).map_or(0, |suspicion| suspicion.runs.len())
+            };
+            due.sort_by_key(|subject| Reverse((runs(subject), *subject)));
+            self.unjudged = unsettled;
+            let Some(subject) = due.pop() else { return verdicts };
+            self.unjudged.extend(due);
+            verdicts.push(self.convict(subject));
         }
     }
 
-    /// Handles an endpoint's announcement, which shows that a loss reported well before was no crash.
-    pub fn endpoint_announced(&mut self, endpoint: &str, born: u64, now: Duration) {
-        self.crashes.retain(|crash| {
-            let survived = &*crash.endpoint == endpoint && crash.born == born;
-            !(survived && now >= crash.at + ANNOUNCEMENT_DELAY)
-        });
+    /// Returns the time of the crash that completes the evidence against a subject.
+    ///
+    /// A request is judged by the number of endpoints that crashed while they ran it. Parts of prompts are shared, so
+    /// that a crash of many endpoints at a time has many parts in progress; for them a crash counts only with a request
+    /// that differs from those before and was sent after the crash before.
+    fn decisive_crash(&self, subject: Subject) -> Option<Duration> {
+        let suspicion = self.suspicions.get(&subject)?;
+        let survived = suspicion
+            .survivals
+            .iter()
+            .filter(|(at, survival)| !self.crashed_after(survival, *at))
+            .map(|(at, _)| *at)
+            .max();
+        let mut requests = Set::default();
+        let mut count = 0;
+        let mut last: Option<Duration> = None;
+        for crash in self.crashes.iter().filter(|crash| Some(crash.at) > survived) {
+            let mut runs = suspicion.runs.iter().filter(|run| run.crash == crash.number);
+            let counts = match subject {
+                Subject::Request(_) => runs.next().is_some(),
+                Subject::Part(_) => runs
+                    .filter(|run| last.is_none_or(|last| run.sent > last))
+                    .any(|run| requests.insert(run.request)),
+            };
+            if counts {
+                count += 1;
+                last = Some(crash.at);
+            }
+            if count == MIN_CRASHES {
+                return last;
+            }
+        }
+        None
     }
 
-    /// Returns the crashes that a subject may have caused.
-    fn crashes_of(&self, subject: Subject) -> impl Iterator<Item = &Crash> {
-        self.crashes.iter().filter(move |crash| crash.subjects.contains(&subject))
+    /// Returns whether an endpoint crashed soon after it had ended a request at the time `at`.
+    fn crashed_after(&self, survival: &Survival, at: Duration) -> bool {
+        self.crashes.iter().any(|crash| {
+            crash.endpoint == survival.endpoint
+                && crash.born == survival.born
+                && crash.at <= at + SURVIVAL_TIME
+        })
+    }
+
+    /// Marks the crashes under a subject as explained. Only the runs of a quarantined request itself are kept: they
+    /// count, as a single request, against the parts of its prompt.
+    fn convict(&mut self, subject: Subject) -> Verdict {
+        let suspicion = self.suspicions.remove(&subject).unwrap_or_default();
+        let caused: Set<u64> = suspicion.runs.iter().map(|run| run.crash).collect();
+        let mut endpoints = Vec::new();
+        for crash in self.crashes.iter_mut().filter(|crash| caused.contains(&crash.number)) {
+            crash.explained = true;
+            endpoints.push(crash.endpoint.clone());
+        }
+        self.retain_runs(|run| {
+            !caused.contains(&run.crash) || subject == Subject::Request(run.request)
+        });
+        Verdict { subject, endpoints }
     }
 
+    /// Drops the crashes that are no longer counted.
     fn expire(&mut self, now: Duration) {
+        let former = self.crashes.len();
         while self.crashes.front().is_some_and(|crash| now >= crash.at + RETENTION) {
             self.crashes.pop_front();
         }
+        if self.crashes.len() < former {
+            self.drop_runs_without_crash();
+        }
+    }
+
+    fn drop_runs_without_crash(&mut self) {
+        let numbers: Set<u64> = self.crashes.iter().map(|crash| crash.number).collect();
+        self.retain_runs(|run| numbers.contains(&run.crash));
+    }
+
+    fn retain_runs(&mut self, keep: impl Fn(&Run) -> bool) {
+        self.suspicions.retain(|_, suspicion| {
+            suspicion.runs.retain(&keep);
+            !suspicion.runs.is_empty()
+        });
+    }
+}
+
+/// Appends to a list and drops its oldest element if it is too long.
+fn push_bounded<T>(list: &mut VecDeque<T>, element: T) {
+    if list.len() >= MAX_RECORDS {
+        list.pop_front();
     }
+    list.push_back(element);
 }
--- a/crates/quarantine/tests/detector.rs
+++ b/crates/quarantine/tests/detector.rs
@@ -1,116 +1,262 @@
-//! Which requests are quarantined after which crashes.
+//! Which requests and which parts of prompts are quarantined after which crashes.
 
 use std::time::Duration;
 
 use base::Name;
+use fleet::quarantine::Fingerprint;
 use fleet::quarantine::Loss;
 use fleet::quarantine::Subject;
+use fleet::quarantine::Survival;
 use quarantine::Detector;
 
-const POISON: Subject = Subject::Request(1);
-const OTHER: Subject = Subject::Request(2);
+const POISON: u64 = 1;
+const OTHER: u64 = 2;
+/// The first part of all prompts.
+const SHARED: u64 = 10;
+const BAD: u64 = 11;
+const SOUND: u64 = 12;
+/// The time that a request runs before it is lost.
+const RUN: Duration = Duration::from_millis(100);
+/// The time from a crash to its judgement.
+const SETTLE: Duration = Duration::from_millis(200);
 
-fn seconds(seconds: u64) -> Duration {
-    Duration::from_secs(seconds)
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
 }
 
-/// Reports the loss of an incarnation under subjects; returns the subject that is quarantined.
-fn report(
-    detector: &mut Detector,
-    endpoint: &str,
-    born: u64,
-    subjects: &[Subject],
-    now: Duration,
-) -> Option<Subject> {
-    let subjects = subjects.to_vec();
-    let loss = Loss { endpoint: Name::from(endpoint), born, subjects, age_ms: 0 };
-    let new = detector.record(&loss, now);
-    detector.convict(&new).map(|(subject, _)| subject)
+#[derive(Default)]
+struct Cell {
+    detector: Detector,
+    /// The number of requests so far, each of which has a digest of its own.
+    requests: u64,
+}
+
+impl Cell {
+    /// Reports the loss of an endpoint under a request.
+    fn lose(&mut self, endpoint: &str, request: u64, parts: &[u64], now: Duration) {
+        self.lose_after(RUN, endpoint, request, parts, now);
+    }
+
+    fn lose_after(
+        &mut self,
+        run: Duration,
+        endpoint: &str,
+        request: u64,
+        parts: &[u64],
+        now: Duration,
+    ) {
+        let fingerprint = Fingerprint { request, parts: parts.to_vec() };
+        let ran_ms = run.as_millis() as u32;
+        let endpoint = Name::from(endpoint);
+        let loss = Loss { endpoint, born: 1, fingerprint, ran_ms, age_ms: 0 };
+        self.detector.record(&loss, now);
+    }
+
+    /// Reports the loss of an endpoint under a request unlike any other.
+    fn lose_new(&mut self, endpoint: &str, parts: &[u64], now: Duration) {
+        self.requests += 1;
+        self.lose(endpoint, 1_000 + self.requests, parts, now);
+    }
+
+    fn survive(&mut self, endpoint: &str, subjects: &[Subject], now: Duration) {
+        let (endpoint, subjects) = (Name::from(endpoint), subjects.to_vec());
+        self.detector.record_survival(&Survival { endpoint, born: 1, subjects }, now);
+    }
+
+    /// Returns what is quarantined once the last crash has settled.
+    fn judge(&mut self, now: Duration) -> Vec<Subject> {
+        let verdicts = self.detector.poll(now + SETTLE);
+        verdicts.into_iter().map(|verdict| verdict.subject).collect()
+    }
 }
 
 #[test]
 fn a_request_is_quarantined_after_three_crashes() {
-    let mut detector = Detector::default();
-    assert_eq!(report(&mut detector, "a", 1, &[POISON], seconds(1)), None);
-    assert_eq!(report(&mut detector, "b", 1, &[POISON], seconds(2)), None);
-    assert_eq!(report(&mut detector, "a", 2, &[POISON], seconds(3)), Some(POISON));
+    let mut cell = Cell::default();
+    for (number, endpoint) in ["a", "b", "c"].into_iter().enumerate() {
+        assert_eq!(cell.judge(ms(900)), []);
+        cell.lose(endpoint, POISON, &[], ms(1_000 + number as u64));
+    }
+    assert_eq!(cell.judge(ms(1_002)), [Subject::Request(POISON)]);
 }
 
 #[test]
 fn the_losses_of_one_crash_count_once() {
-    let mut detector = Detector::default();
-    for _ in 0..5 {
-        assert_eq!(report(&mut detector, "a", 1, &[POISON], seconds(1)), None);
-        assert_eq!(report(&mut detector, "b", 1, &[POISON], seconds(1)), None);
+    let mut cell = Cell::default();
+    for number in 0..5 {
+        cell.lose("a", POISON, &[], ms(1_000 + number));
+        cell.lose("b", POISON, &[], ms(1_000 + number));
     }
+    assert_eq!(cell.judge(ms(2_000)), []);
 }
 
 #[test]
 fn a_request_beside_the_cause_of_crashes_is_not_quarantined() {
-    let mut detector = Detector::default();
-    for endpoint in ["a", "b"] {
-        report(&mut detector, endpoint, 1, &[OTHER], seconds(1));
-        report(&mut detector, endpoint, 1, &[POISON], seconds(1));
+    let mut cell = Cell::default();
+    for endpoint in ["a", "b", "c"] {
+        cell.lose(endpoint, POISON, &[], ms(1_000));
     }
-    assert_eq!(report(&mut detector, "c", 1, &[POISON], seconds(2)), Some(POISON));
-    assert_eq!(report(&mut detector, "c", 1, &[OTHER], seconds(2)), None);
-    assert_eq!(report(&mut detector, "d", 1, &[OTHER], seconds(3)), None);
-    assert_eq!(report(&mut detector, "e", 1, &[OTHER], seconds(4)), None);
+    cell.lose("a", OTHER, &[], ms(1_000));
+    cell.lose("b", OTHER, &[], ms(1_000));
+    assert_eq!(cell.judge(ms(1_000)), [Subject::Request(POISON)]);
+    for endpoint in ["c", "d", "e"] {
+        cell.lose(endpoint, OTHER, &[], ms(2_000));
+    }
+    assert_eq!(cell.judge(ms(2_000)), []);
 }
 
 #[test]
 fn a_crash_under_a_quarantined_request_does_not_count_against_others() {
-    let mut detector = Detector::default();
+    let mut cell = Cell::default();
     for endpoint in ["a", "b"] {
-        report(&mut detector, endpoint, 1, &[OTHER], seconds(1));
+        cell.lose(endpoint, OTHER, &[], ms(1_000));
     }
-    let subjects = vec![POISON];
-    let loss = Loss { endpoint: Name::from("c"), born: 1, subjects, age_ms: 0 };
-    detector.record_explained(&loss, seconds(2));
-    assert_eq!(report(&mut detector, "c", 1, &[OTHER], seconds(2)), None);
+    let fingerprint = Fingerprint { request: POISON, parts: Vec::new() };
+    let endpoint = Name::from("c");
+    let loss = Loss { endpoint, born: 1, fingerprint, ran_ms: 100, age_ms: 0 };
+    cell.detector.record_explained(&loss, ms(2_000));
+    cell.lose("c", OTHER, &[], ms(2_000));
+    assert_eq!(cell.judge(ms(2_000)), []);
 }
 
 #[test]
 fn a_request_that_an_endpoint_survived_starts_anew() {
-    let mut detector = Detector::default();
-    report(&mut detector, "a", 1, &[OTHER], seconds(1));
-    report(&mut detector, "b", 1, &[OTHER], seconds(2));
-    detector.clear(&[OTHER]);
-    assert_eq!(report(&mut detector, "c", 1, &[OTHER], seconds(3)), None);
-    assert_eq!(report(&mut detector, "d", 1, &[OTHER], seconds(4)), None);
+    let mut cell = Cell::default();
+    cell.lose("a", OTHER, &[], ms(1_000));
+    cell.lose("b", OTHER, &[], ms(2_000));
+    cell.survive("x", &[Subject::Request(OTHER)], ms(2_500));
+    cell.lose("c", OTHER, &[], ms(3_000));
+    cell.lose("d", OTHER, &[], ms(4_000));
+    assert_eq!(cell.judge(ms(4_000)), []);
+    cell.lose("e", OTHER, &[], ms(5_000));
+    assert_eq!(cell.judge(ms(5_000)), [Subject::Request(OTHER)]);
+}
+
+// Guards against a request that ends just before the crash that it causes.
+#[test]
+fn an_endpoint_that_crashes_soon_afterwards_has_not_survived() {
+    let mut cell = Cell::default();
+    cell.lose("a", POISON, &[], ms(1_000));
+    cell.lose("b", POISON, &[], ms(2_000));
+    cell.survive("x", &[Subject::Request(POISON)], ms(2_500));
+    cell.lose("x", OTHER, &[], ms(2_600));
+    cell.lose("c", POISON, &[], ms(3_000));
+    assert_eq!(cell.judge(ms(3_000)), [Subject::Request(POISON)]);
 }
 
 #[test]
 fn a_lost_connection_to_an_endpoint_that_lives_on_is_no_crash() {
-    let mut detector = Detector::default();
+    let mut cell = Cell::default();
     for endpoint in ["a", "b"] {
-        report(&mut detector, endpoint, 1, &[OTHER], seconds(1));
+        cell.lose(endpoint, OTHER, &[], ms(1_000));
         // A delayed announcement proves nothing.
-        detector.endpoint_announced(endpoint, 1, seconds(2));
+        cell.detector.endpoint_announced(endpoint, 1, ms(2_000));
     }
-    detector.endpoint_announced("a", 1, seconds(5));
-    assert_eq!(report(&mut detector, "c", 1, &[OTHER], seconds(6)), None);
-    assert_eq!(report(&mut detector, "d", 1, &[OTHER], seconds(6)), Some(OTHER));
+    cell.detector.endpoint_announced("a", 1, ms(5_000));
+    cell.lose("c", OTHER, &[], ms(6_000));
+    assert_eq!(cell.judge(ms(6_000)), []);
+    cell.lose("d", OTHER, &[], ms(6_500));
+    assert_eq!(cell.judge(ms(6_500)), [Subject::Request(OTHER)]);
 }
 
 #[test]
 fn a_loss_before_the_retention_is_ignored() {
-    let mut detector = Detector::default();
-    let old = Loss { endpoint: Name::from("a"), born: 1, subjects: vec![POISON], age_ms: 600_000 };
-    assert!(detector.record(&old, seconds(700)).is_empty());
-    report(&mut detector, "b", 1, &[POISON], seconds(700));
-    report(&mut detector, "c", 1, &[POISON], seconds(1_400));
-    assert_eq!(report(&mut detector, "d", 1, &[POISON], seconds(1_401)), None);
+    let mut cell = Cell::default();
+    let fingerprint = Fingerprint { request: POISON, parts: Vec::new() };
+    let endpoint = Name::from("a");
+    let old = Loss { endpoint, born: 1, fingerprint, ran_ms: 100, age_ms: 600_000 };
+    assert!(cell.detector.record(&old, ms(700_000)).is_empty());
+    cell.lose("b", POISON, &[], ms(700_000));
+    cell.lose("c", POISON, &[], ms(1_400_000));
+    cell.lose("d", POISON, &[], ms(1_401_000));
+    assert_eq!(cell.judge(ms(1_401_000)), []);
 }
 
 #[test]
 fn the_oldest_crash_is_dropped_first() {
-    let mut detector = Detector::default();
-    report(&mut detector, "first", 1, &[OTHER], seconds(1));
-    report(&mut detector, "second", 1, &[POISON], seconds(2));
-    report(&mut detector, "third", 1, &[POISON], seconds(3));
+    let mut cell = Cell::default();
+    cell.lose("first", OTHER, &[], ms(1_000));
+    cell.lose("second", POISON, &[], ms(2_000));
+    cell.lose("third", POISON, &[], ms(3_000));
     for number in 0..253 {
-        report(&mut detector, "a", number, &[Subject::Request(100 + number)], seconds(4));
+        cell.lose_new(&format!("a{number}"), &[], ms(4_000));
+    }
+    cell.lose("fourth", POISON, &[], ms(5_000));
+    assert_eq!(cell.judge(ms(5_000)), [Subject::Request(POISON)]);
+}
+
+#[test]
+fn a_part_is_quarantined_after_three_crashes_under_different_requests() {
+    let mut cell = Cell::default();
+    for (number, endpoint) in ["a", "b", "c"].into_iter().enumerate() {
+        let now = ms(1_000 * (number as u64 + 1));
+        assert_eq!(cell.judge(now - SETTLE), []);
+        cell.lose_new(endpoint, &[SHARED, BAD], now);
+        // Sound requests with the same first part are in progress beside it, and end elsewhere.
+        cell.lose_new(endpoint, &[SHARED, SOUND + number as u64], now);
+        cell.survive("x", &[Subject::Part(SHARED)], now + ms(50));
+    }
+    assert_eq!(cell.judge(ms(3_000)), [Subject::Part(BAD)]);
+}
+
+// Guards against the quarantine of a part that is shared with the cause, while no engine answers anything.
+#[test]
+fn the_most_specific_part_is_quarantined_if_nothing_survives() {
+    let mut cell = Cell::default();
+    for (number, endpoint) in ["a", "b", "c", "d"].into_iter().enumerate() {
+        let now = ms(1_000 * (number as u64 + 1));
+        cell.lose_new(endpoint, &[SHARED, SOUND + number as u64], now);
+        cell.lose_new(endpoint, &[SHARED, BAD], now);
+    }
+    assert_eq!(cell.judge(ms(4_000)), [Subject::Part(BAD)]);
+    assert_eq!(cell.judge(ms(5_000)), []);
+}
+
+// Guards against the quarantine of parts when many engines crash at the same time.
+#[test]
+fn simultaneous_crashes_do_not_suffice_to_quarantine_a_part() {
+    let mut cell = Cell::default();
+    for wave in 1..=2 {
+        for number in 0..18 {
+            let endpoint = format!("wave-{wave}-{number}");
+            let now = ms(10_000 * wave + 5 * number);
+            cell.lose_new(&endpoint, &[SHARED, SOUND], now);
+        }
+    }
+    assert_eq!(cell.judge(ms(21_000)), []);
+}
+
+#[test]
+fn a_part_is_not_quarantined_for_a_request_that_crashes_endpoints() {
+    let mut cell = Cell::default();
+    for (number, endpoint) in ["a", "b", "c", "d", "e"].into_iter().enumerate() {
+        cell.lose(endpoint, POISON, &[SHARED, SOUND], ms(1_000 * (number as u64 + 1)));
+    }
+    assert_eq!(cell.judge(ms(5_000)), [Subject::Request(POISON)]);
+    cell.lose_new("f", &[SHARED, SOUND], ms(6_000));
+    assert_eq!(cell.judge(ms(6_000)), []);
+}
+
+#[test]
+fn a_part_is_quarantined_after_one_of_its_requests() {
+    let mut cell = Cell::default();
+    for (number, endpoint) in ["a", "b", "c"].into_iter().enumerate() {
+        cell.lose(endpoint, POISON, &[SHARED, BAD], ms(1_000 * (number as u64 + 1)));
     }
-    assert_eq!(report(&mut detector, "fourth", 1, &[POISON], seconds(5)), Some(POISON));
+    assert_eq!(cell.judge(ms(3_000)), [Subject::Request(POISON)]);
+    cell.survive("x", &[Subject::Part(SHARED)], ms(3_500));
+    cell.lose_new("d", &[SHARED, BAD], ms(4_000));
+    cell.lose_new("e", &[SHARED, BAD], ms(5_000));
+    assert_eq!(cell.judge(ms(5_000)), [Subject::Part(BAD)]);
+}
+
+#[test]
+fn a_request_that_was_sent_before_the_last_crash_does_not_count_against_a_part() {
+    let mut cell = Cell::default();
+    cell.lose_new("a", &[BAD], ms(1_000));
+    cell.lose_new("b", &[BAD], ms(2_000));
+    cell.lose_after(ms(1_500), "c", 5, &[BAD], ms(3_000));
+    assert_eq!(cell.judge(ms(3_000)), []);
+    cell.lose_new("d", &[BAD], ms(4_000));
+    assert_eq!(cell.judge(ms(4_000)), [Subject::Part(BAD)]);
 }
