cell: a gate that connects learns the quarantine before the plan

A gate serves requests as soon as it knows a plan, so one that starts could pass on a quarantined request in the moment between the two messages. Read from the code; not seen in a run.

--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -265,13 +265,14 @@
             link.send(Frame::Registry(Box::new(self.registry.clone())));
             return;
         }
+        // Before the plan, without which the gate serves no requests.
+        link.send(Frame::Quarantine(leadership.quarantine.subjects(&state.quarantine)));
         if let Some(plan) = &state.plan {
             link.send(Frame::Plan(plan.clone()));
         }
         link.send(Frame::Versions(state.versions()));
         link.send(Frame::Endpoints(self.registry.endpoints()));
         link.send(Frame::Holds(leadership.holdings.clone()));
-        link.send(Frame::Quarantine(leadership.quarantine.subjects(&state.quarantine)));
     }
 
     /// Removes a closed link. If it was a gate's, the scheduler drops the gate's requests; the gate
