edge: an endpoint has crashed only if it refuses a new connection

Cause: a broken connection was taken for a crash; that the endpoint goes on announcing itself is known only seconds later. Ruled out: simultaneous crashes (the losses are spread over a second, with their engines alive).

Change: after a broken connection the gate opens a new one to the endpoint, once for all losses of that endpoint, and reports them only if it is refused. An open one goes to the pool.

--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -1,6 +1,7 @@
 //! The gate's links to the keepers: receives plans, versions and endpoints, and queries the leader's scheduler
 //! for routing decisions.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -370,9 +371,10 @@
         Some(hit.subject)
     }
 
-    /// Reports that an endpoint was lost while it ran a request, unless the endpoint was leaving.
+    /// Reports that an endpoint was lost while it ran a request if the endpoint crashed: it was not leaving, and it
+    /// refuses a new connection. A connection alone may also break by itself.
     pub(crate) fn report_loss(
-        &self,
+        self: &Arc<Keepers>,
         endpoint: &Endpoint,
         fingerprint: &Fingerprint,
         ran: Duration,
@@ -388,8 +390,24 @@
             ran_ms: ran.as_millis() as u32,
             age_ms: 0,
         };
-        self.quarantine.record_loss(loss.clone(), self.view.now());
-        self.send(Frame::Losses(vec![loss]));
+        if self.quarantine.add_unconfirmed(loss, self.view.now()) {
+            tokio::spawn(self.clone().confirm_losses(endpoint.clone()));
+        }
+    }
+
+    /// Opens a connection to an endpoint, and reports the unconfirmed losses of it if the endpoint refuses.
+    async fn confirm_losses(self: Arc<Keepers>, endpoint: Endpoint) {
+        let refused = match self.pool.open(&endpoint).await {
+            Ok(sender) => {
+                self.pool.put(&endpoint.id, sender, None);
+                false
+            }
+            Err(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+        };
+        let losses = self.quarantine.take_unconfirmed(&endpoint.id, refused, self.view.now());
+        if refused {
+            self.send(Frame::Losses(losses));
+        }
     }
 
     /// Reports that a request ended at an endpoint that survived, if it was suspected.
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use base::Map;
+use base::Name;
 use base::Set;
 use fleet::quarantine::Fingerprint;
 use fleet::quarantine::Loss;
@@ -33,7 +34,9 @@
     suspects: Set<Subject>,
     /// The suspects in the order in which they became known; may contain some that have been cleared.
     suspect_order: VecDeque<Subject>,
-    /// The losses at this gate, the oldest first. They are sent to each new leader.
+    /// The losses of endpoints of which it is not yet known whether they crashed.
+    unconfirmed: Map<Name, Vec<(Duration, Loss)>>,
+    /// The losses of crashed endpoints at this gate, the oldest first. They are sent to each new leader.
     losses: VecDeque<(Duration, Loss)>,
 }
 
@@ -81,24 +84,37 @@
         }
     }
 
-    /// Records a loss at this gate.
-    pub(crate) fn record_loss(&self, loss: Loss, now: Duration) {
+    /// Adds a loss at this gate that is to be confirmed; returns whether it is the first one of its endpoint.
+    pub(crate) fn add_unconfirmed(&self, loss: Loss, now: Duration) -> bool {
         let mut inner = self.inner.lock();
-        inner.losses.push_back((now, loss));
-        if inner.losses.len() > MAX_LOSSES {
-            inner.losses.pop_front();
+        let losses = inner.unconfirmed.entry(loss.endpoint.clone()).or_default();
+        losses.push((now, loss));
+        losses.len() == 1
+    }
+
+    /// Takes the unconfirmed losses of an endpoint, and records them if the endpoint has crashed.
+    pub(crate) fn take_unconfirmed(
+        &self,
+        endpoint: &Name,
+        crashed: bool,
+        now: Duration,
+    ) -> Vec<Loss> {
+        let mut inner = self.inner.lock();
+        let taken = inner.unconfirmed.remove(endpoint).unwrap_or_default();
+        if crashed {
+            inner.losses.extend(taken.iter().cloned());
+            while inner.losses.len() > MAX_LOSSES {
+                inner.losses.pop_front();
+            }
         }
+        taken.iter().map(|(at, loss)| aged(loss, *at, now)).collect()
     }
 
     /// Returns the recent losses at this gate, with their age.
     pub(crate) fn losses(&self, now: Duration) -> Vec<Loss> {
         let mut inner = self.inner.lock();
         inner.losses.retain(|(at, _)| now < *at + LOSS_RETENTION);
-        let losses = inner.losses.iter().map(|(at, loss)| Loss {
-            age_ms: now.saturating_sub(*at).as_millis() as u32,
-            ..loss.clone()
-        });
-        losses.collect()
+        inner.losses.iter().map(|(at, loss)| aged(loss, *at, now)).collect()
     }
 
     /// Clears a request that ended at an endpoint that survived; returns those of its subjects that were suspected.
@@ -117,3 +133,8 @@
         cleared
     }
 }
+
+/// Returns a loss with its age.
+fn aged(loss: &Loss, at: Duration, now: Duration) -> Loss {
+    Loss { age_ms: now.saturating_sub(at).as_millis() as u32, ..loss.clone() }
+}
