quarantine: crashes at the same time do not speak against a part alone

Cause: each wave counted as a crash that the part may have caused, though most engines that crashed with it did not run it. Ruled out: losses at engines that live on (all engines refused connections).

Change: a crash does not count against a part if most crashes within 100 ms had no request with the part in progress. The new test with five waves failed before.

--- a/crates/quarantine/src/detector.rs
+++ b/crates/quarantine/src/detector.rs
@@ -15,6 +15,8 @@
 const MIN_CRASHES: usize = 3;
 /// The time after a crash within which all gates have reported what was in progress.
 const SETTLE_TIME: Duration = Duration::from_millis(200);
+/// The time between crashes within which they may have a common cause, such as the loss of a host.
+const COINCIDENCE: Duration = Duration::from_millis(100);
 /// The time that an endpoint must live on after the end of a request that it survived.
 const SURVIVAL_TIME: Duration = Duration::from_millis(500);
 /// The time after which a crash is no longer counted.
@@ -188,8 +190,9 @@
     /// Returns the time of the crash that completes the evidence against a subject.
     ///
     /// A request is judged by the number of endpoints that crashed while they ran it. Parts of prompts are shared, so
-    /// that a crash of many endpoints at a time has many parts in progress; for them a crash counts only with a request
-    /// that differs from those before and was sent after the crash before.
+    /// that many are in progress when many endpoints crash at a time; for them a crash counts only with a request that
+    /// differs from those before and was sent after the crash before, and not if most crashes at that time had no such
+    /// request in progress.
     fn decisive_crash(&self, subject: Subject) -> Option<Duration> {
         let suspicion = self.suspicions.get(&subject)?;
         let survived = suspicion
@@ -205,9 +208,12 @@
             let mut runs = suspicion.runs.iter().filter(|run| run.crash == crash.number);
             let counts = match subject {
                 Subject::Request(_) => runs.next().is_some(),
-                Subject::Part(_) => runs
-                    .filter(|run| last.is_none_or(|last| run.sent > last))
-                    .any(|run| requests.insert(run.request)),
+                Subject::Part(_) => {
+                    self.explains_coincident(crash, suspicion)
+                        && runs
+                            .filter(|run| last.is_none_or(|last| run.sent > last))
+                            .any(|run| requests.insert(run.request))
+                }
             };
             if counts {
                 count += 1;
@@ -220,6 +226,18 @@
         None
     }
 
+    /// Returns whether a subject was in progress at half or more of the crashes at the time of a crash.
+    fn explains_coincident(&self, crash: &Crash, suspicion: &Suspicion) -> bool {
+        let coincident =
+            self.crashes.iter().filter(|other| other.at.abs_diff(crash.at) <= COINCIDENCE);
+        let (mut all, mut explained) = (0, 0);
+        for other in coincident {
+            all += 1;
+            explained += usize::from(suspicion.runs.iter().any(|run| run.crash == other.number));
+        }
+        explained * 2 >= all
+    }
+
     /// Returns whether an endpoint crashed soon after it had ended a request at the time `at`.
     fn crashed_after(&self, survival: &Survival, at: Duration) -> bool {
         self.crashes.iter().any(|crash| {
--- a/crates/quarantine/tests/detector.rs
+++ b/crates/quarantine/tests/detector.rs
@@ -226,6 +226,22 @@
     assert_eq!(cell.judge(ms(21_000)), []);
 }
 
+// Guards against the quarantine of a rare part that is in progress each time that many engines crash.
+#[test]
+fn repeated_simultaneous_crashes_do_not_suffice_to_quarantine_a_part() {
+    let mut cell = Cell::default();
+    for wave in 1..=5 {
+        for number in 0..6 {
+            let endpoint = format!("wave-{wave}-{number}");
+            let subject = if number < 2 { SOUND } else { SOUND + 1 + number };
+            let now = ms(10_000 * wave + 10 * number);
+            cell.lose_new(&endpoint, &[SHARED, subject], now);
+        }
+        cell.survive("x", &[Subject::Part(SHARED)], ms(10_000 * wave + 2_000));
+        assert_eq!(cell.judge(ms(10_000 * wave + 3_000)), []);
+    }
+}
+
 #[test]
 fn a_part_is_not_quarantined_for_a_request_that_crashes_endpoints() {
     let mut cell = Cell::default();
