quarantine: an answer that has gone on for 500 ms speaks for its request

Cause: only the end of a request counted for it, though the streams in progress had been answered for up to seconds. Ruled out: lost reports (each wave is complete in the leader's log).

Change: a loss says for how long its response had been arriving; from 500 ms on it clears the request and its parts.

--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -378,6 +378,7 @@
         endpoint: &Endpoint,
         fingerprint: &Fingerprint,
         ran: Duration,
+        answering: Duration,
     ) {
         let known = self.view.endpoints();
         if known.get(&endpoint.id).is_none_or(|known| known.born != endpoint.born) {
@@ -388,6 +389,7 @@
             born: endpoint.born,
             fingerprint: fingerprint.clone(),
             ran_ms: ran.as_millis() as u32,
+            answering_ms: answering.as_millis() as u32,
             age_ms: 0,
         };
         if self.quarantine.add_unconfirmed(loss, self.view.now()) {
--- a/crates/edge/src/tracker.rs
+++ b/crates/edge/src/tracker.rs
@@ -26,7 +26,8 @@
     endpoint: Endpoint,
     fingerprint: Arc<Fingerprint>,
     sent: Instant,
-    started: bool,
+    /// When the first bytes of the response body arrived.
+    began: Option<Instant>,
     /// The origin to record when the stream begins, if it can be resumed.
     origin: Option<Origin>,
     outcome: Outcome,
@@ -59,7 +60,7 @@
             endpoint: endpoint.clone(),
             fingerprint: fingerprint.clone(),
             sent: Instant::now(),
-            started: false,
+            began: None,
             origin: None,
             // A request that is dropped before it ends was cancelled by its caller.
             outcome: Outcome::Cancelled,
@@ -69,9 +70,10 @@
 
     /// Records the first bytes of the response body.
     pub(crate) fn record_first_byte(&mut self) {
-        if std::mem::replace(&mut self.started, true) {
+        if self.began.is_some() {
             return;
         }
+        self.began = Some(Instant::now());
         if let Some(origin) = self.origin.take() {
             self.keepers.record_origin(&origin);
         }
@@ -144,7 +146,9 @@
             Fate::Unknown => {}
             Fate::Survived => self.keepers.report_survival(&self.endpoint, &self.fingerprint),
             Fate::Lost => {
-                self.keepers.report_loss(&self.endpoint, &self.fingerprint, self.sent.elapsed());
+                let ran = self.sent.elapsed();
+                let answering = self.began.map(|began| began.elapsed()).unwrap_or_default();
+                self.keepers.report_loss(&self.endpoint, &self.fingerprint, ran, answering);
             }
         }
     }
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -64,6 +64,8 @@
     pub fingerprint: Fingerprint,
     /// The time from sending the request to the loss, in ms.
     pub ran_ms: u32,
+    /// The time from the first bytes of the response to the loss, in ms; 0 if there were none.
+    pub answering_ms: u32,
     /// The time since the loss, in ms.
     pub age_ms: u32,
 }
--- a/crates/quarantine/src/detector.rs
+++ b/crates/quarantine/src/detector.rs
@@ -17,7 +17,7 @@
 const SETTLE_TIME: Duration = Duration::from_millis(200);
 /// The time between crashes within which they may have a common cause, such as the loss of a host.
 const COINCIDENCE: Duration = Duration::from_millis(100);
-/// The time that an endpoint must live on after the end of a request that it survived.
+/// The time for which an endpoint must answer a request, or live on after its end, to have survived it.
 const SURVIVAL_TIME: Duration = Duration::from_millis(500);
 /// The time after which a crash is no longer counted.
 const RETENTION: Duration = Duration::from_secs(600);
@@ -61,8 +61,16 @@
 struct Suspicion {
     /// The runs that were in progress at crashes, in the order of the reports.
     runs: VecDeque<Run>,
-    /// The ends of requests with the subject at endpoints that seemed to survive, in the order of the reports.
-    survivals: VecDeque<(Duration, Survival)>,
+    /// The requests with the subject that endpoints survived, in the order of the reports.
+    survived: VecDeque<Survived>,
+}
+
+/// A request that an endpoint survived.
+#[derive(Clone, Debug)]
+struct Survived {
+    at: Duration,
+    /// The endpoint that ended the request and its start time, if it must also live on afterwards.
+    endpoint: Option<(Name, u64)>,
 }
 
 /// A request in progress at a crash.
@@ -93,7 +101,9 @@
             return Vec::new();
         };
         let sent = crash.at.saturating_sub(Duration::from_millis(u64::from(loss.ran_ms)));
+        let at = crash.at;
         let run = Run { crash: crash.number, request: loss.fingerprint.request, sent };
+        let answered = Duration::from_millis(u64::from(loss.answering_ms)) >= SURVIVAL_TIME;
         let mut new = Vec::new();
         for subject in loss.fingerprint.subjects() {
             let suspicion = self.suspicions.entry(subject).or_default();
@@ -103,6 +113,9 @@
             }
             if known.all(|known| known.request != run.request) {
                 push_bounded(&mut suspicion.runs, run.clone());
+                if answered {
+                    push_bounded(&mut suspicion.survived, Survived { at, endpoint: None });
+                }
                 self.unjudged.insert(subject);
             }
         }
@@ -144,7 +157,8 @@
     pub fn record_survival(&mut self, survival: &Survival, now: Duration) {
         for subject in &survival.subjects {
             if let Some(suspicion) = self.suspicions.get_mut(subject) {
-                push_bounded(&mut suspicion.survivals, (now, survival.clone()));
+                let endpoint = Some((survival.endpoint.clone(), survival.born));
+                push_bounded(&mut suspicion.survived, Survived { at: now, endpoint });
             }
         }
     }
@@ -195,12 +209,8 @@
     /// request in progress.
     fn decisive_crash(&self, subject: Subject) -> Option<Duration> {
         let suspicion = self.suspicions.get(&subject)?;
-        let survived = suspicion
-            .survivals
-            .iter()
-            .filter(|(at, survival)| !self.crashed_after(survival, *at))
-            .map(|(at, _)| *at)
-            .max();
+        let survived = suspicion.survived.iter().filter(|survived| self.is_confirmed(survived));
+        let survived = survived.map(|survived| survived.at).max();
         let mut requests = Set::default();
         let mut count = 0;
         let mut last: Option<Duration> = None;
@@ -238,12 +248,14 @@
         explained * 2 >= all
     }
 
-    /// Returns whether an endpoint crashed soon after it had ended a request at the time `at`.
-    fn crashed_after(&self, survival: &Survival, at: Duration) -> bool {
-        self.crashes.iter().any(|crash| {
-            crash.endpoint == survival.endpoint
-                && crash.born == survival.born
-                && crash.at <= at + SURVIVAL_TIME
+    /// Returns whether an endpoint survived a request and did not crash soon afterwards.
+    fn is_confirmed(&self, survived: &Survived) -> bool {
+        let Some((endpoint, born)) = &survived.endpoint else { return true };
+        let mut crashes = self.crashes.iter();
+        !crashes.any(|crash| {
+            crash.endpoint == *endpoint
+                && crash.born == *born
+                && crash.at <= survived.at + SURVIVAL_TIME
         })
     }
 
--- a/crates/quarantine/tests/detector.rs
+++ b/crates/quarantine/tests/detector.rs
@@ -45,11 +45,22 @@
         parts: &[u64],
         now: Duration,
     ) {
-        let fingerprint = Fingerprint { request, parts: parts.to_vec() };
         let ran_ms = run.as_millis() as u32;
-        let endpoint = Name::from(endpoint);
-        let loss = Loss { endpoint, born: 1, fingerprint, ran_ms, age_ms: 0 };
-        self.detector.record(&loss, now);
+        self.detector.record(&Loss { ran_ms, ..loss(endpoint, request, parts) }, now);
+    }
+
+    /// Reports the loss of an endpoint that had been answering a request, unlike any other, for a time.
+    fn lose_answering(
+        &mut self,
+        answering: Duration,
+        endpoint: &str,
+        parts: &[u64],
+        now: Duration,
+    ) {
+        self.requests += 1;
+        let answering_ms = answering.as_millis() as u32;
+        let loss = loss(endpoint, 1_000 + self.requests, parts);
+        self.detector.record(&Loss { answering_ms, ran_ms: answering_ms, ..loss }, now);
     }
 
     /// Reports the loss of an endpoint under a request unlike any other.
@@ -70,6 +81,18 @@
     }
 }
 
+/// Returns a loss of which the response had not begun.
+fn loss(endpoint: &str, request: u64, parts: &[u64]) -> Loss {
+    Loss {
+        endpoint: Name::from(endpoint),
+        born: 1,
+        fingerprint: Fingerprint { request, parts: parts.to_vec() },
+        ran_ms: RUN.as_millis() as u32,
+        answering_ms: 0,
+        age_ms: 0,
+    }
+}
+
 #[test]
 fn a_request_is_quarantined_after_three_crashes() {
     let mut cell = Cell::default();
@@ -111,10 +134,7 @@
     for endpoint in ["a", "b"] {
         cell.lose(endpoint, OTHER, &[], ms(1_000));
     }
-    let fingerprint = Fingerprint { request: POISON, parts: Vec::new() };
-    let endpoint = Name::from("c");
-    let loss = Loss { endpoint, born: 1, fingerprint, ran_ms: 100, age_ms: 0 };
-    cell.detector.record_explained(&loss, ms(2_000));
+    cell.detector.record_explained(&loss("c", POISON, &[]), ms(2_000));
     cell.lose("c", OTHER, &[], ms(2_000));
     assert_eq!(cell.judge(ms(2_000)), []);
 }
@@ -162,9 +182,7 @@
 #[test]
 fn a_loss_before_the_retention_is_ignored() {
     let mut cell = Cell::default();
-    let fingerprint = Fingerprint { request: POISON, parts: Vec::new() };
-    let endpoint = Name::from("a");
-    let old = Loss { endpoint, born: 1, fingerprint, ran_ms: 100, age_ms: 600_000 };
+    let old = Loss { age_ms: 600_000, ..loss("a", POISON, &[]) };
     assert!(cell.detector.record(&old, ms(700_000)).is_empty());
     cell.lose("b", POISON, &[], ms(700_000));
     cell.lose("c", POISON, &[], ms(1_400_000));
@@ -242,6 +260,19 @@
     }
 }
 
+// Guards against the quarantine of a shared part when no request ends between crashes.
+#[test]
+fn a_part_of_a_stream_that_has_gone_on_for_a_while_is_not_quarantined() {
+    let mut cell = Cell::default();
+    for (number, endpoint) in ["a", "b", "c", "d", "e"].into_iter().enumerate() {
+        let now = ms(5_000 * (number as u64 + 1));
+        cell.lose_answering(ms(100), endpoint, &[SHARED], now);
+        cell.lose_answering(ms(600), endpoint, &[SHARED], now);
+        cell.lose_answering(ms(100), endpoint, &[SHARED], now);
+        assert_eq!(cell.judge(now), []);
+    }
+}
+
 #[test]
 fn a_part_is_not_quarantined_for_a_request_that_crashes_endpoints() {
     let mut cell = Cell::default();
