--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -184,15 +184,15 @@
             }
             self.links.broadcast_to_gates(&Frame::Versions(versions));
         }
-        if self.sent_quarantine.as_ref() != Some(&state.quarantine) {
-            self.sent_quarantine = Some(state.quarantine.clone());
+        if self.sent_quarantine.as_ref() != Some(state.quarantine()) {
+            self.sent_quarantine = Some(state.quarantine().clone());
             self.broadcast_quarantine(state);
         }
     }
 
     fn broadcast_quarantine(&self, state: &State) {
         if let Some(leadership) = &self.leadership {
-            let subjects = leadership.quarantine.subjects(&state.quarantine);
+            let subjects = leadership.quarantine.subjects(state.quarantine());
             self.links.broadcast_to_gates(&Frame::Quarantine(subjects));
         }
     }
@@ -201,7 +201,7 @@
     pub(crate) fn record_losses(&mut self, losses: &[Loss], state: &State) {
         let now = self.now();
         let Some(leadership) = &mut self.leadership else { return };
-        let suspects = leadership.quarantine.record_losses(losses, &state.quarantine, now);
+        let suspects = leadership.quarantine.record_losses(losses, state.quarantine(), now);
         if !suspects.is_empty() {
             self.links.broadcast_to_gates(&Frame::Suspects(suspects));
         }
@@ -232,7 +232,7 @@
             self.broadcast_quarantine(state);
         }
         let Some(leadership) = &mut self.leadership else { return Vec::new() };
-        leadership.quarantine.commands(&state.quarantine, now)
+        leadership.quarantine.commands(state.quarantine(), now)
     }
 
     pub(crate) fn welcome(&self) -> Welcome {
@@ -266,7 +266,7 @@
             return;
         }
         // Before the plan, without which the gate serves no requests.
-        link.send(Frame::Quarantine(leadership.quarantine.subjects(&state.quarantine)));
+        link.send(Frame::Quarantine(leadership.quarantine.subjects(state.quarantine())));
         if let Some(plan) = &state.plan {
             link.send(Frame::Plan(plan.clone()));
         }
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -306,7 +306,7 @@
             drop(coordinator);
             self.metrics.state.with_label_values(&["gates"]).set(gates);
             self.metrics.state.with_label_values(&["endpoints"]).set(endpoints);
-            let quarantined = self.state.read().quarantine.iter().count() as i64;
+            let quarantined = self.state.read().quarantine().iter().count() as i64;
             self.metrics.state.with_label_values(&["quarantined"]).set(quarantined);
             self.update_quarantine();
             self.wake_scheduler();
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod engines;
 pub mod lease;
 pub mod settings;
+pub mod state;
 
 mod acceptor;
 mod calls;
@@ -23,7 +24,6 @@
 mod peers;
 mod quarantine;
 mod replica;
-mod state;
 mod storage;
 mod thread;
 mod tolerance;
--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -14,9 +14,10 @@
 
 /// A command that changes the state.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) enum Command {
+pub enum Command {
     /// Puts a plan into force unless a newer one already is.
     Publish {
+        /// The plan.
         plan: Arc<Plan>,
         /// The plan document as received, before parsing.
         document: Bytes,
@@ -31,12 +32,12 @@
 
 /// The replicated state.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub(crate) struct State {
+pub struct State {
     pub(crate) plan: Option<Arc<Plan>>,
     /// The plan document as received, before parsing.
     pub(crate) document: Option<Bytes>,
     versions: Map<(Name, Name), u64>,
-    pub(crate) quarantine: List,
+    quarantine: List,
 }
 
 /// The state as snapshots contained it before there was a quarantine.
@@ -49,7 +50,7 @@
 
 impl State {
     /// Decodes a snapshot, which an earlier release may have written.
-    pub(crate) fn decode(snapshot: &[u8]) -> Result<State, postcard::Error> {
+    pub fn decode(snapshot: &[u8]) -> Result<State, postcard::Error> {
         postcard::from_bytes(snapshot).or_else(|error| {
             let former = postcard::from_bytes(snapshot).map_err(|_| error)?;
             let Former { plan, document, versions } = former;
@@ -58,7 +59,7 @@
     }
 
     /// Applies a command. Returns whether it changed the state.
-    pub(crate) fn apply(&mut self, command: Command) -> bool {
+    pub fn apply(&mut self, command: Command) -> bool {
         match command {
             Command::Publish { plan, document } => {
                 let current = self.plan.as_ref().map(|plan| plan.version);
@@ -80,8 +81,13 @@
         }
     }
 
+    /// Returns the quarantined subjects.
+    pub fn quarantine(&self) -> &List {
+        &self.quarantine
+    }
+
     /// Returns the adapter versions in force.
-    pub(crate) fn versions(&self) -> Vec<Version> {
+    pub fn versions(&self) -> Vec<Version> {
         let versions = self.versions.iter().map(|((model, adapter), version)| Version {
             model: model.clone(),
             adapter: adapter.clone(),
