edge: the end of a connection that ends a response may be a crash

An engine that crashes after a whole event of a stream with neither a length nor chunks looks as if it had ended the stream.

Change: after such a response the gate asks the endpoint for a new connection, as after a broken one. The connection is used for the next request, which would need one anyway.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -151,7 +151,7 @@
             Buffered::Whole(body) => {
                 source.scan(&body);
                 if source.is_truncated() {
-                    tracker.record_truncation(source.framing);
+                    tracker.record_end(Outcome::Lost, source.framing);
                     return Err(TRUNCATED.to_owned());
                 }
                 tracker.record_end(outcome, source.framing);
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -162,7 +162,7 @@
     /// Ends the response; returns an error if it is a stream that the endpoint broke off.
     fn end(&mut self) -> io::Result<()> {
         if self.source.is_truncated() {
-            self.tracker.record_truncation(self.source.framing);
+            self.tracker.record_end(Outcome::Lost, self.source.framing);
             return Err(self.fail(TRUNCATED));
         }
         self.finish();
--- a/crates/edge/src/tracker.rs
+++ b/crates/edge/src/tracker.rs
@@ -40,8 +40,8 @@
     Unknown,
     /// The endpoint ended the response itself.
     Survived,
-    /// The connection broke, as it does if the endpoint crashes.
-    Lost,
+    /// The connection ended, as it does if the endpoint crashes.
+    Disconnected,
 }
 
 impl Tracker {
@@ -96,22 +96,16 @@
     /// Records that the connection broke before the response was complete.
     pub(crate) fn record_break(&mut self) {
         self.outcome = Outcome::Lost;
-        self.fate = Fate::Lost;
+        self.fate = Fate::Disconnected;
     }
 
-    /// Records the end of the response. The end of a connection does not show that the endpoint survived.
+    /// Records the end of the response. If that is the end of its connection, the endpoint may have crashed.
     pub(crate) fn record_end(&mut self, outcome: Outcome, framing: Framing) {
         self.outcome = outcome;
-        self.fate = if framing == Framing::Close { Fate::Unknown } else { Fate::Survived };
-    }
-
-    /// Records the end of a stream inside an event. If the end of its connection was the only end that it has, the
-    /// endpoint may have crashed.
-    pub(crate) fn record_truncation(&mut self, framing: Framing) {
-        match framing {
-            Framing::Close => self.record_break(),
-            _ => self.record_end(Outcome::Lost, framing),
-        }
+        self.fate = match framing {
+            Framing::Close => Fate::Disconnected,
+            _ => Fate::Survived,
+        };
     }
 
     /// Records the number of requests that the endpoint reported.
@@ -145,7 +139,7 @@
         match self.fate {
             Fate::Unknown => {}
             Fate::Survived => self.keepers.report_survival(&self.endpoint, &self.fingerprint),
-            Fate::Lost => {
+            Fate::Disconnected => {
                 let ran = self.sent.elapsed();
                 let answering = self.began.map(|began| began.elapsed()).unwrap_or_default();
                 self.keepers.report_loss(&self.endpoint, &self.fingerprint, ran, answering);
