quarantine: a part that is still asked for is tried again

Change: 60 s after the verdict, then after four times as long each, the leader asks one gate that refused the part to admit a single request. An engine that ends it and lives on for 500 ms acquits the part; so does the end of a request that was in progress at the verdict.

--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -216,10 +216,21 @@
     }
 
     /// Records that a gate refused a request with a quarantined subject. Ignored unless this keeper leads.
-    pub(crate) fn record_quarantine_hit(&mut self, subject: Subject) {
+    pub(crate) fn record_quarantine_hit(&mut self, link_id: u64, subject: Subject) {
         let now = self.now();
         if let Some(leadership) = &mut self.leadership {
-            leadership.quarantine.record_refusal(subject, now);
+            leadership.quarantine.record_refusal(subject, link_id, now);
+        }
+    }
+
+    /// Asks gates for the trials of quarantined subjects that are due.
+    fn start_trials(&mut self) {
+        let now = self.now();
+        let Some(leadership) = &mut self.leadership else { return };
+        for (gate, subject) in leadership.quarantine.trials(now) {
+            if let Some(node) = self.links.get(gate) {
+                node.link.send(Frame::Trial(subject));
+            }
         }
     }
 
@@ -231,6 +242,7 @@
         if leadership.quarantine.judge(now) {
             self.broadcast_quarantine(state);
         }
+        self.start_trials();
         let Some(leadership) = &mut self.leadership else { return Vec::new() };
         leadership.quarantine.commands(state.quarantine(), now)
     }
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -222,7 +222,7 @@
             }
             Frame::Survived(survival) => self.coordinator.lock().record_survival(&survival),
             Frame::QuarantineHit(subject) => {
-                self.coordinator.lock().record_quarantine_hit(subject);
+                self.coordinator.lock().record_quarantine_hit(link_id, subject);
             }
             frame => {
                 if self.pass_to_scheduler(link_id, frame) {
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod engines;
 pub mod lease;
+pub mod quarantine;
 pub mod settings;
 pub mod state;
 
@@ -22,7 +23,6 @@
 mod links;
 mod metrics;
 mod peers;
-mod quarantine;
 mod replica;
 mod storage;
 mod thread;
--- a/crates/cell/src/quarantine.rs
+++ b/crates/cell/src/quarantine.rs
@@ -9,34 +9,71 @@
 use fleet::quarantine::Subject;
 use fleet::quarantine::Survival;
 use quarantine::Detector;
+use quarantine::SURVIVAL_TIME;
 use quarantine::Verdict;
 
 use crate::state::Command;
 
 /// The time after its last refused request when a subject is released.
 const RELEASE_AFTER: Duration = Duration::from_secs(600);
+/// The time from the verdict on a part to its first trial; each further delay is [`TRIAL_BACKOFF`] times as long.
+const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(60);
+const TRIAL_BACKOFF: u32 = 4;
+/// The time within which a gate must have refused a request to be asked for a trial. Gates report a refusal every ten
+/// seconds.
+const TRIAL_DEMAND: Duration = Duration::from_secs(15);
 /// The time after which a proposal that has not been applied is repeated.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The quarantine as the leader of a term knows it.
 #[derive(Debug, Default)]
-pub(crate) struct Quarantine {
+pub struct Quarantine {
     detector: Detector,
     /// The subjects that are quarantined by this leader and not yet by the replicated state, with the time of the latest
     /// proposal.
     pending: Map<Subject, Option<Duration>>,
-    /// When a request with each replicated subject was last refused, or when the subject became known here.
-    last_refused: Map<Subject, Duration>,
+    /// The replicated subjects.
+    entries: Map<Subject, Entry>,
+    /// The trials that an endpoint has ended, until it is known whether it lives on.
+    survived: Vec<(Duration, Survival)>,
+}
+
+/// A quarantined subject.
+#[derive(Debug)]
+struct Entry {
+    /// When a request was last refused, or when the subject became known here.
+    last_refused: Duration,
+    /// The link to the gate that refused it.
+    gate: Option<u64>,
+    next_trial: Duration,
+    trial_delay: Duration,
+}
+
+impl Entry {
+    fn new(now: Duration) -> Entry {
+        Entry {
+            last_refused: now,
+            gate: None,
+            next_trial: now + FIRST_TRIAL_DELAY,
+            trial_delay: FIRST_TRIAL_DELAY,
+        }
+    }
+
+    /// Returns the gate for a trial if one is due and there is demand.
+    fn start_trial(&mut self, now: Duration) -> Option<u64> {
+        let gate = self.gate.filter(|_| now < self.last_refused + TRIAL_DEMAND)?;
+        if now < self.next_trial {
+            return None;
+        }
+        self.trial_delay *= TRIAL_BACKOFF;
+        self.next_trial = now + self.trial_delay;
+        Some(gate)
+    }
 }
 
 impl Quarantine {
     /// Handles the losses that a gate reports; returns the subjects that gates should suspect.
-    pub(crate) fn record_losses(
-        &mut self,
-        losses: &[Loss],
-        list: &List,
-        now: Duration,
-    ) -> Vec<Subject> {
+    pub fn record_losses(&mut self, losses: &[Loss], list: &List, now: Duration) -> Vec<Subject> {
         let mut suspects = Vec::new();
         for loss in losses {
             if loss.fingerprint.subjects().any(|subject| self.contains(subject, list)) {
@@ -60,7 +97,7 @@
     }
 
     /// Quarantines the subjects against which there is enough evidence; returns whether there are any.
-    pub(crate) fn judge(&mut self, now: Duration) -> bool {
+    pub fn judge(&mut self, now: Duration) -> bool {
         let verdicts = self.detector.poll(now);
         for Verdict { subject, endpoints } in &verdicts {
             base::event!(
@@ -71,31 +108,45 @@
         !verdicts.is_empty()
     }
 
-    /// Records that an endpoint ended the response to a suspected request.
-    pub(crate) fn record_survival(&mut self, survival: &Survival, now: Duration) {
+    /// Records that an endpoint ended the response to a suspected request, or to one with a quarantined subject.
+    pub fn record_survival(&mut self, survival: &Survival, now: Duration) {
         self.detector.record_survival(survival, now);
+        if survival.subjects.iter().any(|subject| self.entries.contains_key(subject)) {
+            self.survived.push((now, survival.clone()));
+        }
     }
 
     /// Handles an endpoint's announcement.
-    pub(crate) fn endpoint_announced(&mut self, endpoint: &str, born: u64, now: Duration) {
+    pub fn endpoint_announced(&mut self, endpoint: &str, born: u64, now: Duration) {
         self.detector.endpoint_announced(endpoint, born, now);
     }
 
     /// Records that a request with a quarantined subject was refused.
-    pub(crate) fn record_refusal(&mut self, subject: Subject, now: Duration) {
-        self.last_refused.insert(subject, now);
+    pub fn record_refusal(&mut self, subject: Subject, gate: u64, now: Duration) {
+        if let Some(entry) = self.entries.get_mut(&subject) {
+            entry.last_refused = now;
+            entry.gate = Some(gate);
+        }
+    }
+
+    /// Returns the parts of which a single request is to be admitted now, each with the link to the gate. A request that
+    /// crashes endpoints is not tried again: its quarantine covers nothing else.
+    pub fn trials(&mut self, now: Duration) -> Vec<(u64, Subject)> {
+        let parts =
+            self.entries.iter_mut().filter(|(subject, _)| matches!(subject, Subject::Part(_)));
+        parts.filter_map(|(subject, entry)| Some((entry.start_trial(now)?, *subject))).collect()
     }
 
     /// Returns the subjects whose requests gates must refuse.
-    pub(crate) fn subjects(&self, list: &List) -> Vec<Subject> {
+    pub fn subjects(&self, list: &List) -> Vec<Subject> {
         let pending = self.pending.keys().copied().filter(|subject| !list.contains(*subject));
         list.iter().chain(pending).collect()
     }
 
     /// Returns the commands to propose now.
-    pub(crate) fn commands(&mut self, list: &List, now: Duration) -> Vec<Command> {
+    pub fn commands(&mut self, list: &List, now: Duration) -> Vec<Command> {
         self.pending.retain(|subject, _| !list.contains(*subject));
-        self.last_refused.retain(|subject, _| list.contains(*subject));
+        self.entries.retain(|subject, _| list.contains(*subject));
         let mut commands = Vec::new();
         for (subject, proposed) in &mut self.pending {
             if proposed.is_none_or(|at| now >= at + PROPOSAL_TIMEOUT) {
@@ -104,15 +155,29 @@
             }
         }
         for subject in list.iter() {
-            let last_refused = self.last_refused.entry(subject).or_insert(now);
-            if now >= *last_refused + RELEASE_AFTER {
-                *last_refused = now;
+            let entry = self.entries.entry(subject).or_insert_with(|| Entry::new(now));
+            if now >= entry.last_refused + RELEASE_AFTER {
+                entry.last_refused = now;
                 commands.push(Command::Release(subject));
             }
         }
+        let acquitted = self.acquitted(now);
+        commands.extend(
+            acquitted.into_iter().filter(|subject| list.contains(*subject)).map(Command::Release),
+        );
         commands
     }
 
+    /// Returns the subjects whose trial an endpoint has survived.
+    fn acquitted(&mut self, now: Duration) -> Vec<Subject> {
+        let due = |(at, _): &mut (Duration, Survival)| now >= *at + SURVIVAL_TIME;
+        let due: Vec<(Duration, Survival)> = self.survived.extract_if(.., due).collect();
+        let survived = due
+            .into_iter()
+            .filter(|(_, survival)| !self.detector.has_crashed(&survival.endpoint, survival.born));
+        survived.flat_map(|(_, survival)| survival.subjects).collect()
+    }
+
     fn contains(&self, subject: Subject, list: &List) -> bool {
         list.contains(subject) || self.pending.contains_key(&subject)
     }
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -394,7 +394,14 @@
         if let (Err(_), Some(query)) = (&admitted, &target.query) {
             self.keepers.send(Frame::Withdraw(query.request));
         }
-        admitted.map(|()| target)
+        admitted?;
+        for subject in self.keepers.end_trials(&call.fingerprint) {
+            base::event!(
+                INFO, Event::QuarantineTrial, request = %call.request.id, subject = %subject,
+                endpoint = %target.endpoint.id
+            );
+        }
+        Ok(target)
     }
 
     /// Refuses a request that is quarantined, or whose prompt contains a part that is.
--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -214,6 +214,9 @@
             Frame::Quarantine(subjects) if self.is_leader(address) => {
                 self.quarantine.set_quarantined(&subjects);
             }
+            Frame::Trial(subject) if self.is_leader(address) => {
+                self.quarantine.start_trial(subject);
+            }
             Frame::Suspects(subjects) => self.quarantine.add_suspects(&subjects),
             Frame::Located { lookup, origin, sole_build } => {
                 self.origins.handle_reply(lookup, origin, sole_build);
@@ -362,7 +365,7 @@
         self.in_flight.lock().insert(query.request, InFlight { running, deadline });
     }
 
-    /// Returns the first of a request's subjects that is quarantined, and reports the refusal.
+    /// Returns a quarantined subject for which a request must be refused, and reports the refusal.
     pub(crate) fn quarantined(&self, fingerprint: &Fingerprint) -> Option<Subject> {
         let hit = self.quarantine.check(fingerprint, self.view.now())?;
         if hit.report {
@@ -371,6 +374,11 @@
         Some(hit.subject)
     }
 
+    /// Ends the trials of a request's subjects, because the request is being sent; returns those subjects.
+    pub(crate) fn end_trials(&self, fingerprint: &Fingerprint) -> Vec<Subject> {
+        self.quarantine.end_trials(fingerprint)
+    }
+
     /// Reports that an endpoint was lost while it ran a request if the endpoint crashed: it was not leaving, and it
     /// refuses a new connection. A connection alone may also break by itself.
     pub(crate) fn report_loss(
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -31,5 +31,7 @@
 pub use crate::budget::Limit;
 pub use crate::choose::choose;
 pub use crate::gate::Gate;
+pub use crate::quarantine::Hit;
+pub use crate::quarantine::Quarantine;
 pub use crate::refusal::Refusal;
 pub use crate::view::Stats;
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -22,14 +22,14 @@
 
 /// What a gate knows about requests that crash endpoints.
 #[derive(Debug, Default)]
-pub(crate) struct Quarantine {
+pub struct Quarantine {
     inner: Mutex<Inner>,
 }
 
 #[derive(Debug, Default)]
 struct Inner {
-    /// The quarantined subjects, with the time at which a refusal was last reported.
-    quarantined: Map<Subject, Option<Duration>>,
+    /// The quarantined subjects.
+    quarantined: Map<Subject, Entry>,
     /// The subjects whose end at an endpoint that survives is to be reported.
     suspects: Set<Subject>,
     /// The suspects in the order in which they became known; may contain some that have been cleared.
@@ -40,38 +40,66 @@
     losses: VecDeque<(Duration, Loss)>,
 }
 
+/// A quarantined subject.
+#[derive(Clone, Copy, Debug, Default)]
+struct Entry {
+    /// When a refusal was last reported.
+    reported: Option<Duration>,
+    /// Whether a single request is to be admitted.
+    trial: bool,
+}
+
 /// A quarantined subject of a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct Hit {
-    pub(crate) subject: Subject,
+pub struct Hit {
+    /// The subject.
+    pub subject: Subject,
     /// Whether the refusal is to be reported to the leader.
-    pub(crate) report: bool,
+    pub report: bool,
 }
 
 impl Quarantine {
-    /// Returns the first of a request's subjects that is quarantined.
-    pub(crate) fn check(&self, fingerprint: &Fingerprint, now: Duration) -> Option<Hit> {
+    /// Returns a quarantined subject for which a request must be refused.
+    pub fn check(&self, fingerprint: &Fingerprint, now: Duration) -> Option<Hit> {
         let mut inner = self.inner.lock();
-        let mut subjects = fingerprint.subjects();
-        let subject = subjects.find(|subject| inner.quarantined.contains_key(subject))?;
-        let reported = inner.quarantined.get_mut(&subject)?;
-        let report = reported.is_none_or(|at| now >= at + REFUSAL_INTERVAL);
+        let refused =
+            |subject: &Subject| inner.quarantined.get(subject).is_some_and(|entry| !entry.trial);
+        let subject = fingerprint.subjects().find(refused)?;
+        let entry = inner.quarantined.get_mut(&subject)?;
+        let report = entry.reported.is_none_or(|at| now >= at + REFUSAL_INTERVAL);
         if report {
-            *reported = Some(now);
+            entry.reported = Some(now);
         }
         Some(Hit { subject, report })
     }
 
+    /// Ends the trials of a request's subjects, because the request is being sent; returns those subjects.
+    pub fn end_trials(&self, fingerprint: &Fingerprint) -> Vec<Subject> {
+        let mut inner = self.inner.lock();
+        let on_trial = |subject: &Subject| {
+            let entry = inner.quarantined.get_mut(subject);
+            entry.is_some_and(|entry| std::mem::take(&mut entry.trial))
+        };
+        fingerprint.subjects().filter(on_trial).collect()
+    }
+
     /// Replaces the quarantined subjects.
-    pub(crate) fn set_quarantined(&self, subjects: &[Subject]) {
+    pub fn set_quarantined(&self, subjects: &[Subject]) {
         let mut inner = self.inner.lock();
         let former = std::mem::take(&mut inner.quarantined);
-        let reported = |subject| former.get(subject).copied().flatten();
-        inner.quarantined = subjects.iter().map(|subject| (*subject, reported(subject))).collect();
+        let entry = |subject| former.get(subject).copied().unwrap_or_default();
+        inner.quarantined = subjects.iter().map(|subject| (*subject, entry(subject))).collect();
+    }
+
+    /// Admits a single request with a quarantined subject.
+    pub fn start_trial(&self, subject: Subject) {
+        if let Some(entry) = self.inner.lock().quarantined.get_mut(&subject) {
+            entry.trial = true;
+        }
     }
 
     /// Adds subjects that were in progress when an endpoint was lost.
-    pub(crate) fn add_suspects(&self, subjects: &[Subject]) {
+    pub fn add_suspects(&self, subjects: &[Subject]) {
         let mut inner = self.inner.lock();
         for subject in subjects {
             if inner.suspects.insert(*subject) {
@@ -85,7 +113,7 @@
     }
 
     /// Adds a loss at this gate that is to be confirmed; returns whether it is the first one of its endpoint.
-    pub(crate) fn add_unconfirmed(&self, loss: Loss, now: Duration) -> bool {
+    pub fn add_unconfirmed(&self, loss: Loss, now: Duration) -> bool {
         let mut inner = self.inner.lock();
         let losses = inner.unconfirmed.entry(loss.endpoint.clone()).or_default();
         losses.push((now, loss));
@@ -93,12 +121,7 @@
     }
 
     /// Takes the unconfirmed losses of an endpoint, and records them if the endpoint has crashed.
-    pub(crate) fn take_unconfirmed(
-        &self,
-        endpoint: &Name,
-        crashed: bool,
-        now: Duration,
-    ) -> Vec<Loss> {
+    pub fn take_unconfirmed(&self, endpoint: &str, crashed: bool, now: Duration) -> Vec<Loss> {
         let mut inner = self.inner.lock();
         let taken = inner.unconfirmed.remove(endpoint).unwrap_or_default();
         if crashed {
@@ -111,18 +134,22 @@
     }
 
     /// Returns the recent losses at this gate, with their age.
-    pub(crate) fn losses(&self, now: Duration) -> Vec<Loss> {
+    pub fn losses(&self, now: Duration) -> Vec<Loss> {
         let mut inner = self.inner.lock();
         inner.losses.retain(|(at, _)| now < *at + LOSS_RETENTION);
         inner.losses.iter().map(|(at, loss)| aged(loss, *at, now)).collect()
     }
 
-    /// Clears a request that ended at an endpoint that survived; returns those of its subjects that were suspected.
-    pub(crate) fn clear(&self, fingerprint: &Fingerprint) -> Vec<Subject> {
+    /// Clears a request that ended at an endpoint that survived; returns those of its subjects that were suspected or
+    /// quarantined.
+    pub fn clear(&self, fingerprint: &Fingerprint) -> Vec<Subject> {
         let mut inner = self.inner.lock();
         let subjects = fingerprint.subjects();
-        let cleared: Vec<Subject> =
-            subjects.filter(|subject| inner.suspects.remove(subject)).collect();
+        let cleared: Vec<Subject> = subjects
+            .filter(|subject| {
+                inner.suspects.remove(subject) || inner.quarantined.contains_key(subject)
+            })
+            .collect();
         if !cleared.is_empty() {
             inner.losses.retain_mut(|(_, loss)| {
                 let is_cleared = |subject| cleared.contains(&subject);
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -103,6 +103,8 @@
     Quarantine(Vec<Subject>),
     /// A gate refused a request with a quarantined subject.
     QuarantineHit(Subject),
+    /// The leader asks one gate to admit a single request with a quarantined subject.
+    Trial(Subject),
 }
 
 /// The sender of the frames on a link.
--- a/crates/quarantine/src/detector.rs
+++ b/crates/quarantine/src/detector.rs
@@ -18,7 +18,7 @@
 /// The time between crashes within which they may have a common cause, such as the loss of a host.
 const COINCIDENCE: Duration = Duration::from_millis(100);
 /// The time for which an endpoint must answer a request, or live on after its end, to have survived it.
-const SURVIVAL_TIME: Duration = Duration::from_millis(500);
+pub const SURVIVAL_TIME: Duration = Duration::from_millis(500);
 /// The time after which a crash is no longer counted.
 const RETENTION: Duration = Duration::from_secs(600);
 /// The limit on remembered crashes; beyond it the oldest are dropped.
@@ -176,6 +176,11 @@
         }
     }
 
+    /// Returns whether an incarnation of an endpoint is known to have crashed.
+    pub fn has_crashed(&self, endpoint: &str, born: u64) -> bool {
+        self.crashes.iter().any(|crash| &*crash.endpoint == endpoint && crash.born == born)
+    }
+
     /// Returns the subjects that are to be quarantined now. Each explains the crashes that it was in progress at. If
     /// several subjects fit, the one with the fewest runs is the most specific, and is judged first.
     pub fn poll(&mut self, now: Duration) -> Vec<Verdict> {
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -4,4 +4,5 @@
 mod detector;
 
 pub use crate::detector::Detector;
+pub use crate::detector::SURVIVAL_TIME;
 pub use crate::detector::Verdict;
