quarantine: subjects at fewer than three crashes are not judged in detail

Cause, read from the code: a pass over all subjects of a crash of many engines compared each with all crashes, quadratic in the crashes for each subject. Ruled out: the reports themselves, which are linear.

No decision changes.

--- a/crates/quarantine/src/detector.rs
+++ b/crates/quarantine/src/detector.rs
@@ -214,20 +214,24 @@
     /// request in progress.
     fn decisive_crash(&self, subject: Subject) -> Option<Duration> {
         let suspicion = self.suspicions.get(&subject)?;
+        let crashes: Set<u64> = suspicion.runs.iter().map(|run| run.crash).collect();
+        if crashes.len() < MIN_CRASHES {
+            return None;
+        }
         let survived = suspicion.survived.iter().filter(|survived| self.is_confirmed(survived));
         let survived = survived.map(|survived| survived.at).max();
         let mut requests = Set::default();
         let mut count = 0;
         let mut last: Option<Duration> = None;
-        for crash in self.crashes.iter().filter(|crash| Some(crash.at) > survived) {
-            let mut runs = suspicion.runs.iter().filter(|run| run.crash == crash.number);
+        let counted = |crash: &&Crash| crashes.contains(&crash.number) && Some(crash.at) > survived;
+        for crash in self.crashes.iter().filter(counted) {
             let counts = match subject {
-                Subject::Request(_) => runs.next().is_some(),
+                Subject::Request(_) => true,
                 Subject::Part(_) => {
+                    let runs = suspicion.runs.iter().filter(|run| run.crash == crash.number);
+                    let mut later = runs.filter(|run| last.is_none_or(|last| run.sent > last));
                     self.explains_coincident(crash, suspicion)
-                        && runs
-                            .filter(|run| last.is_none_or(|last| run.sent > last))
-                            .any(|run| requests.insert(run.request))
+                        && later.any(|run| requests.insert(run.request))
                 }
             };
             if counts {
