--- a/crates/cell/src/quarantine.rs
+++ b/crates/cell/src/quarantine.rs
@@ -4,10 +4,12 @@
 
 use base::Event;
 use base::Map;
+use base::Set;
 use fleet::quarantine::List;
 use fleet::quarantine::Loss;
 use fleet::quarantine::Subject;
 use fleet::quarantine::Survival;
+use fleet::quarantine::format_parts;
 use quarantine::Detector;
 use quarantine::SURVIVAL_TIME;
 use quarantine::Verdict;
@@ -87,7 +89,8 @@
             base::event!(
                 INFO, Event::Implicated, endpoint = %loss.endpoint, born = loss.born,
                 fingerprint = %format_args!("{:016x}", loss.fingerprint.request),
-                parts = ?loss.fingerprint.parts, ran_ms = loss.ran_ms, age_ms = loss.age_ms
+                parts = format_parts(loss.fingerprint.parts.iter().copied()), ran_ms = loss.ran_ms,
+                answering_ms = loss.answering_ms, age_ms = loss.age_ms
             );
             suspects.extend(new);
         }
@@ -145,8 +148,9 @@
 
     /// Returns the commands to propose now.
     pub fn commands(&mut self, list: &List, now: Duration) -> Vec<Command> {
-        self.pending.retain(|subject, _| !list.contains(*subject));
-        self.entries.retain(|subject, _| list.contains(*subject));
+        let listed: Set<Subject> = list.iter().collect();
+        self.pending.retain(|subject, _| !listed.contains(subject));
+        self.entries.retain(|subject, _| listed.contains(subject));
         let mut commands = Vec::new();
         for (subject, proposed) in &mut self.pending {
             if proposed.is_none_or(|at| now >= at + PROPOSAL_TIMEOUT) {
@@ -154,17 +158,15 @@
                 commands.push(Command::Quarantine(*subject));
             }
         }
-        for subject in list.iter() {
-            let entry = self.entries.entry(subject).or_insert_with(|| Entry::new(now));
+        for subject in &listed {
+            let entry = self.entries.entry(*subject).or_insert_with(|| Entry::new(now));
             if now >= entry.last_refused + RELEASE_AFTER {
                 entry.last_refused = now;
-                commands.push(Command::Release(subject));
+                commands.push(Command::Release(*subject));
             }
         }
-        let acquitted = self.acquitted(now);
-        commands.extend(
-            acquitted.into_iter().filter(|subject| list.contains(*subject)).map(Command::Release),
-        );
+        let acquitted = self.acquitted(now).into_iter().filter(|subject| listed.contains(subject));
+        commands.extend(acquitted.map(Command::Release));
         commands
     }
 
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -53,6 +53,12 @@
     }
 }
 
+/// Formats the ids of the parts of a prompt for log lines: in hexadecimal, separated by commas.
+pub fn format_parts(parts: impl Iterator<Item = u64>) -> String {
+    let ids: Vec<String> = parts.map(|part| format!("{part:x}")).collect();
+    ids.join(",")
+}
+
 /// A gate's report that an endpoint's connection broke while the endpoint ran a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Loss {
