edge: choosing a target moves out of the forwarding of requests

The choice of an endpoint, with the scheduler and without it, and the check of the quarantine before and after it are now in target.rs; nothing else changes.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -1,16 +1,12 @@
 //! Forwards a request: matches its route, chooses endpoints and retries failed attempts.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use base::Code;
 use base::Event;
 use base::Name;
 use bytes::Bytes;
-use fleet::endpoint::Endpoint;
-use fleet::message::Frame;
 use fleet::message::Outcome;
-use fleet::message::Query;
 use fleet::origin::Origin;
 use fleet::plan::Kind;
 use fleet::quarantine::Fingerprint;
@@ -33,24 +29,19 @@
 use crate::attempt::Exchange;
 use crate::body::Body;
 use crate::call::Call;
-use crate::choose;
 use crate::framing::Framing;
 use crate::gate::Gate;
-use crate::keepers::Decision;
 use crate::protocol::Dispatch;
 use crate::protocol::Protocol;
 use crate::refusal::Refusal;
 use crate::send;
 use crate::send::Sent;
 use crate::settings::DEFAULT_RETRY_AFTER;
-use crate::settings::LEADER_WAIT_SHARE;
 use crate::settings::MAX_UNSENT;
 use crate::settings::ORIGIN_TIMEOUT;
 use crate::settings::PLAN_WAIT_SHARE;
-use crate::settings::QUARANTINE_RETRY_AFTER;
-use crate::settings::SCHEDULER_QUEUE_SHARE;
-use crate::settings::SCHEDULER_REPLY_MARGIN;
 use crate::settings::STARTUP_TIME;
+use crate::target::Target;
 use crate::tracker::Tracker;
 
 /// The share of the time left until the deadline after which an idempotent request without a response is
@@ -70,15 +61,6 @@
     header::UPGRADE,
 ];
 
-/// The endpoint for an attempt.
-struct Target {
-    endpoint: Endpoint,
-    version: Option<u64>,
-    urgency: Option<u8>,
-    /// The query to the scheduler, if it chose the endpoint.
-    query: Option<Query>,
-}
-
 impl<P: Protocol> Gate<P> {
     /// Serves a request and returns the response, or a refusal as a response.
     pub(crate) async fn handle(
@@ -377,192 +359,6 @@
         self.protocol.set_headers(headers, &dispatch);
         request
     }
-
-    /// Chooses the endpoint for the next attempt. A request that is quarantined, possibly while it waits for an
-    /// engine, gets none.
-    async fn choose_target(
-        self: &Arc<Gate<P>>,
-        call: &Call,
-        excluded: &[Name],
-    ) -> Result<Target, Refusal> {
-        self.check_quarantine(call)?;
-        let target = match call.request.model.clone() {
-            Some(model) => self.schedule(call, model, excluded).await?,
-            None => self.choose_endpoint(call, excluded)?,
-        };
-        let admitted = self.check_quarantine(call);
-        if let (Err(_), Some(query)) = (&admitted, &target.query) {
-            self.keepers.send(Frame::Withdraw(query.request));
-        }
-        admitted?;
-        for subject in self.keepers.end_trials(&call.fingerprint) {
-            base::event!(
-                INFO, Event::QuarantineTrial, request = %call.request.id, subject = %subject,
-                endpoint = %target.endpoint.id
-            );
-        }
-        Ok(target)
-    }
-
-    /// Refuses a request that is quarantined, or whose prompt contains a part that is.
-    fn check_quarantine(&self, call: &Call) -> Result<(), Refusal> {
-        let Some(subject) = self.keepers.quarantined(&call.fingerprint) else { return Ok(()) };
-        base::event!(
-            INFO, Event::QuarantineHit, request = %call.request.id, subject = %subject
-        );
-        Err(Refusal::retryable(Code::Quarantined, QUARANTINE_RETRY_AFTER))
-    }
-
-    /// Chooses an endpoint of a service that has no model engines.
-    fn choose_endpoint(&self, call: &Call, excluded: &[Name]) -> Result<Target, Refusal> {
-        let endpoints = self.view.endpoints();
-        let candidates = endpoints.values().filter(|endpoint| call.admits(endpoint));
-        self.least_loaded(candidates, excluded, None)
-    }
-
-    /// Chooses the endpoint of the lowest cost that is not excluded.
-    fn least_loaded<'a>(
-        &self,
-        endpoints: impl Iterator<Item = &'a Endpoint>,
-        excluded: &[Name],
-        version: Option<u64>,
-    ) -> Result<Target, Refusal> {
-        let now = self.view.now();
-        let domain = &self.settings.domain;
-        let stats = self.view.stats.lock();
-        let tie = rand::random();
-        let chosen = choose::choose(endpoints, &stats, domain, excluded, tie, now);
-        let endpoint = chosen.filter(|endpoint| !excluded.contains(&endpoint.id)).cloned();
-        let endpoint = endpoint.ok_or(Refusal::retryable(Code::NoEndpoint, DEFAULT_RETRY_AFTER))?;
-        Ok(Target { endpoint, version, urgency: None, query: None })
-    }
-
-    /// Queries the scheduler for an engine. Without a decision the gate chooses an engine that holds the
-    /// adapter; if it knows none and there is no leader, it waits for a new leader and repeats the query.
-    async fn schedule(
-        self: &Arc<Gate<P>>,
-        call: &Call,
-        model: Name,
-        excluded: &[Name],
-    ) -> Result<Target, Refusal> {
-        let start = Instant::now();
-        let (mut query, mut decision) = self.request_grant(call, &model, excluded).await;
-        if matches!(decision, Decision::NoLeader | Decision::Timeout) {
-            let target = self.choose_holder(call, &query, excluded);
-            let done = target.is_ok() || matches!(decision, Decision::Timeout);
-            if done || !self.await_leader(call, &query).await {
-                self.observe_decision("unscheduled", start.elapsed());
-                return target;
-            }
-            (query, decision) = self.request_grant(call, &model, excluded).await;
-        }
-        let waited = start.elapsed();
-        match decision {
-            Decision::Grant(grant) => {
-                base::event!(
-                    INFO, Event::Routed, request = %call.request.id, endpoint = %grant.endpoint.id,
-                    build = %grant.endpoint.build, resumes = call.request.resumes.as_deref(),
-                    adapter = %query.adapter, parts = part_ids(&query.parts), urgency = grant.urgency, target_ms = query.target_ms,
-                    waited_ms = waited.as_millis() as u64
-                );
-                self.observe_decision("granted", waited);
-                let urgency = Some(grant.urgency);
-                let (endpoint, version) = (grant.endpoint, grant.version);
-                Ok(Target { endpoint, version, urgency, query: Some(query) })
-            }
-            Decision::Denial(denial) => {
-                self.observe_decision("denied", waited);
-                let retry_after = Duration::from_millis(u64::from(denial.retry_ms));
-                Err(Refusal::retryable(denial.code, retry_after))
-            }
-            Decision::NoLeader | Decision::Timeout => {
-                self.observe_decision("unscheduled", waited);
-                self.choose_holder(call, &query, excluded)
-            }
-        }
-    }
-
-    /// Waits for a new leader, at most for a share of the target latency since the arrival of the request;
-    /// returns false if none is known by then.
-    async fn await_leader(&self, call: &Call, query: &Query) -> bool {
-        let timeout = call.route.target.mul_f64(LEADER_WAIT_SHARE);
-        let timeout = timeout.saturating_sub(call.received.elapsed());
-        base::event!(
-            INFO, Event::Waiting, request = %call.request.id, adapter = %query.adapter,
-            most_ms = timeout.as_millis() as u64, "no engine is known to hold the adapter; waiting for a new leader"
-        );
-        self.keepers.await_leader(timeout).await
-    }
-
-    /// Records the result and the duration of a routing decision.
-    fn observe_decision(&self, result: &str, waited: Duration) {
-        self.metrics.decision_latency.with_label_values(&[result]).observe(waited.as_secs_f64());
-    }
-
-    /// Sends a query to the scheduler; returns it with the decision.
-    async fn request_grant(
-        self: &Arc<Gate<P>>,
-        call: &Call,
-        model: &Name,
-        excluded: &[Name],
-    ) -> (Query, Decision) {
-        let query = self.build_query(call, model, excluded);
-        let timeout = call.route.target.mul_f64(SCHEDULER_QUEUE_SHARE) + SCHEDULER_REPLY_MARGIN;
-        let decision = self.keepers.schedule(query.clone(), timeout).await;
-        (query, decision)
-    }
-
-    /// Chooses an engine that is known to hold the adapter, without the scheduler.
-    fn choose_holder(
-        &self,
-        call: &Call,
-        query: &Query,
-        excluded: &[Name],
-    ) -> Result<Target, Refusal> {
-        let endpoints = self.view.endpoints();
-        let candidates = endpoints.values().filter(|endpoint| {
-            call.admits(endpoint)
-                && self.view.holds(&endpoint.id, &Name::default())
-                && (query.adapter.is_empty() || self.view.holds(&endpoint.id, &query.adapter))
-        });
-        let version = self.view.version(&query.model, &query.adapter);
-        let target = self.least_loaded(candidates, excluded, version);
-        let endpoint = target.as_ref().map(|target| target.endpoint.id.clone()).unwrap_or_default();
-        base::event!(
-            WARN, Event::Unscheduled, request = %call.request.id, adapter = %query.adapter, endpoint = %endpoint
-        );
-        target
-    }
-
-    /// Builds the query to the scheduler, with the time left until target and deadline.
-    fn build_query(&self, call: &Call, model: &Name, excluded: &[Name]) -> Query {
-        let request = &call.request;
-        let now = Instant::now();
-        let left = call.deadline.saturating_duration_since(now);
-        let elapsed = now.saturating_duration_since(call.received);
-        let target = call.route.target.saturating_sub(elapsed);
-        Query {
-            request: self.keepers.next_number(),
-            service: call.service.clone(),
-            model: model.clone(),
-            adapter: request.adapter.clone(),
-            fingerprint: call.fingerprint.request,
-            input: request.input,
-            output: request.output,
-            parts: request.parts.clone(),
-            target_ms: target.as_millis() as u32,
-            left_ms: left.as_millis() as u32,
-            rank: call.route.rank,
-            excluded: excluded.to_vec(),
-            build: call.origin.as_ref().map(|origin| origin.build.clone()),
-        }
-    }
-}
-
-/// Returns the ids of the parts of a prompt, in hexadecimal and separated by commas.
-fn part_ids(parts: &[(u64, u32)]) -> String {
-    let ids: Vec<String> = parts.iter().map(|(id, _)| format!("{id:x}")).collect();
-    ids.join(",")
 }
 
 /// Returns a digest of host, path, query string and body, by which a caller's retries are recognized.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,7 +1,7 @@
 //! The data path of a gate: accepts callers' requests, chooses an endpoint for each, forwards the request
 //! and relays the response.
 //!
-//! Dependencies between the modules go one way: `serve` → `forward` → `choose`, `send`, `relay` → `keepers`,
+//! Dependencies between the modules go one way: `serve` → `forward` → `target`, `send`, `relay` → `choose`, `keepers`,
 //! `pool` → `view`. Lock order: at most one lock of the view is held at a time.
 
 pub mod protocol;
@@ -24,6 +24,7 @@
 mod relay;
 mod send;
 mod serve;
+mod target;
 mod tracker;
 mod view;
 
