quarantine: names in the terms of the field

Read as a newcomer: verdicts, judging, convicting, acquitting and trials are now causes, evaluation and probes; what a request's end shows about its endpoint is its liveness. Event 707 becomes QuarantineProbe. Names and comments only; no decision changes.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -131,7 +131,7 @@
     704 RequestQuarantined State "A request or a part of prompts was quarantined."
     705 QuarantineHit Request "A request was refused because it or a part of its prompt is quarantined."
     706 QuarantineApplied State "The replicated quarantine changed."
-    707 QuarantineTrial State "A single request with a quarantined subject was admitted as a trial."
+    707 QuarantineProbe State "A single request with a quarantined subject was admitted as a probe."
     800 Commanded State "An operator's command was accepted or refused."
     900 FaultInjected Request "A stub injected a fault."
     901 Violation State "A stub observed a protocol violation."
--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -223,13 +223,13 @@
         }
     }
 
-    /// Asks gates for the trials of quarantined subjects that are due.
-    fn start_trials(&mut self) {
+    /// Asks gates for the probes of quarantined subjects that are due.
+    fn start_probes(&mut self) {
         let now = self.now();
         let Some(leadership) = &mut self.leadership else { return };
-        for (gate, subject) in leadership.quarantine.trials(now) {
+        for (gate, subject) in leadership.quarantine.probes(now) {
             if let Some(node) = self.links.get(gate) {
-                node.link.send(Frame::Trial(subject));
+                node.link.send(Frame::Probe(subject));
             }
         }
     }
@@ -239,10 +239,10 @@
     pub(crate) fn update_quarantine(&mut self, state: &State) -> Vec<Command> {
         let now = self.now();
         let Some(leadership) = &mut self.leadership else { return Vec::new() };
-        if leadership.quarantine.judge(now) {
+        if leadership.quarantine.evaluate(now) {
             self.broadcast_quarantine(state);
         }
-        self.start_trials();
+        self.start_probes();
         let Some(leadership) = &mut self.leadership else { return Vec::new() };
         leadership.quarantine.commands(state.quarantine(), now)
     }
--- a/crates/cell/src/quarantine.rs
+++ b/crates/cell/src/quarantine.rs
@@ -10,20 +10,20 @@
 use fleet::quarantine::Subject;
 use fleet::quarantine::Survival;
 use fleet::quarantine::format_parts;
+use quarantine::Cause;
 use quarantine::Detector;
 use quarantine::SURVIVAL_TIME;
-use quarantine::Verdict;
 
 use crate::state::Command;
 
 /// The time after its last refused request when a subject is released.
 const RELEASE_AFTER: Duration = Duration::from_secs(600);
-/// The time from the verdict on a part to its first trial; each further delay is [`TRIAL_BACKOFF`] times as long.
-const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(60);
-const TRIAL_BACKOFF: u32 = 4;
-/// The time within which a gate must have refused a request to be asked for a trial. Gates report a refusal every ten
+/// The time from the quarantine of a part to its first probe; each further delay is [`PROBE_BACKOFF`] times as long.
+const FIRST_PROBE_DELAY: Duration = Duration::from_secs(60);
+const PROBE_BACKOFF: u32 = 4;
+/// The time within which a gate must have refused a request to be asked for a probe. Gates report a refusal every ten
 /// seconds.
-const TRIAL_DEMAND: Duration = Duration::from_secs(15);
+const PROBE_DEMAND: Duration = Duration::from_secs(15);
 /// The time after which a proposal that has not been applied is repeated.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -36,7 +36,7 @@
     pending: Map<Subject, Option<Duration>>,
     /// The replicated subjects.
     entries: Map<Subject, Entry>,
-    /// The trials that an endpoint has ended, until it is known whether it lives on.
+    /// The probes that an endpoint has ended, until it is known whether it lives on.
     survived: Vec<(Duration, Survival)>,
 }
 
@@ -47,8 +47,8 @@
     last_refused: Duration,
     /// The link to the gate that refused it.
     gate: Option<u64>,
-    next_trial: Duration,
-    trial_delay: Duration,
+    next_probe: Duration,
+    probe_delay: Duration,
 }
 
 impl Entry {
@@ -56,19 +56,19 @@
         Entry {
             last_refused: now,
             gate: None,
-            next_trial: now + FIRST_TRIAL_DELAY,
-            trial_delay: FIRST_TRIAL_DELAY,
+            next_probe: now + FIRST_PROBE_DELAY,
+            probe_delay: FIRST_PROBE_DELAY,
         }
     }
 
-    /// Returns the gate for a trial if one is due and there is demand.
-    fn start_trial(&mut self, now: Duration) -> Option<u64> {
-        let gate = self.gate.filter(|_| now < self.last_refused + TRIAL_DEMAND)?;
-        if now < self.next_trial {
+    /// Returns the gate for a probe if one is due and there is demand.
+    fn start_probe(&mut self, now: Duration) -> Option<u64> {
+        let gate = self.gate.filter(|_| now < self.last_refused + PROBE_DEMAND)?;
+        if now < self.next_probe {
             return None;
         }
-        self.trial_delay *= TRIAL_BACKOFF;
-        self.next_trial = now + self.trial_delay;
+        self.probe_delay *= PROBE_BACKOFF;
+        self.next_probe = now + self.probe_delay;
         Some(gate)
     }
 }
@@ -100,15 +100,15 @@
     }
 
     /// Quarantines the subjects against which there is enough evidence; returns whether there are any.
-    pub fn judge(&mut self, now: Duration) -> bool {
-        let verdicts = self.detector.poll(now);
-        for Verdict { subject, endpoints } in &verdicts {
+    pub fn evaluate(&mut self, now: Duration) -> bool {
+        let causes = self.detector.poll(now);
+        for Cause { subject, endpoints } in &causes {
             base::event!(
                 WARN, Event::RequestQuarantined, subject = %subject, endpoints = ?endpoints
             );
             self.pending.insert(*subject, None);
         }
-        !verdicts.is_empty()
+        !causes.is_empty()
     }
 
     /// Records that an endpoint ended the response to a suspected request, or to one with a quarantined subject.
@@ -133,11 +133,11 @@
     }
 
     /// Returns the parts of which a single request is to be admitted now, each with the link to the gate. A request that
-    /// crashes endpoints is not tried again: its quarantine covers nothing else.
-    pub fn trials(&mut self, now: Duration) -> Vec<(u64, Subject)> {
+    /// crashes endpoints is not probed: its quarantine covers nothing else.
+    pub fn probes(&mut self, now: Duration) -> Vec<(u64, Subject)> {
         let parts =
             self.entries.iter_mut().filter(|(subject, _)| matches!(subject, Subject::Part(_)));
-        parts.filter_map(|(subject, entry)| Some((entry.start_trial(now)?, *subject))).collect()
+        parts.filter_map(|(subject, entry)| Some((entry.start_probe(now)?, *subject))).collect()
     }
 
     /// Returns the subjects whose requests gates must refuse.
@@ -165,13 +165,13 @@
                 commands.push(Command::Release(*subject));
             }
         }
-        let acquitted = self.acquitted(now).into_iter().filter(|subject| listed.contains(subject));
-        commands.extend(acquitted.map(Command::Release));
+        let cleared = self.cleared(now).into_iter().filter(|subject| listed.contains(subject));
+        commands.extend(cleared.map(Command::Release));
         commands
     }
 
-    /// Returns the subjects whose trial an endpoint has survived.
-    fn acquitted(&mut self, now: Duration) -> Vec<Subject> {
+    /// Returns the quarantined subjects that an endpoint has survived.
+    fn cleared(&mut self, now: Duration) -> Vec<Subject> {
         let due = |(at, _): &mut (Duration, Survival)| now >= *at + SURVIVAL_TIME;
         let due: Vec<(Duration, Survival)> = self.survived.extract_if(.., due).collect();
         let survived = due
--- a/crates/cell/tests/quarantine.rs
+++ b/crates/cell/tests/quarantine.rs
@@ -47,7 +47,7 @@
         for number in 1..=3 {
             leader.lose(&format!("engine-{number}"), number, seconds(number));
         }
-        assert!(leader.quarantine.judge(seconds(4)));
+        assert!(leader.quarantine.evaluate(seconds(4)));
         leader.update(seconds(4));
         assert!(leader.state.quarantine().contains(PART));
         leader.update(seconds(4));
@@ -82,7 +82,7 @@
     for number in 1..=3 {
         leader.lose(&format!("engine-{number}"), number, seconds(number));
     }
-    assert!(leader.quarantine.judge(seconds(4)));
+    assert!(leader.quarantine.evaluate(seconds(4)));
     assert_eq!(leader.quarantine.subjects(leader.state.quarantine()), [PART]);
     let commands =
         |leader: &mut Leader, now| leader.quarantine.commands(leader.state.quarantine(), now).len();
@@ -106,9 +106,9 @@
 fn a_part_that_an_engine_survives_in_a_trial_is_released() {
     let mut leader = Leader::with_part();
     leader.refuse(seconds(60));
-    assert_eq!(leader.quarantine.trials(seconds(63)), []);
-    assert_eq!(leader.quarantine.trials(seconds(65)), [(GATE, PART)]);
-    assert_eq!(leader.quarantine.trials(seconds(65)), []);
+    assert_eq!(leader.quarantine.probes(seconds(63)), []);
+    assert_eq!(leader.quarantine.probes(seconds(65)), [(GATE, PART)]);
+    assert_eq!(leader.quarantine.probes(seconds(65)), []);
     leader.quarantine.record_survival(&survival("engine-9"), seconds(66));
     leader.update(seconds(66));
     assert!(leader.is_quarantined());
@@ -120,23 +120,23 @@
 fn a_part_that_crashes_an_engine_in_a_trial_stays_in_quarantine() {
     let mut leader = Leader::with_part();
     leader.refuse(seconds(60));
-    assert_eq!(leader.quarantine.trials(seconds(65)), [(GATE, PART)]);
+    assert_eq!(leader.quarantine.probes(seconds(65)), [(GATE, PART)]);
     leader.quarantine.record_survival(&survival("engine-9"), seconds(66));
     leader.lose("engine-9", 9, seconds(66));
     leader.update(seconds(67));
     assert!(leader.is_quarantined());
     for now in 67..305 {
         leader.refuse(seconds(now));
-        assert_eq!(leader.quarantine.trials(seconds(now)), [], "{now}");
+        assert_eq!(leader.quarantine.probes(seconds(now)), [], "{now}");
     }
     leader.refuse(seconds(305));
-    assert_eq!(leader.quarantine.trials(seconds(305)), [(GATE, PART)]);
+    assert_eq!(leader.quarantine.probes(seconds(305)), [(GATE, PART)]);
 }
 
 #[test]
-fn a_part_that_no_request_has_is_not_tried() {
+fn a_part_that_no_request_has_is_not_probed() {
     let mut leader = Leader::with_part();
-    assert_eq!(leader.quarantine.trials(seconds(65)), []);
+    assert_eq!(leader.quarantine.probes(seconds(65)), []);
     leader.refuse(seconds(70));
-    assert_eq!(leader.quarantine.trials(seconds(90)), []);
+    assert_eq!(leader.quarantine.probes(seconds(90)), []);
 }
--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -214,8 +214,8 @@
             Frame::Quarantine(subjects) if self.is_leader(address) => {
                 self.quarantine.set_quarantined(&subjects);
             }
-            Frame::Trial(subject) if self.is_leader(address) => {
-                self.quarantine.start_trial(subject);
+            Frame::Probe(subject) if self.is_leader(address) => {
+                self.quarantine.start_probe(subject);
             }
             Frame::Suspects(subjects) => self.quarantine.add_suspects(&subjects),
             Frame::Located { lookup, origin, sole_build } => {
@@ -374,9 +374,9 @@
         Some(hit.subject)
     }
 
-    /// Ends the trials of a request's subjects, because the request is being sent; returns those subjects.
-    pub(crate) fn end_trials(&self, fingerprint: &Fingerprint) -> Vec<Subject> {
-        self.quarantine.end_trials(fingerprint)
+    /// Ends the probes of a request's subjects, because the request is being sent; returns those subjects.
+    pub(crate) fn end_probes(&self, fingerprint: &Fingerprint) -> Vec<Subject> {
+        self.quarantine.end_probes(fingerprint)
     }
 
     /// Reports that an endpoint was lost while it ran a request if the endpoint crashed: it was not leaving, and it
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -46,7 +46,7 @@
     /// When a refusal was last reported.
     reported: Option<Duration>,
     /// Whether a single request is to be admitted.
-    trial: bool,
+    probe: bool,
 }
 
 /// A quarantined subject of a request.
@@ -63,7 +63,7 @@
     pub fn check(&self, fingerprint: &Fingerprint, now: Duration) -> Option<Hit> {
         let mut inner = self.inner.lock();
         let refused =
-            |subject: &Subject| inner.quarantined.get(subject).is_some_and(|entry| !entry.trial);
+            |subject: &Subject| inner.quarantined.get(subject).is_some_and(|entry| !entry.probe);
         let subject = fingerprint.subjects().find(refused)?;
         let entry = inner.quarantined.get_mut(&subject)?;
         let report = entry.reported.is_none_or(|at| now >= at + REFUSAL_INTERVAL);
@@ -73,14 +73,14 @@
         Some(Hit { subject, report })
     }
 
-    /// Ends the trials of a request's subjects, because the request is being sent; returns those subjects.
-    pub fn end_trials(&self, fingerprint: &Fingerprint) -> Vec<Subject> {
+    /// Ends the probes of a request's subjects, because the request is being sent; returns those subjects.
+    pub fn end_probes(&self, fingerprint: &Fingerprint) -> Vec<Subject> {
         let mut inner = self.inner.lock();
-        let on_trial = |subject: &Subject| {
+        let is_probed = |subject: &Subject| {
             let entry = inner.quarantined.get_mut(subject);
-            entry.is_some_and(|entry| std::mem::take(&mut entry.trial))
+            entry.is_some_and(|entry| std::mem::take(&mut entry.probe))
         };
-        fingerprint.subjects().filter(on_trial).collect()
+        fingerprint.subjects().filter(is_probed).collect()
     }
 
     /// Replaces the quarantined subjects.
@@ -92,9 +92,9 @@
     }
 
     /// Admits a single request with a quarantined subject.
-    pub fn start_trial(&self, subject: Subject) {
+    pub fn start_probe(&self, subject: Subject) {
         if let Some(entry) = self.inner.lock().quarantined.get_mut(&subject) {
-            entry.trial = true;
+            entry.probe = true;
         }
     }
 
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -51,9 +51,9 @@
             self.keepers.send(Frame::Withdraw(query.request));
         }
         admitted?;
-        for subject in self.keepers.end_trials(&call.fingerprint) {
+        for subject in self.keepers.end_probes(&call.fingerprint) {
             base::event!(
-                INFO, Event::QuarantineTrial, request = %call.request.id, subject = %subject,
+                INFO, Event::QuarantineProbe, request = %call.request.id, subject = %subject,
                 endpoint = %target.endpoint.id
             );
         }
--- a/crates/edge/src/tracker.rs
+++ b/crates/edge/src/tracker.rs
@@ -31,15 +31,15 @@
     /// The origin to record when the stream begins, if it can be resumed.
     origin: Option<Origin>,
     outcome: Outcome,
-    fate: Fate,
+    liveness: Liveness,
 }
 
 /// What the end of a request shows about its endpoint.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Fate {
+enum Liveness {
     Unknown,
     /// The endpoint ended the response itself.
-    Survived,
+    Alive,
     /// The connection ended, as it does if the endpoint crashes.
     Disconnected,
 }
@@ -64,7 +64,7 @@
             origin: None,
             // A request that is dropped before it ends was cancelled by its caller.
             outcome: Outcome::Cancelled,
-            fate: Fate::Unknown,
+            liveness: Liveness::Unknown,
         }
     }
 
@@ -96,15 +96,15 @@
     /// Records that the connection broke before the response was complete.
     pub(crate) fn record_break(&mut self) {
         self.outcome = Outcome::Lost;
-        self.fate = Fate::Disconnected;
+        self.liveness = Liveness::Disconnected;
     }
 
     /// Records the end of the response. If that is the end of its connection, the endpoint may have crashed.
     pub(crate) fn record_end(&mut self, outcome: Outcome, framing: Framing) {
         self.outcome = outcome;
-        self.fate = match framing {
-            Framing::Close => Fate::Disconnected,
-            _ => Fate::Survived,
+        self.liveness = match framing {
+            Framing::Close => Liveness::Disconnected,
+            _ => Liveness::Alive,
         };
     }
 
@@ -136,10 +136,10 @@
         if let Some(request) = self.scheduled {
             self.keepers.report_end(Ended { request, outcome: self.outcome });
         }
-        match self.fate {
-            Fate::Unknown => {}
-            Fate::Survived => self.keepers.report_survival(&self.endpoint, &self.fingerprint),
-            Fate::Disconnected => {
+        match self.liveness {
+            Liveness::Unknown => {}
+            Liveness::Alive => self.keepers.report_survival(&self.endpoint, &self.fingerprint),
+            Liveness::Disconnected => {
                 let ran = self.sent.elapsed();
                 let answering = self.began.map(|began| began.elapsed()).unwrap_or_default();
                 self.keepers.report_loss(&self.endpoint, &self.fingerprint, ran, answering);
--- a/crates/edge/tests/quarantine.rs
+++ b/crates/edge/tests/quarantine.rs
@@ -53,10 +53,10 @@
 fn a_trial_admits_a_single_request() {
     let quarantine = Quarantine::default();
     quarantine.set_quarantined(&[PART]);
-    quarantine.start_trial(PART);
+    quarantine.start_probe(PART);
     assert_eq!(refusal(&quarantine, 2, seconds(1)), None);
-    assert_eq!(quarantine.end_trials(&fingerprint(2)), [PART]);
-    assert_eq!(quarantine.end_trials(&fingerprint(3)), []);
+    assert_eq!(quarantine.end_probes(&fingerprint(2)), [PART]);
+    assert_eq!(quarantine.end_probes(&fingerprint(3)), []);
     assert_eq!(refusal(&quarantine, 3, seconds(1)), Some((PART, true)));
     assert_eq!(quarantine.clear(&fingerprint(2)), [PART]);
 }
@@ -65,7 +65,7 @@
 fn a_request_with_another_quarantined_subject_gets_no_trial() {
     let quarantine = Quarantine::default();
     quarantine.set_quarantined(&[PART, REQUEST]);
-    quarantine.start_trial(PART);
+    quarantine.start_probe(PART);
     assert_eq!(refusal(&quarantine, 1, seconds(1)), Some((REQUEST, true)));
     assert_eq!(refusal(&quarantine, 2, seconds(1)), None);
 }
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -104,7 +104,7 @@
     /// A gate refused a request with a quarantined subject.
     QuarantineHit(Subject),
     /// The leader asks one gate to admit a single request with a quarantined subject.
-    Trial(Subject),
+    Probe(Subject),
 }
 
 /// The sender of the frames on a link.
--- a/crates/quarantine/src/detector.rs
+++ b/crates/quarantine/src/detector.rs
@@ -39,8 +39,8 @@
     next_crash: u64,
     /// Invariant: each refers to at least one of `crashes`.
     suspicions: Map<Subject, Suspicion>,
-    /// The subjects with a run at a crash since they were last judged.
-    unjudged: Set<Subject>,
+    /// The subjects with a run at a crash since they were last evaluated.
+    unevaluated: Set<Subject>,
 }
 
 /// A crash of an endpoint.
@@ -84,9 +84,9 @@
     sent: Duration,
 }
 
-/// A subject that is to be quarantined.
+/// A subject that crashes endpoints.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Verdict {
+pub struct Cause {
     /// The subject.
     pub subject: Subject,
     /// The endpoints that it crashed.
@@ -116,7 +116,7 @@
                 if answered {
                     push_bounded(&mut suspicion.survived, Survived { at, endpoint: None });
                 }
-                self.unjudged.insert(subject);
+                self.unevaluated.insert(subject);
             }
         }
         new
@@ -182,13 +182,13 @@
     }
 
     /// Returns the subjects that are to be quarantined now. Each explains the crashes that it was in progress at. If
-    /// several subjects fit, the one with the fewest runs is the most specific, and is judged first.
-    pub fn poll(&mut self, now: Duration) -> Vec<Verdict> {
-        let mut verdicts = Vec::new();
+    /// several subjects fit, the one with the fewest runs is the most specific, and is evaluated first.
+    pub fn poll(&mut self, now: Duration) -> Vec<Cause> {
+        let mut causes = Vec::new();
         loop {
             let mut due = Vec::new();
             let mut unsettled = Set::default();
-            for subject in std::mem::take(&mut self.unjudged) {
+            for subject in std::mem::take(&mut self.unevaluated) {
                 match self.decisive_crash(subject) {
                     Some(at) if now >= at + SETTLE_TIME => due.push(subject),
                     Some(_) => drop(unsettled.insert(subject)),
@@ -199,16 +199,16 @@
                 self.suspicions.get(subject).map_or(0, |suspicion| suspicion.runs.len())
             };
             due.sort_by_key(|subject| Reverse((runs(subject), *subject)));
-            self.unjudged = unsettled;
-            let Some(subject) = due.pop() else { return verdicts };
-            self.unjudged.extend(due);
-            verdicts.push(self.convict(subject));
+            self.unevaluated = unsettled;
+            let Some(subject) = due.pop() else { return causes };
+            self.unevaluated.extend(due);
+            causes.push(self.confirm(subject));
         }
     }
 
     /// Returns the time of the crash that completes the evidence against a subject.
     ///
-    /// A request is judged by the number of endpoints that crashed while they ran it. Parts of prompts are shared, so
+    /// A request is evaluated by the number of endpoints that crashed while they ran it. Parts of prompts are shared, so
     /// that many are in progress when many endpoints crash at a time; for them a crash counts only with a request that
     /// differs from those before and was sent after the crash before, and not if most crashes at that time had no such
     /// request in progress.
@@ -268,9 +268,9 @@
         })
     }
 
-    /// Marks the crashes under a subject as explained. Only the runs of a quarantined request itself are kept: they
+    /// Takes a subject for the cause of its crashes, and marks these as explained. Only the runs of a quarantined request itself are kept: they
     /// count, as a single request, against the parts of its prompt.
-    fn convict(&mut self, subject: Subject) -> Verdict {
+    fn confirm(&mut self, subject: Subject) -> Cause {
         let suspicion = self.suspicions.remove(&subject).unwrap_or_default();
         let caused: Set<u64> = suspicion.runs.iter().map(|run| run.crash).collect();
         let mut endpoints = Vec::new();
@@ -281,7 +281,7 @@
         self.retain_runs(|run| {
             !caused.contains(&run.crash) || subject == Subject::Request(run.request)
         });
-        Verdict { subject, endpoints }
+        Cause { subject, endpoints }
     }
 
     /// Drops the crashes that are no longer counted.
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -3,6 +3,6 @@
 
 mod detector;
 
+pub use crate::detector::Cause;
 pub use crate::detector::Detector;
 pub use crate::detector::SURVIVAL_TIME;
-pub use crate::detector::Verdict;
--- a/crates/quarantine/tests/detector.rs
+++ b/crates/quarantine/tests/detector.rs
@@ -17,7 +17,7 @@
 const SOUND: u64 = 12;
 /// The time that a request runs before it is lost.
 const RUN: Duration = Duration::from_millis(100);
-/// The time from a crash to its judgement.
+/// The time from a crash to its evaluation.
 const SETTLE: Duration = Duration::from_millis(200);
 
 fn ms(ms: u64) -> Duration {
@@ -75,9 +75,9 @@
     }
 
     /// Returns what is quarantined once the last crash has settled.
-    fn judge(&mut self, now: Duration) -> Vec<Subject> {
-        let verdicts = self.detector.poll(now + SETTLE);
-        verdicts.into_iter().map(|verdict| verdict.subject).collect()
+    fn evaluate(&mut self, now: Duration) -> Vec<Subject> {
+        let causes = self.detector.poll(now + SETTLE);
+        causes.into_iter().map(|cause| cause.subject).collect()
     }
 }
 
@@ -97,10 +97,10 @@
 fn a_request_is_quarantined_after_three_crashes() {
     let mut cell = Cell::default();
     for (number, endpoint) in ["a", "b", "c"].into_iter().enumerate() {
-        assert_eq!(cell.judge(ms(900)), []);
+        assert_eq!(cell.evaluate(ms(900)), []);
         cell.lose(endpoint, POISON, &[], ms(1_000 + number as u64));
     }
-    assert_eq!(cell.judge(ms(1_002)), [Subject::Request(POISON)]);
+    assert_eq!(cell.evaluate(ms(1_002)), [Subject::Request(POISON)]);
 }
 
 #[test]
@@ -110,7 +110,7 @@
         cell.lose("a", POISON, &[], ms(1_000 + number));
         cell.lose("b", POISON, &[], ms(1_000 + number));
     }
-    assert_eq!(cell.judge(ms(2_000)), []);
+    assert_eq!(cell.evaluate(ms(2_000)), []);
 }
 
 #[test]
@@ -121,11 +121,11 @@
     }
     cell.lose("a", OTHER, &[], ms(1_000));
     cell.lose("b", OTHER, &[], ms(1_000));
-    assert_eq!(cell.judge(ms(1_000)), [Subject::Request(POISON)]);
+    assert_eq!(cell.evaluate(ms(1_000)), [Subject::Request(POISON)]);
     for endpoint in ["c", "d", "e"] {
         cell.lose(endpoint, OTHER, &[], ms(2_000));
     }
-    assert_eq!(cell.judge(ms(2_000)), []);
+    assert_eq!(cell.evaluate(ms(2_000)), []);
 }
 
 #[test]
@@ -136,7 +136,7 @@
     }
     cell.detector.record_explained(&loss("c", POISON, &[]), ms(2_000));
     cell.lose("c", OTHER, &[], ms(2_000));
-    assert_eq!(cell.judge(ms(2_000)), []);
+    assert_eq!(cell.evaluate(ms(2_000)), []);
 }
 
 #[test]
@@ -147,9 +147,9 @@
     cell.survive("x", &[Subject::Request(OTHER)], ms(2_500));
     cell.lose("c", OTHER, &[], ms(3_000));
     cell.lose("d", OTHER, &[], ms(4_000));
-    assert_eq!(cell.judge(ms(4_000)), []);
+    assert_eq!(cell.evaluate(ms(4_000)), []);
     cell.lose("e", OTHER, &[], ms(5_000));
-    assert_eq!(cell.judge(ms(5_000)), [Subject::Request(OTHER)]);
+    assert_eq!(cell.evaluate(ms(5_000)), [Subject::Request(OTHER)]);
 }
 
 // Guards against a request that ends just before the crash that it causes.
@@ -161,7 +161,7 @@
     cell.survive("x", &[Subject::Request(POISON)], ms(2_500));
     cell.lose("x", OTHER, &[], ms(2_600));
     cell.lose("c", POISON, &[], ms(3_000));
-    assert_eq!(cell.judge(ms(3_000)), [Subject::Request(POISON)]);
+    assert_eq!(cell.evaluate(ms(3_000)), [Subject::Request(POISON)]);
 }
 
 #[test]
@@ -174,9 +174,9 @@
     }
     cell.detector.endpoint_announced("a", 1, ms(5_000));
     cell.lose("c", OTHER, &[], ms(6_000));
-    assert_eq!(cell.judge(ms(6_000)), []);
+    assert_eq!(cell.evaluate(ms(6_000)), []);
     cell.lose("d", OTHER, &[], ms(6_500));
-    assert_eq!(cell.judge(ms(6_500)), [Subject::Request(OTHER)]);
+    assert_eq!(cell.evaluate(ms(6_500)), [Subject::Request(OTHER)]);
 }
 
 #[test]
@@ -187,7 +187,7 @@
     cell.lose("b", POISON, &[], ms(700_000));
     cell.lose("c", POISON, &[], ms(1_400_000));
     cell.lose("d", POISON, &[], ms(1_401_000));
-    assert_eq!(cell.judge(ms(1_401_000)), []);
+    assert_eq!(cell.evaluate(ms(1_401_000)), []);
 }
 
 #[test]
@@ -200,7 +200,7 @@
         cell.lose_new(&format!("a{number}"), &[], ms(4_000));
     }
     cell.lose("fourth", POISON, &[], ms(5_000));
-    assert_eq!(cell.judge(ms(5_000)), [Subject::Request(POISON)]);
+    assert_eq!(cell.evaluate(ms(5_000)), [Subject::Request(POISON)]);
 }
 
 #[test]
@@ -208,13 +208,13 @@
     let mut cell = Cell::default();
     for (number, endpoint) in ["a", "b", "c"].into_iter().enumerate() {
         let now = ms(1_000 * (number as u64 + 1));
-        assert_eq!(cell.judge(now - SETTLE), []);
+        assert_eq!(cell.evaluate(now - SETTLE), []);
         cell.lose_new(endpoint, &[SHARED, BAD], now);
         // Sound requests with the same first part are in progress beside it, and end elsewhere.
         cell.lose_new(endpoint, &[SHARED, SOUND + number as u64], now);
         cell.survive("x", &[Subject::Part(SHARED)], now + ms(50));
     }
-    assert_eq!(cell.judge(ms(3_000)), [Subject::Part(BAD)]);
+    assert_eq!(cell.evaluate(ms(3_000)), [Subject::Part(BAD)]);
 }
 
 // Guards against the quarantine of a part that is shared with the cause, while no engine answers anything.
@@ -226,8 +226,8 @@
         cell.lose_new(endpoint, &[SHARED, SOUND + number as u64], now);
         cell.lose_new(endpoint, &[SHARED, BAD], now);
     }
-    assert_eq!(cell.judge(ms(4_000)), [Subject::Part(BAD)]);
-    assert_eq!(cell.judge(ms(5_000)), []);
+    assert_eq!(cell.evaluate(ms(4_000)), [Subject::Part(BAD)]);
+    assert_eq!(cell.evaluate(ms(5_000)), []);
 }
 
 // Guards against the quarantine of parts when many engines crash at the same time.
@@ -241,7 +241,7 @@
             cell.lose_new(&endpoint, &[SHARED, SOUND], now);
         }
     }
-    assert_eq!(cell.judge(ms(21_000)), []);
+    assert_eq!(cell.evaluate(ms(21_000)), []);
 }
 
 // Guards against the quarantine of a rare part that is in progress each time that many engines crash.
@@ -256,7 +256,7 @@
             cell.lose_new(&endpoint, &[SHARED, subject], now);
         }
         cell.survive("x", &[Subject::Part(SHARED)], ms(10_000 * wave + 2_000));
-        assert_eq!(cell.judge(ms(10_000 * wave + 3_000)), []);
+        assert_eq!(cell.evaluate(ms(10_000 * wave + 3_000)), []);
     }
 }
 
@@ -269,7 +269,7 @@
         cell.lose_answering(ms(100), endpoint, &[SHARED], now);
         cell.lose_answering(ms(600), endpoint, &[SHARED], now);
         cell.lose_answering(ms(100), endpoint, &[SHARED], now);
-        assert_eq!(cell.judge(now), []);
+        assert_eq!(cell.evaluate(now), []);
     }
 }
 
@@ -279,9 +279,9 @@
     for (number, endpoint) in ["a", "b", "c", "d", "e"].into_iter().enumerate() {
         cell.lose(endpoint, POISON, &[SHARED, SOUND], ms(1_000 * (number as u64 + 1)));
     }
-    assert_eq!(cell.judge(ms(5_000)), [Subject::Request(POISON)]);
+    assert_eq!(cell.evaluate(ms(5_000)), [Subject::Request(POISON)]);
     cell.lose_new("f", &[SHARED, SOUND], ms(6_000));
-    assert_eq!(cell.judge(ms(6_000)), []);
+    assert_eq!(cell.evaluate(ms(6_000)), []);
 }
 
 #[test]
@@ -290,11 +290,11 @@
     for (number, endpoint) in ["a", "b", "c"].into_iter().enumerate() {
         cell.lose(endpoint, POISON, &[SHARED, BAD], ms(1_000 * (number as u64 + 1)));
     }
-    assert_eq!(cell.judge(ms(3_000)), [Subject::Request(POISON)]);
+    assert_eq!(cell.evaluate(ms(3_000)), [Subject::Request(POISON)]);
     cell.survive("x", &[Subject::Part(SHARED)], ms(3_500));
     cell.lose_new("d", &[SHARED, BAD], ms(4_000));
     cell.lose_new("e", &[SHARED, BAD], ms(5_000));
-    assert_eq!(cell.judge(ms(5_000)), [Subject::Part(BAD)]);
+    assert_eq!(cell.evaluate(ms(5_000)), [Subject::Part(BAD)]);
 }
 
 #[test]
@@ -303,7 +303,7 @@
     cell.lose_new("a", &[BAD], ms(1_000));
     cell.lose_new("b", &[BAD], ms(2_000));
     cell.lose_after(ms(1_500), "c", 5, &[BAD], ms(3_000));
-    assert_eq!(cell.judge(ms(3_000)), []);
+    assert_eq!(cell.evaluate(ms(3_000)), []);
     cell.lose_new("d", &[BAD], ms(4_000));
-    assert_eq!(cell.judge(ms(4_000)), [Subject::Part(BAD)]);
+    assert_eq!(cell.evaluate(ms(4_000)), [Subject::Part(BAD)]);
 }
