edge: log attempts that a gate no longer waits for and losses that do not count

A gate wrote nothing when it dropped an exchange (caller gone, attempt timed out, deadline) or decided that a lost connection was no crash, so the log could not tell the hypotheses on the uncounted crashes apart.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -292,8 +292,14 @@
             self.keepers.track(query, &endpoint.id);
             query.request
         });
-        let mut tracker =
-            Tracker::new(&self.view, &self.keepers, scheduled, endpoint, &call.fingerprint);
+        let mut tracker = Tracker::new(
+            &self.view,
+            &self.keepers,
+            &exchange.id,
+            scheduled,
+            endpoint,
+            &call.fingerprint,
+        );
         let request = self.build_request(call, &target);
         let sent = send::send(&self.pool, endpoint, request).await;
         let attempt = match sent {
--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -390,6 +390,7 @@
     ) {
         let known = self.view.endpoints();
         if known.get(&endpoint.id).is_none_or(|known| known.born != endpoint.born) {
+            dismiss(endpoint, 1, "the endpoint is leaving or was replaced");
             return;
         }
         let loss = Loss {
@@ -407,16 +408,17 @@
 
     /// Opens a connection to an endpoint, and reports the unconfirmed losses of it if the endpoint refuses.
     async fn confirm_losses(self: Arc<Keepers>, endpoint: Endpoint) {
-        let refused = match self.pool.open(&endpoint).await {
+        let opened = self.pool.open(&endpoint).await;
+        let refused =
+            matches!(&opened, Err(error) if error.kind() == io::ErrorKind::ConnectionRefused);
+        let losses = self.quarantine.take_unconfirmed(&endpoint.id, refused, self.view.now());
+        match opened {
+            Err(_) if refused => drop(self.send(Frame::Losses(losses))),
+            Err(error) => dismiss(&endpoint, losses.len(), &error.to_string()),
             Ok(sender) => {
                 self.pool.put(&endpoint.id, sender, None);
-                false
+                dismiss(&endpoint, losses.len(), "the endpoint accepts connections");
             }
-            Err(error) => error.kind() == io::ErrorKind::ConnectionRefused,
-        };
-        let losses = self.quarantine.take_unconfirmed(&endpoint.id, refused, self.view.now());
-        if refused {
-            self.send(Frame::Losses(losses));
         }
     }
 
@@ -462,6 +464,13 @@
     }
 }
 
+/// Logs losses that are not taken for a crash of the endpoint.
+fn dismiss(endpoint: &Endpoint, losses: usize, reason: &str) {
+    base::event!(
+        INFO, Event::LossDismissed, endpoint = %endpoint.id, born = endpoint.born, losses, reason
+    );
+}
+
 /// Withdraws a pending request from the scheduler if the request is cancelled or times out.
 #[derive(Debug)]
 struct Withdrawal {
--- a/crates/edge/src/tracker.rs
+++ b/crates/edge/src/tracker.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::Event;
+use base::Name;
 use fleet::endpoint::Endpoint;
 use fleet::message::Ended;
 use fleet::message::Frame;
@@ -21,6 +23,8 @@
 pub(crate) struct Tracker {
     view: Arc<View>,
     keepers: Arc<Keepers>,
+    /// The caller's id of the request.
+    id: Name,
     /// The request's number, if the scheduler placed the request.
     scheduled: Option<u64>,
     endpoint: Endpoint,
@@ -48,6 +52,7 @@
     pub(crate) fn new(
         view: &Arc<View>,
         keepers: &Arc<Keepers>,
+        id: &Name,
         scheduled: Option<u64>,
         endpoint: &Endpoint,
         fingerprint: &Arc<Fingerprint>,
@@ -56,6 +61,7 @@
         Tracker {
             view: view.clone(),
             keepers: keepers.clone(),
+            id: id.clone(),
             scheduled,
             endpoint: endpoint.clone(),
             fingerprint: fingerprint.clone(),
@@ -137,6 +143,13 @@
             self.keepers.report_end(Ended { request, outcome: self.outcome });
         }
         match self.liveness {
+            Liveness::Unknown if self.outcome == Outcome::Cancelled => {
+                base::event!(
+                    INFO, Event::AttemptAbandoned, request = %self.id,
+                    fingerprint = %format_args!("{:016x}", self.fingerprint.request),
+                    endpoint = %self.endpoint.id, ran_ms = self.sent.elapsed().as_millis() as u64
+                );
+            }
             Liveness::Unknown => {}
             Liveness::Alive => self.keepers.report_survival(&self.endpoint, &self.fingerprint),
             Liveness::Disconnected => {
