edge: a failure of an endpoint does not show that it survived the request

Callers saw a request crash endpoint after endpoint while some of its arrivals were answered with 500. An endpoint may fail a request without running it, but any response with an end counted as survival: it cleared the request of all crashes before, at the gate and at the leader, and would have released it from quarantine. Now only a response that is no failure speaks for a request.

--- a/crates/edge/src/tracker.rs
+++ b/crates/edge/src/tracker.rs
@@ -42,7 +42,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Liveness {
     Unknown,
-    /// The endpoint ended the response itself.
+    /// The endpoint ended a successful response itself.
     Alive,
     /// The connection ended, as it does if the endpoint crashes.
     Disconnected,
@@ -108,9 +108,11 @@
     /// Records the end of the response. If that is the end of its connection, the endpoint may have crashed.
     pub(crate) fn record_end(&mut self, outcome: Outcome, framing: Framing) {
         self.outcome = outcome;
-        self.liveness = match framing {
-            Framing::Close => Liveness::Disconnected,
-            _ => Liveness::Alive,
+        self.liveness = match (framing, outcome) {
+            (Framing::Close, _) => Liveness::Disconnected,
+            (_, Outcome::Done) => Liveness::Alive,
+            // An endpoint may fail a request without running it.
+            _ => Liveness::Unknown,
         };
     }
 
