quarantine: a long response does not clear a request whose engine crashes under it

Callers saw streams break late, one engine after the other, under the same request. A response of 500 ms counted as survival of the request itself, at each crash anew, so that a request which crashes its engines 700 ms into the stream cleared itself each time. The 500 ms were read from one record of crashes within 153 ms; they are no stated figure.

Now only the end of a request at an engine that lives on speaks for it. For a part of prompts a long answer still clears it if it is one of several requests with the part at that engine, which is what the rule was made for; a single request with the part counts, but five such crashes are needed instead of three.

The test that a shared part of long streams is not quarantined is unchanged and green. Ruled out: a longer survival time, which moves the limit and leaves the fault.

--- a/crates/quarantine/src/detector.rs
+++ b/crates/quarantine/src/detector.rs
@@ -13,6 +13,8 @@
 
 /// The number of crashes that are counted against a subject before it is quarantined.
 const MIN_CRASHES: usize = 3;
+/// The same for a part of prompts if engines had answered its requests for a while before they crashed.
+const MIN_LATE_CRASHES: usize = 5;
 /// The time after a crash within which all gates have reported what was in progress.
 const SETTLE_TIME: Duration = Duration::from_millis(200);
 /// The time between crashes within which they may have a common cause, such as the loss of a host.
@@ -69,8 +71,10 @@
 #[derive(Clone, Debug)]
 struct Survived {
     at: Duration,
-    /// The endpoint that ended the request and its start time, if it must also live on afterwards.
-    endpoint: Option<(Name, u64)>,
+    /// The endpoint that ended the request.
+    endpoint: Name,
+    /// The start time of the endpoint.
+    born: u64,
 }
 
 /// A request in progress at a crash.
@@ -82,6 +86,8 @@
     request: u64,
     /// When it was sent to the endpoint.
     sent: Duration,
+    /// Whether the endpoint had answered it for [`SURVIVAL_TIME`].
+    answered: bool,
 }
 
 /// A subject that crashes endpoints.
@@ -101,9 +107,8 @@
             return Vec::new();
         };
         let sent = crash.at.saturating_sub(Duration::from_millis(u64::from(loss.ran_ms)));
-        let at = crash.at;
-        let run = Run { crash: crash.number, request: loss.fingerprint.request, sent };
         let answered = Duration::from_millis(u64::from(loss.answering_ms)) >= SURVIVAL_TIME;
+        let run = Run { crash: crash.number, request: loss.fingerprint.request, sent, answered };
         let mut new = Vec::new();
         for subject in loss.fingerprint.subjects() {
             let suspicion = self.suspicions.entry(subject).or_default();
@@ -113,9 +118,6 @@
             }
             if known.all(|known| known.request != run.request) {
                 push_bounded(&mut suspicion.runs, run.clone());
-                if answered {
-                    push_bounded(&mut suspicion.survived, Survived { at, endpoint: None });
-                }
                 self.unevaluated.insert(subject);
             }
         }
@@ -157,8 +159,8 @@
     pub fn record_survival(&mut self, survival: &Survival, now: Duration) {
         for subject in &survival.subjects {
             if let Some(suspicion) = self.suspicions.get_mut(subject) {
-                let endpoint = Some((survival.endpoint.clone(), survival.born));
-                push_bounded(&mut suspicion.survived, Survived { at: now, endpoint });
+                let (endpoint, born) = (survival.endpoint.clone(), survival.born);
+                push_bounded(&mut suspicion.survived, Survived { at: now, endpoint, born });
             }
         }
     }
@@ -218,33 +220,49 @@
         if crashes.len() < MIN_CRASHES {
             return None;
         }
-        let survived = suspicion.survived.iter().filter(|survived| self.is_confirmed(survived));
-        let survived = survived.map(|survived| survived.at).max();
+        let survived = self.last_survival(subject, suspicion);
         let mut requests = Set::default();
-        let mut count = 0;
+        let (mut early, mut all) = (0, 0);
         let mut last: Option<Duration> = None;
         let counted = |crash: &&Crash| crashes.contains(&crash.number) && Some(crash.at) > survived;
         for crash in self.crashes.iter().filter(counted) {
-            let counts = match subject {
-                Subject::Request(_) => true,
-                Subject::Part(_) => {
-                    let runs = suspicion.runs.iter().filter(|run| run.crash == crash.number);
-                    let mut later = runs.filter(|run| last.is_none_or(|last| run.sent > last));
-                    self.explains_coincident(crash, suspicion)
-                        && later.any(|run| requests.insert(run.request))
-                }
+            let mut runs = suspicion.runs.iter().filter(|run| run.crash == crash.number);
+            let run = match subject {
+                Subject::Request(_) => runs.next(),
+                Subject::Part(_) if !self.explains_coincident(crash, suspicion) => None,
+                Subject::Part(_) => runs
+                    .filter(|run| last.is_none_or(|last| run.sent > last))
+                    .find(|run| requests.insert(run.request)),
             };
-            if counts {
-                count += 1;
-                last = Some(crash.at);
-            }
-            if count == MIN_CRASHES {
+            let Some(run) = run else { continue };
+            let is_late = run.answered && matches!(subject, Subject::Part(_));
+            all += 1;
+            early += usize::from(!is_late);
+            last = Some(crash.at);
+            if early >= MIN_CRASHES || all >= MIN_LATE_CRASHES {
                 return last;
             }
         }
         None
     }
 
+    /// Returns when a subject was last shown to be harmless.
+    ///
+    /// An engine that had answered one of several requests with a part for a while would have crashed before if the part
+    /// were the cause. Of a single request this shows nothing: it may crash its engine late.
+    fn last_survival(&self, subject: Subject, suspicion: &Suspicion) -> Option<Duration> {
+        let confirmed = suspicion.survived.iter().filter(|survived| self.is_confirmed(survived));
+        let confirmed = confirmed.map(|survived| survived.at).max();
+        if matches!(subject, Subject::Request(_)) {
+            return confirmed;
+        }
+        let is_shared = |crash: &&Crash| {
+            let runs = suspicion.runs.iter().filter(|run| run.crash == crash.number);
+            runs.clone().any(|run| run.answered) && runs.count() > 1
+        };
+        confirmed.max(self.crashes.iter().filter(is_shared).map(|crash| crash.at).max())
+    }
+
     /// Returns whether a subject was in progress at half or more of the crashes at the time of a crash.
     fn explains_coincident(&self, crash: &Crash, suspicion: &Suspicion) -> bool {
         let coincident =
@@ -259,11 +277,10 @@
 
     /// Returns whether an endpoint survived a request and did not crash soon afterwards.
     fn is_confirmed(&self, survived: &Survived) -> bool {
-        let Some((endpoint, born)) = &survived.endpoint else { return true };
         let mut crashes = self.crashes.iter();
         !crashes.any(|crash| {
-            crash.endpoint == *endpoint
-                && crash.born == *born
+            crash.endpoint == survived.endpoint
+                && crash.born == survived.born
                 && crash.at <= survived.at + SURVIVAL_TIME
         })
     }
--- a/crates/quarantine/tests/detector.rs
+++ b/crates/quarantine/tests/detector.rs
@@ -63,6 +63,19 @@
         self.detector.record(&Loss { answering_ms, ran_ms: answering_ms, ..loss }, now);
     }
 
+    /// Reports the loss of an endpoint that had been answering a request for a time.
+    fn lose_same_answering(
+        &mut self,
+        answering: Duration,
+        endpoint: &str,
+        request: u64,
+        now: Duration,
+    ) {
+        let answering_ms = answering.as_millis() as u32;
+        let loss = loss(endpoint, request, &[]);
+        self.detector.record(&Loss { answering_ms, ran_ms: answering_ms, ..loss }, now);
+    }
+
     /// Reports the loss of an endpoint under a request unlike any other.
     fn lose_new(&mut self, endpoint: &str, parts: &[u64], now: Duration) {
         self.requests += 1;
@@ -273,6 +286,31 @@
     }
 }
 
+// Guards against a request that clears itself by each long response at which it crashes its engine.
+#[test]
+fn a_request_that_crashes_endpoints_late_in_its_response_is_quarantined() {
+    let mut cell = Cell::default();
+    for (number, endpoint) in ["a", "b", "c"].into_iter().enumerate() {
+        let now = ms(2_000 * (number as u64 + 1));
+        assert_eq!(cell.evaluate(now - SETTLE), []);
+        cell.lose_same_answering(ms(700), endpoint, POISON, now);
+    }
+    assert_eq!(cell.evaluate(ms(6_000)), [Subject::Request(POISON)]);
+}
+
+// Guards against a part whose requests clear it because each one is answered for a while before its engine crashes.
+#[test]
+fn a_part_that_crashes_engines_late_is_quarantined_after_five_crashes() {
+    let mut cell = Cell::default();
+    for (number, endpoint) in ["a", "b", "c", "d", "e"].into_iter().enumerate() {
+        let now = ms(2_000 * (number as u64 + 1));
+        assert_eq!(cell.evaluate(now - SETTLE), []);
+        cell.lose_answering(ms(700), endpoint, &[SHARED, BAD], now);
+        cell.lose_answering(ms(100), endpoint, &[SHARED], now);
+    }
+    assert_eq!(cell.evaluate(ms(10_000)), [Subject::Part(BAD)]);
+}
+
 #[test]
 fn a_part_is_not_quarantined_for_a_request_that_crashes_endpoints() {
     let mut cell = Cell::default();
