quarantine: a crash counts against what an endpoint may have run, not what a gate still waits for

Callers saw one request end endpoint after endpoint. A gate reported a loss only if an exchange that it was still waiting for broke, the endpoint was in its list, and one connection attempt was refused. So nothing was counted when the caller had left, the attempt had timed out or its deadline had passed, when the endpoint was draining or its successor had announced itself first, or when its address refused nothing.

A gate now keeps each run whose end it has not seen until the fate of the endpoint is known: one that broke, and one that the gate dropped, until its deadline. It watches the endpoint by a connection of its own, which the next request uses; if that closes and a new one is refused, the endpoint crashed. The leader tells all gates of a crash (Crashed): the first that a gate reports, a new incarnation at the id or the address, and silence. Gates answer with the runs that may have been in progress. What a leaving endpoint had announced, the time of its end or its deregistration after draining, is no crash; an end before that is.

The test of losses kept for the next leader is split: what is kept is checked as before, what a crash is charged to has tests of its own.

Ruled out: counting each dropped run as a loss (callers that leave are frequent, crashes are not); reporting all dropped runs to the leader (traffic that grows with requests).

--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -11,6 +11,7 @@
 use fleet::message::Holding;
 use fleet::message::Welcome;
 use fleet::origin;
+use fleet::quarantine::Crash;
 use fleet::quarantine::List;
 use fleet::quarantine::Loss;
 use fleet::quarantine::Subject;
@@ -22,6 +23,7 @@
 use sched::action::Action;
 use tokio::time::Instant;
 
+use crate::departures::Departures;
 use crate::lease::Lease;
 use crate::links::Links;
 use crate::quarantine::Quarantine;
@@ -51,6 +53,8 @@
     pub(crate) leadership: Option<Leadership>,
     /// The streams that gates have recorded here.
     pub(crate) origins: origin::Table,
+    /// The endpoints that left as planned while this keeper led.
+    departures: Departures,
     lease: Lease,
     settings: sched::settings::Settings,
     endpoint_timeout: Duration,
@@ -78,6 +82,7 @@
             status: Status::default(),
             leadership: None,
             origins: origin::Table::default(),
+            departures: Departures::new(settings.endpoint_drain),
             lease: Lease::new(settings.order_lease, settings.fenced_orders),
             settings: settings.scheduler.clone(),
             endpoint_timeout: settings.endpoint_timeout,
@@ -200,11 +205,49 @@
     /// Handles the losses that a gate reports. Ignored unless this keeper leads.
     pub(crate) fn record_losses(&mut self, losses: &[Loss], state: &State) {
         let now = self.now();
+        let losses = self.unplanned(losses, now);
         let Some(leadership) = &mut self.leadership else { return };
-        let suspects = leadership.quarantine.record_losses(losses, state.quarantine(), now);
+        let mut crashes: Vec<Crash> = Vec::new();
+        for Loss { endpoint, born, age_ms, .. } in &losses {
+            let known = leadership.quarantine.has_crashed(endpoint, *born)
+                || crashes.iter().any(|crash| crash.endpoint == *endpoint && crash.born == *born);
+            if !known {
+                crashes.push(Crash { endpoint: endpoint.clone(), born: *born, silent_ms: *age_ms });
+            }
+        }
+        let suspects = leadership.quarantine.record_losses(&losses, state.quarantine(), now);
         if !suspects.is_empty() {
             self.links.broadcast_to_gates(&Frame::Suspects(suspects));
         }
+        for crash in crashes {
+            self.links.broadcast_to_gates(&Frame::Crashed(crash));
+        }
+    }
+
+    /// Returns the losses of endpoints that had not left as planned.
+    fn unplanned(&self, losses: &[Loss], now: Duration) -> Vec<Loss> {
+        let is_unplanned = |loss: &&Loss| {
+            let at = now.saturating_sub(Duration::from_millis(u64::from(loss.age_ms)));
+            let planned = self.departures.includes(&loss.endpoint, loss.born, at);
+            if planned {
+                base::event!(
+                    INFO, Event::LossDismissed, endpoint = %loss.endpoint, born = loss.born,
+                    fingerprint = %format_args!("{:016x}", loss.fingerprint.request), age_ms = loss.age_ms
+                );
+            }
+            !planned
+        };
+        losses.iter().filter(is_unplanned).cloned().collect()
+    }
+
+    /// Notifies the gates of endpoints that have ended without notice.
+    fn notify_lost(&mut self) {
+        let now = self.now();
+        for lost in self.registry.take_lost() {
+            let silent_ms = now.saturating_sub(lost.heard).as_millis() as u32;
+            let crash = Crash { endpoint: lost.id, born: lost.born, silent_ms };
+            self.links.broadcast_to_gates(&Frame::Crashed(crash));
+        }
     }
 
     /// Records that an endpoint ended the response to a suspected request. Ignored unless this keeper leads.
@@ -308,7 +351,9 @@
         if let Some(leadership) = &mut self.leadership {
             leadership.quarantine.endpoint_announced(&id, announcement.born, now);
         }
+        self.departures.announced(&id, announcement.born, announcement.state, now);
         let change = self.registry.announce(announcement, now);
+        self.notify_lost();
         match change {
             Change::None => return false,
             Change::Joined => {
@@ -329,7 +374,15 @@
     /// earlier start than the known one.
     pub(crate) fn leave(&mut self, id: &Name, born: Option<u64>) -> bool {
         let now = self.now();
+        let known = self.registry.get(id).map(|known| known.born);
         let changed = self.registry.leave(id, born) != Change::None;
+        if let (true, Some(born)) = (changed, known) {
+            if self.departures.left(id, born, now)
+                && let Some(leadership) = &mut self.leadership
+            {
+                leadership.quarantine.endpoint_left(id, born);
+            }
+        }
         if changed {
             self.registry_changed(now);
         }
@@ -366,6 +419,7 @@
         }
         if self.leadership.is_some() && !self.registry.expire(self.endpoint_timeout, now).is_empty()
         {
+            self.notify_lost();
             self.registry_changed(now);
         }
     }
--- a/crates/cell/src/quarantine.rs
+++ b/crates/cell/src/quarantine.rs
@@ -99,6 +99,16 @@
         suspects
     }
 
+    /// Handles the end of an endpoint that had drained: its loss, which may have been reported before, was no crash.
+    pub fn endpoint_left(&mut self, endpoint: &str, born: u64) {
+        self.detector.drop_crash(endpoint, born);
+    }
+
+    /// Returns whether an incarnation of an endpoint is known to have crashed.
+    pub fn has_crashed(&self, endpoint: &str, born: u64) -> bool {
+        self.detector.has_crashed(endpoint, born)
+    }
+
     /// Quarantines the subjects against which there is enough evidence; returns whether there are any.
     pub fn evaluate(&mut self, now: Duration) -> bool {
         let causes = self.detector.poll(now);
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -36,6 +36,8 @@
     pub fenced_orders: bool,
     /// Time without an announcement after which an endpoint is removed.
     pub endpoint_timeout: Duration,
+    /// Time for which an endpoint serves on after it has announced its departure.
+    pub endpoint_drain: Duration,
 }
 
 /// Interval between the leader's heartbeats.
--- a/crates/cell/tests/leadership.rs
+++ b/crates/cell/tests/leadership.rs
@@ -109,6 +109,7 @@
         tolerated_losses: 1,
         all_vote: false,
         endpoint_timeout: TIMEOUT,
+        endpoint_drain: Duration::from_secs(2),
     }
 }
 
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -77,7 +77,7 @@
         }
         let status = response.status();
         if parsed.mismatched || (status.is_success() && !parsed.signed) {
-            tracker.set_outcome(Outcome::Lost);
+            tracker.record_mismatch();
             self.log_failure("the response has another request id or no signature");
             return Attempt::Lost(Code::WrongAnswer);
         }
@@ -89,7 +89,7 @@
         };
         if parsed.refused || parsed.misdirected {
             let outcome = if parsed.misdirected { Outcome::Misdirected } else { Outcome::Refused };
-            tracker.set_outcome(outcome);
+            tracker.record_not_run(outcome);
             self.log_failure(status.as_str());
             reuse(connection, response.into_body());
             return Attempt::Refused(outcome);
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -299,6 +299,7 @@
             scheduled,
             endpoint,
             &call.fingerprint,
+            call.deadline,
         );
         let request = self.build_request(call, &target);
         let sent = send::send(&self.pool, endpoint, request).await;
@@ -319,7 +320,7 @@
                 exchange.receive(&self.pool, response, framing, sender, &parsed, tracker).await
             }
             Sent::Unsent(reason) => {
-                tracker.set_outcome(Outcome::Lost);
+                tracker.record_not_run(Outcome::Lost);
                 exchange.log_failure(&reason);
                 Attempt::Unsent
             }
--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -23,7 +23,6 @@
 use fleet::message::Welcome;
 use fleet::origin::Origin;
 use fleet::quarantine::Fingerprint;
-use fleet::quarantine::Loss;
 use fleet::quarantine::Subject;
 use fleet::quarantine::Survival;
 use link::Inbox;
@@ -36,7 +35,10 @@
 use crate::origins::Located;
 use crate::origins::Origins;
 use crate::pool::Pool;
+use crate::pool::Sender;
 use crate::quarantine::Quarantine;
+use crate::runs::Run;
+use crate::runs::Runs;
 use crate::view::View;
 
 /// The timeout for opening a link.
@@ -48,6 +50,13 @@
 /// The number of consecutive failures after which an address that belongs to no seed or member is dropped.
 const MAX_FAILURES: u32 = 10;
 
+/// The delay before an endpoint that may have crashed is probed again, which doubles up to the maximum.
+const MIN_PROBE_BACKOFF: Duration = Duration::from_millis(50);
+const MAX_PROBE_BACKOFF: Duration = Duration::from_secs(1);
+/// The time for which an endpoint that neither accepts nor refuses connections is probed; the leader learns of its end by
+/// its missing announcements.
+const PROBE_TIME: Duration = Duration::from_secs(3);
+
 /// The scheduler's decision on a request, or the reason why there is none.
 #[derive(Debug)]
 pub(crate) enum Decision {
@@ -98,6 +107,7 @@
     in_flight: Mutex<Map<u64, InFlight>>,
     origins: Origins,
     quarantine: Quarantine,
+    runs: Mutex<Runs>,
     next_number: AtomicU64,
 }
 
@@ -122,6 +132,7 @@
             in_flight: Mutex::default(),
             origins: Origins::default(),
             quarantine: Quarantine::default(),
+            runs: Mutex::default(),
             next_number: AtomicU64::new(1),
         })
     }
@@ -217,6 +228,11 @@
             Frame::Probe(subject) if self.is_leader(address) => {
                 self.quarantine.start_probe(subject);
             }
+            Frame::Crashed(crash) if self.is_leader(address) => {
+                let silent = Duration::from_millis(u64::from(crash.silent_ms));
+                let alive = self.view.now().saturating_sub(silent);
+                self.report_crash(&crash.endpoint, crash.born, alive);
+            }
             Frame::Suspects(subjects) => self.quarantine.add_suspects(&subjects),
             Frame::Located { lookup, origin, sole_build } => {
                 self.origins.handle_reply(lookup, origin, sole_build);
@@ -379,47 +395,73 @@
         self.quarantine.end_probes(fingerprint)
     }
 
-    /// Reports that an endpoint was lost while it ran a request if the endpoint crashed: it was not leaving, and it
-    /// refuses a new connection. A connection alone may also break by itself.
-    pub(crate) fn report_loss(
-        self: &Arc<Keepers>,
-        endpoint: &Endpoint,
-        fingerprint: &Fingerprint,
-        ran: Duration,
-        answering: Duration,
-    ) {
+    /// Records a run whose end is unknown, and finds out whether its endpoint has crashed or crashes.
+    pub(crate) fn report_run(self: &Arc<Keepers>, run: Run, endpoint: &Endpoint) {
+        if self.runs.lock().add(run) {
+            tokio::spawn(self.clone().watch(endpoint.clone()));
+        }
+    }
+
+    /// Watches an endpoint by a connection of its own while it may run requests whose end this gate does not see. An
+    /// endpoint that refuses a connection has crashed; any other failure shows nothing.
+    async fn watch(self: Arc<Keepers>, endpoint: Endpoint) {
+        let start = self.view.now();
+        let mut alive = start;
+        let mut backoff = MIN_PROBE_BACKOFF;
+        loop {
+            let probe = self.pool.open_watched(&endpoint).await;
+            let result = match &probe {
+                Ok(_) => "accepted".to_owned(),
+                Err(error) => error.to_string(),
+            };
+            base::event!(
+                INFO, Event::EndpointProbed, endpoint = %endpoint.id, born = endpoint.born, result
+            );
+            let conclusive = match probe {
+                Ok((sender, closed)) => {
+                    let until = self.runs.lock().open_until(&endpoint.id, endpoint.born);
+                    let left = until.unwrap_or_default().saturating_sub(self.view.now());
+                    let unused = self.pool_known(&endpoint, sender);
+                    // The endpoint runs at least until the connection closes.
+                    tokio::time::timeout(left, closed).await.ok();
+                    drop(unused);
+                    alive = self.view.now();
+                    true
+                }
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                    self.report_crash(&endpoint.id, endpoint.born, alive);
+                    true
+                }
+                Err(_) => self.view.now() >= start + PROBE_TIME,
+            };
+            if conclusive
+                && self.runs.lock().end_watch(&endpoint.id, endpoint.born, self.view.now())
+            {
+                return;
+            }
+            tokio::time::sleep(backoff).await;
+            backoff = (backoff * 2).min(MAX_PROBE_BACKOFF);
+        }
+    }
+
+    /// Adds a connection to the pool if its endpoint still receives requests; returns it otherwise.
+    fn pool_known(&self, endpoint: &Endpoint, sender: Sender) -> Option<Sender> {
         let known = self.view.endpoints();
         if known.get(&endpoint.id).is_none_or(|known| known.born != endpoint.born) {
-            dismiss(endpoint, 1, "the endpoint is leaving or was replaced");
-            return;
-        }
-        let loss = Loss {
-            endpoint: endpoint.id.clone(),
-            born: endpoint.born,
-            fingerprint: fingerprint.clone(),
-            ran_ms: ran.as_millis() as u32,
-            answering_ms: answering.as_millis() as u32,
-            age_ms: 0,
-        };
-        if self.quarantine.add_unconfirmed(loss, self.view.now()) {
-            tokio::spawn(self.clone().confirm_losses(endpoint.clone()));
+            return Some(sender);
         }
+        self.pool.put(&endpoint.id, sender, None);
+        None
     }
 
-    /// Opens a connection to an endpoint, and reports the unconfirmed losses of it if the endpoint refuses.
-    async fn confirm_losses(self: Arc<Keepers>, endpoint: Endpoint) {
-        let opened = self.pool.open(&endpoint).await;
-        let refused =
-            matches!(&opened, Err(error) if error.kind() == io::ErrorKind::ConnectionRefused);
-        let losses = self.quarantine.take_unconfirmed(&endpoint.id, refused, self.view.now());
-        match opened {
-            Err(_) if refused => drop(self.send(Frame::Losses(losses))),
-            Err(error) => dismiss(&endpoint, losses.len(), &error.to_string()),
-            Ok(sender) => {
-                self.pool.put(&endpoint.id, sender, None);
-                dismiss(&endpoint, losses.len(), "the endpoint accepts connections");
-            }
+    /// Reports the requests that an endpoint may have run when it crashed. It was last known to run at `alive`.
+    fn report_crash(&self, endpoint: &Name, born: u64, alive: Duration) {
+        let losses = self.runs.lock().take_crashed(endpoint, born, alive);
+        if losses.is_empty() {
+            return;
         }
+        let losses = self.quarantine.add_losses(losses, self.view.now());
+        self.send(Frame::Losses(losses));
     }
 
     /// Reports that a request ended at an endpoint that survived, if it was suspected.
@@ -464,13 +506,6 @@
     }
 }
 
-/// Logs losses that are not taken for a crash of the endpoint.
-fn dismiss(endpoint: &Endpoint, losses: usize, reason: &str) {
-    base::event!(
-        INFO, Event::LossDismissed, endpoint = %endpoint.id, born = endpoint.born, losses, reason
-    );
-}
-
 /// Withdraws a pending request from the scheduler if the request is cancelled or times out.
 #[derive(Debug)]
 struct Withdrawal {
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -12,6 +12,7 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use crate::settings::CONNECT_TIMEOUT;
@@ -59,6 +60,14 @@
 
     /// Opens a connection.
     pub(crate) async fn open(&self, endpoint: &Endpoint) -> std::io::Result<Sender> {
+        self.open_watched(endpoint).await.map(|(sender, _)| sender)
+    }
+
+    /// Opens a connection; the task ends when the connection is closed.
+    pub(crate) async fn open_watched(
+        &self,
+        endpoint: &Endpoint,
+    ) -> std::io::Result<(Sender, JoinHandle<()>)> {
         let stream = link::connect(self.ip, endpoint.address, CONNECT_TIMEOUT).await?;
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
@@ -66,8 +75,8 @@
             .await;
         let (sender, connection) = handshake.map_err(std::io::Error::other)?;
         // Errors of the connection are reported to the request that uses it.
-        tokio::spawn(async move { connection.await.ok() });
-        Ok(sender)
+        let closed = tokio::spawn(async move { drop(connection.await) });
+        Ok((sender, closed))
     }
 
     /// Returns a connection to the pool after its response was read in full; `idle_timeout` is the one that
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use base::Map;
-use base::Name;
 use base::Set;
 use fleet::quarantine::Fingerprint;
 use fleet::quarantine::Loss;
@@ -34,8 +33,6 @@
     suspects: Set<Subject>,
     /// The suspects in the order in which they became known; may contain some that have been cleared.
     suspect_order: VecDeque<Subject>,
-    /// The losses of endpoints of which it is not yet known whether they crashed.
-    unconfirmed: Map<Name, Vec<(Duration, Loss)>>,
     /// The losses of crashed endpoints at this gate, the oldest first. They are sent to each new leader.
     losses: VecDeque<(Duration, Loss)>,
 }
@@ -112,25 +109,15 @@
         }
     }
 
-    /// Adds a loss at this gate that is to be confirmed; returns whether it is the first one of its endpoint.
-    pub fn add_unconfirmed(&self, loss: Loss, now: Duration) -> bool {
+    /// Records losses of crashed endpoints with their times; returns them with their age.
+    pub fn add_losses(&self, losses: Vec<(Duration, Loss)>, now: Duration) -> Vec<Loss> {
         let mut inner = self.inner.lock();
-        let losses = inner.unconfirmed.entry(loss.endpoint.clone()).or_default();
-        losses.push((now, loss));
-        losses.len() == 1
-    }
-
-    /// Takes the unconfirmed losses of an endpoint, and records them if the endpoint has crashed.
-    pub fn take_unconfirmed(&self, endpoint: &str, crashed: bool, now: Duration) -> Vec<Loss> {
-        let mut inner = self.inner.lock();
-        let taken = inner.unconfirmed.remove(endpoint).unwrap_or_default();
-        if crashed {
-            inner.losses.extend(taken.iter().cloned());
-            while inner.losses.len() > MAX_LOSSES {
-                inner.losses.pop_front();
-            }
+        let aged = losses.iter().map(|(at, loss)| aged(loss, *at, now)).collect();
+        inner.losses.extend(losses);
+        while inner.losses.len() > MAX_LOSSES {
+            inner.losses.pop_front();
         }
-        taken.iter().map(|(at, loss)| aged(loss, *at, now)).collect()
+        aged
     }
 
     /// Returns the recent losses at this gate, with their age.
--- a/crates/edge/src/tracker.rs
+++ b/crates/edge/src/tracker.rs
@@ -15,6 +15,7 @@
 
 use crate::framing::Framing;
 use crate::keepers::Keepers;
+use crate::runs::Run;
 use crate::view::View;
 
 /// Tracks a request at an endpoint. On drop it updates the endpoint's statistics and reports to the leader the end of
@@ -30,20 +31,25 @@
     endpoint: Endpoint,
     fingerprint: Arc<Fingerprint>,
     sent: Instant,
+    /// Until when the endpoint may run the request.
+    deadline: Instant,
     /// When the first bytes of the response body arrived.
     began: Option<Instant>,
     /// The origin to record when the stream begins, if it can be resumed.
     origin: Option<Origin>,
     outcome: Outcome,
-    liveness: Liveness,
+    ending: Ending,
 }
 
-/// What the end of a request shows about its endpoint.
+/// How a request ended at its endpoint.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Liveness {
-    Unknown,
+enum Ending {
+    /// The gate stopped waiting for the end of the response, so the endpoint may still run the request.
+    Abandoned,
+    /// The endpoint did not run the request, or failed it, possibly without running it.
+    Inconclusive,
     /// The endpoint ended a successful response itself.
-    Alive,
+    Complete,
     /// The connection ended, as it does if the endpoint crashes.
     Disconnected,
 }
@@ -56,6 +62,7 @@
         scheduled: Option<u64>,
         endpoint: &Endpoint,
         fingerprint: &Arc<Fingerprint>,
+        deadline: Instant,
     ) -> Tracker {
         view.stats.lock().entry(endpoint.id.clone()).or_default().running += 1;
         Tracker {
@@ -66,11 +73,12 @@
             endpoint: endpoint.clone(),
             fingerprint: fingerprint.clone(),
             sent: Instant::now(),
+            deadline,
             began: None,
             origin: None,
             // A request that is dropped before it ends was cancelled by its caller.
             outcome: Outcome::Cancelled,
-            liveness: Liveness::Unknown,
+            ending: Ending::Abandoned,
         }
     }
 
@@ -94,25 +102,30 @@
         self.origin = Some(origin);
     }
 
-    /// Sets the outcome of the request.
-    pub(crate) fn set_outcome(&mut self, outcome: Outcome) {
+    /// Records that the response is not valid, so that the endpoint may still run the request.
+    pub(crate) fn record_mismatch(&mut self) {
+        self.outcome = Outcome::Lost;
+    }
+
+    /// Records that the endpoint did not run the request.
+    pub(crate) fn record_not_run(&mut self, outcome: Outcome) {
         self.outcome = outcome;
+        self.ending = Ending::Inconclusive;
     }
 
     /// Records that the connection broke before the response was complete.
     pub(crate) fn record_break(&mut self) {
         self.outcome = Outcome::Lost;
-        self.liveness = Liveness::Disconnected;
+        self.ending = Ending::Disconnected;
     }
 
     /// Records the end of the response. If that is the end of its connection, the endpoint may have crashed.
     pub(crate) fn record_end(&mut self, outcome: Outcome, framing: Framing) {
         self.outcome = outcome;
-        self.liveness = match (framing, outcome) {
-            (Framing::Close, _) => Liveness::Disconnected,
-            (_, Outcome::Done) => Liveness::Alive,
-            // An endpoint may fail a request without running it.
-            _ => Liveness::Unknown,
+        self.ending = match (framing, outcome) {
+            (Framing::Close, _) => Ending::Disconnected,
+            (_, Outcome::Done) => Ending::Complete,
+            _ => Ending::Inconclusive,
         };
     }
 
@@ -124,6 +137,22 @@
         }
     }
 
+    /// Reports that the end of the request at its endpoint is unknown. The gate stopped waiting for it at `ended`, and the
+    /// endpoint may have run it until `until`.
+    fn report_run(&self, ended: Duration, until: Duration) {
+        let before = |instant: Instant| ended.saturating_sub(instant.elapsed());
+        let run = Run {
+            endpoint: self.endpoint.id.clone(),
+            born: self.endpoint.born,
+            fingerprint: (*self.fingerprint).clone(),
+            sent: before(self.sent),
+            began: self.began.map(before),
+            ended,
+            until,
+        };
+        self.keepers.report_run(run, &self.endpoint);
+    }
+
     /// Returns the time since the request was sent.
     pub(crate) fn elapsed(&self) -> Duration {
         self.sent.elapsed()
@@ -144,20 +173,18 @@
         if let Some(request) = self.scheduled {
             self.keepers.report_end(Ended { request, outcome: self.outcome });
         }
-        match self.liveness {
-            Liveness::Unknown if self.outcome == Outcome::Cancelled => {
+        match self.ending {
+            Ending::Inconclusive => {}
+            Ending::Complete => self.keepers.report_survival(&self.endpoint, &self.fingerprint),
+            Ending::Disconnected => self.report_run(now, now),
+            Ending::Abandoned => {
                 base::event!(
                     INFO, Event::AttemptAbandoned, request = %self.id,
                     fingerprint = %format_args!("{:016x}", self.fingerprint.request),
                     endpoint = %self.endpoint.id, ran_ms = self.sent.elapsed().as_millis() as u64
                 );
-            }
-            Liveness::Unknown => {}
-            Liveness::Alive => self.keepers.report_survival(&self.endpoint, &self.fingerprint),
-            Liveness::Disconnected => {
-                let ran = self.sent.elapsed();
-                let answering = self.began.map(|began| began.elapsed()).unwrap_or_default();
-                self.keepers.report_loss(&self.endpoint, &self.fingerprint, ran, answering);
+                let left = self.deadline.saturating_duration_since(Instant::now());
+                self.report_run(now, now + left);
             }
         }
     }
--- a/crates/edge/tests/quarantine.rs
+++ b/crates/edge/tests/quarantine.rs
@@ -71,15 +71,12 @@
 }
 
 #[test]
-fn losses_are_kept_for_the_next_leader_if_the_endpoint_crashed() {
+fn losses_are_kept_for_the_next_leader() {
     let quarantine = Quarantine::default();
-    assert!(quarantine.add_unconfirmed(loss("a", 1), seconds(1)));
-    assert!(!quarantine.add_unconfirmed(loss("a", 2), seconds(1)));
-    assert!(quarantine.add_unconfirmed(loss("b", 3), seconds(1)));
     assert!(quarantine.losses(seconds(1)).is_empty());
-    assert_eq!(quarantine.take_unconfirmed("b", false, seconds(2)).len(), 1);
-    let confirmed = quarantine.take_unconfirmed("a", true, seconds(2));
-    assert!(confirmed.iter().all(|loss| loss.age_ms == 1_000));
+    let losses = vec![(seconds(1), loss("a", 1)), (seconds(1), loss("a", 2))];
+    let reported = quarantine.add_losses(losses, seconds(2));
+    assert!(reported.iter().all(|loss| loss.age_ms == 1_000));
     let kept: Vec<u64> =
         quarantine.losses(seconds(3)).iter().map(|loss| loss.fingerprint.request).collect();
     assert_eq!(kept, [1, 2]);
@@ -90,9 +87,8 @@
 #[test]
 fn a_request_that_an_endpoint_survived_is_reported_once_and_its_losses_are_dropped() {
     let quarantine = Quarantine::default();
-    quarantine.add_unconfirmed(loss("a", 1), seconds(1));
-    quarantine.add_unconfirmed(loss("a", 2), seconds(1));
-    quarantine.take_unconfirmed("a", true, seconds(1));
+    let losses = vec![(seconds(1), loss("a", 1)), (seconds(1), loss("a", 2))];
+    quarantine.add_losses(losses, seconds(1));
     quarantine.add_suspects(&[REQUEST, Subject::Request(2), PART]);
     assert_eq!(quarantine.clear(&fingerprint(1)), [REQUEST, PART]);
     assert_eq!(quarantine.clear(&fingerprint(1)), []);
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -16,6 +16,7 @@
 use crate::endpoint::Endpoint;
 use crate::origin::Origin;
 use crate::plan::Plan;
+use crate::quarantine::Crash;
 use crate::quarantine::Loss;
 use crate::quarantine::Subject;
 use crate::quarantine::Survival;
@@ -105,6 +106,8 @@
     QuarantineHit(Subject),
     /// The leader asks one gate to admit a single request with a quarantined subject.
     Probe(Subject),
+    /// The leader has learned that an endpoint crashed; gates report with [`Frame::Losses`] what it may have run.
+    Crashed(Crash),
 }
 
 /// The sender of the frames on a link.
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -59,7 +59,7 @@
     ids.join(",")
 }
 
-/// A gate's report that an endpoint's connection broke while the endpoint ran a request.
+/// A gate's report that an endpoint crashed while it may have run a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Loss {
     /// The endpoint.
@@ -76,6 +76,17 @@
     pub age_ms: u32,
 }
 
+/// The leader's notice that an endpoint has crashed, upon which gates report what it may have run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// The endpoint.
+    pub endpoint: Name,
+    /// The start time of the endpoint, as in [`crate::endpoint::Announcement::born`].
+    pub born: u64,
+    /// The time since the endpoint was last known to run, in ms.
+    pub silent_ms: u32,
+}
+
 /// A gate's report that an endpoint ended the response to a suspected request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Survival {
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -31,6 +31,17 @@
     Left,
 }
 
+/// An endpoint that ended without notice.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Lost {
+    /// The endpoint.
+    pub id: Name,
+    /// Its start time.
+    pub born: u64,
+    /// When it last announced itself.
+    pub heard: Duration,
+}
+
 /// The latest announcement of an endpoint and when it was received.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Entry {
@@ -38,6 +49,15 @@
     heard: Duration,
 }
 
+impl Entry {
+    /// Returns the endpoint as lost, unless it had announced the time of its end.
+    fn lost(&self) -> Option<Lost> {
+        let Announcement { id, born, state, .. } = &self.announcement;
+        let announced = matches!(state, State::Draining(Some(_)));
+        (!announced).then(|| Lost { id: id.clone(), born: *born, heard: self.heard })
+    }
+}
+
 /// The endpoints that announced themselves recently.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Registry {
@@ -50,6 +70,9 @@
     ended: Map<Name, u64>,
     /// When each build of a service was last announced, also if its endpoints have left.
     builds: Map<Name, Map<Name, Duration>>,
+    /// The endpoints that ended without notice and have not been taken.
+    #[serde(skip)]
+    lost: Vec<Lost>,
 }
 
 impl Registry {
@@ -60,6 +83,7 @@
         }
         let builds = self.builds.entry(new.service.clone()).or_default();
         builds.insert(new.build.clone(), now);
+        self.detect_restart(&new);
         let replaced = self.replace_address(&new);
         let known = self.entries.get(&new.id).filter(|entry| entry.announcement.born == new.born);
         let was_ready = known.is_some_and(|entry| entry.announcement.state == State::Ready);
@@ -92,13 +116,22 @@
         ended || displaced || late
     }
 
+    /// Records the loss of the former incarnation of an endpoint that starts again under its id.
+    fn detect_restart(&mut self, new: &Announcement) {
+        let former = self.entries.get(&new.id).filter(|entry| entry.announcement.born < new.born);
+        self.lost.extend(former.and_then(Entry::lost));
+    }
+
     /// Removes another endpoint that had the same address; returns whether there was one.
     fn replace_address(&mut self, new: &Announcement) -> bool {
         let former = self
             .entries
             .iter()
             .find(|(id, entry)| **id != new.id && entry.announcement.address == new.address);
-        let Some(id) = former.map(|(id, _)| id.clone()) else { return false };
+        let Some((id, lost)) = former.map(|(id, entry)| (id.clone(), entry.lost())) else {
+            return false;
+        };
+        self.lost.extend(lost);
         self.end(&id);
         true
     }
@@ -128,11 +161,20 @@
         let ids: Vec<Name> = expired.map(|(id, _)| id.clone()).collect();
         for id in &ids {
             base::event!(WARN, Event::EndpointSilent, endpoint = %id);
-            self.entries.remove(id);
+            let entry = self.entries.remove(id);
+            // One that drains may be gone without a deregistration that arrived.
+            let ready = entry.filter(|entry| entry.announcement.state == State::Ready);
+            self.lost.extend(ready.as_ref().and_then(Entry::lost));
         }
         ids
     }
 
+    /// Returns the endpoints that ended without notice since the last call: another incarnation took their id or their
+    /// address, or they fell silent.
+    pub fn take_lost(&mut self) -> Vec<Lost> {
+        std::mem::take(&mut self.lost)
+    }
+
     fn end(&mut self, id: &Name) {
         if let Some(entry) = self.entries.remove(id) {
             self.record_ended(id.clone(), entry.announcement.born);
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -110,3 +110,32 @@
     assert_eq!(sole(&registry, 20), None);
     assert_eq!(sole(&registry, 21), Some(new.build));
 }
+
+#[test]
+fn an_endpoint_whose_successor_announces_itself_is_lost() {
+    let mut registry = Registry::default();
+    let lost = |registry: &mut Registry| -> Vec<(String, u64)> {
+        registry.take_lost().into_iter().map(|lost| (lost.id.to_string(), lost.born)).collect()
+    };
+    registry.announce(announcement("x", 1, 5, 1), NOW);
+    registry.announce(announcement("y", 2, 5, 1), NOW);
+    assert_eq!(lost(&mut registry), []);
+    registry.announce(announcement("x", 1, 6, 1), NOW);
+    registry.announce(announcement("z", 2, 6, 1), NOW);
+    assert_eq!(lost(&mut registry), [("x".to_owned(), 5), ("y".to_owned(), 5)]);
+    assert_eq!(lost(&mut registry), []);
+}
+
+#[test]
+fn an_endpoint_that_falls_silent_is_lost_unless_it_was_leaving() {
+    let mut registry = Registry::default();
+    registry.announce(announcement("x", 1, 5, 1), NOW);
+    registry
+        .announce(Announcement { state: State::Draining(None), ..announcement("y", 2, 5, 1) }, NOW);
+    registry.announce(announcement("z", 3, 5, 1), NOW);
+    registry.leave(&Name::from("z"), Some(5));
+    registry.expire(Duration::from_secs(4), NOW + Duration::from_secs(4));
+    let lost = registry.take_lost();
+    assert_eq!(lost.len(), 1);
+    assert_eq!((&*lost[0].id, lost[0].born, lost[0].heard), ("x", 5, NOW));
+}
--- a/crates/quarantine/src/detector.rs
+++ b/crates/quarantine/src/detector.rs
@@ -178,6 +178,12 @@
         }
     }
 
+    /// Drops the crash of an endpoint that ended as planned.
+    pub fn drop_crash(&mut self, endpoint: &str, born: u64) {
+        self.crashes.retain(|crash| &*crash.endpoint != endpoint || crash.born != born);
+        self.drop_runs_without_crash();
+    }
+
     /// Returns whether an incarnation of an endpoint is known to have crashed.
     pub fn has_crashed(&self, endpoint: &str, born: u64) -> bool {
         self.crashes.iter().any(|crash| &*crash.endpoint == endpoint && crash.born == born)
