quarantine: crashes that become known late do not count against parts together

Its evidence were runs that callers had left at engines which went dark; the leader learned of three crashes within half a second, 4 to 4.6 s after them, and judged at once. Gates report what speaks for a part only once the part is suspected, so nothing could speak for it.

A crash now counts against a part only with a request that was sent after the crash before was known, and evidence settles from the time at which it became known, not from the time of the crash. Red before: the new test of the detector, which quarantines at the first evaluation.

Ruled out: leaving out runs that callers have left for parts, since a part may crash engines after its callers have gone.

--- a/crates/quarantine/src/detector.rs
+++ b/crates/quarantine/src/detector.rs
@@ -52,8 +52,10 @@
     endpoint: Name,
     /// The start time of the incarnation that crashed.
     born: u64,
-    /// When the first loss was reported.
+    /// When the endpoint was lost, as the first report states.
     at: Duration,
+    /// When the first report arrived. From then on gates report what speaks for the subjects in progress.
+    known: Duration,
     /// Whether a quarantined subject was in progress, so that the crash speaks against no other.
     explained: bool,
 }
@@ -151,7 +153,8 @@
         self.next_crash += 1;
         let (endpoint, born) = (loss.endpoint.clone(), loss.born);
         let index = self.crashes.partition_point(|crash| crash.at <= at);
-        self.crashes.insert(index, Crash { number, endpoint, born, at, explained: false });
+        self.crashes
+            .insert(index, Crash { number, endpoint, born, at, known: now, explained: false });
         self.crashes.get_mut(index)
     }
 
@@ -214,12 +217,12 @@
         }
     }
 
-    /// Returns the time of the crash that completes the evidence against a subject.
+    /// Returns when the evidence against a subject became complete.
     ///
     /// A request is evaluated by the number of endpoints that crashed while they ran it. Parts of prompts are shared, so
     /// that many are in progress when many endpoints crash at a time; for them a crash counts only with a request that
-    /// differs from those before and was sent after the crash before, and not if most crashes at that time had no such
-    /// request in progress.
+    /// differs from those before and was sent after the crash before was known, and not if most crashes at that time had
+    /// no such request in progress.
     fn decisive_crash(&self, subject: Subject) -> Option<Duration> {
         let suspicion = self.suspicions.get(&subject)?;
         let crashes: Set<u64> = suspicion.runs.iter().map(|run| run.crash).collect();
@@ -244,7 +247,7 @@
             let is_late = run.answered && matches!(subject, Subject::Part(_));
             all += 1;
             early += usize::from(!is_late);
-            last = Some(crash.at);
+            last = Some(crash.known);
             if early >= MIN_CRASHES || all >= MIN_LATE_CRASHES {
                 return last;
             }
--- a/crates/quarantine/tests/detector.rs
+++ b/crates/quarantine/tests/detector.rs
@@ -257,6 +257,22 @@
     assert_eq!(cell.evaluate(ms(21_000)), []);
 }
 
+// Guards against the quarantine of a shared part for crashes that become known late: gates report what speaks for a part
+// only once they know that it is suspected.
+#[test]
+fn crashes_that_become_known_together_do_not_suffice_to_quarantine_a_part() {
+    let mut cell = Cell::default();
+    for (number, endpoint) in ["a", "b", "c", "d"].into_iter().enumerate() {
+        let age_ms = 4_000 - 1_000 * number as u32;
+        let loss = loss(endpoint, number as u64, &[SHARED]);
+        cell.detector.record(&Loss { age_ms, ..loss }, ms(10_000));
+    }
+    assert_eq!(cell.evaluate(ms(10_000)), []);
+    cell.lose_new("e", &[SHARED], ms(11_000));
+    cell.lose_new("f", &[SHARED], ms(12_000));
+    assert_eq!(cell.evaluate(ms(12_000)), [Subject::Part(SHARED)]);
+}
+
 // Guards against the quarantine of a rare part that is in progress each time that many engines crash.
 #[test]
 fn repeated_simultaneous_crashes_do_not_suffice_to_quarantine_a_part() {
