fleet: an endpoint that deregisters while it is silent does not return

The engine was cut off and had been removed as silent; its deregistration, which names no start time, then found no entry and left no trace; a heartbeat that the cut had held up arrived 2.2 s later and registered it again as ready.

The registry now remembers the start time of an endpoint that fell silent, and a deregistration of it ends that incarnation. Red before: a_delayed_announcement_does_not_restore_an_endpoint_that_left_while_it_was_silent.

--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -68,6 +68,10 @@
     addresses: Map<SocketAddr, u64>,
     /// The latest start time of each endpoint that left or lost its address.
     ended: Map<Name, u64>,
+    /// The start time of each endpoint that fell silent, by which its deregistration is recorded.
+    ///
+    /// Invariant: at most [`MAX_ENDED_INCARNATIONS`]; beyond it all are dropped.
+    silent: Map<Name, u64>,
     /// When each build of a service was last announced, also if its endpoints have left.
     builds: Map<Name, Map<Name, Duration>>,
     /// The endpoints that ended without notice and have not been taken.
@@ -139,7 +143,8 @@
     /// Removes an endpoint that is leaving. Without `born`, this applies to the known incarnation.
     pub fn leave(&mut self, id: &Name, born: Option<u64>) -> Change {
         let Some(entry) = self.entries.get(id) else {
-            if let Some(born) = born {
+            let silent = self.silent.remove(id);
+            if let Some(born) = born.or(silent) {
                 self.record_ended(id.clone(), born);
             }
             return Change::None;
@@ -161,10 +166,15 @@
         let ids: Vec<Name> = expired.map(|(id, _)| id.clone()).collect();
         for id in &ids {
             base::event!(WARN, Event::EndpointSilent, endpoint = %id);
-            let entry = self.entries.remove(id);
+            let Some(entry) = self.entries.remove(id) else { continue };
+            if self.silent.len() >= MAX_ENDED_INCARNATIONS {
+                self.silent.clear();
+            }
+            self.silent.insert(id.clone(), entry.announcement.born);
             // One that drains may be gone without a deregistration that arrived.
-            let ready = entry.filter(|entry| entry.announcement.state == State::Ready);
-            self.lost.extend(ready.as_ref().and_then(Entry::lost));
+            if entry.announcement.state == State::Ready {
+                self.lost.extend(entry.lost());
+            }
         }
         ids
     }
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -111,6 +111,19 @@
     assert_eq!(sole(&registry, 21), Some(new.build));
 }
 
+// Guards against requests to an endpoint that deregisters behind a cut, after which a delayed announcement arrives.
+#[test]
+fn a_delayed_announcement_does_not_restore_an_endpoint_that_left_while_it_was_silent() {
+    let mut registry = Registry::default();
+    registry.announce(announcement("x", 1, 5, 1), NOW);
+    let later = NOW + Duration::from_secs(4);
+    assert_eq!(registry.expire(Duration::from_secs(4), later), [Name::from("x")]);
+    assert_eq!(registry.leave(&Name::from("x"), None), Change::None);
+    assert_eq!(registry.announce(announcement("x", 1, 5, 2), later), Change::None);
+    assert!(ready(&registry).is_empty());
+    assert_eq!(registry.announce(announcement("x", 1, 6, 1), later), Change::Joined);
+}
+
 #[test]
 fn an_endpoint_whose_successor_announces_itself_is_lost() {
     let mut registry = Registry::default();
