edge, platform: decode the limit that an endpoint names and log its changes

Nothing read the limit that an endpoint in need names, so no log could tell whether a gate knew of it. Only a response that the endpoint gave to a request sent after the limit was known lifts it, since responses overtake each other. No decision depends on it yet.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -98,6 +98,7 @@
     409 LinkDown State "A connection to another node was lost."
     410 Ordered Request "An order was sent to an engine."
     411 Inspected Request "The state of an engine was read."
+    412 LimitChanged State "An endpoint named, changed or lifted a limit on its request rate."
     500 LeaseGranted State "The gate obtained its lease."
     501 LeaseLost State "The gate lost its lease and accepts no new requests."
     502 LeaseExpired State "The leader ended the lease of a gate."
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -81,6 +81,9 @@
             self.log_failure("the response has another request id or no signature");
             return Attempt::Lost(Code::WrongAnswer);
         }
+        if !parsed.misdirected {
+            tracker.record_limit(parsed.limit, !parsed.refused);
+        }
         let connection = Connection {
             pool: pool.clone(),
             endpoint: self.endpoint.clone(),
--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -25,6 +25,7 @@
 use fleet::quarantine::Fingerprint;
 use fleet::quarantine::Subject;
 use fleet::quarantine::Survival;
+use limit::Notice;
 use link::Inbox;
 use link::Link;
 use parking_lot::Mutex;
@@ -32,6 +33,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::limits::Limits;
 use crate::origins::Located;
 use crate::origins::Origins;
 use crate::pool::Pool;
@@ -108,6 +110,7 @@
     origins: Origins,
     quarantine: Quarantine,
     runs: Mutex<Runs>,
+    limits: Limits,
     next_number: AtomicU64,
 }
 
@@ -133,6 +136,7 @@
             origins: Origins::default(),
             quarantine: Quarantine::default(),
             runs: Mutex::default(),
+            limits: Limits::default(),
             next_number: AtomicU64::new(1),
         })
     }
@@ -216,6 +220,8 @@
                 self.view.set_endpoints(endpoints);
                 let known = self.view.endpoints();
                 self.pool.retain(|id| known.contains_key(id));
+                self.limits
+                    .retain(|id, born| known.get(id).is_some_and(|known| known.born == born));
             }
             Frame::Holds(holdings) if self.is_leader(address) => {
                 for holding in holdings {
@@ -464,6 +470,18 @@
         self.send(Frame::Losses(losses));
     }
 
+    /// Records what a response to a request, sent at `sent`, tells about the limit of its endpoint, as in
+    /// [`Limits::record`].
+    pub(crate) fn record_limit(
+        &self,
+        endpoint: &Endpoint,
+        notice: Notice,
+        ran: bool,
+        sent: Duration,
+    ) {
+        self.limits.record(endpoint, notice, ran, sent, self.view.now());
+    }
+
     /// Reports that a request ended at an endpoint that survived, if it was suspected.
     pub(crate) fn report_survival(&self, endpoint: &Endpoint, fingerprint: &Fingerprint) {
         let subjects = self.quarantine.clear(fingerprint);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,6 +16,7 @@
 mod framing;
 mod gate;
 mod keepers;
+mod limits;
 mod metrics;
 mod origins;
 mod pool;
--- a/crates/edge/src/protocol.rs
+++ b/crates/edge/src/protocol.rs
@@ -10,6 +10,7 @@
 use hyper::Response;
 use hyper::http::request;
 use hyper::http::response;
+use limit::Notice;
 
 use crate::refusal::Refusal;
 
@@ -63,6 +64,8 @@
     pub signed: bool,
     /// The numbers of running and of queued requests at the endpoint.
     pub load: Option<(u32, u32)>,
+    /// The limit on its request rate that the endpoint names.
+    pub limit: Notice,
     /// The endpoint's timeout for idle connections.
     pub idle_timeout: Option<Duration>,
     /// Whether the endpoint closes the connection after the response.
--- a/crates/edge/src/tracker.rs
+++ b/crates/edge/src/tracker.rs
@@ -11,6 +11,7 @@
 use fleet::message::Outcome;
 use fleet::origin::Origin;
 use fleet::quarantine::Fingerprint;
+use limit::Notice;
 use tokio::time::Instant;
 
 use crate::framing::Framing;
@@ -153,6 +154,12 @@
         self.keepers.report_run(run, &self.endpoint);
     }
 
+    /// Records what the response tells about the endpoint's limit; `ran` states whether the endpoint ran the request.
+    pub(crate) fn record_limit(&self, notice: Notice, ran: bool) {
+        let sent = self.view.now().saturating_sub(self.sent.elapsed());
+        self.keepers.record_limit(&self.endpoint, notice, ran, sent);
+    }
+
     /// Returns the time since the request was sent.
     pub(crate) fn elapsed(&self) -> Duration {
         self.sent.elapsed()
