edge, cell, sched: the limit that an endpoint names holds for all gates together

Callers noticed nothing; endpoints in need got as many requests as before, because nothing read the limit that they named.

A limit is a fact about an incarnation of an endpoint. A gate reports each change that it sees in a response; the leader tells all gates, also one that connects, and each gate tells a new leader what it knows. The scheduler keeps the rate of each model engine by a token bucket; a gate asks the leader for a permit before it sends a request to a limited endpoint of a plain service. Without a leader gates have turns that use half of the rate together. What is left over goes to other endpoints, adapters are loaded elsewhere, and what no limit admits in time is refused at once (1312) with the time until it does.

Ruled out: equal shares as buckets, which exceed the limit by one request for each gate after an idle time.

--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -6,6 +6,7 @@
 use base::Event;
 use base::Name;
 use fleet::endpoint::Announcement;
+use fleet::limit::Limit;
 use fleet::message::Frame;
 use fleet::message::Hello;
 use fleet::message::Holding;
@@ -25,6 +26,7 @@
 
 use crate::departures::Departures;
 use crate::lease::Lease;
+use crate::limits::Limits;
 use crate::links::Links;
 use crate::quarantine::Quarantine;
 use crate::replica::Status;
@@ -39,6 +41,7 @@
     pub(crate) term: u64,
     pub(crate) scheduler: Scheduler,
     pub(crate) quarantine: Quarantine,
+    pub(crate) limits: Limits,
     /// Which adapters each engine holds, as last sent to the gates.
     holdings: Vec<Holding>,
 }
@@ -150,7 +153,13 @@
             scheduler.engine_announced(announcement, now);
         }
         base::event!(INFO, Event::LeaderElected, term, "scheduler started");
-        Leadership { term, scheduler, quarantine: Quarantine::default(), holdings: Vec::new() }
+        Leadership {
+            term,
+            scheduler,
+            quarantine: Quarantine::default(),
+            limits: Limits::default(),
+            holdings: Vec::new(),
+        }
     }
 
     /// Returns the leadership if it is that of `term`.
@@ -250,6 +259,40 @@
         }
     }
 
+    /// Records the limit of an endpoint that a gate reports, and notifies all gates of a change. Ignored unless this
+    /// keeper leads.
+    pub(crate) fn record_limit(&mut self, limit: &Limit) {
+        let now = self.now();
+        let Some(leadership) = &mut self.leadership else { return };
+        if !leadership.limits.set(limit, now) {
+            return;
+        }
+        let rate = limit.rate.map(limit::Rate::per_second);
+        base::event!(
+            INFO, Event::LimitChanged, endpoint = %limit.endpoint, born = limit.born, rate
+        );
+        leadership.scheduler.set_limit(limit, now);
+        self.links.broadcast_to_gates(&Frame::Limits(leadership.limits.list()));
+    }
+
+    /// Returns the number of endpoints with a limit; 0 unless this keeper leads.
+    pub(crate) fn limited(&self) -> usize {
+        self.leadership.as_ref().map_or(0, |leadership| leadership.limits.list().len())
+    }
+
+    /// Answers a gate that asks to send a request to an endpoint with a limit. Ignored unless this keeper leads.
+    pub(crate) fn answer_permit(&mut self, link_id: u64, request: u64, endpoint: &Name, born: u64) {
+        let now = self.now();
+        let Some(leadership) = &mut self.leadership else { return };
+        let permit = leadership.scheduler.try_admit(endpoint, born, now);
+        let permit = permit.unwrap_or_else(|| leadership.limits.try_take(endpoint, born, now));
+        let wait = permit.err();
+        let wait_ms = wait.map(|wait| wait.as_millis() as u32);
+        if let Some(node) = self.links.get(link_id) {
+            node.link.send(Frame::Permit { request, wait_ms });
+        }
+    }
+
     /// Records that an endpoint ended the response to a suspected request. Ignored unless this keeper leads.
     pub(crate) fn record_survival(&mut self, survival: &Survival) {
         let now = self.now();
@@ -321,6 +364,7 @@
             return;
         }
         // Before the plan, without which the gate serves no requests.
+        link.send(Frame::Limits(leadership.limits.list()));
         link.send(Frame::Quarantine(leadership.quarantine.subjects(state.quarantine())));
         if let Some(plan) = &state.plan {
             link.send(Frame::Plan(plan.clone()));
@@ -362,6 +406,9 @@
                     (is_engine, &mut self.leadership, known)
                 {
                     leadership.scheduler.engine_announced(known, now);
+                    for limit in leadership.limits.list() {
+                        leadership.scheduler.set_limit(&limit, now);
+                    }
                 }
             }
             Change::Left => {}
@@ -433,6 +480,9 @@
                 known.is_none_or(|known| known.state != fleet::endpoint::State::Ready)
             });
             let gone: Vec<Name> = gone.cloned().collect();
+            leadership
+                .limits
+                .retain(|id, born| self.registry.get(id).is_some_and(|known| known.born == born));
             for id in gone {
                 leadership.scheduler.remove_engine(&id, now);
                 leadership.holdings.retain(|holding| holding.endpoint != id);
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -221,6 +221,13 @@
                 self.coordinator.lock().record_losses(&losses, &self.state.read());
             }
             Frame::Survived(survival) => self.coordinator.lock().record_survival(&survival),
+            Frame::Limit(limit) => {
+                self.coordinator.lock().record_limit(&limit);
+                self.wake_scheduler();
+            }
+            Frame::AskPermit { request, endpoint, born } => {
+                self.coordinator.lock().answer_permit(link_id, request, &endpoint, born);
+            }
             Frame::QuarantineHit(subject) => {
                 self.coordinator.lock().record_quarantine_hit(link_id, subject);
             }
@@ -303,11 +310,13 @@
             coordinator.expire_endpoints();
             let gates = coordinator.links.gates().count() as i64;
             let endpoints = coordinator.registry.ready().count() as i64;
+            let limited = coordinator.limited() as i64;
             drop(coordinator);
             self.metrics.state.with_label_values(&["gates"]).set(gates);
             self.metrics.state.with_label_values(&["endpoints"]).set(endpoints);
             let quarantined = self.state.read().quarantine().iter().count() as i64;
             self.metrics.state.with_label_values(&["quarantined"]).set(quarantined);
+            self.metrics.state.with_label_values(&["limited"]).set(limited);
             self.update_quarantine();
             self.wake_scheduler();
         }
--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -33,6 +33,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::limits::Admission;
 use crate::limits::Limits;
 use crate::origins::Located;
 use crate::origins::Origins;
@@ -52,6 +53,10 @@
 /// The number of consecutive failures after which an address that belongs to no seed or member is dropped.
 const MAX_FAILURES: u32 = 10;
 
+/// The timeout of a permit for an endpoint with a limit; several round trips to a keeper.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(150);
+/// The number of gates among which an endpoint's limit is divided without a leader, if no leader has told it yet.
+const DEFAULT_GATES: u32 = 8;
 /// The delay before an endpoint that may have crashed is probed again, which doubles up to the maximum.
 const MIN_PROBE_BACKOFF: Duration = Duration::from_millis(50);
 const MAX_PROBE_BACKOFF: Duration = Duration::from_secs(1);
@@ -111,6 +116,8 @@
     quarantine: Quarantine,
     runs: Mutex<Runs>,
     limits: Limits,
+    /// The requests that wait for a permit, by number.
+    permits: Mutex<Map<u64, oneshot::Sender<Result<(), Duration>>>>,
     next_number: AtomicU64,
 }
 
@@ -137,6 +144,7 @@
             quarantine: Quarantine::default(),
             runs: Mutex::default(),
             limits: Limits::default(),
+            permits: Mutex::default(),
             next_number: AtomicU64::new(1),
         })
     }
@@ -239,6 +247,16 @@
                 let alive = self.view.now().saturating_sub(silent);
                 self.report_crash(&crash.endpoint, crash.born, alive);
             }
+            Frame::Limits(limits) if self.is_leader(address) => {
+                self.limits.replace(&limits, self.view.now());
+            }
+            Frame::Permit { request, wait_ms } => {
+                if let Some(reply) = self.permits.lock().remove(&request) {
+                    let wait = wait_ms.map(|ms| Duration::from_millis(u64::from(ms)));
+                    // The request may have been cancelled in the meantime.
+                    reply.send(wait.map_or(Ok(()), Err)).ok();
+                }
+            }
             Frame::Suspects(subjects) => self.quarantine.add_suspects(&subjects),
             Frame::Located { lookup, origin, sole_build } => {
                 self.origins.handle_reply(lookup, origin, sole_build);
@@ -293,6 +311,9 @@
         });
         link.send(Frame::Running(running.collect()));
         drop(in_flight);
+        for limit in self.limits.list() {
+            link.send(Frame::Limit(limit));
+        }
         let losses = self.quarantine.losses(self.view.now());
         if !losses.is_empty() {
             link.send(Frame::Losses(losses));
@@ -479,7 +500,47 @@
         ran: bool,
         sent: Duration,
     ) {
-        self.limits.record(endpoint, notice, ran, sent, self.view.now());
+        if let Some(limit) = self.limits.record(endpoint, notice, ran, sent, self.view.now()) {
+            self.send(Frame::Limit(limit));
+        }
+    }
+
+    /// Admits a request to an endpoint that this gate has chosen without the scheduler. Returns the time until there may
+    /// be a permit if the limit of the endpoint is reached. Without a leader the gate uses its share.
+    pub(crate) async fn acquire(&self, endpoint: &Endpoint) -> Result<(), Duration> {
+        match self.limits.admission(endpoint, self.view.now()) {
+            Admission::Unlimited => return Ok(()),
+            Admission::Reached(wait) => return Err(wait),
+            Admission::Limited => {}
+        }
+        let permit = match self.ask_permit(endpoint).await {
+            Some(permit) => permit,
+            None => self.take_share(endpoint),
+        };
+        if let Err(wait) = permit {
+            self.limits.set_reached(endpoint, wait, self.view.now());
+        }
+        permit
+    }
+
+    /// Admits a request to an endpoint by this gate's share of the endpoint's limit.
+    pub(crate) fn take_share(&self, endpoint: &Endpoint) -> Result<(), Duration> {
+        let gates = self.view.gates().unwrap_or(DEFAULT_GATES);
+        self.limits.take_share(endpoint, gates, rand::random(), self.view.now())
+    }
+
+    /// Asks the leader to admit a request to an endpoint; `None` if no leader answers.
+    async fn ask_permit(&self, endpoint: &Endpoint) -> Option<Result<(), Duration>> {
+        let request = self.next_number();
+        let (reply, permit) = oneshot::channel();
+        self.permits.lock().insert(request, reply);
+        let ask = Frame::AskPermit { request, endpoint: endpoint.id.clone(), born: endpoint.born };
+        let permit = match self.send(ask) {
+            true => tokio::time::timeout(PERMIT_TIMEOUT, permit).await.ok(),
+            false => None,
+        };
+        self.permits.lock().remove(&request);
+        permit?.ok()
     }
 
     /// Reports that a request ended at an endpoint that survived, if it was suspected.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -34,6 +34,8 @@
 pub use crate::budget::Limit;
 pub use crate::choose::choose;
 pub use crate::gate::Gate;
+pub use crate::limits::Admission;
+pub use crate::limits::Limits;
 pub use crate::quarantine::Hit;
 pub use crate::quarantine::Quarantine;
 pub use crate::refusal::Refusal;
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -33,6 +33,33 @@
     pub(crate) query: Option<Query>,
 }
 
+/// The endpoints that a request can't be sent to because their limits are reached.
+#[derive(Debug, Default)]
+struct Limited {
+    endpoints: Vec<Name>,
+    /// The shortest time until one of them admits a request.
+    wait: Option<Duration>,
+}
+
+impl Limited {
+    fn add(&mut self, endpoint: &Name, wait: Duration) {
+        self.endpoints.push(endpoint.clone());
+        self.wait = Some(self.wait.map_or(wait, |known| known.min(wait)));
+    }
+
+    fn contains(&self, endpoint: &Name) -> bool {
+        self.endpoints.contains(endpoint)
+    }
+
+    /// Returns the refusal of a request that no other endpoint can take. Its retry delay varies, so that callers do not
+    /// retry together.
+    fn refusal(&self) -> Option<Refusal> {
+        let wait = self.wait?.max(DEFAULT_RETRY_AFTER);
+        let spread: f64 = rand::random();
+        Some(Refusal::retryable(Code::LimitReached, wait.mul_f64(1.0 + spread)))
+    }
+}
+
 impl<P: Protocol> Gate<P> {
     /// Chooses the endpoint for the next attempt. A request that is quarantined, possibly while it waits for an
     /// engine, gets none.
@@ -44,7 +71,7 @@
         self.check_quarantine(call)?;
         let target = match call.request.model.clone() {
             Some(model) => self.schedule(call, model, excluded).await?,
-            None => self.choose_endpoint(call, excluded)?,
+            None => self.choose_endpoint(call, excluded).await?,
         };
         let admitted = self.check_quarantine(call);
         if let (Err(_), Some(query)) = (&admitted, &target.query) {
@@ -70,10 +97,20 @@
     }
 
     /// Chooses an endpoint of a service that has no model engines.
-    fn choose_endpoint(&self, call: &Call, excluded: &[Name]) -> Result<Target, Refusal> {
-        let endpoints = self.view.endpoints();
-        let candidates = endpoints.values().filter(|endpoint| call.admits(endpoint));
-        self.least_loaded(candidates, excluded, None)
+    async fn choose_endpoint(&self, call: &Call, excluded: &[Name]) -> Result<Target, Refusal> {
+        let mut limited = Limited::default();
+        loop {
+            let endpoints = self.view.endpoints();
+            let candidates = endpoints.values();
+            let candidates = candidates
+                .filter(|endpoint| call.admits(endpoint) && !limited.contains(&endpoint.id));
+            let target = self.least_loaded(candidates, excluded, None);
+            let target = target.map_err(|refusal| limited.refusal().unwrap_or(refusal))?;
+            match self.keepers.acquire(&target.endpoint).await {
+                Ok(()) => return Ok(target),
+                Err(wait) => limited.add(&target.endpoint.id, wait),
+            }
+        }
     }
 
     /// Chooses the endpoint of the lowest cost that is not excluded.
@@ -182,7 +219,19 @@
                 && (query.adapter.is_empty() || self.view.holds(&endpoint.id, &query.adapter))
         });
         let version = self.view.version(&query.model, &query.adapter);
-        let target = self.least_loaded(candidates, excluded, version);
+        let mut limited = Limited::default();
+        let candidates: Vec<&Endpoint> = candidates.collect();
+        let target = loop {
+            let admitted = candidates.iter().copied();
+            let admitted = admitted.filter(|endpoint| !limited.contains(&endpoint.id));
+            match self.least_loaded(admitted, excluded, version) {
+                Err(refusal) => break Err(limited.refusal().unwrap_or(refusal)),
+                Ok(target) => match self.keepers.take_share(&target.endpoint) {
+                    Ok(()) => break Ok(target),
+                    Err(wait) => limited.add(&target.endpoint.id, wait),
+                },
+            }
+        };
         let endpoint = target.as_ref().map(|target| target.endpoint.id.clone()).unwrap_or_default();
         base::event!(
             WARN, Event::Unscheduled, request = %call.request.id, adapter = %query.adapter, endpoint = %endpoint
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,6 +2,7 @@
 //! announcements of endpoints, the origins of streams, and the messages between gates and keepers.
 
 pub mod endpoint;
+pub mod limit;
 pub mod message;
 pub mod origin;
 pub mod plan;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -14,6 +14,7 @@
 
 use crate::endpoint::Announcement;
 use crate::endpoint::Endpoint;
+use crate::limit::Limit;
 use crate::origin::Origin;
 use crate::plan::Plan;
 use crate::quarantine::Crash;
@@ -108,6 +109,26 @@
     Probe(Subject),
     /// The leader has learned that an endpoint crashed; gates report with [`Frame::Losses`] what it may have run.
     Crashed(Crash),
+    /// A gate reports that an endpoint named, changed or lifted a limit on its request rate; also sent to a new leader.
+    Limit(Limit),
+    /// The limits of all endpoints.
+    Limits(Vec<Limit>),
+    /// A gate asks the leader to admit a request to an endpoint with a limit; answered with [`Frame::Permit`].
+    AskPermit {
+        /// The gate's number for the request.
+        request: u64,
+        /// The endpoint.
+        endpoint: Name,
+        /// The start time of the endpoint.
+        born: u64,
+    },
+    /// The answer to [`Frame::AskPermit`].
+    Permit {
+        /// The gate's number for the request.
+        request: u64,
+        /// The time until the next permit, in ms; `None` if the request is admitted.
+        wait_ms: Option<u32>,
+    },
 }
 
 /// The sender of the frames on a link.
--- a/crates/sched/src/candidate.rs
+++ b/crates/sched/src/candidate.rs
@@ -89,6 +89,8 @@
 pub(crate) struct Rating {
     /// Whether the request would miss its target.
     misses: bool,
+    /// Whether the engine is not preferred. One with a limit is if it is idle and has the adapter.
+    ordinary: bool,
     /// The cost, or the expected time to the first event if the request would miss its target; in
     /// ms.
     ms: f64,
@@ -109,7 +111,8 @@
 
 impl Rating {
     fn precedes(&self, other: &Rating) -> bool {
-        (self.misses, self.ms, self.position) < (other.misses, other.ms, other.position)
+        let key = |rating: &Rating| (rating.misses, rating.ordinary, rating.ms, rating.position);
+        key(self) < key(other)
     }
 }
 
@@ -155,12 +158,14 @@
         let access = self.access(member, &pending.query.adapter)?;
         let queue_ms = figures.queue_ms(self.now).max(access.load_ms);
         let limit_ms = target_ms * self.settings.target_share(access.cold);
+        let idle = engine.limit.as_ref().is_some_and(|limit| limit.is_idle(self.now));
+        let ordinary = !idle || access.availability != Availability::Loaded;
         let better = |prefill_tokens: f64, penalty: f64| {
             let (expected_ms, cost) =
                 self.latency_and_cost(figures, pending, queue_ms, prefill_tokens, penalty);
             let misses = expected_ms > limit_ms;
             let ms = if misses { expected_ms } else { cost };
-            let rating = Rating { misses, ms, position };
+            let rating = Rating { misses, ordinary, ms, position };
             best.is_none_or(|best| rating.precedes(best)).then_some(rating)
         };
         // Most engines are ruled out without the prefix cache and the adapters' popularity.
@@ -217,6 +222,7 @@
             && fits
             && figures.running < self.spec.slots
             && self.now >= figures.full_until
+            && engine.limit_wait(self.now).is_zero()
             && (self.ignore_health || figures.health.admits(figures.running, self.now))
             && !query.excluded.contains(&engine.endpoint.id)
             && query.build.as_ref().is_none_or(|build| engine.endpoint.build == *build)
--- a/crates/sched/src/engine.rs
+++ b/crates/sched/src/engine.rs
@@ -5,6 +5,7 @@
 use base::Name;
 use fleet::endpoint::Announcement;
 use fleet::endpoint::Endpoint;
+use limit::Bucket;
 
 use crate::health::Health;
 use crate::prefix::Cache;
@@ -40,6 +41,8 @@
     pub(crate) start_deadlines: Vec<(Key, Duration)>,
     /// When the engine may get requests again after it refused one because it was full.
     pub(crate) full_until: Duration,
+    /// Admits requests at the rate that the engine has named, if it has.
+    pub(crate) limit: Option<Bucket>,
     pub(crate) prefill_speed: Prefill,
     pub(crate) health: Health,
     pub(crate) prefix_cache: Cache,
@@ -136,6 +139,7 @@
             kv_tokens: 0,
             start_deadlines: Vec::new(),
             full_until: Duration::ZERO,
+            limit: None,
             prefill_speed: Prefill::new(settings.prefill_tokens_per_ms),
             health: Health::default(),
             prefix_cache: Cache::default(),
@@ -167,6 +171,11 @@
         }
     }
 
+    /// Returns the time until the engine may get a request, as far as its limit tells.
+    pub(crate) fn limit_wait(&self, now: Duration) -> Duration {
+        self.limit.as_ref().map(|limit| limit.wait(now)).unwrap_or_default()
+    }
+
     /// Returns the number of queued and running loads.
     pub(crate) fn load_count(&self) -> usize {
         let loads = self.adapter_slots.values().filter(|slot| slot.is_loading());
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -10,9 +10,11 @@
 use base::Map;
 use base::Name;
 use fleet::endpoint::Announcement;
+use fleet::limit::Limit;
 use fleet::message::Version;
 use fleet::plan::EngineSpec;
 use fleet::plan::Plan;
+use limit::Bucket;
 
 use crate::action::Action;
 use crate::engine::Base;
@@ -152,6 +154,32 @@
         self.dirty = true;
     }
 
+    /// Sets or lifts the limit on the request rate of an engine.
+    pub fn set_limit(&mut self, limit: &Limit, now: Duration) {
+        let Some(engine) = self.engines.get_mut(&limit.endpoint) else { return };
+        if engine.endpoint.born != limit.born {
+            return;
+        }
+        match (limit.rate, &mut engine.limit) {
+            (Some(rate), Some(bucket)) => bucket.set_rate(rate, now),
+            (Some(rate), none) => *none = Some(Bucket::new(rate, now)),
+            (None, bucket) => *bucket = None,
+        }
+        self.dirty = true;
+    }
+
+    /// Admits a request to an engine that was not placed here; returns the time until the next one if the engine's limit
+    /// is reached. `None` if the engine is not known.
+    pub fn try_admit(
+        &mut self,
+        id: &Name,
+        born: u64,
+        now: Duration,
+    ) -> Option<Result<(), Duration>> {
+        let engine = self.engines.get_mut(id).filter(|engine| engine.endpoint.born == born)?;
+        Some(engine.limit.as_mut().map_or(Ok(()), |limit| limit.try_take(now)))
+    }
+
     /// Removes an engine; the requests that wait for an adapter there return to the queue.
     pub fn remove_engine(&mut self, id: &Name, _now: Duration) {
         let Some(engine) = self.engines.remove(id) else { return };
@@ -179,9 +207,12 @@
     /// actions to carry out, which include those from events since the last poll.
     pub fn poll(&mut self, now: Duration) -> Vec<Action> {
         self.expire(now);
-        // Requests stop waiting for a slot as time passes, without any other change.
-        let awaits_slot = self.queue.iter().any(|pending| pending.awaited_engine.is_some());
-        if self.dirty || (awaits_slot && now >= self.last_pass + AWAIT_POLL_INTERVAL) {
+        // Requests stop waiting for a slot, and engines with a limit take some again, as time passes, without any other
+        // change.
+        let awaits_time = self.queue.iter().any(|pending| pending.awaited_engine.is_some())
+            || (!self.queue.is_empty()
+                && self.engines.values().any(|engine| engine.limit.is_some()));
+        if self.dirty || (awaits_time && now >= self.last_pass + AWAIT_POLL_INTERVAL) {
             self.dirty = false;
             self.last_pass = now;
             let mut queued: Vec<Pending> = std::mem::take(&mut self.queue).into();
--- a/crates/sched/src/scheduler/admission.rs
+++ b/crates/sched/src/scheduler/admission.rs
@@ -62,7 +62,12 @@
     pub fn cancel(&mut self, gate: u64, request: u64, now: Duration) {
         let key = (gate, request);
         self.queue.retain(|pending| pending.key != key);
-        self.release(key, now);
+        if let Some(Assignment { engine, phase: Phase::Granted, .. }) = self.release(key, now)
+            && let Some(engine) = self.engines.get_mut(&engine)
+            && let Some(limit) = &mut engine.limit
+        {
+            limit.give_back();
+        }
     }
 
     /// Restores the requests that a gate has at engines, after a change of the leader.
@@ -168,6 +173,19 @@
         }
     }
 
+    /// Refuses a request, with a retry delay of up to twice `wait`, so that callers do not retry together.
+    pub(super) fn deny_for(
+        &mut self,
+        pending: &Pending,
+        code: Code,
+        wait: Duration,
+        now: Duration,
+    ) {
+        let (min, _) = self.settings.retry_after_ms;
+        let retry_ms = (wait.as_secs_f64() * 1e3).max(min) * (1.0 + spread(&pending.query));
+        self.refuse(pending, code, None, retry_ms as u32, now);
+    }
+
     /// Refuses a request, with a retry delay after which an engine should have capacity.
     pub(super) fn deny(
         &mut self,
@@ -180,11 +198,25 @@
         let queue_ms = self.engines.min_queue_ms(now).unwrap_or(f64::MAX);
         let excess_ms = queue_ms - f64::from(pending.query.target_ms) / 2.0;
         let (min, max) = self.settings.retry_after_ms;
-        // Spread by request, so that callers that were refused together do not retry together.
-        let spread = (base::digest(&pending.query.request.to_le_bytes()) % 1_000) as f64 / 1e3;
-        let retry_ms = (excess_ms.max(min) * (1.0 + spread)).clamp(min, max) as u32;
+        let retry_ms = (excess_ms.max(min) * (1.0 + spread(&pending.query))).clamp(min, max);
+        self.refuse(pending, code, reason, retry_ms as u32, now);
+    }
+
+    fn refuse(
+        &mut self,
+        pending: &Pending,
+        code: Code,
+        reason: Option<Reason>,
+        retry_ms: u32,
+        now: Duration,
+    ) {
         self.retries.record_refusal(&pending.query, pending.first_received_at, now);
         let denial = Denial { request: pending.query.request, code, retry_ms };
         self.actions.push(Action::Deny { gate: pending.key.0, denial, reason });
     }
 }
+
+/// Returns a number from 0 to 1 by which callers that are refused together retry at different times.
+fn spread(query: &Query) -> f64 {
+    (base::digest(&query.request.to_le_bytes()) % 1_000) as f64 / 1e3
+}
--- a/crates/sched/src/scheduler/completion.rs
+++ b/crates/sched/src/scheduler/completion.rs
@@ -79,6 +79,9 @@
         let Some(engine) = self.engines.get_mut(&assignment.engine) else {
             return Some(assignment);
         };
+        if let (Phase::Reserved(_), Some(limit)) = (&assignment.phase, &mut engine.limit) {
+            limit.give_back();
+        }
         engine.running = engine.running.saturating_sub(1);
         engine.kv_tokens = engine.kv_tokens.saturating_sub(assignment.kv_tokens);
         engine.start_deadlines.retain(|(user, _)| *user != key);
--- a/crates/sched/src/scheduler/placement.rs
+++ b/crates/sched/src/scheduler/placement.rs
@@ -65,6 +65,11 @@
     /// was queued for too long.
     pub(super) fn queue_or_deny(&mut self, pending: Pending, now: Duration) -> Option<Pending> {
         let limit_ms = f64::from(pending.query.target_ms) * self.settings.queue_target_share;
+        let wait = self.limit_wait(&pending.query, now);
+        if pending.held_ms(now) + wait.as_secs_f64() * 1e3 >= limit_ms && !wait.is_zero() {
+            self.deny_for(&pending, Code::LimitReached, wait, now);
+            return None;
+        }
         if pending.held_ms(now) < limit_ms && !self.engines.is_empty() {
             return Some(pending);
         }
@@ -72,6 +77,17 @@
         None
     }
 
+    /// Returns the time until the limits of the engines that may run a request admit one; zero if one of them has no
+    /// limit, or if there is none.
+    fn limit_wait(&self, query: &Query, now: Duration) -> Duration {
+        let engines = self.engines.values().filter(|engine| {
+            engine.endpoint.service == query.service
+                && query.build.as_ref().is_none_or(|build| engine.endpoint.build == *build)
+                && !query.excluded.contains(&engine.endpoint.id)
+        });
+        engines.map(|engine| engine.limit_wait(now)).min().unwrap_or_default()
+    }
+
     /// Returns the engine whose next free adapter slot a request should wait for. That engine still
     /// caches the adapter, so the load does not use the store, and it can meet the target.
     pub(super) fn engine_to_await(
@@ -205,6 +221,10 @@
         let version = self.min_version(&pending.query);
         let Some(engine) = self.engines.get_mut(&best.engine) else { return };
         let query = &pending.query;
+        if let Some(limit) = &mut engine.limit {
+            // Only an engine with a token is a candidate.
+            limit.try_take(now).ok();
+        }
         engine.backlog_tokens += best.prefill_tokens;
         engine.running += 1;
         let kv_tokens = u64::from(query.input) + u64::from(query.output);
