cell: gates learn from an announcement what an engine holds

Callers of a gate without a leader were refused although engines ran: a gate then sends only to engines that it knows to hold the model, and it was told so only after the leader had inspected the engine's report. The leader itself grants requests as soon as the engine has announced what it holds. An engine whose report does not come, or is of another incarnation, stayed unknown to the gates for good; in the test the stub's report names the first incarnation, so engines that have crashed are never inspected.

The leader now sends what an engine announces with its next round, also when it starts to lead. The scheduler's actions are unchanged (golden runs; publishing there changes their digests). What a keeper knows while it leads has a file of its own.

--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -9,7 +9,6 @@
 use fleet::limit::Limit;
 use fleet::message::Frame;
 use fleet::message::Hello;
-use fleet::message::Holding;
 use fleet::message::Welcome;
 use fleet::origin;
 use fleet::quarantine::Crash;
@@ -25,27 +24,15 @@
 use tokio::time::Instant;
 
 use crate::departures::Departures;
+use crate::leadership::Leadership;
 use crate::lease::Lease;
-use crate::limits::Limits;
 use crate::links::Links;
-use crate::quarantine::Quarantine;
 use crate::replica::Status;
 use crate::settings::MAINTENANCE_INTERVAL;
 use crate::settings::Settings;
 use crate::state::Command;
 use crate::state::State;
 
-/// The scheduler of a keeper that leads, with the state that it shares with the gates.
-#[derive(Debug)]
-pub(crate) struct Leadership {
-    pub(crate) term: u64,
-    pub(crate) scheduler: Scheduler,
-    pub(crate) quarantine: Quarantine,
-    pub(crate) limits: Limits,
-    /// Which adapters each engine holds, as last sent to the gates.
-    holdings: Vec<Holding>,
-}
-
 /// A keeper's state that is not replicated.
 #[derive(Debug)]
 pub(crate) struct Coordinator {
@@ -149,17 +136,12 @@
         for version in state.versions() {
             scheduler.set_version(&version);
         }
+        let mut leadership = Leadership::new(term, scheduler);
         for announcement in self.registry.ready().filter(|endpoint| endpoint.held.is_some()) {
-            scheduler.engine_announced(announcement, now);
+            leadership.add_engine(announcement, now);
         }
         base::event!(INFO, Event::LeaderElected, term, "scheduler started");
-        Leadership {
-            term,
-            scheduler,
-            quarantine: Quarantine::default(),
-            limits: Limits::default(),
-            holdings: Vec::new(),
-        }
+        leadership
     }
 
     /// Returns the leadership if it is that of `term`.
@@ -405,10 +387,7 @@
                 if let (true, Some(leadership), Some(known)) =
                     (is_engine, &mut self.leadership, known)
                 {
-                    leadership.scheduler.engine_announced(known, now);
-                    for limit in leadership.limits.list() {
-                        leadership.scheduler.set_limit(&limit, now);
-                    }
+                    leadership.add_engine(known, now);
                 }
             }
             Change::Left => {}
@@ -423,12 +402,11 @@
         let now = self.now();
         let known = self.registry.get(id).map(|known| known.born);
         let changed = self.registry.leave(id, born) != Change::None;
-        if let (true, Some(born)) = (changed, known) {
-            if self.departures.left(id, born, now)
-                && let Some(leadership) = &mut self.leadership
-            {
-                leadership.quarantine.endpoint_left(id, born);
-            }
+        if let (true, Some(born)) = (changed, known)
+            && self.departures.left(id, born, now)
+            && let Some(leadership) = &mut self.leadership
+        {
+            leadership.quarantine.endpoint_left(id, born);
         }
         if changed {
             self.registry_changed(now);
@@ -508,26 +486,10 @@
             self.broadcast_endpoints();
         }
         let Some(leadership) = &mut self.leadership else { return Vec::new() };
-        let actions = leadership.scheduler.poll(now);
-        let mut holdings = Vec::new();
-        let mut remaining = Vec::new();
-        for action in actions {
-            match action {
-                Action::Publish(holding) => {
-                    leadership.holdings.retain(|known| {
-                        (&known.endpoint, &known.adapter) != (&holding.endpoint, &holding.adapter)
-                    });
-                    if holding.held {
-                        leadership.holdings.push(holding.clone());
-                    }
-                    holdings.push(holding);
-                }
-                action => remaining.push(action),
-            }
-        }
+        let (actions, holdings) = leadership.poll(now);
         if !holdings.is_empty() {
             self.links.broadcast_to_gates(&Frame::Holds(holdings));
         }
-        remaining
+        actions
     }
 }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -22,6 +22,7 @@
 mod dispatch;
 mod error;
 mod keeper;
+mod leadership;
 mod links;
 mod metrics;
 mod peers;
