--- a/crates/sched/src/health.rs
+++ b/crates/sched/src/health.rs
@@ -11,21 +11,11 @@
 /// The longest backoff.
 const MAX_BACKOFF: Duration = Duration::from_secs(8);
 
-/// The time without an outcome after which the failure rate of an engine decays: the longest backoff, so that an engine
-/// is not taken for a recovered one before it has been tried again.
-const DECAY_DELAY: Duration = MAX_BACKOFF;
-/// The half-life of the failure rate from then on.
-const HALF_LIFE: Duration = Duration::from_secs(2);
-/// The failure rate below which an engine is as good as one that has not failed.
-const NEGLIGIBLE_RATE: f64 = 0.01;
-
 /// The recent outcomes at an engine.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Health {
     /// The exponentially weighted share of requests that failed.
     failure_rate: f64,
-    /// When the latest outcome was recorded.
-    updated: Duration,
     /// When the engine may get requests again.
     backoff_until: Duration,
     /// The length of the latest backoff; doubles with each one in a row.
@@ -34,8 +24,7 @@
 
 impl Health {
     /// Records a successful request; returns whether the engine is trusted again.
-    pub(crate) fn record_success(&mut self, now: Duration) -> bool {
-        self.updated = now;
+    pub(crate) fn record_success(&mut self) -> bool {
         let suspected = self.failure_rate >= SUSPECT_RATE;
         self.failure_rate *= 1.0 - 2.0 * FAILURE_WEIGHT;
         let trusted = suspected && self.failure_rate < SUSPECT_RATE;
@@ -47,7 +36,6 @@
 
     /// Records a failed request; returns whether a backoff begins.
     pub(crate) fn record_failure(&mut self, now: Duration) -> bool {
-        self.updated = now;
         self.failure_rate += FAILURE_WEIGHT * (1.0 - self.failure_rate);
         if self.failure_rate < SUSPECT_RATE || now < self.backoff_until {
             return false;
@@ -68,14 +56,8 @@
         self.backoff_until.is_zero() && self.failure_rate < SUSPECT_RATE
     }
 
-    /// Returns the share of recent requests that are expected to fail, from 0 to 1. It decays with time, because an engine
-    /// that is avoided has no requests that could succeed.
-    pub(crate) fn failure_rate(&self, now: Duration) -> f64 {
-        let Some(age) = now.checked_sub(self.updated + DECAY_DELAY) else {
-            return self.failure_rate;
-        };
-        let half_lives = age.as_secs_f64() / HALF_LIFE.as_secs_f64();
-        let rate = self.failure_rate * (-half_lives).exp2();
-        if rate < NEGLIGIBLE_RATE { 0.0 } else { rate }
+    /// Returns the share of recent requests that failed, from 0 to 1.
+    pub(crate) fn failure_rate(&self) -> f64 {
+        self.failure_rate
     }
 }
