--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -1,7 +1,6 @@
 //! The gate's links to the keepers: receives plans, versions and endpoints, and queries the leader's scheduler
 //! for routing decisions.
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -25,7 +24,6 @@
 use fleet::quarantine::Fingerprint;
 use fleet::quarantine::Subject;
 use fleet::quarantine::Survival;
-use limit::Notice;
 use link::Inbox;
 use link::Link;
 use parking_lot::Mutex;
@@ -33,14 +31,11 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use crate::limits::Admission;
 use crate::limits::Limits;
 use crate::origins::Located;
 use crate::origins::Origins;
 use crate::pool::Pool;
-use crate::pool::Sender;
 use crate::quarantine::Quarantine;
-use crate::runs::Run;
 use crate::runs::Runs;
 use crate::view::View;
 
@@ -53,17 +48,6 @@
 /// The number of consecutive failures after which an address that belongs to no seed or member is dropped.
 const MAX_FAILURES: u32 = 10;
 
-/// The timeout of a permit for an endpoint with a limit; several round trips to a keeper.
-const PERMIT_TIMEOUT: Duration = Duration::from_millis(150);
-/// The number of gates among which an endpoint's limit is divided without a leader, if no leader has told it yet.
-const DEFAULT_GATES: u32 = 8;
-/// The delay before an endpoint that may have crashed is probed again, which doubles up to the maximum.
-const MIN_PROBE_BACKOFF: Duration = Duration::from_millis(50);
-const MAX_PROBE_BACKOFF: Duration = Duration::from_secs(1);
-/// The time for which an endpoint that neither accepts nor refuses connections is probed; the leader learns of its end by
-/// its missing announcements.
-const PROBE_TIME: Duration = Duration::from_secs(3);
-
 /// The scheduler's decision on a request, or the reason why there is none.
 #[derive(Debug)]
 pub(crate) enum Decision {
@@ -95,8 +79,8 @@
 /// The gate's links to the keepers.
 #[derive(Debug)]
 pub(crate) struct Keepers {
-    view: Arc<View>,
-    pool: Arc<Pool>,
+    pub(crate) view: Arc<View>,
+    pub(crate) pool: Arc<Pool>,
     hello: Mutex<Hello>,
     seeds: Vec<SocketAddr>,
     /// The addresses for which a task maintains a link.
@@ -113,11 +97,11 @@
     /// The scheduled requests at engines, by request number.
     in_flight: Mutex<Map<u64, InFlight>>,
     origins: Origins,
-    quarantine: Quarantine,
-    runs: Mutex<Runs>,
-    limits: Limits,
+    pub(crate) quarantine: Quarantine,
+    pub(crate) runs: Mutex<Runs>,
+    pub(crate) limits: Limits,
     /// The requests that wait for a permit, by number.
-    permits: Mutex<Map<u64, oneshot::Sender<Result<(), Duration>>>>,
+    pub(crate) permits: Mutex<Map<u64, oneshot::Sender<Result<(), Duration>>>>,
     next_number: AtomicU64,
 }
 
@@ -422,127 +406,6 @@
         self.quarantine.end_probes(fingerprint)
     }
 
-    /// Records a run whose end is unknown, and finds out whether its endpoint has crashed or crashes.
-    pub(crate) fn report_run(self: &Arc<Keepers>, run: Run, endpoint: &Endpoint) {
-        if self.runs.lock().add(run) {
-            tokio::spawn(self.clone().watch(endpoint.clone()));
-        }
-    }
-
-    /// Watches an endpoint by a connection of its own while it may run requests whose end this gate does not see. An
-    /// endpoint that refuses a connection has crashed; any other failure shows nothing.
-    async fn watch(self: Arc<Keepers>, endpoint: Endpoint) {
-        let start = self.view.now();
-        let mut alive = start;
-        let mut backoff = MIN_PROBE_BACKOFF;
-        loop {
-            let probe = self.pool.open_watched(&endpoint).await;
-            let result = match &probe {
-                Ok(_) => "accepted".to_owned(),
-                Err(error) => error.to_string(),
-            };
-            base::event!(
-                INFO, Event::EndpointProbed, endpoint = %endpoint.id, born = endpoint.born, result
-            );
-            let conclusive = match probe {
-                Ok((sender, closed)) => {
-                    let until = self.runs.lock().open_until(&endpoint.id, endpoint.born);
-                    let left = until.unwrap_or_default().saturating_sub(self.view.now());
-                    let unused = self.pool_known(&endpoint, sender);
-                    // The endpoint runs at least until the connection closes.
-                    tokio::time::timeout(left, closed).await.ok();
-                    drop(unused);
-                    alive = self.view.now();
-                    true
-                }
-                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                    self.report_crash(&endpoint.id, endpoint.born, alive);
-                    true
-                }
-                Err(_) => self.view.now() >= start + PROBE_TIME,
-            };
-            if conclusive
-                && self.runs.lock().end_watch(&endpoint.id, endpoint.born, self.view.now())
-            {
-                return;
-            }
-            tokio::time::sleep(backoff).await;
-            backoff = (backoff * 2).min(MAX_PROBE_BACKOFF);
-        }
-    }
-
-    /// Adds a connection to the pool if its endpoint still receives requests; returns it otherwise.
-    fn pool_known(&self, endpoint: &Endpoint, sender: Sender) -> Option<Sender> {
-        let known = self.view.endpoints();
-        if known.get(&endpoint.id).is_none_or(|known| known.born != endpoint.born) {
-            return Some(sender);
-        }
-        self.pool.put(&endpoint.id, sender, None);
-        None
-    }
-
-    /// Reports the requests that an endpoint may have run when it crashed. It was last known to run at `alive`.
-    fn report_crash(&self, endpoint: &Name, born: u64, alive: Duration) {
-        let losses = self.runs.lock().take_crashed(endpoint, born, alive);
-        if losses.is_empty() {
-            return;
-        }
-        let losses = self.quarantine.add_losses(losses, self.view.now());
-        self.send(Frame::Losses(losses));
-    }
-
-    /// Records what a response to a request, sent at `sent`, tells about the limit of its endpoint, as in
-    /// [`Limits::record`].
-    pub(crate) fn record_limit(
-        &self,
-        endpoint: &Endpoint,
-        notice: Notice,
-        ran: bool,
-        sent: Duration,
-    ) {
-        if let Some(limit) = self.limits.record(endpoint, notice, ran, sent, self.view.now()) {
-            self.send(Frame::Limit(limit));
-        }
-    }
-
-    /// Admits a request to an endpoint that this gate has chosen without the scheduler. Returns the time until there may
-    /// be a permit if the limit of the endpoint is reached. Without a leader the gate uses its share.
-    pub(crate) async fn acquire(&self, endpoint: &Endpoint) -> Result<(), Duration> {
-        match self.limits.admission(endpoint, self.view.now()) {
-            Admission::Unlimited => return Ok(()),
-            Admission::Reached(wait) => return Err(wait),
-            Admission::Limited => {}
-        }
-        let permit = match self.ask_permit(endpoint).await {
-            Some(permit) => permit,
-            None => self.take_share(endpoint),
-        };
-        if let Err(wait) = permit {
-            self.limits.set_reached(endpoint, wait, self.view.now());
-        }
-        permit
-    }
-
-    /// Admits a request to an endpoint by this gate's share of the endpoint's limit.
-    pub(crate) fn take_share(&self, endpoint: &Endpoint) -> Result<(), Duration> {
-        let gates = self.view.gates().unwrap_or(DEFAULT_GATES);
-        self.limits.take_share(endpoint, gates, rand::random(), self.view.now())
-    }
-
-    /// Asks the leader to admit a request to an endpoint; `None` if no leader answers.
-    async fn ask_permit(&self, endpoint: &Endpoint) -> Option<Result<(), Duration>> {
-        let request = self.next_number();
-        let (reply, permit) = oneshot::channel();
-        self.permits.lock().insert(request, reply);
-        let ask = Frame::AskPermit { request, endpoint: endpoint.id.clone(), born: endpoint.born };
-        let permit = match self.send(ask) {
-            true => tokio::time::timeout(PERMIT_TIMEOUT, permit).await.ok(),
-            false => None,
-        };
-        self.permits.lock().remove(&request);
-        permit?.ok()
-    }
-
     /// Reports that a request ended at an endpoint that survived, if it was suspected.
     pub(crate) fn report_survival(&self, endpoint: &Endpoint, fingerprint: &Fingerprint) {
         let subjects = self.quarantine.clear(fingerprint);
