edge: log and count requests that a limit keeps from an endpoint

LimitReached (215) with the request, the endpoint and the wait, and gate_limited_total: a refusal with 1312 can be followed to the endpoints that had reached their limits. No decision changes.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -81,6 +81,7 @@
     212 Waiting Request "A request waits for an engine, an adapter slot or a leader."
     213 OriginLocated Request "The software version that began a resumed stream was looked up."
     214 AttemptAbandoned Request "A gate no longer waits for the response of an endpoint, which may still run the request."
+    215 LimitReached Request "A request was not sent to an endpoint that has reached the limit on its request rate."
     300 Placed Request "An adapter was scheduled for loading on an endpoint."
     301 Loaded Request "An adapter was loaded."
     302 LoadFailed Request "The load of an adapter failed."
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -15,6 +15,8 @@
     pub(crate) refusals: IntCounterVec,
     /// The attempts at endpoints, by outcome.
     pub(crate) attempts: IntCounterVec,
+    /// The requests that were not sent to an endpoint because of its limit.
+    pub(crate) limited: IntCounterVec,
     /// The lookups of where a resumed stream began, by the source of the answer.
     pub(crate) origins: IntCounterVec,
     /// The time that routing decisions took, by result.
@@ -36,6 +38,11 @@
             ),
             refusals: meter.counters("gate_refusals_total", "Requests refused.", &["code"]),
             attempts: meter.counters("gate_attempts_total", "Sendings to endpoints.", &["outcome"]),
+            limited: meter.counters(
+                "gate_limited_total",
+                "Requests not sent to an endpoint because of its limit.",
+                &[],
+            ),
             origins: meter.counters(
                 "gate_origins_total",
                 "Lookups of where a resumed stream began.",
--- a/crates/edge/src/permits.rs
+++ b/crates/edge/src/permits.rs
@@ -14,6 +14,7 @@
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(150);
 /// The number of gates among which an endpoint's limit is divided without a leader, if no leader has told it yet.
 const DEFAULT_GATES: u32 = 8;
+
 impl Keepers {
     /// Records what a response to a request, sent at `sent`, tells about the limit of its endpoint, as in
     /// [`Limits::record`].
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -108,11 +108,23 @@
             let target = target.map_err(|refusal| limited.refusal().unwrap_or(refusal))?;
             match self.keepers.acquire(&target.endpoint).await {
                 Ok(()) => return Ok(target),
-                Err(wait) => limited.add(&target.endpoint.id, wait),
+                Err(wait) => {
+                    self.record_limit_reached(call, &target.endpoint.id, wait);
+                    limited.add(&target.endpoint.id, wait);
+                }
             }
         }
     }
 
+    /// Logs and counts that a request is not sent to an endpoint because of the endpoint's limit.
+    fn record_limit_reached(&self, call: &Call, endpoint: &Name, wait: Duration) {
+        self.metrics.limited.with_label_values::<&str>(&[]).inc();
+        base::event!(
+            INFO, Event::LimitReached, request = %call.request.id, endpoint = %endpoint,
+            wait_ms = wait.as_millis() as u64
+        );
+    }
+
     /// Chooses the endpoint of the lowest cost that is not excluded.
     fn least_loaded<'a>(
         &self,
@@ -228,7 +240,10 @@
                 Err(refusal) => break Err(limited.refusal().unwrap_or(refusal)),
                 Ok(target) => match self.keepers.take_share(&target.endpoint) {
                     Ok(()) => break Ok(target),
-                    Err(wait) => limited.add(&target.endpoint.id, wait),
+                    Err(wait) => {
+                        self.record_limit_reached(call, &target.endpoint.id, wait);
+                        limited.add(&target.endpoint.id, wait);
+                    }
                 },
             }
         };
