edge, cell: a limit is kept while its endpoint is not listed

After the loss of all keepers the first list is empty, so each gate would have forgotten all limits and sent freely until the next response. A limit now ends with the incarnation that named it, or after 60 s without the endpoint. A gate's share is that of the incarnation too.

Test: a_limit_is_kept_while_its_endpoint_is_not_listed, written with the new call, so not run red; the old call dropped the limit by its signature.

--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -458,9 +458,8 @@
                 known.is_none_or(|known| known.state != fleet::endpoint::State::Ready)
             });
             let gone: Vec<Name> = gone.cloned().collect();
-            leadership
-                .limits
-                .retain(|id, born| self.registry.get(id).is_some_and(|known| known.born == born));
+            let known = |id: &Name| self.registry.get(id).map(|known| known.born);
+            leadership.limits.expire(known, now);
             for id in gone {
                 leadership.scheduler.remove_engine(&id, now);
                 leadership.holdings.retain(|holding| holding.endpoint != id);
--- a/crates/cell/src/limits.rs
+++ b/crates/cell/src/limits.rs
@@ -5,6 +5,7 @@
 use base::Map;
 use base::Name;
 use fleet::limit::Limit;
+use fleet::limit::Presence;
 use limit::Bucket;
 
 /// The limit of an endpoint.
@@ -13,6 +14,7 @@
     born: u64,
     /// Admits the requests to an endpoint that is no engine of the scheduler, which has a bucket for each of its own.
     bucket: Bucket,
+    presence: Presence,
 }
 
 /// The limits that endpoints have named.
@@ -33,7 +35,11 @@
                 changed
             }
             (Some(rate), _) => {
-                let entry = Entry { born: limit.born, bucket: Bucket::new(rate, now) };
+                let entry = Entry {
+                    born: limit.born,
+                    bucket: Bucket::new(rate, now),
+                    presence: Presence::default(),
+                };
                 self.entries.insert(limit.endpoint.clone(), entry);
                 true
             }
@@ -57,8 +63,8 @@
         entry.map_or(Ok(()), |entry| entry.bucket.try_take(now))
     }
 
-    /// Drops the limits of endpoints for which `known` returns false.
-    pub fn retain(&mut self, known: impl Fn(&Name, u64) -> bool) {
-        self.entries.retain(|id, entry| known(id, entry.born));
+    /// Drops the limits of incarnations that have ended. `known` returns the start time of an endpoint.
+    pub fn expire(&mut self, known: impl Fn(&Name) -> Option<u64>, now: Duration) {
+        self.entries.retain(|id, entry| entry.presence.update(entry.born, known(id), now));
     }
 }
--- a/crates/cell/tests/limits.rs
+++ b/crates/cell/tests/limits.rs
@@ -36,7 +36,9 @@
     assert_eq!(limits.list(), [limit(2, Some(2.0))]);
     assert!(limits.set(&limit(3, Some(2.0)), ms(0)));
     assert_eq!(limits.try_take("x", 2, ms(0)), Ok(()));
-    limits.retain(|_, born| born == 4);
+    limits.expire(|_| None, ms(0));
+    assert_eq!(limits.list(), [limit(3, Some(2.0))]);
+    limits.expire(|_| Some(4), ms(0));
     assert!(limits.list().is_empty());
 }
 
--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -212,8 +212,8 @@
                 self.view.set_endpoints(endpoints);
                 let known = self.view.endpoints();
                 self.pool.retain(|id| known.contains_key(id));
-                self.limits
-                    .retain(|id, born| known.get(id).is_some_and(|known| known.born == born));
+                let born = |id: &Name| known.get(id).map(|known| known.born);
+                self.limits.expire(born, self.view.now());
             }
             Frame::Holds(holdings) if self.is_leader(address) => {
                 for holding in holdings {
--- a/crates/edge/src/limits.rs
+++ b/crates/edge/src/limits.rs
@@ -8,6 +8,7 @@
 use base::Name;
 use fleet::endpoint::Endpoint;
 use fleet::limit::Limit;
+use fleet::limit::Presence;
 use limit::Notice;
 use limit::Rate;
 use limit::Share;
@@ -24,6 +25,7 @@
     reached_until: Duration,
     /// This gate's share while there is no leader; created when it is first used.
     share: Option<Share>,
+    presence: Presence,
 }
 
 /// The limits that endpoints have named.
@@ -94,9 +96,10 @@
         self.entries.lock().iter().map(limit).collect()
     }
 
-    /// Drops the limits of endpoints for which `known` returns false.
-    pub fn retain(&self, known: impl Fn(&Name, u64) -> bool) {
-        self.entries.lock().retain(|id, entry| known(id, entry.born));
+    /// Drops the limits of incarnations that have ended. `known` returns the start time of an endpoint.
+    pub fn expire(&self, known: impl Fn(&Name) -> Option<u64>, now: Duration) {
+        let mut entries = self.entries.lock();
+        entries.retain(|id, entry| entry.presence.update(entry.born, known(id), now));
     }
 
     /// Returns whether this gate may send a request to an endpoint.
@@ -128,7 +131,8 @@
         now: Duration,
     ) -> Result<(), Duration> {
         let mut entries = self.entries.lock();
-        let Some(entry) = entries.get_mut(&endpoint.id) else { return Ok(()) };
+        let entry = entries.get_mut(&endpoint.id).filter(|entry| entry.born == endpoint.born);
+        let Some(entry) = entry else { return Ok(()) };
         let rate = entry.rate;
         entry.share.get_or_insert_with(|| Share::new(rate, gates, phase, now)).try_take(now)
     }
@@ -141,7 +145,13 @@
     if known.is_some_and(|known| known.born == limit.born && known.rate == rate) {
         return;
     }
-    let entry =
-        Entry { born: limit.born, rate, learned: now, reached_until: Duration::ZERO, share: None };
+    let entry = Entry {
+        born: limit.born,
+        rate,
+        learned: now,
+        reached_until: Duration::ZERO,
+        share: None,
+        presence: Presence::default(),
+    };
     entries.insert(limit.endpoint.clone(), entry);
 }
--- a/crates/edge/tests/limits.rs
+++ b/crates/edge/tests/limits.rs
@@ -69,7 +69,21 @@
 fn a_limit_is_that_of_an_incarnation() {
     let limits = limited();
     assert_eq!(limits.admission(&endpoint(2), ms(2_000)), Admission::Unlimited);
-    limits.retain(|_, born| born == 2);
+    limits.expire(|_| Some(2), ms(2_000));
+    assert!(limits.list().is_empty());
+}
+
+// Guards against limits that are forgotten with all keepers, whose list of endpoints is empty at first.
+#[test]
+fn a_limit_is_kept_while_its_endpoint_is_not_listed() {
+    let limits = limited();
+    limits.expire(|_| None, ms(2_000));
+    limits.expire(|_| None, ms(61_000));
+    assert_eq!(limits.admission(&endpoint(1), ms(61_000)), Admission::Limited);
+    limits.expire(|_| Some(1), ms(61_500));
+    limits.expire(|_| None, ms(62_500));
+    assert_eq!(limits.list().len(), 1);
+    limits.expire(|_| None, ms(122_500));
     assert!(limits.list().is_empty());
 }
 
