--- a/crates/cell/src/leadership.rs
+++ b/crates/cell/src/leadership.rs
@@ -1,4 +1,4 @@
-//! What a keeper knows and decides while it leads.
+//! The state of a keeper while it leads.
 
 use std::time::Duration;
 
@@ -20,8 +20,8 @@
     pub(crate) limits: Limits,
     /// Which adapters each engine holds, as last sent to the gates.
     pub(crate) holdings: Vec<Holding>,
-    /// What engines announced that they hold, to be sent to the gates with the next scheduler round. Gates that lose the
-    /// leader before it has inspected an engine know the engine by this.
+    /// Holdings that engines announced, to be sent to the gates with the next scheduler round. Gates that lose the leader
+    /// before it has inspected an engine rely on them.
     announced: Vec<Holding>,
 }
 
--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -1,5 +1,5 @@
-//! Finds out which endpoints crash while they may run requests whose end this gate does not see, and reports those requests
-//! to the leader.
+//! Detects crashes of endpoints while they may run requests whose end this gate does not see, and reports those requests to
+//! the leader.
 
 use std::io;
 use std::sync::Arc;
@@ -22,7 +22,7 @@
 const PROBE_TIME: Duration = Duration::from_secs(3);
 
 impl Keepers {
-    /// Records a run whose end is unknown, and finds out whether its endpoint has crashed or crashes.
+    /// Records a run whose end is unknown, and watches its endpoint for a crash.
     pub(crate) fn report_run(self: &Arc<Keepers>, run: Run, endpoint: &Endpoint) {
         if self.runs.lock().add(run) {
             tokio::spawn(self.clone().watch(endpoint.clone()));
--- a/crates/edge/src/limits.rs
+++ b/crates/edge/src/limits.rs
@@ -46,9 +46,9 @@
 }
 
 impl Limits {
-    /// Records what a response to a request, sent at `sent`, tells about the limit of its endpoint. `ran` states whether
-    /// the endpoint ran the request; only such a response lifts a limit, and only if the request was sent after the
-    /// limit was known. Returns the change, if there is one.
+    /// Applies the notice in a response to a request that was sent at `sent`. `ran` states whether the endpoint ran the
+    /// request; only such a response lifts a limit, and only if the request was sent after the limit was known. Returns
+    /// the change, if there is one.
     pub fn record(
         &self,
         endpoint: &Endpoint,
--- a/crates/edge/src/permits.rs
+++ b/crates/edge/src/permits.rs
@@ -16,8 +16,7 @@
 const DEFAULT_GATES: u32 = 8;
 
 impl Keepers {
-    /// Records what a response to a request, sent at `sent`, tells about the limit of its endpoint, as in
-    /// [`Limits::record`].
+    /// Applies the notice in a response as [`crate::limits::Limits::record`] does, and reports a change to the leader.
     pub(crate) fn record_limit(
         &self,
         endpoint: &Endpoint,
--- a/crates/edge/src/tracker.rs
+++ b/crates/edge/src/tracker.rs
@@ -154,7 +154,7 @@
         self.keepers.report_run(run, &self.endpoint);
     }
 
-    /// Records what the response tells about the endpoint's limit; `ran` states whether the endpoint ran the request.
+    /// Applies the response's notice on the endpoint's limit; `ran` states whether the endpoint ran the request.
     pub(crate) fn record_limit(&self, notice: Notice, ran: bool) {
         let sent = self.view.now().saturating_sub(self.sent.elapsed());
         self.keepers.record_limit(&self.endpoint, notice, ran, sent);
--- a/crates/limit/src/rate.rs
+++ b/crates/limit/src/rate.rs
@@ -39,7 +39,7 @@
     }
 }
 
-/// What a response tells about its endpoint's limit.
+/// The notice on its endpoint's limit that a response carries.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Notice {
     /// No limit is named.
--- a/crates/sched/src/candidate.rs
+++ b/crates/sched/src/candidate.rs
@@ -89,7 +89,7 @@
 pub(crate) struct Rating {
     /// Whether the request would miss its target.
     misses: bool,
-    /// Whether the engine is not preferred. One with a limit is if it is idle and has the adapter.
+    /// False for an idle engine with a limit that holds the adapter, which precedes all others.
     ordinary: bool,
     /// The cost, or the expected time to the first event if the request would miss its target; in
     /// ms.
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -207,8 +207,7 @@
     /// actions to carry out, which include those from events since the last poll.
     pub fn poll(&mut self, now: Duration) -> Vec<Action> {
         self.expire(now);
-        // Requests stop waiting for a slot, and engines with a limit take some again, as time passes, without any other
-        // change.
+        // Waits for a slot and for a limit end as time passes, without any other change.
         let awaits_time = self.queue.iter().any(|pending| pending.awaited_engine.is_some())
             || (!self.queue.is_empty()
                 && self.engines.values().any(|engine| engine.limit.is_some()));
