load: a redirect by a draining gate does not use the retry budget

Cause: each request that a draining gate refuses took a token of the caller's retry budget (10 tokens and 0.1 a request). All requests that are sent before the first refusal is read are refused together; a stall of the process of 120 ms at 100 requests a second is enough for 12 of them, and the budget holds 11. Ruled out: the engine (nothing but 1301 was refused), the cooldown of the failed address (the refused requests were not sent again at all).

Change: the first redirect of a request (not run, other gates named) does not count against the budget, so that a drain refuses no caller that has somewhere to go. A second redirect of the same request does. A new test holds the refusals of ten requests back with an empty budget: red before (10 of them refused), green now.

The old test bounded the number of requests at the draining gate by 10, which depends on the time that the first refusal takes. It now sends one request at a time and requires exactly one at that gate.

--- a/crates/load/src/send.rs
+++ b/crates/load/src/send.rs
@@ -159,14 +159,23 @@
 
     /// Sends attempts until one succeeds, the error is not retryable, or the deadline or the retry budget
     /// is exhausted.
+    ///
+    /// The first redirect to other gates does not count against the retry budget: the request was not run,
+    /// and a gate that drains refuses all requests in progress at once.
     async fn request(&self, message: &Message, scheduled: Instant, at: Duration) -> Sample {
         let deadline = scheduled + Duration::from_millis(self.run.deadline_ms);
         self.budget.deposit();
         let mut retries = 0;
+        let mut redirected = false;
         let outcome = loop {
             let outcome = self.attempt(message, deadline).await;
             let Some(wait) = self.retry_delay(&outcome, message).await else { break outcome };
-            if Instant::now() + wait >= deadline || !self.budget.withdraw() {
+            if Instant::now() + wait >= deadline {
+                break outcome;
+            }
+            let first_redirect = !redirected && is_redirect(&outcome);
+            redirected |= first_redirect;
+            if !first_redirect && !self.budget.withdraw() {
                 break outcome;
             }
             tokio::time::sleep(wait).await;
@@ -253,6 +262,12 @@
     }
 }
 
+/// Returns whether a gate did not run the request because of its own state and named other gates.
+fn is_redirect(outcome: &attempt::Outcome) -> bool {
+    let attempt::Outcome::Refused(error) = outcome else { return false };
+    attempt::is_gate_unavailable(error.code) && error.ran == Ran::No && !error.addresses.is_empty()
+}
+
 fn add_header(builder: Builder, (name, value): &(&'static str, String)) -> Builder {
     builder.header(*name, value)
 }
--- a/crates/load/tests/run.rs
+++ b/crates/load/tests/run.rs
@@ -28,6 +28,7 @@
 use stub::service;
 use stub::store;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use wire::endpoint::Action;
 use wire::endpoint::Model;
 use wire::endpoint::Order;
@@ -176,6 +177,11 @@
 /// Starts a gate that refuses with a result code and names other addresses; returns its address and the
 /// number of requests it received.
 async fn refusing_gate(code: Code, others: Vec<Name>) -> (Name, Arc<AtomicU64>) {
+    refusing_gate_after(code, others, 1).await
+}
+
+/// Starts a gate that sends its refusals once it has received a number of requests.
+async fn refusing_gate_after(code: Code, others: Vec<Name>, held: u64) -> (Name, Arc<AtomicU64>) {
     let listener = listener().await;
     let address = Name::from(listener.local_addr().unwrap().to_string());
     let list = |names: &[Name]| -> Vec<Address> {
@@ -185,8 +191,11 @@
     let others = list(&others);
     let requests = Arc::new(AtomicU64::new(0));
     let counter = requests.clone();
+    let (received, _) = watch::channel(0);
     let refuse = move || {
-        counter.fetch_add(1, Ordering::Relaxed);
+        let count = counter.fetch_add(1, Ordering::Relaxed) + 1;
+        received.send_replace(count);
+        let mut received = received.subscribe();
         let error = Error {
             code,
             kind: Name::from(code.name()),
@@ -197,7 +206,10 @@
             addresses: others.clone(),
         };
         let status = StatusCode::from_u16(code.status()).unwrap();
-        async move { (status, Json(Refusal { error })) }
+        async move {
+            received.wait_for(|count| *count >= held).await.unwrap();
+            (status, Json(Refusal { error }))
+        }
     };
     let router = Router::new()
         .route("/v1/addresses", get(move || async move { Json(own) }))
@@ -211,9 +223,22 @@
 async fn requests_move_from_a_draining_gate_to_the_gates_it_names() {
     let (_engine, address) = engine().await;
     let (gate, requests) = refusing_gate(Code::Draining, vec![address.clone()]).await;
-    let report = run(&Run { gates: vec![gate], direct: false, ..settings(&address) }).await;
+    let one = Run { in_progress: 1, ..settings(&address) };
+    let report = run(&Run { gates: vec![gate], direct: false, ..one }).await;
+    assert!(report.sent > 1, "{report}");
+    assert_eq!(report.answered, report.sent, "{report}");
+    assert_eq!(requests.load(Ordering::Relaxed), 1);
+}
+
+#[tokio::test]
+async fn requests_in_progress_at_a_draining_gate_are_not_limited_by_the_retry_budget() {
+    let (_engine, address) = engine().await;
+    let others = vec![address.clone()];
+    let (gate, requests) = refusing_gate_after(Code::Draining, others, 10).await;
+    let short = Run { seconds: 0.3, retry_percent: 0.0, ..settings(&address) };
+    let report = run(&Run { gates: vec![gate], direct: false, ..short }).await;
     assert_eq!(report.answered, report.sent, "{report}");
-    assert!(requests.load(Ordering::Relaxed) <= 10);
+    assert!(requests.load(Ordering::Relaxed) >= 10);
 }
 
 #[tokio::test]
