blackboard, gate: broken connections are kept while their endpoint moves to another gate

What callers saw: after two crashes the request waited for a verdict that did not come; after the 5 s that a gate waits it was run again and crashed two more engines. The broken connections were kept in the gate's entry of the endpoint and were dropped with it; the new owner knew nothing of them. So the keepers heard of one crash where there were two. The same happened to connections that broke after a move, whose requests the old owner still answers, and to those seen after the new generation was known, which counted for the new generation and were cleared by its first probe. Ruled out: the notification of the other gates within 100 ms, the former reading (all gates refused the request until the 5 s were over), and that crashes of abandoned requests are not counted by the product's own gate: requests in flight are implicated when the generation ends, whether or not their callers have left.

Change: broken connections are recorded by endpoint and generation, apart from the entries of owned endpoints, and become a crash as soon as the view shows a later generation.

--- a/crates/blackboard/src/board.rs
+++ b/crates/blackboard/src/board.rs
@@ -133,19 +133,13 @@
         let mut pool = self.pool.lock();
         let owned_here = |owned: &&Ownership| owned.owner.as_ref() == Some(&self.host);
         pool.endpoints.retain(|name, _| view.endpoints.get(name).filter(owned_here).is_some());
-        let mut crashes = Vec::new();
         for owned in view.endpoints.values().filter(owned_here) {
             let info = &owned.endpoint;
-            let known = pool.endpoints.get_mut(&info.name);
             let draining = view.draining.contains(&info.host);
-            match known {
+            pool.end_generation(&info.name, owned.fence, info.generation);
+            match pool.endpoints.get_mut(&info.name) {
                 Some(endpoint) if endpoint.fence == owned.fence => {
                     endpoint.draining = draining;
-                    if endpoint.info.generation < info.generation {
-                        let crash = endpoint.take_crash(true);
-                        endpoint.restart(info.generation);
-                        crashes.extend(crash);
-                    }
                     endpoint.info = info.clone();
                 }
                 _ => {
@@ -158,6 +152,7 @@
                 }
             }
         }
+        let crashes = pool.disconnects.take_ended(view);
         pool.crashes.extend(crashes);
         drop(pool);
         self.probe_wakeup.notify_one();
@@ -210,6 +205,23 @@
         self.placement_wakeup.notify_one();
     }
 
+    /// Records that the connection of a request to a generation of an endpoint broke before the end of the
+    /// response.
+    pub fn record_disconnect(&self, endpoint: &Name, generation: u64, fingerprint: u64) {
+        let view = self.view.read();
+        let mut pool = self.pool.lock();
+        let current = view.endpoints.get(endpoint);
+        if current.is_some_and(|current| generation < current.endpoint.generation) {
+            pool.crashes.push(Crash::new(endpoint.clone(), generation, vec![fingerprint]));
+            return;
+        }
+        pool.disconnects.record(endpoint, generation, fingerprint);
+        if let Some(entry) = pool.endpoints.get_mut(endpoint) {
+            // Discards a probe in progress, which may have read the state before the crash.
+            entry.order_epoch += 1;
+        }
+    }
+
     pub(crate) fn abandon(&self, abandoned: Abandoned) {
         self.abandoned.send(abandoned).ok();
     }
@@ -238,8 +250,6 @@
         // Adapters with an order in progress keep their phase, whatever the state reports.
         slots.extend(endpoint.slots.drain().filter(|(_, slot)| slot.phase != Phase::Ready));
         endpoint.slots = slots;
-        // The generation is still running, so the broken connections were not a crash.
-        endpoint.broken_requests.clear();
         endpoint.probe_timeouts = 0;
         if endpoint.probed && now >= endpoint.exclusive_from {
             // The state may list requests of this gate that have ended since, so entries are only removed.
@@ -250,6 +260,8 @@
             endpoint.inherited = endpoint.inherited_requests(state);
         }
         endpoint.probed = true;
+        // The generation is still running, so the broken connections were not a crash.
+        pool.disconnects.take(name);
         true
     }
 
@@ -289,30 +301,12 @@
 }
 
 impl Endpoint {
-    /// Takes the requests implicated in a crash of this generation; returns `None` if there are none.
-    ///
-    /// If `ended` is true, the generation is over and all requests in flight are implicated too.
-    pub fn take_crash(&mut self, ended: bool) -> Option<Crash> {
-        let mut fingerprints = std::mem::take(&mut self.broken_requests);
-        if ended {
-            fingerprints.extend(self.in_flight.values().map(|entry| entry.fingerprint));
-        }
-        fingerprints.sort_unstable();
-        fingerprints.dedup();
-        if fingerprints.is_empty() {
-            return None;
-        }
-        let generation = self.info.generation;
-        Some(Crash { endpoint: self.info.name.clone(), generation, fingerprints })
-    }
-
     /// Resets what ended with the previous generation.
-    fn restart(&mut self, generation: u64) {
+    pub(crate) fn restart(&mut self, generation: u64) {
         self.info.generation = generation;
         self.slots.clear();
         self.in_flight.clear();
         self.inherited.clear();
-        self.broken_requests.clear();
         self.reserved_for = None;
         self.leaving = false;
         self.probed = false;
--- a/crates/blackboard/src/endpoint.rs
+++ b/crates/blackboard/src/endpoint.rs
@@ -43,8 +43,6 @@
     pub in_flight: Map<Name, InFlight>,
     /// The requests that a previous owner sent and that still run, with their adapter versions.
     pub inherited: Map<Name, Option<Model>>,
-    /// The fingerprints of requests whose connection broke in this generation.
-    pub broken_requests: Vec<u64>,
     /// The request that must run alone; while it is set, no other request is dispatched.
     pub reserved_for: Option<Name>,
 }
@@ -98,7 +96,6 @@
             slots: Map::default(),
             in_flight: Map::default(),
             inherited: Map::default(),
-            broken_requests: Vec::new(),
             reserved_for: None,
         }
     }
--- a/crates/blackboard/src/lib.rs
+++ b/crates/blackboard/src/lib.rs
@@ -4,6 +4,7 @@
 //! no lock is held across an await point.
 
 mod board;
+mod disconnect;
 mod endpoint;
 mod lease;
 mod peers;
@@ -11,6 +12,7 @@
 mod ticket;
 
 pub use crate::board::Board;
+pub use crate::disconnect::Disconnects;
 pub use crate::endpoint::Endpoint;
 pub use crate::endpoint::InFlight;
 pub use crate::endpoint::Phase;
--- a/crates/blackboard/src/pool.rs
+++ b/crates/blackboard/src/pool.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 use wire::endpoint::Model;
 
+use crate::disconnect::Disconnects;
 use crate::endpoint::Endpoint;
 use crate::endpoint::InFlight;
 use crate::endpoint::Phase;
@@ -84,15 +85,25 @@
     pub endpoint: Name,
     /// The generation that crashed.
     pub generation: u64,
-    /// The fingerprints of the requests in progress.
+    /// The fingerprints of the requests in progress, in ascending order.
     pub fingerprints: Vec<u64>,
 }
 
+impl Crash {
+    pub(crate) fn new(endpoint: Name, generation: u64, mut fingerprints: Vec<u64>) -> Crash {
+        fingerprints.sort_unstable();
+        fingerprints.dedup();
+        Crash { endpoint, generation, fingerprints }
+    }
+}
+
 /// The endpoints that this gate owns and the requests queued for them.
 #[derive(Debug, Default)]
 pub struct Pool {
     /// The crashes that were not yet reported to the keepers.
     pub crashes: Vec<Crash>,
+    /// The requests whose connections broke while it is not known whether the endpoint crashed.
+    pub disconnects: Disconnects,
     /// The endpoints by name.
     pub endpoints: Map<Name, Endpoint>,
     /// The queued requests by target, in descending priority and then in order of arrival.
@@ -102,6 +113,34 @@
 }
 
 impl Pool {
+    /// Implicates the requests whose connections to a silent endpoint broke.
+    pub fn endpoint_silent(&mut self, endpoint: &Name) {
+        let Some(generation) = self.endpoints.get(endpoint).map(|entry| entry.info.generation)
+        else {
+            return;
+        };
+        let fingerprints = self.disconnects.take(endpoint);
+        if !fingerprints.is_empty() {
+            self.crashes.push(Crash::new(endpoint.clone(), generation, fingerprints));
+        }
+    }
+
+    /// Resets an endpoint that is owned under `fence` and has started again, and implicates the requests in flight
+    /// and those whose connections to it broke.
+    pub(crate) fn end_generation(&mut self, endpoint: &Name, fence: u64, generation: u64) {
+        let Some(entry) = self.endpoints.get_mut(endpoint) else { return };
+        let former = entry.info.generation;
+        if entry.fence != fence || generation <= former {
+            return;
+        }
+        let mut fingerprints = self.disconnects.take(endpoint);
+        fingerprints.extend(entry.in_flight.values().map(|request| request.fingerprint));
+        entry.restart(generation);
+        if !fingerprints.is_empty() {
+            self.crashes.push(Crash::new(endpoint.clone(), former, fingerprints));
+        }
+    }
+
     /// Queues a request for its target; fails with [`Code::QueueFull`] if `limit` requests are queued
     /// already.
     pub fn admit(&mut self, target: Target, waiter: Waiter, limit: usize) -> Result<(), Code> {
--- a/crates/blackboard/tests/pool.rs
+++ b/crates/blackboard/tests/pool.rs
@@ -264,3 +264,71 @@
     assert_eq!((pool.crashes[0].generation, &pool.crashes[0].fingerprints[..]), (1, &[1][..]));
     assert!(pool.endpoints["e1"].slots.is_empty() && !pool.endpoints["e1"].probed);
 }
+
+/// Returns the generations and fingerprints of the crashes that were not yet reported.
+fn crashes(board: &Board) -> Vec<(u64, Vec<u64>)> {
+    let pool = board.pool.lock();
+    pool.crashes.iter().map(|crash| (crash.generation, crash.fingerprints.clone())).collect()
+}
+
+fn record_disconnect(board: &Board, fingerprint: u64) {
+    board.record_disconnect(&Name::from("e1"), 1, fingerprint);
+}
+
+fn set_ownership(board: &Board, ownership: Ownership) {
+    assert!(patch(board, Patch::Endpoint(Name::from("e1"), Some(ownership))));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_crash_is_reported_by_the_gate_whose_connections_broke_although_the_endpoint_moved() {
+    let board = board();
+    assign_to_h1(&board, 2);
+    assert!(apply_state(&board, &state(&["a"], &[])));
+    record_disconnect(&board, 7);
+    set_ownership(&board, owned("h2", 3, 1));
+    record_disconnect(&board, 8);
+    assert_eq!(crashes(&board), []);
+    set_ownership(&board, owned("h2", 3, 2));
+    assert_eq!(crashes(&board), [(1, vec![7, 8])]);
+    set_ownership(&board, owned("h1", 4, 2));
+    set_ownership(&board, owned("h1", 4, 3));
+    assert_eq!(crashes(&board), [(1, vec![7, 8])]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_connection_that_broke_before_an_endpoint_moved_here_counts_at_its_crash() {
+    let board = board();
+    assign_to_h1(&board, 2);
+    record_disconnect(&board, 7);
+    set_ownership(&board, owned("h1", 3, 1));
+    set_ownership(&board, owned("h1", 3, 2));
+    assert_eq!(crashes(&board), [(1, vec![7])]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_connection_to_an_earlier_generation_is_a_crash_of_that_generation() {
+    let board = board();
+    assign_to_h1(&board, 2);
+    set_ownership(&board, owned("h1", 2, 2));
+    record_disconnect(&board, 7);
+    assert_eq!(crashes(&board), [(1, vec![7])]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_broken_connection_to_a_generation_that_is_still_running_is_no_crash() {
+    let board = board();
+    assign_to_h1(&board, 2);
+    record_disconnect(&board, 7);
+    assert!(apply_state(&board, &state(&["a"], &[])));
+    set_ownership(&board, owned("h1", 2, 2));
+    assert_eq!(crashes(&board), []);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_connection_that_broke_long_before_a_restart_is_no_crash() {
+    let board = board();
+    record_disconnect(&board, 7);
+    tokio::time::advance(Duration::from_secs(60)).await;
+    set_ownership(&board, owned("h2", 1, 2));
+    assert_eq!(crashes(&board), []);
+}
--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -240,7 +240,7 @@
         (Some(ticket), failure) => {
             if failure.may_be_crash() {
                 let fingerprint = request.stage.fingerprint;
-                crash::record_disconnect(context, &ticket.endpoint, ticket.fence, fingerprint);
+                crash::record_disconnect(context, ticket, fingerprint);
                 crash::notify_peers(context, fingerprint).await;
             }
             failure.refusal()
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -290,8 +290,7 @@
         format!("{} failed: {failure:?}", ticket.endpoint),
     );
     if failure.may_be_crash() {
-        let fingerprint = request.stage.fingerprint;
-        crash::record_disconnect(context, &ticket.endpoint, ticket.fence, fingerprint);
+        crash::record_disconnect(context, &ticket, request.stage.fingerprint);
     }
     if failure.not_run() {
         ticket.mark_finished();
--- a/crates/gate/src/crash.rs
+++ b/crates/gate/src/crash.rs
@@ -7,6 +7,7 @@
 use base::Map;
 use base::Name;
 use blackboard::Crash;
+use blackboard::Ticket;
 use parking_lot::Mutex;
 use state::Command;
 use tokio::time::Instant;
@@ -82,14 +83,9 @@
 }
 
 /// Records that the connection of a request broke before the end of its response.
-pub(crate) fn record_disconnect(context: &Context, endpoint: &Name, fence: u64, fingerprint: u64) {
+pub(crate) fn record_disconnect(context: &Context, ticket: &Ticket, fingerprint: u64) {
     context.suspects.add(fingerprint);
-    let mut pool = context.board.pool.lock();
-    if let Some(entry) = pool.endpoints.get_mut(endpoint).filter(|entry| entry.fence == fence) {
-        // Discards a probe in progress, which may have read the state before the crash.
-        entry.order_epoch += 1;
-        entry.broken_requests.push(fingerprint);
-    }
+    context.board.record_disconnect(&ticket.endpoint, ticket.generation, fingerprint);
 }
 
 /// Notifies all gates of a request whose endpoint crashed, before its caller can send it again.
@@ -127,13 +123,6 @@
         || context.board.view.read().suspects.contains(&fingerprint)
 }
 
-/// Records the crash of an endpoint that became silent after connections to it broke.
-pub(crate) fn endpoint_silent(context: &Context, endpoint: &Name) {
-    let mut pool = context.board.pool.lock();
-    let crash = pool.endpoints.get_mut(endpoint).and_then(|entry| entry.take_crash(false));
-    pool.crashes.extend(crash);
-}
-
 /// Reports the recorded crashes to the keepers.
 pub(crate) fn report(context: &Arc<Context>) {
     let crashes = std::mem::take(&mut context.board.pool.lock().crashes);
--- a/crates/gate/src/sweep.rs
+++ b/crates/gate/src/sweep.rs
@@ -83,7 +83,7 @@
     drop(pool);
     for name in silent.difference(known) {
         base::event!(WARN, Event::EndpointSilent, endpoint = %name);
-        crash::endpoint_silent(context, name);
+        context.board.pool.lock().endpoint_silent(name);
     }
     *known = silent;
 }
