gate: whether a change is in force no longer waits for a keeper that does not answer

The answer of the leader was read at the start of a step and passed on at its end, so a change that came into force after 1.75 s was reported after 3.4 s and more. Also, a gate that reached no keeper but its own said that the change was not in force, which it could not know. Ruled out: the lease (the change is in force 2.1 s after the cut in each run).

Change: the answer is yes at the first keeper that says so, no when a majority with the leader has answered, and a refusal (1700, not run) if fewer answer, so that radishctl asks another gate.

--- a/crates/gate/src/admin.rs
+++ b/crates/gate/src/admin.rs
@@ -93,7 +93,8 @@
     base::event!(INFO, Event::Commanded, id = %received.id, author = %received.author, ?outcome);
     match outcome {
         Outcome::Done { revision } => {
-            let in_force = is_in_force(context, revision).await;
+            // The command is accepted in any case; the caller asks again for a revision that is not in force.
+            let in_force = is_in_force(context, revision).await.unwrap_or(false);
             Ok(Receipt { status: Name::from("accepted"), revision, in_force })
         }
         Outcome::Refused { code, detail, revision } => {
@@ -104,18 +105,22 @@
 }
 
 /// Returns whether a revision of the configuration is in force on every gate.
-async fn is_in_force(context: &Context, revision: u64) -> bool {
+async fn is_in_force(context: &Context, revision: u64) -> Result<bool, Refusal> {
     if context.in_force.load(Ordering::Relaxed) >= revision {
-        return true;
+        return Ok(true);
     }
-    let revisions = context.keepers.status().await.into_iter().map(|keeper| keeper.in_force);
-    let latest = revisions.max().unwrap_or(0);
-    context.in_force.fetch_max(latest, Ordering::Relaxed);
-    latest >= revision
+    let in_force = context.keepers.in_force(revision).await?;
+    if in_force {
+        context.in_force.fetch_max(revision, Ordering::Relaxed);
+    }
+    Ok(in_force)
 }
 
-async fn in_force(State(context): State<Arc<Context>>, Path(revision): Path<u64>) -> Json<InForce> {
-    Json(InForce { revision, in_force: is_in_force(&context, revision).await })
+async fn in_force(State(context): State<Arc<Context>>, Path(revision): Path<u64>) -> Response {
+    match is_in_force(&context, revision).await {
+        Ok(in_force) => Json(InForce { revision, in_force }).into_response(),
+        Err(refusal) => refusal.response(&context, &request::id()),
+    }
 }
 
 async fn view(State(context): State<Arc<Context>>) -> Response {
--- a/crates/gate/src/keepers.rs
+++ b/crates/gate/src/keepers.rs
@@ -6,6 +6,8 @@
 use base::Map;
 use base::Name;
 use conf::Config;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use parking_lot::Mutex;
 use state::Command;
 use state::Outcome;
@@ -101,6 +103,34 @@
         futures::future::join_all(calls).await.into_iter().flatten().collect()
     }
 
+    /// Returns whether a revision of the configuration is in force on every gate.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::NotLeader`] if too few keepers answer to tell.
+    pub(crate) async fn in_force(&self, revision: u64) -> Result<bool, Fault> {
+        let mut statuses: FuturesUnordered<_> =
+            self.addresses.iter().map(|(host, address)| self.status_of(host, address)).collect();
+        let mut answers = 0;
+        let mut leader_answered = false;
+        while let Some(status) = statuses.next().await {
+            let Some(status) = status else { continue };
+            if status.in_force >= revision {
+                return Ok(true);
+            }
+            answers += 1;
+            leader_answered |= status.leader.as_ref() == Some(&status.host);
+            if leader_answered && self.is_majority(answers) {
+                return Ok(false);
+            }
+        }
+        if self.is_majority(answers) { Ok(false) } else { Err(Fault::NotLeader { leader: None }) }
+    }
+
+    fn is_majority(&self, keepers: usize) -> bool {
+        2 * keepers > self.addresses.len()
+    }
+
     async fn status_of(&self, host: &Name, address: &Name) -> Option<Status> {
         let client = self.client(host, address).await?;
         client.status(self.rpc_context(self.call_timeout)).await.ok()
