ctl: a gate that does not answer no longer delays commands by seconds

Found while tracing the test of a partitioned host: if the partitioned gate is the first in the list, a command waits 3.2 s for its refusal, and `--wait` then asks that gate again.

Change: a call that has no response after 300 ms is sent to the next gate as well, and the first final response counts; the gate that responded is tried first from then on. Commands carry an id under which keepers execute them once, so a second copy has no effect.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -1,9 +1,15 @@
 //! Client of the operator API of the gates.
 
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use base::Name;
 use bytes::Bytes;
+use futures::FutureExt;
+use futures::StreamExt;
+use futures::future;
+use futures::stream::FuturesUnordered;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Method;
@@ -19,11 +25,17 @@
 
 use crate::Error;
 
+/// The timeout of a call to one gate.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// The time without a response after which the call is sent to the next gate as well.
+const HEDGE_DELAY: Duration = Duration::from_millis(300);
 
-/// A client that tries the gates in order, skipping those that cannot be reached or refuse with status 503.
+/// A client that tries the gates in order, skipping those that are slow, cannot be reached or refuse with status
+/// 503.
 pub struct Client {
     addresses: Vec<Name>,
+    /// The index of the gate that responded last, which is tried first.
+    preferred: AtomicUsize,
     token: Option<Name>,
     http: legacy::Client<HttpConnector, Full<Bytes>>,
 }
@@ -32,7 +44,7 @@
     /// Creates a client for the gates with these operator addresses.
     pub fn new(addresses: Vec<Name>, token: Option<Name>) -> Client {
         let http = legacy::Client::builder(TokioExecutor::new()).build_http();
-        Client { addresses, token, http }
+        Client { addresses, preferred: AtomicUsize::new(0), token, http }
     }
 
     /// Reads a resource from the first gate that serves it.
@@ -65,17 +77,37 @@
         path: &str,
         body: Bytes,
     ) -> Result<T, Error> {
+        let preferred = self.preferred.load(Ordering::Relaxed);
+        let count = self.addresses.len();
+        let mut gates = (0..count).map(|offset| (preferred + offset) % count);
+        let mut calls = FuturesUnordered::new();
         let mut last = Error::Unreachable("no address given".to_owned());
-        for address in &self.addresses {
-            match self.call_gate(address, method.clone(), path, body.clone()).await {
-                Err(error @ Error::Unreachable(_)) => last = error,
-                Err(Error::Refused(error)) if error.code.status() == 503 => {
+        loop {
+            let hedge = match gates.next() {
+                Some(gate) => {
+                    let call =
+                        self.call_gate(&self.addresses[gate], method.clone(), path, body.clone());
+                    calls.push(async move { (gate, call.await) });
+                    tokio::time::sleep(HEDGE_DELAY).left_future()
+                }
+                None => future::pending().right_future(),
+            };
+            let response = tokio::select! {
+                response = calls.next() => response,
+                () = hedge => continue,
+            };
+            match response {
+                None => return Err(last),
+                Some((_, Err(error @ Error::Unreachable(_)))) => last = error,
+                Some((_, Err(Error::Refused(error)))) if error.code.status() == 503 => {
                     last = Error::Refused(error);
                 }
-                other => return other,
+                Some((gate, other)) => {
+                    self.preferred.store(gate, Ordering::Relaxed);
+                    return other;
+                }
             }
         }
-        Err(last)
     }
 
     async fn call_gate<T: DeserializeOwned>(
--- a/tests/tests/network.rs
+++ b/tests/tests/network.rs
@@ -50,6 +50,20 @@
     assert_eq!(site.violations().await, Vec::<Value>::new());
 }
 
+#[tokio::test]
+async fn a_change_sent_to_a_partitioned_gate_comes_into_force_through_another_gate() {
+    let site = Site::start(options()).await;
+    site.create_adapter("quotes", 1).await;
+    let partitioned = 1 + site.leader(1).await % 5;
+    let address = site.config.entries[partitioned - 1].gate_admin.to_string();
+    site.isolate(partitioned).await;
+    let begin = Instant::now();
+    let change = ["version", "create", "quotes", "v2", "--wait", "10", "--address", &address];
+    site.ctl_ok(&change).await;
+    let took = begin.elapsed();
+    assert!(took < IN_FORCE, "in force after {took:?}");
+}
+
 #[tokio::test]
 async fn the_leading_host_is_partitioned() {
     let site = Site::start(options()).await;
