state: a request that crashed endpoints is quarantined in whichever order the crashes are reported

Cause: a verdict needs a crash at which the request ran alone and a second crash. Only the crash that was just reported was examined for the first. The retry of a request crashes a second engine 4 ms after the first one, and the gates of the two engines report in either order: if the crash of the request alone is reported first, the other report is not the proof, and nothing examines the first again. Ruled out: lost reports (both are in the log of the keepers, at 46.635 s).

Change: each report looks for the proof in all recorded crashes. The new test is the old one with the reports the other way round; it failed before. The keepers of a site decide with the same code, so they are replaced together, as with each change of the replicated state.

--- a/crates/state/src/crash.rs
+++ b/crates/state/src/crash.rs
@@ -57,7 +57,9 @@
         if fingerprints.iter().any(quarantined) {
             self.crashes[index].explained = true;
         }
-        if let Some(cause) = self.proven_cause(index) {
+        // The crash that proves the cause may have been reported before this one.
+        let proven = (0..self.crashes.len()).find_map(|index| self.proven_cause(index));
+        if let Some(cause) = proven {
             editor.set(Patch::Quarantine(cause, Some(now_ms)));
             self.mark_explained(cause);
             limit_quarantine(editor, limits.quarantine);
--- a/crates/state/tests/quarantine.rs
+++ b/crates/state/tests/quarantine.rs
@@ -34,6 +34,16 @@
     assert_eq!(suspects(&machine), Set::default());
 }
 
+#[test]
+fn a_request_that_crashed_two_endpoints_is_quarantined_in_whichever_order_they_are_reported() {
+    let mut machine = machine();
+    apply(&mut machine, implicate("e2", 1, &[POISON]));
+    assert_eq!(quarantined(&machine), NONE);
+    apply(&mut machine, implicate("e1", 1, &[POISON, HARMLESS]));
+    assert_eq!(quarantined(&machine), [POISON]);
+    assert_eq!(suspects(&machine), Set::default());
+}
+
 #[test]
 fn the_same_crash_counts_once() {
     let mut machine = machine();
