sched: an engine that failed requests gets its share again once it has recovered

What callers saw: two of six engines whose streams had broken got no request for 30 s and more, although they worked again; the others took all of 21 requests a second each. An engine got one request in 10 s, and each success took 40% off a rate of 0.5.

Change: outcomes go into the decayed rate, so that the first success after the wait ends it. An engine stays suspected until a request succeeds, whatever the decayed rate: one that still fails gets a single request after each backoff. The wait stays the longest backoff, 8 s, and the half-life 2 s.

an_engine_that_recovered_gets_its_share_again failed before (0 of 120 requests); an engine that keeps failing gets a single request after each backoff before and after.

--- a/crates/sched/src/candidate.rs
+++ b/crates/sched/src/candidate.rs
@@ -242,7 +242,7 @@
         let expected_ms = queue_ms + prefill_ms + self.settings.first_event_ms;
         let remote = Some(figures.domain) != self.domain;
         let domain = if remote { self.settings.domain_penalty_ms } else { 0.0 };
-        let risk = f64::from(pending.query.target_ms) * figures.health.failure_rate();
+        let risk = f64::from(pending.query.target_ms) * figures.health.failure_rate(self.now);
         (expected_ms, expected_ms + penalty + domain + risk)
     }
 
--- a/crates/sched/src/scheduler/completion.rs
+++ b/crates/sched/src/scheduler/completion.rs
@@ -47,7 +47,7 @@
                 if let Phase::Started(began) = assignment.phase {
                     self.decode.observe(assignment.output_tokens, now.saturating_sub(began));
                 }
-                if engine.health.record_success() {
+                if engine.health.record_success(now) {
                     base::event!(INFO, Event::EndpointTrusted, endpoint = %assignment.engine);
                 }
             }
--- a/crates/sched/tests/requests.rs
+++ b/crates/sched/tests/requests.rs
@@ -226,6 +226,55 @@
     assert_ne!(cell.granted_engine(request), Some(bad));
 }
 
+/// Submits 12 requests for the base model at once, and ends each after 100 ms with the outcome that `outcome` returns
+/// for its engine. Returns the engines that were granted.
+fn run_batch(cell: &mut Cell, outcome: impl Fn(&Name) -> Outcome) -> Vec<Name> {
+    let requests: Vec<u64> = (0..12).map(|_| cell.submit("")).collect();
+    cell.advance(100);
+    let engines = requests.iter().filter_map(|request| {
+        let engine = cell.granted_engine(*request)?;
+        cell.end_at_gate(*request, outcome(&engine));
+        Some(engine)
+    });
+    engines.collect()
+}
+
+// Guards against an engine that is avoided for good after it has recovered, because others always have room.
+#[test]
+fn an_engine_that_recovered_gets_its_share_again() {
+    let mut cell = Cell::new(4);
+    let failing = run_batch(&mut cell, |_| Outcome::Done).remove(0);
+    for _ in 0..2 {
+        run_batch(
+            &mut cell,
+            |engine| if *engine == failing { Outcome::Lost } else { Outcome::Done },
+        );
+    }
+    for _ in 0..150 {
+        run_batch(&mut cell, |_| Outcome::Done);
+    }
+    let granted: Vec<Name> =
+        (0..10).flat_map(|_| run_batch(&mut cell, |_| Outcome::Done)).collect();
+    let share = granted.iter().filter(|engine| **engine == failing).count();
+    assert!(8 * share >= granted.len(), "{share} of {} requests", granted.len());
+}
+
+#[test]
+fn an_engine_that_keeps_failing_gets_a_single_request_after_each_backoff() {
+    let mut cell = Cell::new(4);
+    let failing = run_batch(&mut cell, |_| Outcome::Done).remove(0);
+    let outcome = |engine: &Name| if *engine == failing { Outcome::Lost } else { Outcome::Done };
+    run_batch(&mut cell, outcome);
+    run_batch(&mut cell, outcome);
+    let batches = (0..600).map(|_| run_batch(&mut cell, outcome));
+    let lost: Vec<usize> = batches
+        .map(|granted| granted.iter().filter(|engine| **engine == failing).count())
+        .collect();
+    // Backoffs of 1, 2, 4 and then 8 s in 60 s.
+    assert!(lost.iter().all(|lost| *lost <= 1), "{lost:?}");
+    assert!(lost.iter().sum::<usize>() <= 10, "{lost:?}");
+}
+
 #[test]
 fn health_is_ignored_if_most_engines_fail() {
     let mut cell = Cell::new(4);
