gate: a call whose owner was lost is decided by its key at another owner

What callers saw: a call with a key that its gate relayed to a frozen gate ended with 1504 (may have run) when the lease of that gate ended, although another gate could serve it, and whether it had run was recorded. Cause: the relay treated a lost owner as the end of the request, because it may still run there. For a keyed request the claim of the key decides that: if the lost owner claimed it, nobody else runs it, and if another owner claims it, the lost one finds the claim when it continues. Ruled out: a second run of the key (one run in each trace); a test that is too strict, since 1504 is the answer of last resort here.

Change: after a lost owner the call goes to another owner, if necessary to the next owner of the same endpoint. A refusal there that says "not run" is replaced by the 1504, since the lost owner may still run it.

--- a/crates/gate/src/at_most_once.rs
+++ b/crates/gate/src/at_most_once.rs
@@ -14,6 +14,7 @@
 use crate::attempt;
 use crate::context::Context;
 use crate::failure::Failure;
+use crate::handover;
 use crate::journal;
 use crate::journal::Entry;
 use crate::refusal::Refusal;
@@ -30,26 +31,55 @@
 const ENDPOINT_ATTEMPTS: usize = 3;
 
 /// Answers a non-idempotent request on this gate or on the gate that owns the chosen endpoint.
+///
+/// A request whose owner was lost goes to another owner: the claim of its key decides whether it may run there.
 pub(crate) async fn run(
     context: &Arc<Context>,
     request: &Request<Resolved>,
     key: &Key,
 ) -> Result<Answer, Failure> {
     let mut excluded = Excluded::default();
+    // A lost owner may still run the request, so a later refusal must not claim that it did not run.
+    let mut owner_lost = None;
     for _ in 0..OWNER_ATTEMPTS {
-        let Ok(choice) = routing::choose(context, request, &excluded) else { break };
+        let choice = match &owner_lost {
+            None => routing::choose(context, request, &excluded),
+            Some(_) => handover::choose(context, request, &excluded).await,
+        };
+        let Ok(choice) = choice else { break };
         if choice.owner == context.entry.host {
-            return run_local(context, request, key, Some(&choice.endpoint)).await;
+            let answer = run_local(context, request, key, Some(&choice.endpoint)).await;
+            return unless_not_run(answer, owner_lost);
         }
         match attempt::relay(context, request, &choice).await {
+            Err(failure) if is_owner_lost(&failure) => {
+                excluded.add_owner(&choice);
+                owner_lost.get_or_insert(failure);
+            }
             Err(failure) if failure.not_run() && failure.retriable() => {
                 excluded.add(&choice, &request.stage.visited, &failure);
             }
-            other => return other,
+            answer => return unless_not_run(answer, owner_lost),
         }
     }
     // Even without an endpoint, the journal may hold the recorded response for the key.
-    run_local(context, request, key, None).await
+    let answer = run_local(context, request, key, None).await;
+    unless_not_run(answer, owner_lost)
+}
+
+fn is_owner_lost(failure: &Failure) -> bool {
+    matches!(failure, Failure::Refused(refusal) if refusal.code == Code::OwnerLost)
+}
+
+/// Returns an answer, or `earlier` in place of a refusal of a request that did not run.
+fn unless_not_run(
+    answer: Result<Answer, Failure>,
+    earlier: Option<Failure>,
+) -> Result<Answer, Failure> {
+    match (answer, earlier) {
+        (Err(failure), Some(earlier)) if failure.not_run() => Err(earlier),
+        (answer, _) => answer,
+    }
 }
 
 /// Answers a non-idempotent request from an endpoint of this gate.
--- a/crates/gate/src/routing.rs
+++ b/crates/gate/src/routing.rs
@@ -63,9 +63,14 @@
         if let Failure::Refused(refusal) = failure
             && OWNER_WIDE_CODES.contains(&refusal.code)
         {
-            self.owners.push(choice.owner.clone());
+            self.add_owner(choice);
         }
     }
+
+    /// Excludes the owner of the chosen endpoint; the endpoint may be chosen at its next owner.
+    pub(crate) fn add_owner(&mut self, choice: &Choice) {
+        self.owners.push(choice.owner.clone());
+    }
 }
 
 /// The state of a candidate endpoint as known to this gate.
--- a/tests/tests/at_most_once.rs
+++ b/tests/tests/at_most_once.rs
@@ -117,6 +117,25 @@
     assert_eq!(site.key_runs(key).await, 1);
 }
 
+#[tokio::test]
+async fn a_call_to_a_frozen_owner_is_decided_by_its_key() {
+    let mut site = Site::start(Options { services: 1, ..options() }).await;
+    site.mark_sign_non_idempotent().await;
+    let owner = site.owner("ledger-1").await;
+    let other = 1 + owner % 5;
+    site.process(&format!("gate-{owner}")).signal(Signal::SIGSTOP);
+    let answer = site.sign(other, "order-owner", "{}").await.expect("a response");
+    let runs = site.key_runs("order-owner").await;
+    site.process(&format!("gate-{owner}")).signal(Signal::SIGCONT);
+    if answer.not_run() {
+        assert_eq!(runs, 0, "{}", answer.text());
+    }
+    assert_ne!(answer.code(), 1504, "{}", answer.text());
+    let last = send_until_final(&site, other, "order-owner", "{}").await;
+    assert_eq!(last.status, 200, "{}", last.text());
+    assert_eq!(site.key_runs("order-owner").await, 1);
+}
+
 #[tokio::test]
 async fn the_leading_keeper_is_killed_during_calls() {
     let mut site = Site::start(options()).await;
