tests: the logs of the processes of a failed test are kept in target/failed-tests

Two entries of KNOWN-RED stood untraced because a failed test printed 12 lines of each log only.

Change: a process that is dropped while its test panics has its log copied to target/failed-tests/SITE/.

--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -1,7 +1,9 @@
 //! Processes started by a test.
 
 use std::env;
+use std::fs;
 use std::fs::File;
+use std::io;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -127,9 +129,25 @@
         })
 }
 
+/// Copies the log of a process to `failed-tests` in the target folder, in a folder of its site.
+fn keep_log(log: &Path) -> io::Result<()> {
+    let site = log.parent().and_then(Path::file_name).unwrap_or_default();
+    let name = log.file_name().unwrap_or_default();
+    let folder = program("../failed-tests").join(site);
+    fs::create_dir_all(&folder)?;
+    fs::copy(log, folder.join(name)).map(drop)
+}
+
+/// Keeps the log if the test fails.
 impl Drop for Process {
     fn drop(&mut self) {
         self.child.kill().ok();
         self.child.wait().ok();
+        if !thread::panicking() {
+            return;
+        }
+        if let Err(error) = keep_log(&self.log) {
+            eprintln!("{}: the log was not kept: {error}", self.log.display());
+        }
     }
 }
