--- a/crates/blackboard/tests/pool.rs
+++ b/crates/blackboard/tests/pool.rs
@@ -265,6 +265,19 @@
     assert!(pool.endpoints["e1"].slots.is_empty() && !pool.endpoints["e1"].probed);
 }
 
+#[tokio::test(start_paused = true)]
+async fn new_generation_implicates_a_request_whose_caller_has_left() {
+    let board = board();
+    assign_to_h1(&board, 2);
+    assert!(apply_state(&board, &state(&["a"], &[])));
+    let mut first = wait(&board, "r1", 5, false);
+    let mut ticket = first.try_recv().expect("sent").expect("it has room");
+    ticket.mark_sent();
+    drop(ticket);
+    set_ownership(&board, owned("h1", 2, 2));
+    assert_eq!(crashes(&board), [(1, vec![1])]);
+}
+
 /// Returns the generations and fingerprints of the crashes that were not yet reported.
 fn crashes(board: &Board) -> Vec<(u64, Vec<u64>)> {
     let pool = board.pool.lock();
