tests: SIGSTOP is waited for, so that a frozen process does nothing more

a_call_to_a_frozen_owner_is_decided_by_its_key failed in 2 of about 119 runs of its file, three at a time beside a build, both within a second. From the log: the owner claimed the key and sent the call 6 ms after the signal, before it stopped; so 1203 was the right answer, and the test expects that a frozen owner claims nothing. The kernel stops the threads of a process some time after kill returns.

It serves all tests that freeze processes.

--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -16,6 +16,8 @@
 
 use nix::sys::signal;
 use nix::sys::signal::Signal;
+use nix::sys::wait;
+use nix::sys::wait::WaitPidFlag;
 use nix::unistd::Pid;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -55,10 +57,13 @@
         Process { program, args, variables, log, child }
     }
 
-    /// Sends a signal.
+    /// Sends a signal; after `SIGSTOP` waits until all threads of the process have stopped.
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(self.child.id() as i32);
         signal::kill(pid, signal).expect("the process exists");
+        if signal == Signal::SIGSTOP {
+            wait::waitpid(pid, Some(WaitPidFlag::WUNTRACED)).expect("the process has stopped");
+        }
     }
 
     /// Kills the process and waits for its end.
