keeper: a write of the log that delays heartbeats is logged

Change: a write that takes a heartbeat interval or more is logged as 613 ReplicaDelayed, as the keepers of a cell do.

--- a/crates/keeper/src/driver.rs
+++ b/crates/keeper/src/driver.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use base::Event;
 use base::Map;
 use base::Name;
 use conf::Config;
@@ -20,6 +21,7 @@
 use state::Limits;
 use state::Machine;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use tokio::time::Interval;
 use tokio::time::MissedTickBehavior;
 use wire::keeper::Envelope;
@@ -147,17 +149,23 @@
         if is_empty(&ready) {
             return Ok(false);
         }
-        let timer = self.metrics.sync.start_timer();
+        let started = Instant::now();
         if self.storage.write(&mut ready).await? {
-            timer.observe_duration();
-        } else {
-            timer.stop_and_discard();
+            self.record_write(started.elapsed());
         }
         self.send(std::mem::take(&mut ready.messages));
         self.deferred_ready.push_back(ready);
         Ok(true)
     }
 
+    /// Records the duration of a write; logs one that delays heartbeats.
+    fn record_write(&self, took: Duration) {
+        self.metrics.sync.observe(took.as_secs_f64());
+        if took >= Duration::from_millis(self.config.timing.heartbeat_ms) {
+            base::event!(WARN, Event::ReplicaDelayed, wait = "write", ms = took.as_millis() as u64);
+        }
+    }
+
     /// Applies the deferred output to the state machine and completes confirmed reads.
     fn apply_deferred(&mut self) -> Result<(), Error> {
         while let Some(ready) = self.deferred_ready.pop_front() {
