gate: a request relayed into a partition ends with the lease, not with its deadline

the_leading_host_is_partitioned failed in a run of all tests: the partitioned gate did not refuse within 25 s. What callers saw: a gate that is cut off relays a request to the owner of an endpoint in the second before its lease ends, and the caller gets 1501 after 30 s. Cause, from the log of the gate: the relay ends when the view shows that the owner has lost the endpoint and its lease, but the view of a partitioned gate does not change any more. Ruled out: the lease (it ended 1.9 s after the cut), a lost refusal (the gate logs the request as forwarded and then as timed out).

Change: a relay also ends when the owner has sent no summary for the duration of a lease; the caller gets 1504 (may have run).

--- a/crates/blackboard/src/peers.rs
+++ b/crates/blackboard/src/peers.rs
@@ -55,6 +55,13 @@
         peer.summary.endpoints.iter().find(|endpoint| endpoint.name.as_str() == name)
     }
 
+    /// Returns the gates whose latest summary is older than `max_age`.
+    pub fn silent(&self, now: Instant, max_age: Duration) -> impl Iterator<Item = &Name> {
+        let silent =
+            self.gates.iter().filter(move |(_, peer)| now.duration_since(peer.received) > max_age);
+        silent.map(|(gate, _)| gate)
+    }
+
     /// Returns the latest summary of each gate.
     pub fn summaries(&self) -> Vec<Summary> {
         self.gates.values().map(|peer| peer.summary.clone()).collect()
--- a/crates/gate/src/handover.rs
+++ b/crates/gate/src/handover.rs
@@ -18,7 +18,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Chooses an endpoint. If none can be chosen while suitable endpoints change their owner, retries for
-/// [`HANDOVER_TIMEOUT`], but not beyond the deadline.
+/// [`HANDOVER_TIMEOUT`], but not beyond the deadline or the lease of this gate.
 pub(crate) async fn choose(
     context: &Context,
     request: &Request<Resolved>,
@@ -29,6 +29,7 @@
         let choice = routing::choose(context, request, excluded);
         if choice.is_ok()
             || Instant::now() >= end
+            || !context.board.serving()
             || !routing::changing_owner(context, request, excluded)
         {
             return choice;
--- a/crates/gate/src/liveness.rs
+++ b/crates/gate/src/liveness.rs
@@ -31,7 +31,7 @@
     }
 }
 
-/// Returns a digest of the view revision and the unresponsive endpoints of this gate.
+/// Returns a digest of the view revision, the unresponsive endpoints of this gate and the silent gates.
 fn digest(context: &Context) -> u64 {
     let now = Instant::now();
     let revision = context.board.view.read().revision;
@@ -42,7 +42,11 @@
         .filter(|(_, entry)| !entry.responsive(now, context.board.liveness_timeout));
     let unresponsive =
         unresponsive.map(|(name, entry)| base::digest(name.as_bytes()) ^ entry.fence);
-    unresponsive.fold(revision, u64::wrapping_add)
+    let digest = unresponsive.fold(revision, u64::wrapping_add);
+    drop(pool);
+    let peers = context.board.peers.lock();
+    let silent = peers.silent(now, context.config.timing.lease_timeout());
+    silent.map(|gate| base::digest(gate.as_bytes())).fold(digest, u64::wrapping_add)
 }
 
 /// Waits until an endpoint of this gate is unresponsive.
@@ -55,15 +59,22 @@
     wait_until(context, lost).await;
 }
 
-/// Waits until the gate `owner` has lost both an endpoint and its lease.
+/// Waits until the gate `owner` has lost both an endpoint and its lease, or has been silent for the duration of a
+/// lease.
 ///
-/// A gate that lost only the endpoint, in a planned move, still answers the requests that it has begun.
+/// A gate that lost only the endpoint, in a planned move, still answers the requests that it has begun. A gate
+/// that is partitioned does not learn what the others have lost.
 pub(crate) async fn owner_lost(context: &Arc<Context>, endpoint: &Name, owner: &Name) {
     let lost = || {
         let view = context.board.view.read();
         let owned = view.endpoints.get(endpoint);
         let moved = owned.and_then(|owned| owned.owner.as_ref()) != Some(owner);
-        moved && !view.gates.contains_key(owner)
+        if moved && !view.gates.contains_key(owner) {
+            return true;
+        }
+        let peers = context.board.peers.lock();
+        let mut silent = peers.silent(Instant::now(), context.config.timing.lease_timeout());
+        silent.any(|gate| gate == owner)
     };
     wait_until(context, lost).await;
 }
--- a/tests/tests/network.rs
+++ b/tests/tests/network.rs
@@ -11,6 +11,8 @@
 
 const TIMEOUT: Duration = Duration::from_secs(25);
 const IN_FORCE: Duration = Duration::from_secs(3);
+/// Time after which a lost gate holds no lease.
+const MAX_LEASE: Duration = Duration::from_secs(3);
 
 fn options() -> Options {
     Options { engines: 2, proxied: true, ..Options::default() }
@@ -64,6 +66,20 @@
     assert!(took < IN_FORCE, "in force after {took:?}");
 }
 
+#[tokio::test]
+async fn a_request_relayed_into_a_partition_is_answered_before_its_deadline() {
+    let site = Site::start(options()).await;
+    site.create_adapter("quotes", 1).await;
+    let owners = [site.owner("engine-1").await, site.owner("engine-2").await];
+    let partitioned = (1..=5).find(|gate| !owners.contains(gate)).expect("a gate without engines");
+    site.isolate(partitioned).await;
+    let begin = Instant::now();
+    let answer = site.complete(partitioned, "quotes@v1", "relayed").await.expect("a response");
+    let took = begin.elapsed();
+    assert_eq!(answer.code(), 1504, "{}", answer.text());
+    assert!(took < MAX_LEASE, "answered after {took:?}");
+}
+
 #[tokio::test]
 async fn the_leading_host_is_partitioned() {
     let site = Site::start(options()).await;
