--- a/crates/blackboard/src/disconnect.rs
+++ b/crates/blackboard/src/disconnect.rs
@@ -17,7 +17,7 @@
 /// They are kept apart from the endpoints that this gate owns, because an endpoint may move to another gate
 /// before its next generation is known.
 #[derive(Debug, Default)]
-pub struct Disconnects {
+pub(crate) struct Disconnects {
     entries: Map<Name, Disconnect>,
 }
 
--- a/crates/blackboard/src/lib.rs
+++ b/crates/blackboard/src/lib.rs
@@ -12,7 +12,6 @@
 mod ticket;
 
 pub use crate::board::Board;
-pub use crate::disconnect::Disconnects;
 pub use crate::endpoint::Endpoint;
 pub use crate::endpoint::InFlight;
 pub use crate::endpoint::Phase;
--- a/crates/blackboard/src/pool.rs
+++ b/crates/blackboard/src/pool.rs
@@ -103,7 +103,7 @@
     /// The crashes that were not yet reported to the keepers.
     pub crashes: Vec<Crash>,
     /// The requests whose connections broke while it is not known whether the endpoint crashed.
-    pub disconnects: Disconnects,
+    pub(crate) disconnects: Disconnects,
     /// The endpoints by name.
     pub endpoints: Map<Name, Endpoint>,
     /// The queued requests by target, in descending priority and then in order of arrival.
--- a/crates/gate/src/admin.rs
+++ b/crates/gate/src/admin.rs
@@ -93,8 +93,11 @@
     base::event!(INFO, Event::Commanded, id = %received.id, author = %received.author, ?outcome);
     match outcome {
         Outcome::Done { revision } => {
-            // The command is accepted in any case; the caller asks again for a revision that is not in force.
-            let in_force = is_in_force(context, revision).await.unwrap_or(false);
+            let in_force = is_in_force(context, revision).await.unwrap_or_else(|refusal| {
+                // The command is accepted all the same; its sender asks again until it is in force.
+                base::event!(WARN, Event::Fault, code = refusal.code.number(), revision);
+                false
+            });
             Ok(Receipt { status: Name::from("accepted"), revision, in_force })
         }
         Outcome::Refused { code, detail, revision } => {
