edge, cell, fleet: endpoints that leave or want no requests; nodes name their revision

Ruled out: the breaker as such: the failure rate of an endpoint that refuses without a time still keeps requests away from it. A list of such endpoints in the replicated log: all that is lost with a node is told again by the next response or by the gates.

Change: `edge::availability` holds what endpoints told this gate, by incarnation. Such endpoints are excluded from its choices and from its queries to the scheduler, and a grant that arrives for one is declined and asked for again, so both rules hold with an old leader, a new one or none. Gates report leaving endpoints to the leader, which treats them as draining whatever their heartbeats say; so do its own orders and reports. A refusal that names a time is no failure.

The report is a new frame. Hello and Welcome end with the sender's revision, which is 0 if it is missing, and a frame goes only to peers whose revision has it (docs/design/upgrades.md). Stored files and the log do not change.

--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -6,6 +6,7 @@
 use base::Event;
 use base::Name;
 use fleet::endpoint::Announcement;
+use fleet::endpoint::Incarnation;
 use fleet::limit::Limit;
 use fleet::message::Frame;
 use fleet::message::Hello;
@@ -18,6 +19,7 @@
 use fleet::quarantine::Survival;
 use fleet::registry::Change;
 use fleet::registry::Registry;
+use fleet::revision::Revision;
 use link::Link;
 use sched::Scheduler;
 use sched::action::Action;
@@ -320,6 +322,7 @@
             leads: self.status.leads,
             members: self.status.members.clone(),
             gates: self.links.gate_count(),
+            revision: Revision::CURRENT,
         }
     }
 
@@ -368,14 +371,27 @@
         }
     }
 
+    /// Records that an endpoint says in a response that it leaves. Ignored unless this keeper leads.
+    pub(crate) fn record_leaving(&mut self, incarnation: &Incarnation) {
+        let now = self.now();
+        let Some(leadership) = &mut self.leadership else { return };
+        let Incarnation { endpoint, born } = incarnation;
+        if leadership.leaving.insert(incarnation) && self.registry.drain(endpoint, *born) {
+            let state = fleet::endpoint::State::Draining(None);
+            self.departures.announced(endpoint, *born, state, now);
+            self.registry_changed(now);
+        }
+    }
+
     /// Records an endpoint's announcement; returns whether the endpoints changed. Only called on the
     /// leader.
-    pub(crate) fn announce(&mut self, announcement: Announcement) -> bool {
+    pub(crate) fn announce(&mut self, mut announcement: Announcement) -> bool {
         let now = self.now();
         let id = announcement.id.clone();
         let is_engine = announcement.held.is_some();
         if let Some(leadership) = &mut self.leadership {
             leadership.quarantine.endpoint_announced(&id, announcement.born, now);
+            leadership.leaving.correct(&mut announcement);
         }
         self.departures.announced(&id, announcement.born, announcement.state, now);
         let change = self.registry.announce(announcement, now);
@@ -460,6 +476,7 @@
             let gone: Vec<Name> = gone.cloned().collect();
             let known = |id: &Name| self.registry.get(id).map(|known| known.born);
             leadership.limits.expire(known, now);
+            leadership.leaving.expire(known, now);
             for id in gone {
                 leadership.scheduler.remove_engine(&id, now);
                 leadership.holdings.retain(|holding| holding.endpoint != id);
--- a/crates/cell/src/dispatch.rs
+++ b/crates/cell/src/dispatch.rs
@@ -14,6 +14,7 @@
 
 use crate::engines::Engines;
 use crate::engines::Holder;
+use crate::engines::Response;
 use crate::keeper::Keeper;
 use crate::settings::HEARTBEAT_INTERVAL;
 use crate::settings::MAX_SCHEDULER_PAUSE;
@@ -105,8 +106,12 @@
             Action::Inspect(endpoint) => {
                 let keeper = self.clone();
                 tokio::spawn(async move {
-                    let report = keeper.engines.inspect(&endpoint).await;
+                    let Response { answer: report, leaving } =
+                        keeper.engines.inspect(&endpoint).await;
                     let mut coordinator = keeper.coordinator.lock();
+                    if leaving {
+                        coordinator.record_leaving(&endpoint.incarnation());
+                    }
                     let now = coordinator.now();
                     if let Some(leadership) = coordinator.leadership_in(fence) {
                         leadership.scheduler.engine_inspected(&endpoint.id, report, now);
@@ -139,7 +144,7 @@
         }
         self.coordinator.lock().record_order(fence);
         let holder = Holder { node: self.settings.node.clone(), fence };
-        let answer = self.engines.order(&order, &holder).await;
+        let Response { answer, leaving } = self.engines.order(&order, &holder).await;
         let operation = match order.operation {
             Operation::Load => "load",
             Operation::Unload => "unload",
@@ -153,6 +158,9 @@
         );
         let mut coordinator = self.coordinator.lock();
         coordinator.record_order(fence);
+        if leaving {
+            coordinator.record_leaving(&order.endpoint.incarnation());
+        }
         let now = coordinator.now();
         if let Some(leadership) = coordinator.leadership_in(fence) {
             leadership.scheduler.order_answered(&order, answer, now);
--- a/crates/cell/src/engines.rs
+++ b/crates/cell/src/engines.rs
@@ -17,11 +17,25 @@
     pub fence: u64,
 }
 
+/// The response of an engine to a call.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Response<T> {
+    /// The answer.
+    pub answer: T,
+    /// Whether the engine says that it leaves.
+    pub leaving: bool,
+}
+
 /// Client for the engines.
 pub trait Engines: Send + Sync + 'static {
     /// Sends an order and returns the engine's answer.
-    fn order(&self, order: &Order, holder: &Holder) -> impl Future<Output = Answer> + Send;
+    fn order(
+        &self,
+        order: &Order,
+        holder: &Holder,
+    ) -> impl Future<Output = Response<Answer>> + Send;
 
-    /// Queries an engine's state. Returns `None` if it gave no valid answer.
-    fn inspect(&self, endpoint: &Endpoint) -> impl Future<Output = Option<Report>> + Send;
+    /// Queries an engine's state. The answer is `None` if it gave no valid one.
+    fn inspect(&self, endpoint: &Endpoint)
+    -> impl Future<Output = Response<Option<Report>>> + Send;
 }
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -9,6 +9,7 @@
 use fleet::message::Frame;
 use fleet::message::Hello;
 use fleet::registry::Registry;
+use fleet::revision::Revision;
 use link::Inbox;
 use link::Link;
 use meter::Meter;
@@ -77,6 +78,7 @@
             domain: settings.domain.clone(),
             front: None,
             accepting: false,
+            revision: Revision::CURRENT,
         };
         let (sender, inbox) = mpsc::channel(MAX_QUEUED_REQUESTS);
         let (registries, received) = mpsc::unbounded_channel();
@@ -225,6 +227,10 @@
                 self.coordinator.lock().record_limit(&limit);
                 self.wake_scheduler();
             }
+            Frame::Leaving(incarnation) => {
+                self.coordinator.lock().record_leaving(&incarnation);
+                self.wake_scheduler();
+            }
             Frame::AskPermit { request, endpoint, born } => {
                 self.coordinator.lock().answer_permit(link_id, request, &endpoint, born);
             }
--- a/crates/cell/src/leadership.rs
+++ b/crates/cell/src/leadership.rs
@@ -8,6 +8,7 @@
 use sched::Scheduler;
 use sched::action::Action;
 
+use crate::leaving::Leaving;
 use crate::limits::Limits;
 use crate::quarantine::Quarantine;
 
@@ -18,6 +19,7 @@
     pub(crate) scheduler: Scheduler,
     pub(crate) quarantine: Quarantine,
     pub(crate) limits: Limits,
+    pub(crate) leaving: Leaving,
     /// Which adapters each engine holds, as last sent to the gates.
     pub(crate) holdings: Vec<Holding>,
     /// Holdings that engines announced, to be sent to the gates with the next scheduler round. Gates that lose the leader
@@ -33,6 +35,7 @@
             scheduler,
             quarantine: Quarantine::default(),
             limits: Limits::default(),
+            leaving: Leaving::default(),
             holdings: Vec::new(),
             announced: Vec::new(),
         }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod departures;
 pub mod engines;
 pub mod lease;
+pub mod leaving;
 pub mod limits;
 pub mod quarantine;
 pub mod settings;
--- a/crates/cell/src/limits.rs
+++ b/crates/cell/src/limits.rs
@@ -5,7 +5,8 @@
 use base::Map;
 use base::Name;
 use fleet::limit::Limit;
-use fleet::limit::Presence;
+use fleet::limit::RETENTION;
+use fleet::presence::Presence;
 use limit::Bucket;
 
 /// The limit of an endpoint.
@@ -65,6 +66,7 @@
 
     /// Drops the limits of incarnations that have ended. `known` returns the start time of an endpoint.
     pub fn expire(&mut self, known: impl Fn(&Name) -> Option<u64>, now: Duration) {
-        self.entries.retain(|id, entry| entry.presence.update(entry.born, known(id), now));
+        self.entries
+            .retain(|id, entry| entry.presence.update(entry.born, known(id), RETENTION, now));
     }
 }
--- a/crates/cell/src/links.rs
+++ b/crates/cell/src/links.rs
@@ -56,12 +56,14 @@
         self.nodes.values().filter(|node| node.hello.front.is_none())
     }
 
+    /// Sends a frame to all gates, but to those of an earlier release that does not know it.
     pub(crate) fn broadcast_to_gates(&self, frame: &Frame) {
-        link::broadcast(self.gates().map(|gate| &gate.link), frame);
+        broadcast(self.gates(), frame);
     }
 
+    /// Sends a frame to all keepers, but to those of an earlier release that does not know it.
     pub(crate) fn broadcast_to_keepers(&self, frame: &Frame) {
-        link::broadcast(self.keepers().map(|keeper| &keeper.link), frame);
+        broadcast(self.keepers(), frame);
     }
 
     /// Returns the addresses of gates that accept callers, with their failure domains.
@@ -75,3 +77,8 @@
         fronts
     }
 }
+
+fn broadcast<'a>(nodes: impl Iterator<Item = &'a Node>, frame: &Frame) {
+    let able = nodes.filter(|node| frame.revision() <= node.hello.revision);
+    link::broadcast(able.map(|node| &node.link), frame);
+}
--- a/crates/cell/tests/compatibility/main.rs
+++ b/crates/cell/tests/compatibility/main.rs
@@ -19,7 +19,7 @@
 use samples::Sample;
 
 /// The frames that have grown since a release. An earlier release ignores what follows the fields that it knows.
-const EXTENDED: [&str; 0] = [];
+const EXTENDED: [&str; 2] = ["hello", "welcome"];
 
 fn directory() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/compatibility/released")
@@ -41,8 +41,11 @@
     digits.map(|byte| u8::from_str_radix(byte, 16).expect("hexadecimal digits")).collect()
 }
 
-/// Returns the encoded values of each release, by the name of the sample.
-fn released() -> Vec<(String, Vec<(String, Vec<u8>)>)> {
+/// The encoded values of a release, by the name of the sample.
+type Values = Vec<(String, Vec<u8>)>;
+
+/// Returns the encoded values of each release, by its commit.
+fn released() -> Vec<(String, Values)> {
     let files = std::fs::read_dir(directory()).expect("the directory");
     let paths = files.map(|file| file.expect("a file").path());
     let paths = paths.filter(|path| path.extension().is_some_and(|extension| extension == "txt"));
--- a/crates/cell/tests/compatibility/samples.rs
+++ b/crates/cell/tests/compatibility/samples.rs
@@ -45,6 +45,7 @@
 use fleet::quarantine::Subject;
 use fleet::quarantine::Survival;
 use fleet::registry::Registry;
+use fleet::revision::Revision;
 use limit::Rate;
 use raft::message::Body;
 use raft::message::Entry;
@@ -58,13 +59,13 @@
 use serde::de::DeserializeOwned;
 
 /// An encoded value.
-pub struct Sample {
-    pub name: &'static str,
-    pub bytes: Vec<u8>,
+pub(crate) struct Sample {
+    pub(crate) name: &'static str,
+    pub(crate) bytes: Vec<u8>,
     /// The value as text.
-    pub text: String,
+    pub(crate) text: String,
     /// Decodes another encoding of the type; returns the value as text.
-    pub decode: fn(&[u8]) -> Result<String, postcard::Error>,
+    pub(crate) decode: fn(&[u8]) -> Result<String, postcard::Error>,
 }
 
 fn sample<T: Serialize + DeserializeOwned + Debug>(name: &'static str, value: &T) -> Sample {
@@ -80,7 +81,7 @@
     Name::from(text)
 }
 
-pub fn plan(version: u64) -> Plan {
+pub(crate) fn plan(version: u64) -> Plan {
     let route = |route: &str, kind| Route {
         name: name(route),
         host: name("site.example"),
@@ -120,7 +121,7 @@
     }
 }
 
-pub fn version() -> Version {
+pub(crate) fn version() -> Version {
     Version { model: name("base"), adapter: name("a1"), version: 3 }
 }
 
@@ -153,7 +154,7 @@
     (1..).zip(payloads).map(entry).collect()
 }
 
-pub fn snapshot(data: Bytes) -> Snapshot {
+pub(crate) fn snapshot(data: Bytes) -> Snapshot {
     let member = Member { id: 5, host: "10.0.0.1:7380".to_owned() };
     let members = Members { voters: vec![member], learners: Vec::new() };
     Snapshot { index: 3, term: 2, members, data }
@@ -171,7 +172,7 @@
 }
 
 /// Returns a state with something of everything that it contains.
-pub fn state() -> State {
+pub(crate) fn state() -> State {
     let mut state = State::default();
     let document = Bytes::from_static(b"{}");
     state.apply(Command::Publish { plan: Arc::new(plan(7)), document });
@@ -182,7 +183,7 @@
 }
 
 /// What the replicated log and its snapshots contain.
-pub fn records() -> Vec<Sample> {
+pub(crate) fn records() -> Vec<Sample> {
     let document = Bytes::from_static(b"{}");
     vec![
         sample("command-publish", &Command::Publish { plan: Arc::new(plan(7)), document }),
@@ -303,8 +304,14 @@
         domain: name("a"),
         front: Some(name("10.1.0.38:8149")),
         accepting: true,
+        revision: Revision::UNNAMED,
+    };
+    let welcome = Welcome {
+        leads: Some(2),
+        members: vec![name("10.0.0.1:7380")],
+        gates: 5,
+        revision: Revision::UNNAMED,
     };
-    let welcome = Welcome { leads: Some(2), members: vec![name("10.0.0.1:7380")], gates: 5 };
     let envelope = Envelope {
         group: 1,
         from: 5,
@@ -330,6 +337,6 @@
 }
 
 /// The frames between nodes.
-pub fn frames() -> Vec<Sample> {
+pub(crate) fn frames() -> Vec<Sample> {
     [introductions(), calls(), requests(), reports()].into_iter().flatten().collect()
 }
--- a/crates/cell/tests/leadership.rs
+++ b/crates/cell/tests/leadership.rs
@@ -15,6 +15,7 @@
 use cell::Keeper;
 use cell::engines::Engines;
 use cell::engines::Holder;
+use cell::engines::Response;
 use cell::settings::Settings;
 use fleet::endpoint::Announcement;
 use fleet::endpoint::Endpoint;
@@ -23,6 +24,7 @@
 use fleet::message::Frame;
 use fleet::message::Hello;
 use fleet::message::Reply;
+use fleet::revision::Revision;
 use meter::Meter;
 use sched::action::Answer;
 use sched::action::Order;
@@ -52,16 +54,16 @@
 }
 
 impl Engines for BusyEngines {
-    async fn order(&self, _order: &Order, _holder: &Holder) -> Answer {
-        Answer::Lost
+    async fn order(&self, _order: &Order, _holder: &Holder) -> Response<Answer> {
+        Response { answer: Answer::Lost, leaving: false }
     }
 
-    async fn inspect(&self, _endpoint: &Endpoint) -> Option<Report> {
+    async fn inspect(&self, _endpoint: &Endpoint) -> Response<Option<Report>> {
         if !self.was_busy.load(Ordering::SeqCst) {
             thread::sleep(self.busy);
             self.was_busy.store(true, Ordering::SeqCst);
         }
-        None
+        Response { answer: None, leaving: false }
     }
 }
 
@@ -124,6 +126,7 @@
         domain: Name::from("a"),
         front: Some(Name::from("127.0.0.1:1")),
         accepting: true,
+        revision: Revision::CURRENT,
     }));
     while let Some(frame) = inbox.recv().await {
         if let Frame::Welcome(welcome) = frame
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -75,6 +75,7 @@
         if let Some((running, queued)) = parsed.load {
             tracker.record_load(running + queued);
         }
+        tracker.record_availability(parsed.leaving, parsed.pause);
         let status = response.status();
         if parsed.mismatched || (status.is_success() && !parsed.signed) {
             tracker.record_mismatch();
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -7,6 +7,7 @@
 use base::Event;
 use base::Name;
 use fleet::message::Hello;
+use fleet::revision::Revision;
 use meter::Meter;
 use parking_lot::Mutex;
 use tokio::net::TcpListener;
@@ -46,6 +47,7 @@
             domain: settings.domain.clone(),
             front: Some(Name::from(settings.front.to_string())),
             accepting: true,
+            revision: Revision::CURRENT,
         };
         let keepers = Keepers::new(&view, &pool, hello, settings.keepers.clone());
         keepers.start();
--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -24,6 +24,7 @@
 use fleet::quarantine::Fingerprint;
 use fleet::quarantine::Subject;
 use fleet::quarantine::Survival;
+use fleet::revision::Revision;
 use link::Inbox;
 use link::Link;
 use parking_lot::Mutex;
@@ -31,6 +32,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::availability::Availability;
 use crate::limits::Limits;
 use crate::origins::Located;
 use crate::origins::Origins;
@@ -67,6 +69,14 @@
     address: SocketAddr,
     term: u64,
     link: Link<Frame>,
+    revision: Revision,
+}
+
+impl Leader {
+    /// Sends a frame, unless the leader is of an earlier release that does not know it; returns whether it was sent.
+    fn send(&self, frame: Frame) -> bool {
+        frame.revision() <= self.revision && self.link.send(frame)
+    }
 }
 
 /// A scheduled request in progress at an engine.
@@ -100,6 +110,7 @@
     pub(crate) quarantine: Quarantine,
     pub(crate) runs: Mutex<Runs>,
     pub(crate) limits: Limits,
+    pub(crate) availability: Availability,
     /// The requests that wait for a permit, by number.
     pub(crate) permits: Mutex<Map<u64, oneshot::Sender<Result<(), Duration>>>>,
     next_number: AtomicU64,
@@ -128,6 +139,7 @@
             quarantine: Quarantine::default(),
             runs: Mutex::default(),
             limits: Limits::default(),
+            availability: Availability::default(),
             permits: Mutex::default(),
             next_number: AtomicU64::new(1),
         })
@@ -214,6 +226,7 @@
                 self.pool.retain(|id| known.contains_key(id));
                 let born = |id: &Name| known.get(id).map(|known| known.born);
                 self.limits.expire(born, self.view.now());
+                self.availability.expire(born, self.view.now());
             }
             Frame::Holds(holdings) if self.is_leader(address) => {
                 for holding in holdings {
@@ -258,7 +271,10 @@
         welcome: &Welcome,
     ) {
         match welcome.leads {
-            Some(term) => self.set_leader(Leader { address, term, link: link.clone() }),
+            Some(term) => {
+                let (link, revision) = (link.clone(), welcome.revision);
+                self.set_leader(Leader { address, term, link, revision });
+            }
             None => self.clear_leader(address),
         }
         let members = welcome.members.iter().filter_map(|member| member.parse().ok());
@@ -282,8 +298,7 @@
             return;
         }
         base::event!(INFO, Event::LeaderFollowed, peer = %new.address, term = new.term);
-        let link = new.link.clone();
-        *leader = Some(new);
+        *leader = Some(new.clone());
         drop(leader);
         self.leader_known.notify_waiters();
         self.fail_pending();
@@ -293,14 +308,17 @@
             left_ms: request.deadline.saturating_duration_since(now).as_millis() as u32,
             ..request.running.clone()
         });
-        link.send(Frame::Running(running.collect()));
+        new.send(Frame::Running(running.collect()));
         drop(in_flight);
         for limit in self.limits.list() {
-            link.send(Frame::Limit(limit));
+            new.send(Frame::Limit(limit));
+        }
+        for incarnation in self.availability.leaving() {
+            new.send(Frame::Leaving(incarnation));
         }
         let losses = self.quarantine.losses(self.view.now());
         if !losses.is_empty() {
-            link.send(Frame::Losses(losses));
+            new.send(Frame::Losses(losses));
         }
     }
 
@@ -338,10 +356,18 @@
         }
     }
 
-    /// Sends a frame to the leader; returns false if there is none or its link is closed.
+    /// Sends a frame to the leader; returns false if there is none, if it does not know the frame or if its link is
+    /// closed.
     pub(crate) fn send(&self, frame: Frame) -> bool {
         let leader = self.leader.lock();
-        leader.as_ref().is_some_and(|leader| leader.link.send(frame))
+        leader.as_ref().is_some_and(|leader| leader.send(frame))
+    }
+
+    /// Records that an endpoint leaves, and reports it to the leader if that is new.
+    pub(crate) fn record_leaving(&self, endpoint: &Endpoint) {
+        if self.availability.record_leaving(endpoint) {
+            self.send(Frame::Leaving(endpoint.incarnation()));
+        }
     }
 
     /// Reports the end of a scheduled request to the leader.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod settings;
 
 mod attempt;
+mod availability;
 mod body;
 mod budget;
 mod call;
@@ -32,6 +33,8 @@
 mod tracker;
 mod view;
 
+pub use crate::availability::Availability;
+pub use crate::availability::Unavailable;
 pub use crate::budget::Budget;
 pub use crate::budget::Limit;
 pub use crate::choose::choose;
--- a/crates/edge/src/limits.rs
+++ b/crates/edge/src/limits.rs
@@ -8,7 +8,8 @@
 use base::Name;
 use fleet::endpoint::Endpoint;
 use fleet::limit::Limit;
-use fleet::limit::Presence;
+use fleet::limit::RETENTION;
+use fleet::presence::Presence;
 use limit::Notice;
 use limit::Rate;
 use limit::Share;
@@ -99,7 +100,7 @@
     /// Drops the limits of incarnations that have ended. `known` returns the start time of an endpoint.
     pub fn expire(&self, known: impl Fn(&Name) -> Option<u64>, now: Duration) {
         let mut entries = self.entries.lock();
-        entries.retain(|id, entry| entry.presence.update(entry.born, known(id), now));
+        entries.retain(|id, entry| entry.presence.update(entry.born, known(id), RETENTION, now));
     }
 
     /// Returns whether this gate may send a request to an endpoint.
--- a/crates/edge/src/protocol.rs
+++ b/crates/edge/src/protocol.rs
@@ -66,6 +66,10 @@
     pub load: Option<(u32, u32)>,
     /// The limit on its request rate that the endpoint names.
     pub limit: Notice,
+    /// Whether the endpoint leaves and takes no new requests.
+    pub leaving: bool,
+    /// The time for which the endpoint, which turned the request away, wants no requests of this gate.
+    pub pause: Option<Duration>,
     /// The endpoint's timeout for idle connections.
     pub idle_timeout: Option<Duration>,
     /// Whether the endpoint closes the connection after the response.
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -65,3 +65,9 @@
 /// The expected time from startup until a gate serves requests if the keepers start with it: an election and
 /// the first announcements of the endpoints.
 pub(crate) const STARTUP_TIME: Duration = Duration::from_millis(1_300);
+/// The number of endpoints chosen for a request that are declined because they take no more requests of this gate.
+pub(crate) const MAX_DECLINED: u32 = 4;
+/// The shortest retry delay in the refusal of a request that no endpoint wants for a time that they named.
+pub(crate) const MIN_PAUSE_RETRY: Duration = Duration::from_millis(100);
+/// The largest share by which that delay is exceeded, so that callers do not retry together.
+pub(crate) const PAUSE_RETRY_SPREAD: f64 = 0.25;
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -12,6 +12,7 @@
 use fleet::quarantine::format_parts;
 use tokio::time::Instant;
 
+use crate::availability::Unavailable;
 use crate::call::Call;
 use crate::choose;
 use crate::gate::Gate;
@@ -20,6 +21,9 @@
 use crate::refusal::Refusal;
 use crate::settings::DEFAULT_RETRY_AFTER;
 use crate::settings::LEADER_WAIT_SHARE;
+use crate::settings::MAX_DECLINED;
+use crate::settings::MIN_PAUSE_RETRY;
+use crate::settings::PAUSE_RETRY_SPREAD;
 use crate::settings::QUARANTINE_RETRY_AFTER;
 use crate::settings::SCHEDULER_QUEUE_SHARE;
 use crate::settings::SCHEDULER_REPLY_MARGIN;
@@ -69,10 +73,7 @@
         excluded: &[Name],
     ) -> Result<Target, Refusal> {
         self.check_quarantine(call)?;
-        let target = match call.request.model.clone() {
-            Some(model) => self.schedule(call, model, excluded).await?,
-            None => self.choose_endpoint(call, excluded).await?,
-        };
+        let target = self.choose_available(call, excluded).await?;
         let admitted = self.check_quarantine(call);
         if let (Err(_), Some(query)) = (&admitted, &target.query) {
             self.keepers.send(Frame::Withdraw(query.request));
@@ -87,6 +88,69 @@
         Ok(target)
     }
 
+    /// Chooses an endpoint that takes requests of this gate. One that stopped to do so while the scheduler chose it is
+    /// declined.
+    async fn choose_available(
+        self: &Arc<Gate<P>>,
+        call: &Call,
+        excluded: &[Name],
+    ) -> Result<Target, Refusal> {
+        for _ in 0..MAX_DECLINED {
+            let excluded = self.exclude_unavailable(call, excluded)?;
+            let target = match call.request.model.clone() {
+                Some(model) => self.schedule(call, model, &excluded).await?,
+                None => self.choose_endpoint(call, &excluded).await?,
+            };
+            let now = self.view.now();
+            let Some(unavailable) = self.keepers.availability.check(&target.endpoint, now) else {
+                return Ok(target);
+            };
+            base::event!(
+                INFO, Event::GrantDeclined, request = %call.request.id,
+                endpoint = %target.endpoint.id, unavailable = ?unavailable
+            );
+            if let Some(query) = &target.query {
+                self.keepers.send(Frame::Withdraw(query.request));
+            }
+        }
+        Err(Refusal::retryable(Code::NoEndpoint, DEFAULT_RETRY_AFTER))
+    }
+
+    /// Returns `excluded` with the endpoints that take no requests of this gate. Refuses the request if no others are
+    /// left and some of them have named the time after which they do.
+    fn exclude_unavailable(&self, call: &Call, excluded: &[Name]) -> Result<Vec<Name>, Refusal> {
+        let mut all = excluded.to_vec();
+        if self.keepers.availability.is_empty() {
+            return Ok(all);
+        }
+        let now = self.view.now();
+        let mut shortest: Option<Duration> = None;
+        let mut others = false;
+        let endpoints = self.view.endpoints();
+        for endpoint in endpoints.values().filter(|endpoint| call.admits(endpoint)) {
+            if excluded.contains(&endpoint.id) {
+                continue;
+            }
+            match self.keepers.availability.check(endpoint, now) {
+                None => others = true,
+                Some(unavailable) => {
+                    all.push(endpoint.id.clone());
+                    if let Unavailable::Paused(left) = unavailable {
+                        shortest = Some(shortest.map_or(left, |known| known.min(left)));
+                    }
+                }
+            }
+        }
+        match shortest {
+            Some(wait) if !others => {
+                let spread: f64 = rand::random();
+                let wait = wait.max(MIN_PAUSE_RETRY).mul_f64(1.0 + PAUSE_RETRY_SPREAD * spread);
+                Err(Refusal::retryable(Code::EndpointsPaused, wait))
+            }
+            _ => Ok(all),
+        }
+    }
+
     /// Refuses a request that is quarantined, or whose prompt contains a part that is.
     fn check_quarantine(&self, call: &Call) -> Result<(), Refusal> {
         let Some(subject) = self.keepers.quarantined(&call.fingerprint) else { return Ok(()) };
--- a/crates/edge/src/tracker.rs
+++ b/crates/edge/src/tracker.rs
@@ -40,6 +40,8 @@
     origin: Option<Origin>,
     outcome: Outcome,
     ending: Ending,
+    /// Whether the endpoint has named a time in which it wants no requests. Its refusal is no failure then.
+    paused: bool,
 }
 
 /// How a request ended at its endpoint.
@@ -80,6 +82,7 @@
             // A request that is dropped before it ends was cancelled by its caller.
             outcome: Outcome::Cancelled,
             ending: Ending::Abandoned,
+            paused: false,
         }
     }
 
@@ -160,6 +163,17 @@
         self.keepers.record_limit(&self.endpoint, notice, ran, sent);
     }
 
+    /// Records what the response says about whether the endpoint takes further requests of this gate.
+    pub(crate) fn record_availability(&mut self, leaving: bool, pause: Option<Duration>) {
+        if leaving {
+            self.keepers.record_leaving(&self.endpoint);
+        }
+        if let Some(pause) = pause {
+            self.paused = true;
+            self.keepers.availability.record_pause(&self.endpoint, pause, self.view.now());
+        }
+    }
+
     /// Returns the time since the request was sent.
     pub(crate) fn elapsed(&self) -> Duration {
         self.sent.elapsed()
@@ -173,6 +187,7 @@
             stats.running = stats.running.saturating_sub(1);
             match self.outcome {
                 Outcome::Done => stats.record(false, now),
+                Outcome::Refused if self.paused => {}
                 Outcome::Failed | Outcome::Lost | Outcome::Refused => stats.record(true, now),
                 Outcome::Misdirected | Outcome::Cancelled => {}
             }
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -64,6 +64,15 @@
     pub version: u64,
 }
 
+/// An incarnation of an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Incarnation {
+    /// The id of the endpoint.
+    pub endpoint: Name,
+    /// The start time, as in [`Announcement::born`].
+    pub born: u64,
+}
+
 /// The properties of an endpoint that a gate needs to send requests to it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Endpoint {
@@ -83,6 +92,13 @@
     pub build: Name,
 }
 
+impl Endpoint {
+    /// Returns the incarnation of the endpoint.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation { endpoint: self.id.clone(), born: self.born }
+    }
+}
+
 impl From<&Announcement> for Endpoint {
     fn from(from: &Announcement) -> Endpoint {
         Endpoint {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod message;
 pub mod origin;
 pub mod plan;
+pub mod presence;
 pub mod quarantine;
 pub mod registry;
+pub mod revision;
 pub mod routing;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -1,6 +1,7 @@
 //! The messages between gates and keepers.
 //!
-//! They are encoded by position: the order of fields and variants must not change.
+//! They are encoded by position: fields and variants must not change, and a new variant comes last, with a new
+//! [`Revision`].
 
 use std::sync::Arc;
 
@@ -14,6 +15,7 @@
 
 use crate::endpoint::Announcement;
 use crate::endpoint::Endpoint;
+use crate::endpoint::Incarnation;
 use crate::limit::Limit;
 use crate::origin::Origin;
 use crate::plan::Plan;
@@ -22,6 +24,7 @@
 use crate::quarantine::Subject;
 use crate::quarantine::Survival;
 use crate::registry::Registry;
+use crate::revision::Revision;
 
 /// A message over a link between two processes.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -129,6 +132,18 @@
         /// The time until the next permit, in ms; `None` if the request is admitted.
         wait_ms: Option<u32>,
     },
+    /// A gate reports an endpoint that says in its responses that it leaves; also sent to a new leader.
+    Leaving(Incarnation),
+}
+
+impl Frame {
+    /// Returns the first revision that has this kind of frame. A node of an earlier one can't decode it.
+    pub fn revision(&self) -> Revision {
+        match self {
+            Frame::Leaving(_) => Revision::LEAVING,
+            _ => Revision::UNNAMED,
+        }
+    }
 }
 
 /// The sender of the frames on a link.
@@ -144,6 +159,8 @@
     pub front: Option<Name>,
     /// Whether it accepts connections of callers.
     pub accepting: bool,
+    /// The revision of the sender. The last field, since earlier releases did not send it.
+    pub revision: Revision,
 }
 
 /// A keeper's view of its group.
@@ -155,6 +172,8 @@
     pub members: Vec<Name>,
     /// The number of gates with a link to this keeper.
     pub gates: u32,
+    /// The revision of the sender. The last field, since earlier releases did not send it.
+    pub revision: Revision,
 }
 
 /// Raft messages from one replica to another.
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -140,6 +140,19 @@
         true
     }
 
+    /// Records that an incarnation of an endpoint leaves, which it has not announced; returns whether it accepted
+    /// requests until now.
+    pub fn drain(&mut self, id: &Name, born: u64) -> bool {
+        let entry = self.entries.get_mut(id).filter(|entry| {
+            let Announcement { born: known, state, .. } = &entry.announcement;
+            (*known, *state) == (born, State::Ready)
+        });
+        let Some(entry) = entry else { return false };
+        entry.announcement.state = State::Draining(None);
+        base::event!(INFO, Event::EndpointLeaves, endpoint = %id, born, how = "response");
+        true
+    }
+
     /// Removes an endpoint that is leaving. Without `born`, this applies to the known incarnation.
     pub fn leave(&mut self, id: &Name, born: Option<u64>) -> Change {
         let Some(entry) = self.entries.get(id) else {
--- /dev/null
+++ b/crates/fleet/src/revision.rs
@@ -0,0 +1,25 @@
+//! The revision of the protocol between nodes, by which processes of two releases work side by side.
+
+use serde::Deserialize;
+use serde::Deserializer;
+use serde::Serialize;
+
+/// A revision of the protocol between nodes. Each one adds frames to those of the former.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct Revision(u32);
+
+impl Revision {
+    /// The frames of the releases that did not name a revision.
+    pub const UNNAMED: Revision = Revision(0);
+    /// Adds [`crate::message::Frame::Leaving`].
+    pub const LEAVING: Revision = Revision(1);
+    /// The revision of this release.
+    pub const CURRENT: Revision = Revision::LEAVING;
+}
+
+impl<'de> Deserialize<'de> for Revision {
+    /// Decodes a revision. It is [`Revision::UNNAMED`] if the input has ended, so it must be the last field of a frame.
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Revision, D::Error> {
+        Ok(u32::deserialize(deserializer).map_or(Revision::UNNAMED, Revision))
+    }
+}
