--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -25,6 +25,8 @@
 /// A process that is killed when dropped.
 pub struct Process {
     program: &'static str,
+    /// The folder of the program; `None` for the workspace's programs.
+    folder: Option<PathBuf>,
     args: Vec<String>,
     /// Environment variables, as name and value.
     variables: Vec<(String, String)>,
@@ -53,8 +55,8 @@
         variables: Vec<(String, String)>,
         log: PathBuf,
     ) -> Process {
-        let child = spawn(program, &args, &variables, &log);
-        Process { program, args, variables, log, child }
+        let child = spawn(&path(None, program), &args, &variables, &log);
+        Process { program, folder: None, args, variables, log, child }
     }
 
     /// Sends a signal; after `SIGSTOP` waits until all threads of the process have stopped.
@@ -88,7 +90,13 @@
     /// Kills the process and starts the program with the same arguments.
     pub fn restart(&mut self) {
         self.kill();
-        self.child = spawn(self.program, &self.args, &self.variables, &self.log);
+        let path = path(self.folder.as_deref(), self.program);
+        self.child = spawn(&path, &self.args, &self.variables, &self.log);
+    }
+
+    /// Sets the folder from which the program is started next; `None` for the workspace's programs.
+    pub fn set_folder(&mut self, folder: Option<&Path>) {
+        self.folder = folder.map(Path::to_owned);
     }
 
     /// Kills the process and starts the program with other arguments.
@@ -118,11 +126,15 @@
     }
 }
 
-fn spawn(name: &str, args: &[String], variables: &[(String, String)], log: &Path) -> Child {
+fn path(folder: Option<&Path>, name: &str) -> PathBuf {
+    folder.map_or_else(|| program(name), |folder| folder.join(name))
+}
+
+fn spawn(path: &Path, args: &[String], variables: &[(String, String)], log: &Path) -> Child {
     let file =
         File::options().create(true).append(true).open(log).expect("the log file can be opened");
     let output = file.try_clone().expect("the log file can be opened twice");
-    Command::new(program(name))
+    Command::new(path)
         .args(args)
         .envs(variables.iter().map(|(name, value)| (name, value)))
         .stdin(Stdio::null())
@@ -130,7 +142,7 @@
         .stderr(Stdio::from(file))
         .spawn()
         .unwrap_or_else(|error| {
-            panic!("cannot start {name}: {error}; run `cargo build --bins` first")
+            panic!("cannot start {}: {error}; run `cargo build --bins` first", path.display())
         })
 }
 
