sched: a new leader starts with the limit on loads that the plan suggests

In the test, which plays a new leader of 156 engines and 24,000 adapters at 781 requests a second, 770 requests are in time in the first 4 s where a scheduler that knows the store has 2,952.

Change: the limit starts with 1.5 for each load of a base model that the plan allows per second. Where the plan suggests less than 8, it starts at 8 and doubles in the time of a load until the first slow one, which divides it by how much slower it was. From there it follows the times as before.

A failed try: doubling from the suggested limit too.

--- a/crates/sched/examples/cost.rs
+++ b/crates/sched/examples/cost.rs
@@ -66,7 +66,9 @@
         adapters: 10_000,
         gates: 23,
         requests_per_s: 735.0,
+        store_limit: 80,
         store_loads: 80,
+        base_loads_per_s: 44.0,
         seed,
     };
     let mut load = Load::new(site, Timer::default());
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -108,6 +108,8 @@
             .iter()
             .filter_map(|service| Some((service.name.clone(), service.engine.clone()?)));
         self.specs = engines.collect();
+        let base_rate = self.specs.values().map(|spec| spec.loads_per_s).fold(0.0, f64::max);
+        self.store.expect(base_rate);
         for engine in self.engines.values_mut() {
             apply_spec(engine, &self.specs);
         }
--- a/crates/sched/src/store.rs
+++ b/crates/sched/src/store.rs
@@ -7,8 +7,13 @@
 const MIN_LIMIT: f64 = 4.0;
 /// The highest limit.
 const MAX_LIMIT: f64 = 512.0;
+/// The number of concurrent adapter loads that a store is expected to bear for each load of a base model that it allows
+/// per second.
+const LOADS_PER_BASE_RATE: f64 = 1.5;
 /// The change of the limit after a load.
 const LIMIT_STEP: f64 = 0.1;
+/// The growth of the limit after a load, until the first slow one. The limit doubles in the time of a load.
+const SLOW_START_STEP: f64 = 1.0;
 /// The time after which a load is first checked for its end, relative to an uncontended load.
 const FIRST_POLL_SHARE: f64 = 0.95;
 /// The time of a load, relative to an uncontended one, below which the limit grows.
@@ -27,12 +32,33 @@
     min_limit: f64,
     /// The loads in progress.
     pub(crate) loading: usize,
+    /// Whether a load has ended, so that the limit follows what is observed.
+    observed: bool,
+    /// Whether nothing is known of the store and no load has been slow yet, so that it may bear far more than the limit.
+    slow_start: bool,
 }
 
 impl Limiter {
     pub(crate) fn new(uncontended_ms: f64, limit: usize) -> Limiter {
         let limit = limit as f64;
-        Limiter { uncontended_ms, limit, min_limit: MIN_LIMIT.min(limit), loading: 0 }
+        Limiter {
+            uncontended_ms,
+            limit,
+            min_limit: MIN_LIMIT.min(limit),
+            loading: 0,
+            observed: false,
+            slow_start: true,
+        }
+    }
+
+    /// Raises the limit to what a store bears that allows `base_rate` loads of base models per second; from there it
+    /// grows slowly. Ignored once a load has been observed.
+    pub(crate) fn expect(&mut self, base_rate: f64) {
+        let expected = (base_rate * LOADS_PER_BASE_RATE).min(MAX_LIMIT);
+        if !self.observed && expected > self.limit {
+            self.limit = expected;
+            self.slow_start = false;
+        }
     }
 
     /// Returns whether one more load is likely to run at full speed.
@@ -58,12 +84,24 @@
 
     /// Records the end of a load, with its duration if it succeeded, and adapts the limit.
     pub(crate) fn load_ended(&mut self, took: Option<Duration>) {
-        let at_limit = self.loading as f64 + 1.0 >= self.limit.floor();
+        let loading = self.loading as f64;
+        // While the limit grows fast, the loads in progress follow it with a delay.
+        let at_limit = if self.slow_start {
+            loading * 2.0 >= self.limit
+        } else {
+            loading + 1.0 >= self.limit.floor()
+        };
         self.loading = self.loading.saturating_sub(1);
         let Some(took) = took else { return };
+        self.observed = true;
         let ratio = took.as_secs_f64() * 1e3 / self.uncontended_ms;
         if at_limit && ratio < FAST_RATIO {
-            self.limit = (self.limit + LIMIT_STEP).min(MAX_LIMIT);
+            let step = if self.slow_start { SLOW_START_STEP } else { LIMIT_STEP };
+            self.limit = (self.limit + step).min(MAX_LIMIT);
+        } else if ratio > SLOW_RATIO && self.slow_start {
+            // Loads share the store, so each takes longer in proportion to the number beyond what it bears.
+            self.slow_start = false;
+            self.limit = (self.limit / ratio).max(self.min_limit);
         } else if ratio > SLOW_RATIO {
             self.limit = (self.limit - LIMIT_STEP).max(self.min_limit);
         }
