cell: keepers keep the endpoints in a file for the case that all are killed

Once all processes had been killed or lost power, an endpoint was known only from its next heartbeat, up to 1.2 s later: requests were refused with NoEndpoint, the first engine known got all others, and adapters that engines held were loaded from the store again.

Change: each keeper writes the registry to `endpoints` beside its replica, a second after a change at the latest, and reads it when it starts. A lost or damaged file is as good as none.

--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -54,6 +54,8 @@
     last_expiry_check: Duration,
     /// Number of changes of the endpoints.
     pub(crate) changes: u64,
+    /// Number of changes of the registry, those that the leader sent included.
+    pub(crate) registry_changes: u64,
     /// Number of changes of the endpoints that the queues of all links contain.
     pub(crate) sent_changes: u64,
     /// Version of the plan last sent to the gates.
@@ -66,11 +68,13 @@
 }
 
 impl Coordinator {
-    pub(crate) fn new(settings: &Settings) -> Coordinator {
+    /// Creates the state of a keeper that knows the endpoints in `registry` from before its start.
+    pub(crate) fn new(settings: &Settings, mut registry: Registry) -> Coordinator {
+        registry.refresh_all(Duration::ZERO);
         Coordinator {
             started: Instant::now(),
             links: Links::default(),
-            registry: Registry::default(),
+            registry,
             status: Status::default(),
             leadership: None,
             origins: origin::Table::default(),
@@ -80,6 +84,7 @@
             endpoint_timeout: settings.endpoint_timeout,
             last_expiry_check: Duration::ZERO,
             changes: 0,
+            registry_changes: 0,
             sent_changes: 0,
             sent_plan_version: None,
             sent_versions_sum: 0,
@@ -445,6 +450,7 @@
     pub(crate) fn replace_registry(&mut self, registry: Registry) {
         if self.leadership.is_none() {
             self.registry = registry;
+            self.registry_changes += 1;
         }
     }
 
@@ -483,6 +489,7 @@
             }
         }
         self.changes += 1;
+        self.registry_changes += 1;
     }
 
     fn broadcast_endpoints(&mut self) {
--- /dev/null
+++ b/crates/cell/src/endpoints.rs
@@ -0,0 +1,83 @@
+//! The file of the known endpoints. A cell whose processes have all been killed uses it until the endpoints announce
+//! themselves again. It may be lost or outdated: an endpoint that has ended is found out as after any other loss.
+
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Event;
+use fleet::registry::Registry;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use crate::engines::Engines;
+use crate::keeper::Keeper;
+use crate::settings::Settings;
+
+/// The shortest time between two writes.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Writes the known endpoints to their file.
+#[derive(Debug)]
+pub(crate) struct Writer {
+    path: PathBuf,
+    /// The number of changes of the endpoints that the file contains.
+    written: u64,
+    last_write: Instant,
+    /// The write in progress. A disk that stalls holds up no further one.
+    writing: Option<JoinHandle<()>>,
+}
+
+impl Writer {
+    pub(crate) fn new(settings: &Settings) -> Writer {
+        let path = path(settings);
+        Writer { path, written: 0, last_write: Instant::now(), writing: None }
+    }
+
+    /// Starts a write if the endpoints have changed and the last write is long enough ago.
+    pub(crate) fn update<E: Engines>(&mut self, keeper: &Arc<Keeper<E>>) {
+        let busy = self.writing.as_ref().is_some_and(|writing| !writing.is_finished());
+        if busy || self.last_write.elapsed() < INTERVAL {
+            return;
+        }
+        let (registry, changes) = {
+            let coordinator = keeper.coordinator.lock();
+            if coordinator.registry_changes == self.written {
+                return;
+            }
+            (coordinator.registry.clone(), coordinator.registry_changes)
+        };
+        self.written = changes;
+        self.last_write = Instant::now();
+        let path = self.path.clone();
+        self.writing = Some(tokio::task::spawn_blocking(move || write(&path, &registry)));
+    }
+}
+
+fn write(path: &Path, registry: &Registry) {
+    if let Err(error) = disk::save_cache(path, registry) {
+        base::event!(WARN, Event::DiskFailed, error = %error, "the endpoints were not written");
+    }
+}
+
+/// Returns the endpoints that were known before the process started.
+pub(crate) async fn read(settings: &Settings) -> Registry {
+    let path = path(settings);
+    let read = tokio::task::spawn_blocking(move || disk::load_cache(&path)).await;
+    match read {
+        Ok(Ok(registry)) => registry.unwrap_or_default(),
+        Ok(Err(error)) => {
+            base::event!(WARN, Event::DiskFailed, error = %error, "the endpoints were not read");
+            Registry::default()
+        }
+        Err(error) => {
+            base::event!(ERROR, Event::Fault, error = %error, "the endpoints were not read");
+            Registry::default()
+        }
+    }
+}
+
+fn path(settings: &Settings) -> PathBuf {
+    settings.data_dir.with_file_name("endpoints")
+}
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -24,6 +24,7 @@
 use crate::acceptor::Acceptor;
 use crate::acceptor::Incoming;
 use crate::coordinator::Coordinator;
+use crate::endpoints;
 use crate::engines::Engines;
 use crate::error::Error;
 use crate::metrics::Metrics;
@@ -99,13 +100,14 @@
             monitor.clone(),
         )
         .await?;
+        let registry = endpoints::read(&settings).await;
         let identity = replica.identity();
         base::event!(
             INFO, Event::Started, node = %settings.node, address = %address, known,
             replica = identity.replica, group = identity.group
         );
         let keeper = Arc::new(Keeper {
-            coordinator: Mutex::new(Coordinator::new(&settings)),
+            coordinator: Mutex::new(Coordinator::new(&settings, registry)),
             engines,
             state,
             status,
@@ -309,6 +311,7 @@
     }
 
     async fn run_maintenance(self: Arc<Keeper<E>>) {
+        let mut writer = endpoints::Writer::new(&self.settings);
         loop {
             self.pulse.beat();
             tokio::time::sleep(MAINTENANCE_INTERVAL).await;
@@ -323,6 +326,7 @@
             let quarantined = self.state.read().quarantine().iter().count() as i64;
             self.metrics.state.with_label_values(&["quarantined"]).set(quarantined);
             self.metrics.state.with_label_values(&["limited"]).set(limited);
+            writer.update(&self);
             self.update_quarantine();
             self.wake_scheduler();
         }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -21,6 +21,7 @@
 mod coordinator;
 mod delay;
 mod dispatch;
+mod endpoints;
 mod error;
 mod keeper;
 mod leadership;
--- /dev/null
+++ b/crates/disk/src/cache.rs
@@ -0,0 +1,37 @@
+//! Files with state that may be lost.
+
+use std::fs;
+use std::fs::File;
+use std::io;
+use std::io::Write;
+use std::path::Path;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::Error;
+use crate::frame;
+
+/// Replaces a file by one with this value. After a crash it has the old or the new value, or is damaged.
+pub fn save_cache(path: &Path, value: &impl Serialize) -> Result<(), Error> {
+    let content = postcard::to_stdvec(value).expect("a value of plain fields can be encoded");
+    let temporary = path.with_extension("tmp");
+    let write = || {
+        let mut file = File::create(&temporary)?;
+        file.write_all(&frame::write(0, 0, &content))?;
+        file.sync_data()?;
+        fs::rename(&temporary, path)
+    };
+    write().map_err(Error::io(&path.to_string_lossy()))
+}
+
+/// Reads a file. Returns `None` if it does not exist, or if it is damaged or of another release.
+pub fn load_cache<T: DeserializeOwned>(path: &Path) -> Result<Option<T>, Error> {
+    let bytes = match fs::read(path) {
+        Ok(bytes) => bytes,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(error) => return Err(Error::io(&path.to_string_lossy())(error)),
+    };
+    let frame = frame::read(0, &bytes, 0).filter(|(_, end)| *end == bytes.len());
+    Ok(frame.and_then(|(content, _)| postcard::from_bytes(content).ok()))
+}
--- a/crates/disk/src/lib.rs
+++ b/crates/disk/src/lib.rs
@@ -7,6 +7,7 @@
 //! after it is damage.
 
 mod atomic_file;
+mod cache;
 mod error;
 mod files;
 mod frame;
@@ -14,6 +15,8 @@
 mod replay;
 mod store;
 
+pub use crate::cache::load_cache;
+pub use crate::cache::save_cache;
 pub use crate::error::Error;
 pub use crate::files::Directory;
 pub use crate::files::Files;
--- /dev/null
+++ b/crates/disk/tests/cache.rs
@@ -0,0 +1,46 @@
+//! Files with state that may be lost.
+
+use std::fs;
+
+use disk::load_cache;
+use disk::save_cache;
+
+#[test]
+fn the_latest_value_is_read() {
+    let folder = tempfile::tempdir().expect("a directory");
+    let path = folder.path().join("endpoints");
+    assert_eq!(load_cache::<Vec<u32>>(&path).expect("readable"), None);
+    for value in [vec![1, 2], vec![3]] {
+        save_cache(&path, &value).expect("written");
+        assert_eq!(load_cache(&path).expect("readable"), Some(value));
+    }
+    assert_eq!(fs::read_dir(folder.path()).expect("readable").count(), 1);
+}
+
+// Guards against a keeper that does not start because of a file that it could do without.
+#[test]
+fn a_damaged_file_is_as_good_as_none() {
+    let folder = tempfile::tempdir().expect("a directory");
+    let path = folder.path().join("endpoints");
+    save_cache(&path, &"a value".to_owned()).expect("written");
+    let bytes = fs::read(&path).expect("readable");
+    for length in 0..bytes.len() {
+        fs::write(&path, &bytes[..length]).expect("written");
+        assert_eq!(load_cache::<String>(&path).expect("readable"), None, "{length}");
+    }
+    let mut flipped = bytes.clone();
+    *flipped.last_mut().expect("not empty") ^= 1;
+    fs::write(&path, flipped).expect("written");
+    assert_eq!(load_cache::<String>(&path).expect("readable"), None);
+    let longer = [&bytes[..], b"x"].concat();
+    fs::write(&path, longer).expect("written");
+    assert_eq!(load_cache::<String>(&path).expect("readable"), None);
+}
+
+#[test]
+fn a_value_of_another_type_is_as_good_as_none() {
+    let folder = tempfile::tempdir().expect("a directory");
+    let path = folder.path().join("endpoints");
+    save_cache(&path, &1u8).expect("written");
+    assert_eq!(load_cache::<String>(&path).expect("readable"), None);
+}
