disk, cell: a damaged file of endpoints is logged

Cause: found on reading the change: a damaged file was taken for a missing one without a line in the log.

--- a/crates/disk/src/cache.rs
+++ b/crates/disk/src/cache.rs
@@ -25,13 +25,15 @@
     write().map_err(Error::io(&path.to_string_lossy()))
 }
 
-/// Reads a file. Returns `None` if it does not exist, or if it is damaged or of another release.
+/// Reads a file. Returns `None` if it does not exist; fails if it is damaged or has a value of another type.
 pub fn load_cache<T: DeserializeOwned>(path: &Path) -> Result<Option<T>, Error> {
     let bytes = match fs::read(path) {
         Ok(bytes) => bytes,
         Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
         Err(error) => return Err(Error::io(&path.to_string_lossy())(error)),
     };
+    let damaged = |message| Error::damaged(&path.to_string_lossy(), 0, message);
     let frame = frame::read(0, &bytes, 0).filter(|(_, end)| *end == bytes.len());
-    Ok(frame.and_then(|(content, _)| postcard::from_bytes(content).ok()))
+    let (content, _) = frame.ok_or_else(|| damaged("checksum mismatch"))?;
+    postcard::from_bytes(content).map(Some).map_err(|_| damaged("failed to decode the content"))
 }
