--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -6,8 +6,6 @@
 use base::Event;
 use base::Name;
 use fleet::endpoint::Announcement;
-use fleet::endpoint::Incarnation;
-use fleet::limit::Limit;
 use fleet::message::Frame;
 use fleet::message::Hello;
 use fleet::message::Welcome;
@@ -46,7 +44,7 @@
     /// The streams that gates have recorded here.
     pub(crate) origins: origin::Table,
     /// The endpoints that left as planned while this keeper led.
-    departures: Departures,
+    pub(crate) departures: Departures,
     lease: Lease,
     settings: sched::settings::Settings,
     endpoint_timeout: Duration,
@@ -248,40 +246,6 @@
         }
     }
 
-    /// Records the limit of an endpoint that a gate reports, and notifies all gates of a change. Ignored unless this
-    /// keeper leads.
-    pub(crate) fn record_limit(&mut self, limit: &Limit) {
-        let now = self.now();
-        let Some(leadership) = &mut self.leadership else { return };
-        if !leadership.limits.set(limit, now) {
-            return;
-        }
-        let rate = limit.rate.map(limit::Rate::per_second);
-        base::event!(
-            INFO, Event::LimitChanged, endpoint = %limit.endpoint, born = limit.born, rate
-        );
-        leadership.scheduler.set_limit(limit, now);
-        self.links.broadcast_to_gates(&Frame::Limits(leadership.limits.list()));
-    }
-
-    /// Returns the number of endpoints with a limit; 0 unless this keeper leads.
-    pub(crate) fn limited(&self) -> usize {
-        self.leadership.as_ref().map_or(0, |leadership| leadership.limits.list().len())
-    }
-
-    /// Answers a gate that asks to send a request to an endpoint with a limit. Ignored unless this keeper leads.
-    pub(crate) fn answer_permit(&mut self, link_id: u64, request: u64, endpoint: &Name, born: u64) {
-        let now = self.now();
-        let Some(leadership) = &mut self.leadership else { return };
-        let permit = leadership.scheduler.try_admit(endpoint, born, now);
-        let permit = permit.unwrap_or_else(|| leadership.limits.try_take(endpoint, born, now));
-        let wait = permit.err();
-        let wait_ms = wait.map(|wait| wait.as_millis() as u32);
-        if let Some(node) = self.links.get(link_id) {
-            node.link.send(Frame::Permit { request, wait_ms });
-        }
-    }
-
     /// Records that an endpoint ended the response to a suspected request. Ignored unless this keeper leads.
     pub(crate) fn record_survival(&mut self, survival: &Survival) {
         let now = self.now();
@@ -376,18 +340,6 @@
         }
     }
 
-    /// Records that an endpoint says in a response that it leaves. Ignored unless this keeper leads.
-    pub(crate) fn record_leaving(&mut self, incarnation: &Incarnation) {
-        let now = self.now();
-        let Some(leadership) = &mut self.leadership else { return };
-        let Incarnation { endpoint, born } = incarnation;
-        if leadership.leaving.insert(incarnation) && self.registry.drain(endpoint, *born) {
-            let state = fleet::endpoint::State::Draining(None);
-            self.departures.announced(endpoint, *born, state, now);
-            self.registry_changed(now);
-        }
-    }
-
     /// Records an endpoint's announcement; returns whether the endpoints changed. Only called on the
     /// leader.
     pub(crate) fn announce(&mut self, mut announcement: Announcement) -> bool {
@@ -396,7 +348,7 @@
         let is_engine = announcement.held.is_some();
         if let Some(leadership) = &mut self.leadership {
             leadership.quarantine.endpoint_announced(&id, announcement.born, now);
-            leadership.leaving.correct(&mut announcement);
+            leadership.leaving.mark_draining(&mut announcement);
         }
         self.departures.announced(&id, announcement.born, announcement.state, now);
         let change = self.registry.announce(announcement, now);
@@ -473,7 +425,7 @@
 
     /// Brings the scheduler in line with the registry. The next scheduler round sends
     /// the endpoints to all nodes, once for all changes since the last one.
-    fn registry_changed(&mut self, now: Duration) {
+    pub(crate) fn registry_changed(&mut self, now: Duration) {
         if let Some(leadership) = &mut self.leadership {
             let gone = leadership.scheduler.engines().filter(|id| {
                 let known = self.registry.get(id);
--- a/crates/cell/src/endpoints.rs
+++ b/crates/cell/src/endpoints.rs
@@ -1,5 +1,5 @@
-//! The file of the known endpoints. A cell whose processes have all been killed uses it until the endpoints announce
-//! themselves again. It may be lost or outdated: an endpoint that has ended is found out as after any other loss.
+//! The file with a copy of the registry, from which keepers start after all of them were killed. It may be missing or
+//! outdated; endpoints that have ended are detected as after any other loss.
 
 use std::path::Path;
 use std::path::PathBuf;
@@ -18,14 +18,14 @@
 /// The shortest time between two writes.
 const INTERVAL: Duration = Duration::from_secs(1);
 
-/// Writes the known endpoints to their file.
+/// Writes the registry to its file.
 #[derive(Debug)]
 pub(crate) struct Writer {
     path: PathBuf,
-    /// The number of changes of the endpoints that the file contains.
+    /// The number of changes of the registry that the file contains.
     written: u64,
     last_write: Instant,
-    /// The write in progress. A disk that stalls holds up no further one.
+    /// The write in progress; no other one starts before it ends.
     writing: Option<JoinHandle<()>>,
 }
 
@@ -35,7 +35,7 @@
         Writer { path, written: 0, last_write: Instant::now(), writing: None }
     }
 
-    /// Starts a write if the endpoints have changed and the last write is long enough ago.
+    /// Starts a write if the registry has changed and the write interval has passed.
     pub(crate) fn update<E: Engines>(&mut self, keeper: &Arc<Keeper<E>>) {
         let busy = self.writing.as_ref().is_some_and(|writing| !writing.is_finished());
         if busy || self.last_write.elapsed() < INTERVAL {
@@ -61,7 +61,7 @@
     }
 }
 
-/// Returns the endpoints that were known before the process started.
+/// Reads the registry; returns an empty one if the file is missing or damaged.
 pub(crate) async fn read(settings: &Settings) -> Registry {
     let path = path(settings);
     let read = tokio::task::spawn_blocking(move || disk::load_cache(&path)).await;
--- a/crates/cell/src/engines.rs
+++ b/crates/cell/src/engines.rs
@@ -22,7 +22,7 @@
 pub struct Response<T> {
     /// The answer.
     pub answer: T,
-    /// Whether the engine says that it leaves.
+    /// Whether the response says that the engine leaves.
     pub leaving: bool,
 }
 
--- a/crates/cell/src/leaving.rs
+++ b/crates/cell/src/leaving.rs
@@ -1,5 +1,5 @@
-//! The endpoints that say in their responses that they leave, as gates and engines' answers to this leader tell. Their
-//! heartbeats may still say that they are ready.
+//! Endpoints that leave according to their responses to gates and to the leader. Their heartbeats may still say that they
+//! are ready.
 
 use std::time::Duration;
 
@@ -10,10 +10,10 @@
 use fleet::endpoint::State;
 use fleet::presence::Presence;
 
-/// The time for which it is remembered that an endpoint leaves while the endpoint is not known.
+/// The time for which an entry is kept while its endpoint is not known.
 const RETENTION: Duration = Duration::from_secs(600);
 
-/// The endpoints that say in their responses that they leave.
+/// The endpoints that leave according to their responses.
 #[derive(Debug, Default)]
 pub struct Leaving {
     /// The start time of each, with its presence.
@@ -31,8 +31,8 @@
         true
     }
 
-    /// Corrects the announcement of an endpoint that leaves.
-    pub fn correct(&self, announcement: &mut Announcement) {
+    /// Marks the announcement of an endpoint that leaves as draining.
+    pub fn mark_draining(&self, announcement: &mut Announcement) {
         let known = self.entries.get(&announcement.id);
         let leaves = known.is_some_and(|(born, _)| *born == announcement.born);
         if leaves && announcement.state == State::Ready {
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -27,6 +27,7 @@
 mod leadership;
 mod links;
 mod metrics;
+mod notices;
 mod peers;
 mod replica;
 mod storage;
--- a/crates/cell/tests/leaving.rs
+++ b/crates/cell/tests/leaving.rs
@@ -28,9 +28,9 @@
     }
 }
 
-fn corrected(leaving: &Leaving, born: u64, state: State) -> State {
+fn marked(leaving: &Leaving, born: u64, state: State) -> State {
     let mut announcement = Announcement { state, ..announcement(born, 1) };
-    leaving.correct(&mut announcement);
+    leaving.mark_draining(&mut announcement);
     announcement.state
 }
 
@@ -39,9 +39,9 @@
     let mut leaving = Leaving::default();
     assert!(leaving.insert(&incarnation(2)));
     assert!(!leaving.insert(&incarnation(2)));
-    assert_eq!(corrected(&leaving, 2, State::Ready), State::Draining(None));
+    assert_eq!(marked(&leaving, 2, State::Ready), State::Draining(None));
     let notice = State::Draining(Some(Duration::from_secs(2)));
-    assert_eq!(corrected(&leaving, 2, notice), notice);
+    assert_eq!(marked(&leaving, 2, notice), notice);
 }
 
 // Guards against a report that outlives its incarnation.
@@ -49,11 +49,11 @@
 fn a_new_incarnation_is_ready() {
     let mut leaving = Leaving::default();
     assert!(leaving.insert(&incarnation(2)));
-    assert_eq!(corrected(&leaving, 3, State::Ready), State::Ready);
+    assert_eq!(marked(&leaving, 3, State::Ready), State::Ready);
     assert!(leaving.insert(&incarnation(3)));
     // A gate that was cut off reports the former one late.
     assert!(!leaving.insert(&incarnation(2)));
-    assert_eq!(corrected(&leaving, 3, State::Ready), State::Draining(None));
+    assert_eq!(marked(&leaving, 3, State::Ready), State::Draining(None));
     leaving.expire(|_| Some(4), Duration::ZERO);
     assert!(leaving.insert(&incarnation(2)));
 }
--- a/crates/edge/src/availability.rs
+++ b/crates/edge/src/availability.rs
@@ -1,5 +1,5 @@
-//! What endpoints have told this gate about whether they take its requests: that they leave, or that they want none for a
-//! time. It holds whatever their heartbeats and the leader say.
+//! Endpoints to which this gate must not send requests, according to their responses: those that leave, and those that
+//! have asked for a pause. This takes precedence over heartbeats and over the leader's list of endpoints.
 
 use std::time::Duration;
 
@@ -11,30 +11,30 @@
 use fleet::presence::Presence;
 use parking_lot::Mutex;
 
-/// The time for which it is remembered that an endpoint leaves while the endpoint is not known. A leaving endpoint is
-/// usually not listed, and may serve for minutes.
+/// The time for which an entry is kept while its endpoint is not listed. A leaving endpoint usually is not, and may serve
+/// for minutes.
 const RETENTION: Duration = Duration::from_secs(600);
 
-/// What an incarnation of an endpoint has told.
+/// The availability of an incarnation of an endpoint.
 #[derive(Clone, Debug)]
 struct Entry {
     born: u64,
     leaving: bool,
-    /// Until when it wants no requests.
+    /// The end of the pause that it has asked for.
     paused_until: Duration,
     presence: Presence,
 }
 
-/// Why an endpoint takes no requests of this gate.
+/// The reason why this gate must not send requests to an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Unavailable {
-    /// It leaves.
+    /// The endpoint leaves.
     Leaving,
-    /// It wants no requests for this time.
+    /// The endpoint has asked for a pause, of which this time is left.
     Paused(Duration),
 }
 
-/// What endpoints have told this gate about whether they take its requests.
+/// The endpoints to which this gate must not send requests.
 #[derive(Debug, Default)]
 pub struct Availability {
     entries: Mutex<Map<Name, Entry>>,
@@ -56,7 +56,7 @@
         new
     }
 
-    /// Records that an endpoint wants no requests of this gate for a time. A longer time from before still holds.
+    /// Records that an endpoint has asked this gate for a pause. It does not shorten an earlier one.
     pub fn record_pause(&self, endpoint: &Endpoint, pause: Duration, now: Duration) {
         let mut entries = self.entries.lock();
         let Some(entry) = entry(&mut entries, endpoint) else { return };
@@ -67,7 +67,7 @@
         );
     }
 
-    /// Returns why an endpoint takes no requests of this gate; `None` if it may take them.
+    /// Returns the reason why this gate must not send requests to an endpoint; `None` if it may.
     pub fn check(&self, endpoint: &Endpoint, now: Duration) -> Option<Unavailable> {
         let entries = self.entries.lock();
         let entry = entries.get(&endpoint.id).filter(|entry| entry.born == endpoint.born)?;
@@ -89,16 +89,16 @@
         leaving.map(incarnation).collect()
     }
 
-    /// Returns whether no endpoint has told anything.
+    /// Returns whether there are no entries.
     pub fn is_empty(&self) -> bool {
         self.entries.lock().is_empty()
     }
 
-    /// Drops what incarnations have told that have ended. `known` returns the start time of an endpoint.
+    /// Drops the entries of incarnations and of pauses that have ended. `known` returns the start time of an endpoint.
     pub fn expire(&self, known: impl Fn(&Name) -> Option<u64>, now: Duration) {
         self.entries.lock().retain(|id, entry| {
-            let told = entry.leaving || now < entry.paused_until;
-            told && entry.presence.update(entry.born, known(id), RETENTION, now)
+            let in_force = entry.leaving || now < entry.paused_until;
+            in_force && entry.presence.update(entry.born, known(id), RETENTION, now)
         });
     }
 }
--- a/crates/edge/src/protocol.rs
+++ b/crates/edge/src/protocol.rs
@@ -68,7 +68,7 @@
     pub limit: Notice,
     /// Whether the endpoint leaves and takes no new requests.
     pub leaving: bool,
-    /// The time for which the endpoint, which turned the request away, wants no requests of this gate.
+    /// The pause for which the endpoint asks this gate with a refusal.
     pub pause: Option<Duration>,
     /// The endpoint's timeout for idle connections.
     pub idle_timeout: Option<Duration>,
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -65,9 +65,9 @@
 /// The expected time from startup until a gate serves requests if the keepers start with it: an election and
 /// the first announcements of the endpoints.
 pub(crate) const STARTUP_TIME: Duration = Duration::from_millis(1_300);
-/// The number of endpoints chosen for a request that are declined because they take no more requests of this gate.
+/// The limit on the engines that are declined for a request because they leave or have asked for a pause.
 pub(crate) const MAX_DECLINED: u32 = 4;
-/// The shortest retry delay in the refusal of a request that no endpoint wants for a time that they named.
+/// The shortest retry delay in the refusal of a request while all endpoints have asked for a pause.
 pub(crate) const MIN_PAUSE_RETRY: Duration = Duration::from_millis(100);
-/// The largest share by which that delay is exceeded, so that callers do not retry together.
+/// The random addition to that delay, as a share of it, so that callers do not retry together.
 pub(crate) const PAUSE_RETRY_SPREAD: f64 = 0.25;
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -88,8 +88,8 @@
         Ok(target)
     }
 
-    /// Chooses an endpoint that takes requests of this gate. One that stopped to do so while the scheduler chose it is
-    /// declined.
+    /// Chooses an endpoint that is available to this gate. Declines an engine that became unavailable while the scheduler
+    /// chose it.
     async fn choose_available(
         self: &Arc<Gate<P>>,
         call: &Call,
@@ -116,8 +116,8 @@
         Err(Refusal::retryable(Code::NoEndpoint, DEFAULT_RETRY_AFTER))
     }
 
-    /// Returns `excluded` with the endpoints that take no requests of this gate. Refuses the request if no others are
-    /// left and some of them have named the time after which they do.
+    /// Returns `excluded` with the endpoints that are not available to this gate. Refuses the request if no other endpoint
+    /// is left and one of them will be available after its pause.
     fn exclude_unavailable(&self, call: &Call, excluded: &[Name]) -> Result<Vec<Name>, Refusal> {
         let mut all = excluded.to_vec();
         if self.keepers.availability.is_empty() {
--- a/crates/edge/src/tracker.rs
+++ b/crates/edge/src/tracker.rs
@@ -40,7 +40,7 @@
     origin: Option<Origin>,
     outcome: Outcome,
     ending: Ending,
-    /// Whether the endpoint has named a time in which it wants no requests. Its refusal is no failure then.
+    /// Whether the endpoint has asked for a pause. Its refusal does not count as a failure then.
     paused: bool,
 }
 
@@ -163,7 +163,7 @@
         self.keepers.record_limit(&self.endpoint, notice, ran, sent);
     }
 
-    /// Records what the response says about whether the endpoint takes further requests of this gate.
+    /// Records whether the response says that the endpoint leaves or asks for a pause.
     pub(crate) fn record_availability(&mut self, leaving: bool, pause: Option<Duration>) {
         if leaving {
             self.keepers.record_leaving(&self.endpoint);
--- a/crates/fleet/src/presence.rs
+++ b/crates/fleet/src/presence.rs
@@ -1,9 +1,8 @@
-//! How long a fact that an endpoint has told about itself is kept.
+//! The retention of what is known about an incarnation of an endpoint.
 
 use std::time::Duration;
 
-/// Whether the endpoint that told a fact is known, and for how long it has not been. It may not be known to a leader that
-/// has just started.
+/// Whether an endpoint is known, and since when it has not been. A leader that has just started may not know it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Presence {
     absent_since: Option<Duration>,
@@ -11,8 +10,8 @@
 
 impl Presence {
     /// Updates the presence of an endpoint that started at `born`; `known` is the start time of the known incarnation, if
-    /// there is one. Returns whether the fact is to be kept; `retention` is the time for which it is while the endpoint
-    /// is not known.
+    /// there is one. Returns whether the entry for the incarnation is to be kept; `retention` is the time for which it is
+    /// kept while the endpoint is not known.
     pub fn update(
         &mut self,
         born: u64,
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -1,4 +1,5 @@
-//! Limits on the request rate that endpoints name for themselves. Pure: no I/O, and times are arguments.
+//! Limits on the request rate that endpoints name for themselves, and pauses for which they ask. Pure: no I/O, and times
+//! are arguments.
 
 mod bucket;
 mod pause;
--- a/crates/limit/src/pause.rs
+++ b/crates/limit/src/pause.rs
@@ -1,4 +1,4 @@
-//! The time for which an endpoint that turned a request away wants no more.
+//! The pause for which an endpoint asks when it refuses a request.
 
 use std::time::Duration;
 
