sched, cell: the log of a denial names the adapter and its refusals since the last grant

The leader's log said why a request was refused, but not for which adapter nor how often that had been before, so that starved adapters could not be told from busy ones.

The scheduler counts the refusals of each adapter since its last grant, retries of one request once, in a bounded table; Denied gets the fields adapter and unmet. No decision changes: the golden runs have the same counts of requests, grants, denials, requests in time and orders; their digests cover the text of the actions and are recorded anew.

--- a/crates/cell/src/dispatch.rs
+++ b/crates/cell/src/dispatch.rs
@@ -83,13 +83,15 @@
                 );
                 self.send_to_gate(gate, Frame::Grant(grant));
             }
-            Action::Deny { gate, denial, reason } => {
+            Action::Deny { gate, denial, reason, adapter, unmet } => {
                 self.metrics.placements.with_label_values(&[denial.code.name()]).inc();
                 base::event!(
                     INFO,
                     Event::Denied,
                     gate,
                     request = denial.request,
+                    adapter = %adapter,
+                    unmet,
                     code = denial.code.number(),
                     reason = denial.code.name(),
                     retry_ms = denial.retry_ms,
--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -27,6 +27,10 @@
         denial: Denial,
         /// The state of the best engine; `None` if no engine was considered.
         reason: Option<Reason>,
+        /// The adapter; empty for the base model itself.
+        adapter: Name,
+        /// The requests for the adapter that were refused since its last grant, this one included.
+        unmet: u32,
     },
     /// Send an order to an engine and pass its answer to [`crate::Scheduler::order_answered`].
     Order(Order),
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -25,6 +25,7 @@
 mod slots;
 mod speed;
 mod store;
+mod unmet;
 mod warm;
 
 pub use crate::scheduler::Scheduler;
--- a/crates/sched/src/request.rs
+++ b/crates/sched/src/request.rs
@@ -77,6 +77,11 @@
             - now.saturating_sub(self.first_received_at).as_secs_f64() * 1e3
     }
 
+    /// Returns whether an earlier attempt of the request was refused.
+    pub(crate) fn is_retry(&self) -> bool {
+        self.first_received_at < self.received_at
+    }
+
     /// Returns the time left until the deadline, in ms.
     pub(crate) fn left_ms(&self, now: Duration) -> f64 {
         f64::from(self.query.left_ms) - self.held_ms(now)
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -30,6 +30,7 @@
 use crate::settings::Settings;
 use crate::speed::Decode;
 use crate::store::Limiter;
+use crate::unmet::Unmet;
 
 /// The urgency at an engine of a request of rank 0 that meets its target; 0 is the most urgent.
 const URGENCY_ON_TIME: u8 = 3;
@@ -65,6 +66,7 @@
     pub(crate) popularity: Popularity,
     decode: Decode,
     retries: Retries,
+    pub(crate) unmet: Unmet,
     /// When the queue was last processed.
     last_pass: Duration,
     /// Whether something has changed since the queue was last processed.
@@ -89,6 +91,7 @@
             popularity: Popularity::new(settings.popularity_half_life),
             decode: Decode::new(settings.decode_ms_per_token),
             retries: Retries::default(),
+            unmet: Unmet::default(),
             last_pass: Duration::ZERO,
             dirty: false,
             actions: Vec::new(),
--- a/crates/sched/src/scheduler/admission.rs
+++ b/crates/sched/src/scheduler/admission.rs
@@ -131,6 +131,7 @@
         now: Duration,
     ) {
         let version = self.required_version(&pending.query);
+        self.unmet.record_grant(&pending.query.adapter);
         let Some(engine) = self.engines.get_mut(id) else { return };
         let overdue = Duration::from_secs_f64((expected_ms * 1.5 + 100.0) / 1e3);
         engine.start_deadlines.push((pending.key, now + overdue));
@@ -211,8 +212,11 @@
         now: Duration,
     ) {
         self.retries.record_refusal(&pending.query, pending.first_received_at, now);
+        let adapter = pending.query.adapter.clone();
+        self.unmet.record_refusal(&adapter, pending.is_retry(), now);
+        let unmet = self.unmet.refusals(&adapter, now);
         let denial = Denial { request: pending.query.request, code, retry_ms };
-        self.actions.push(Action::Deny { gate: pending.key.0, denial, reason });
+        self.actions.push(Action::Deny { gate: pending.key.0, denial, reason, adapter, unmet });
     }
 }
 
--- a/crates/sched/tests/golden.rs
+++ b/crates/sched/tests/golden.rs
@@ -70,9 +70,9 @@
 fn decisions_of_fixed_seeds_are_unchanged() {
     let runs = [1, 2, 3].map(play);
     let recorded = [
-        "2145 1772 355 1636 1940 6e1faee0f39a7b6f",
-        "2282 1789 484 1675 1981 cd30daf63f0a43db",
-        "2334 1826 477 1672 2027 8c29fc232944f1a8",
+        "2145 1772 355 1636 1940 d31e38dc7fbb8093",
+        "2282 1789 484 1675 1981 8ad979e907542e45",
+        "2334 1826 477 1672 2027 624c1af0735ccf8d",
     ];
     assert_eq!(runs, recorded);
 }
@@ -81,9 +81,9 @@
 fn decisions_while_the_site_changes_are_unchanged() {
     let runs = [1, 2, 3].map(play_changes);
     let recorded = [
-        "1773 1230 417 1124 1701 fe7ed75f89e9b5e5",
-        "1752 1245 419 1138 1712 171a6827001dee3c",
-        "1848 1288 457 1107 1793 fa92daa8101f09d1",
+        "1773 1230 417 1124 1701 692630d289f480ab",
+        "1752 1245 419 1138 1712 354df6e422d47bd9",
+        "1848 1288 457 1107 1793 96a8b9fe80c8d522",
     ];
     assert_eq!(runs, recorded);
 }
