--- a/crates/sched/examples/cost.rs
+++ b/crates/sched/examples/cost.rs
@@ -64,6 +64,7 @@
         engines: 140,
         adapter_slots: 6,
         adapters: 10_000,
+        zipf_exponent: 1.2,
         gates: 23,
         requests_per_s: 735.0,
         store_limit: 80,
--- a/crates/sched/tests/common/load.rs
+++ b/crates/sched/tests/common/load.rs
@@ -30,8 +30,6 @@
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
 const PREFILL_TOKENS_PER_MS: f64 = 18.0;
 const DECODE_MS_PER_TOKEN: f64 = 9.0;
-/// The exponent of the distribution of requests over adapters.
-const ZIPF_EXPONENT: f64 = 1.2;
 /// The interval at which the most popular adapters change.
 const SHIFT_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -41,6 +39,8 @@
     pub engines: usize,
     pub adapter_slots: u32,
     pub adapters: usize,
+    /// The exponent of the Zipf distribution of requests over adapters.
+    pub zipf_exponent: f64,
     pub gates: u64,
     pub requests_per_s: f64,
     /// The limit on loads from the store with which the scheduler starts.
@@ -90,9 +90,21 @@
     pub denied: u64,
     /// The granted requests whose first event met the target of 800 ms.
     pub on_time: u64,
+    /// The requests whose first event arrived before their deadline.
+    pub served: u64,
     pub orders: u64,
 }
 
+/// The requests for an adapter.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand {
+    pub requests: u32,
+    pub first_at: Duration,
+    pub last_at: Duration,
+    /// The requests whose first event arrived before their deadline.
+    pub served: u32,
+}
+
 /// A site on simulated time.
 pub struct Load<P> {
     pub site: Site,
@@ -100,6 +112,7 @@
     pub probe: P,
     pub now: Duration,
     pub totals: Totals,
+    pub demand: BTreeMap<Name, Demand>,
     /// A digest of all actions in their order.
     pub digest: u64,
     /// The time within which reports of engines arrive, each at a random time.
@@ -125,7 +138,7 @@
         let settings = Settings { cold_load_limit: site.store_limit, ..Settings::default() };
         let mut sum = 0.0;
         let popularity = (1..=site.adapters).map(|rank| {
-            sum += (rank as f64).powf(-ZIPF_EXPONENT);
+            sum += (rank as f64).powf(-site.zipf_exponent);
             sum
         });
         let popularity = popularity.collect();
@@ -135,6 +148,7 @@
             probe,
             now: Duration::from_secs(1),
             totals: Totals::default(),
+            demand: BTreeMap::new(),
             digest: 0,
             report_spread: Duration::ZERO,
             engines: BTreeMap::new(),
@@ -357,6 +371,13 @@
         let began = *prefill_end - self.now + Duration::from_millis(30);
         let on_time = self.now + began <= submitted_at + Duration::from_millis(800);
         self.totals.on_time += u64::from(on_time);
+        let deadline = submitted_at + Duration::from_millis(u64::from(query.left_ms));
+        if self.now + began <= deadline
+            && let Some(demand) = self.demand.get_mut(&query.adapter)
+        {
+            demand.served += 1;
+            self.totals.served += 1;
+        }
         let decode_ms = f64::from(query.output) * DECODE_MS_PER_TOKEN * (0.5 + self.fraction());
         let ended = began + Duration::from_secs_f64(decode_ms / 1e3);
         self.running.insert(key, id);
@@ -371,6 +392,10 @@
         match event {
             Event::Submit(gate, query) => {
                 self.totals.submitted += 1;
+                let new = Demand { requests: 0, first_at: now, last_at: now, served: 0 };
+                let demand = self.demand.entry(query.adapter.clone()).or_insert(new);
+                demand.requests += 1;
+                demand.last_at = now;
                 let request = query.request;
                 self.requests.insert((gate, request), (query.clone(), now));
                 let domain = Name::from(DOMAINS[gate as usize % DOMAINS.len()]);
--- a/crates/sched/tests/golden.rs
+++ b/crates/sched/tests/golden.rs
@@ -15,6 +15,7 @@
         engines: 24,
         adapter_slots: 4,
         adapters: 1_500,
+        zipf_exponent: 1.2,
         gates: 5,
         requests_per_s: 130.0,
         store_limit: 14,
@@ -61,7 +62,7 @@
 }
 
 fn result(load: &Load<Unobserved>) -> String {
-    let Totals { submitted, granted, denied, on_time, orders } = load.totals;
+    let Totals { submitted, granted, denied, on_time, orders, .. } = load.totals;
     let digest = load.digest;
     format!("{submitted} {granted} {denied} {on_time} {orders} {digest:016x}")
 }
--- a/crates/sched/tests/store.rs
+++ b/crates/sched/tests/store.rs
@@ -20,6 +20,7 @@
         engines: 156,
         adapter_slots: 5,
         adapters: 24_000,
+        zipf_exponent: 1.2,
         gates: 77,
         requests_per_s: 781.0,
         store_limit: 8,
