sched: the limit on loads starts at half of what the plan suggests and doubles up to it

The limit starts at half of the suggestion and grows by slow start until the suggestion, then by steps; the first slow load ends the slow start.

--- a/crates/sched/src/store.rs
+++ b/crates/sched/src/store.rs
@@ -10,6 +10,10 @@
 /// The number of concurrent adapter loads that a store is expected to bear for each load of a base model that it allows
 /// per second.
 const LOADS_PER_BASE_RATE: f64 = 1.5;
+/// The share of an expected limit with which the slow start begins.
+const EXPECTED_SHARE: f64 = 0.5;
+/// The share of the limit from which a load says whether more would run at full speed.
+const AT_LIMIT_SHARE: f64 = 0.9;
 /// The change of the limit after a load.
 const LIMIT_STEP: f64 = 0.1;
 /// The growth of the limit after a load, until the first slow one. The limit doubles in the time of a load.
@@ -36,6 +40,8 @@
     observed: bool,
     /// Whether nothing is known of the store and no load has been slow yet, so that it may bear far more than the limit.
     slow_start: bool,
+    /// The limit at which the slow start ends.
+    slow_start_end: f64,
 }
 
 impl Limiter {
@@ -48,6 +54,7 @@
             loading: 0,
             observed: false,
             slow_start: true,
+            slow_start_end: MAX_LIMIT,
         }
     }
 
@@ -56,8 +63,8 @@
     pub(crate) fn expect(&mut self, base_rate: f64) {
         let expected = (base_rate * LOADS_PER_BASE_RATE).min(MAX_LIMIT);
         if !self.observed && expected > self.limit {
-            self.limit = expected;
-            self.slow_start = false;
+            self.limit = self.limit.max(expected * EXPECTED_SHARE);
+            self.slow_start_end = expected;
         }
     }
 
@@ -89,7 +96,7 @@
         let at_limit = if self.slow_start {
             loading * 2.0 >= self.limit
         } else {
-            loading + 1.0 >= self.limit.floor()
+            loading + 1.0 >= (self.limit * AT_LIMIT_SHARE).floor()
         };
         self.loading = self.loading.saturating_sub(1);
         let Some(took) = took else { return };
@@ -98,6 +105,7 @@
         if at_limit && ratio < FAST_RATIO {
             let step = if self.slow_start { SLOW_START_STEP } else { LIMIT_STEP };
             self.limit = (self.limit + step).min(MAX_LIMIT);
+            self.slow_start &= self.limit < self.slow_start_end;
         } else if ratio > SLOW_RATIO && self.slow_start {
             // Loads share the store, so each takes longer in proportion to the number beyond what it bears.
             self.slow_start = false;
