sched: loads from a full store go to adapters that were refused before

Cause: each request for an adapter that nobody holds was judged by itself, by its own target. Nothing remembered a refusal, so the store went to whoever came at the moment it had room: to adapters that are asked for once as often as to those that come back. Also, each of those who were admitted waited longer.

Change: the utilization of the store up to which a load may be queued grows with the refusals of the adapter since its last grant: 0.9, 1.1, 1.3. So the queue stays short, and an adapter that is refused gets the store when it is asked for again. A retry does not count for itself. When the store admits no load, the engines that would load are not searched. The limit's growth looks at 0.9 of the limit, since a store without refused demand stays below it.

--- a/crates/sched/src/request.rs
+++ b/crates/sched/src/request.rs
@@ -68,6 +68,8 @@
     pub(crate) first_received_at: Duration,
     /// The engine whose next free adapter slot it waits for, if any.
     pub(crate) awaited_engine: Option<Name>,
+    /// The earlier requests for its adapter that were refused since the last grant.
+    pub(crate) unmet: u32,
 }
 
 impl Pending {
--- a/crates/sched/src/scheduler/admission.rs
+++ b/crates/sched/src/scheduler/admission.rs
@@ -31,6 +31,8 @@
         }
         let key = (gate, query.request);
         let first_received_at = self.retries.first_received_at(&query, now);
+        let own_refusals = u32::from(first_received_at < now);
+        let unmet = self.unmet.refusals(&query.adapter, now).saturating_sub(own_refusals);
         let pending = Pending {
             key,
             domain: domain.clone(),
@@ -39,6 +41,7 @@
             received_at: now,
             first_received_at,
             awaited_engine: None,
+            unmet,
         };
         if let Some(build) = &pending.query.build
             && !self.engines.has_build(&pending.query.service, build)
@@ -156,6 +159,19 @@
         }
     }
 
+    /// Returns the state of the store, to be logged with the denial of a request for which it has no room.
+    pub(super) fn store_reason(&self, pending: &Pending, now: Duration) -> Reason {
+        let queued_loads = self.engines.queued_store_loads(u8::MAX);
+        Reason {
+            expected_ms: self.store.expected_ms(queued_loads) + self.settings.first_event_ms,
+            backlog: 0.0,
+            running: 0,
+            held_ms: pending.held_ms(now),
+            cold: true,
+            loads: self.store.loading + queued_loads,
+        }
+    }
+
     /// Returns the state of the best engine, to be logged with the denial of a request.
     pub(super) fn denial_reason(
         &self,
--- a/crates/sched/src/scheduler/placement.rs
+++ b/crates/sched/src/scheduler/placement.rs
@@ -47,7 +47,14 @@
         if pending.awaited_engine.is_some() {
             return Some(pending);
         }
-        let Some(best) = best else { return self.queue_or_deny(pending, now) };
+        let Some(best) = best else {
+            if self.store_admits(&pending) {
+                return self.queue_or_deny(pending, now);
+            }
+            let reason = self.store_reason(&pending, now);
+            self.deny(&pending, Code::DeadlineUnreachable, Some(reason), now);
+            return None;
+        };
         if self.meets_target(&best, target_ms * margin) {
             let urgency = (URGENCY_ON_TIME + pending.query.rank).min(URGENCY_LATE - 1);
             self.assign(pending, &best, urgency, now);
@@ -156,7 +163,9 @@
             context.better_rating(member, pending, target_ms, best.as_ref()).or(best)
         };
         let mut best = self.engines.knowing(service, adapter).fold(None, better);
-        if !best.is_some_and(|best| context.precedes_new_loads(&best, adapter)) {
+        if self.store_admits(pending)
+            && !best.is_some_and(|best| context.precedes_new_loads(&best, adapter))
+        {
             best = self.engines.not_knowing(service, adapter).fold(best, better);
         }
         let position = best?.position;
@@ -164,6 +173,12 @@
         context.candidate(member, pending)
     }
 
+    /// Returns whether a load from the store may be queued for a request, unless it needs none.
+    fn store_admits(&self, pending: &Pending) -> bool {
+        let utilization = self.store.utilization(self.engines.queued_store_loads(u8::MAX));
+        pending.query.adapter.is_empty() || utilization < self.settings.store_share(pending.unmet)
+    }
+
     /// Returns the inputs of the estimates for a request; `None` if its service has no engines.
     pub(super) fn context(&self, pending: &Pending, now: Duration) -> Option<Context<'_>> {
         let queued_loads = self.engines.queued_store_loads(pending.query.rank);
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -22,6 +22,10 @@
     pub cold_load_limit: usize,
     /// The limit on queued and running loads at one engine.
     pub engine_load_limit: usize,
+    /// The utilization of the store, queued loads included, up to which another load may be queued,
+    /// by the number of earlier requests for the adapter that were refused: none, one, more. A full
+    /// store serves adapters that were refused before, so that none is refused all the time.
+    pub store_shares: [f64; 3],
     /// The cost of a load to other requests when the store is fully used, in ms of waiting.
     pub cold_penalty_ms: f64,
     /// The cost of one more used adapter slot to other requests, in ms of waiting.
@@ -58,6 +62,12 @@
 }
 
 impl Settings {
+    /// Returns the utilization of the store up to which another load may be queued for an adapter
+    /// of which `unmet` requests were refused.
+    pub(crate) fn store_share(&self, unmet: u32) -> f64 {
+        self.store_shares[(unmet as usize).min(self.store_shares.len() - 1)]
+    }
+
     /// Returns the share of the target within which a request must get its first event.
     pub(crate) fn target_share(&self, cold: bool) -> f64 {
         if cold { self.cold_target_share } else { 1.0 }
@@ -75,6 +85,7 @@
             warm_adapters: 30,
             cold_load_limit: 8,
             engine_load_limit: 4,
+            store_shares: [0.9, 1.1, 1.3],
             cold_penalty_ms: 300.0,
             slot_penalty_ms: 40.0,
             domain_penalty_ms: 8.0,
