--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -4,6 +4,7 @@
 mod completion;
 mod placement;
 
+use std::cmp::Reverse;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -40,6 +41,8 @@
 /// The interval at which requests that wait for an adapter slot are reconsidered. Less than
 /// `AWAIT_SLACK_MS`, so that a load from the store can still meet the target.
 const AWAIT_POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// The refusals of an adapter beyond which its requests are queued in the order of their arrival.
+const MAX_COUNTED_REFUSALS: u32 = 2;
 /// The time after its deadline when a request is no longer counted, even if its end was not
 /// reported.
 const EXPIRY_GRACE: Duration = Duration::from_millis(500);
@@ -220,7 +223,10 @@
             self.dirty = false;
             self.last_pass = now;
             let mut queued: Vec<Pending> = std::mem::take(&mut self.queue).into();
-            queued.sort_by_key(|pending| (pending.query.rank, pending.received_at));
+            queued.sort_by_key(|pending| {
+                let unmet = pending.unmet.min(MAX_COUNTED_REFUSALS);
+                (pending.query.rank, Reverse(unmet), pending.received_at)
+            });
             for pending in queued {
                 if let Some(pending) = self.schedule(pending, now) {
                     self.queue.push_back(pending);
