sched: the time of a load without contention is learned

What callers saw: SHORT on deployments whose adapters take longer to load than 250 ms.

Cause: the limit on loads compares each load with a fixed 250 ms. A load of 400 ms always counted as slow, so that the limit fell to its minimum; loads that are quicker than expected would hide contention.

Change: loads that begin while few others run (the lowest limit) give the time without contention, the shortest of the last eight. The first eight are checked for their end from 0.3 of the expected time on, so that a quicker one is seen.

Loads that a former leader ordered are not counted, since their start is not known.

--- a/crates/sched/examples/cost.rs
+++ b/crates/sched/examples/cost.rs
@@ -69,6 +69,8 @@
         requests_per_s: 735.0,
         store_limit: 80,
         store_loads: 80,
+        load_time: common::COLD_LOAD,
+        expected_load_time: common::COLD_LOAD,
         base_loads_per_s: 44.0,
         seed,
     };
--- a/crates/sched/src/engine.rs
+++ b/crates/sched/src/engine.rs
@@ -86,6 +86,8 @@
     pub(crate) stage: Stage,
     /// Whether its load is counted in [`crate::store::Limiter::loading`].
     pub(crate) uses_store: bool,
+    /// Whether its load from the store began without contention.
+    pub(crate) uncontended: bool,
     /// The number of requests that use the adapter or wait for it.
     pub(crate) users: u32,
     /// When the requests that use it are expected to end.
@@ -244,6 +246,7 @@
             version,
             stage: Stage::Queued,
             uses_store: false,
+            uncontended: false,
             users: 0,
             expected_ends: Vec::new(),
             last_used_at: now,
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -128,7 +128,7 @@
         let Some(slot) = engine.adapter_slots.get_mut(adapter) else { return };
         if order.operation == Operation::Load && slot.stage == Stage::Queued {
             slot.uses_store = cold;
-            self.store.loading += usize::from(cold);
+            slot.uncontended = cold && self.store.load_started();
         }
     }
 
@@ -296,7 +296,11 @@
         let Some(slot) = engine.adapter_slots.get_mut(adapter) else { return };
         match (answer, &slot.stage) {
             (Answer::Accepted, Stage::Queued) => {
-                let delay = first_poll_delay(&self.settings, cold, self.store.first_poll_ms());
+                let delay = first_poll_delay(
+                    &self.settings,
+                    cold,
+                    self.store.first_poll_ms(slot.uncontended),
+                );
                 slot.stage = Stage::Loading { since: now, poll_at: now + delay };
                 base::event!(INFO, Event::Placed, endpoint = %id, adapter = %adapter, cold);
             }
@@ -328,6 +332,9 @@
             _ => None,
         };
         let took = since.map(|since| now.saturating_sub(since));
+        if let (true, Some(took)) = (std::mem::take(&mut slot.uncontended), took) {
+            self.store.record_uncontended(took);
+        }
         if cold {
             self.store.load_ended(took);
         }
--- a/crates/sched/src/store.rs
+++ b/crates/sched/src/store.rs
@@ -1,6 +1,7 @@
 //! An adaptive limit on concurrent adapter loads from the weight store, which slows down under
 //! contention.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 /// The lowest limit.
@@ -20,16 +21,24 @@
 const SLOW_START_STEP: f64 = 1.0;
 /// The time after which a load is first checked for its end, relative to an uncontended load.
 const FIRST_POLL_SHARE: f64 = 0.95;
+/// The same for the first [`MAX_UNCONTENDED`] loads without contention, which may take less than expected.
+const LEARNING_POLL_SHARE: f64 = 0.3;
 /// The time of a load, relative to an uncontended one, below which the limit grows.
 const FAST_RATIO: f64 = 1.25;
 /// The time of a load, relative to an uncontended one, above which the limit shrinks.
 const SLOW_RATIO: f64 = 1.5;
 
+/// The number of loads without contention whose times are kept.
+const MAX_UNCONTENDED: usize = 8;
+
 /// The limit on concurrent loads and the loads in progress.
 #[derive(Debug)]
 pub(crate) struct Limiter {
-    /// The time of a load without contention, in ms.
+    /// The time of a load without contention, in ms: the shortest of `uncontended`, or what is expected before the first
+    /// of these loads has ended.
     uncontended_ms: f64,
+    /// The times of the latest loads that began without contention, in ms, the latest last.
+    uncontended: VecDeque<f64>,
     /// The number of loads that run at full speed together, as estimated.
     limit: f64,
     /// The lowest value of `limit`: [`MIN_LIMIT`], or the initial limit if that is lower.
@@ -49,6 +58,7 @@
         let limit = limit as f64;
         Limiter {
             uncontended_ms,
+            uncontended: VecDeque::with_capacity(MAX_UNCONTENDED),
             limit,
             min_limit: MIN_LIMIT.min(limit),
             loading: 0,
@@ -84,9 +94,26 @@
         ((self.loading + queued) as f64 / self.limit).min(2.0)
     }
 
-    /// Returns the time after which a load is first checked for its end, in ms.
-    pub(crate) fn first_poll_ms(&self) -> f64 {
-        self.uncontended_ms * FIRST_POLL_SHARE
+    /// Returns the time after which a load is first checked for its end, in ms; `uncontended` if it began without
+    /// contention.
+    pub(crate) fn first_poll_ms(&self, uncontended: bool) -> f64 {
+        let learns = uncontended && self.uncontended.len() < MAX_UNCONTENDED;
+        self.uncontended_ms * if learns { LEARNING_POLL_SHARE } else { FIRST_POLL_SHARE }
+    }
+
+    /// Records the start of a load; returns whether it begins without contention.
+    pub(crate) fn load_started(&mut self) -> bool {
+        self.loading += 1;
+        self.loading as f64 <= self.min_limit
+    }
+
+    /// Records the time of a load that began without contention.
+    pub(crate) fn record_uncontended(&mut self, took: Duration) {
+        if self.uncontended.len() == MAX_UNCONTENDED {
+            self.uncontended.pop_front();
+        }
+        self.uncontended.push_back(took.as_secs_f64() * 1e3);
+        self.uncontended_ms = self.uncontended.iter().copied().fold(f64::MAX, f64::min);
     }
 
     /// Records the end of a load, with its duration if it succeeded, and adapts the limit.
--- a/crates/sched/tests/starvation.rs
+++ b/crates/sched/tests/starvation.rs
@@ -30,6 +30,8 @@
         requests_per_s: 781.0,
         store_limit: 80,
         store_loads: 80,
+        load_time: common::COLD_LOAD,
+        expected_load_time: common::COLD_LOAD,
         base_loads_per_s: 0.0,
         seed,
     }
