edge, cell: a gate that is cut off from the endpoints reaches them through other gates

Change: the leader tells each gate up to 16 others, four of its own failure domain (Frame::Peers, revision 2, not sent to earlier releases). A gate whose connection to an endpoint fails, or is not open after 100 ms, asks one of them for a tunnel: a TCP connection to that endpoint. All that decides on a request stays where it is: only the opening of connections changes. A gate opens tunnels only to endpoints that it knows and may use, not while it drains or is cut off itself, so there is at most one hop. What the endpoint sends is framed, since the end of a gate must not look like the end of a response that is delimited by the end of its connection. A refused connection is taken for a crash of the endpoint only if another gate sees the same.

--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -406,6 +406,13 @@
         }
     }
 
+    /// Sends each gate the gates through which it may reach endpoints. Only the leader does.
+    pub(crate) fn send_peers(&mut self) {
+        if self.leadership.is_some() {
+            self.links.send_peers();
+        }
+    }
+
     /// Removes endpoints that have not announced themselves within `endpoint_timeout`.
     pub(crate) fn expire_endpoints(&mut self) {
         let now = self.now();
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -317,6 +317,7 @@
             tokio::time::sleep(MAINTENANCE_INTERVAL).await;
             let mut coordinator = self.coordinator.lock();
             coordinator.expire_endpoints();
+            coordinator.send_peers();
             let gates = coordinator.links.gates().count() as i64;
             let endpoints = coordinator.registry.ready().count() as i64;
             let limited = coordinator.limited() as i64;
--- a/crates/cell/src/links.rs
+++ b/crates/cell/src/links.rs
@@ -5,13 +5,20 @@
 use base::Set;
 use fleet::message::Frame;
 use fleet::message::Hello;
+use fleet::message::Peer;
+use fleet::revision::Revision;
 use link::Link;
 
+/// The numbers of gates of the same and of other failure domains that a gate is told.
+const MAX_PEERS: (usize, usize) = (4, 12);
+
 /// A node behind an incoming link.
 #[derive(Debug)]
 pub(crate) struct Node {
     pub(crate) hello: Hello,
     pub(crate) link: Link<Frame>,
+    /// The gates that were last sent to it as its peers.
+    sent_peers: Vec<Peer>,
 }
 
 /// Incoming links by link id.
@@ -19,6 +26,8 @@
 pub(crate) struct Links {
     nodes: Map<u64, Node>,
     last_id: u64,
+    /// Whether nodes have changed since the gates were last told their peers.
+    peers_changed: bool,
 }
 
 impl Links {
@@ -30,11 +39,16 @@
 
     /// Stores the node behind a link. Returns `true` if it is the first hello on this link.
     pub(crate) fn insert(&mut self, link_id: u64, hello: Hello, link: &Link<Frame>) -> bool {
-        let node = Node { hello, link: link.clone() };
-        self.nodes.insert(link_id, node).is_none()
+        self.peers_changed = true;
+        let former = self.nodes.remove(&link_id);
+        let first = former.is_none();
+        let sent_peers = former.map(|node| node.sent_peers).unwrap_or_default();
+        self.nodes.insert(link_id, Node { hello, link: link.clone(), sent_peers });
+        first
     }
 
     pub(crate) fn remove(&mut self, link_id: u64) -> Option<Node> {
+        self.peers_changed = true;
         self.nodes.remove(&link_id)
     }
 
@@ -66,6 +80,37 @@
         broadcast(self.keepers(), frame);
     }
 
+    /// Sends each gate the gates through which it may reach endpoints, if they have changed.
+    pub(crate) fn send_peers(&mut self) {
+        if !std::mem::take(&mut self.peers_changed) {
+            return;
+        }
+        let able = |node: &Node| {
+            let hello = &node.hello;
+            hello.accepting && hello.revision >= Revision::TUNNELS && !node.link.is_closed()
+        };
+        let gates = self.nodes.iter().filter(|(_, node)| able(node));
+        let mut ring: Vec<(u64, Peer)> = gates
+            .filter_map(|(id, node)| {
+                let (domain, front) = (node.hello.domain.clone(), node.hello.front.clone()?);
+                Some((*id, Peer { domain, front }))
+            })
+            .collect();
+        ring.sort_by_cached_key(|(_, peer)| base::digest(peer.front.as_bytes()));
+        for (index, (id, _)) in ring.iter().enumerate() {
+            let peers = peers_of(&ring, index);
+            let Some(node) = self.nodes.get_mut(id) else { continue };
+            if node.sent_peers == peers {
+                continue;
+            }
+            if node.link.send(Frame::Peers(peers.clone())) {
+                node.sent_peers = peers;
+            } else {
+                self.peers_changed = true;
+            }
+        }
+    }
+
     /// Returns the addresses of gates that accept callers, with their failure domains.
     pub(crate) fn accepting_gates(&self) -> Vec<(Name, Name)> {
         let accepting = self.gates().filter(|gate| gate.hello.accepting && !gate.link.is_closed());
@@ -78,6 +123,28 @@
     }
 }
 
+/// Returns the gates that the gate at `index` of a ring may ask for tunnels: those that follow it.
+fn peers_of(ring: &[(u64, Peer)], index: usize) -> Vec<Peer> {
+    let (_, own) = &ring[index];
+    let (mut same, mut others) = (0, 0);
+    let following = ring[index + 1..].iter().chain(&ring[..index]);
+    let mut peers = Vec::new();
+    for (_, peer) in following.filter(|(_, peer)| peer.front != own.front) {
+        let (count, most) = match peer.domain == own.domain {
+            true => (&mut same, MAX_PEERS.0),
+            false => (&mut others, MAX_PEERS.1),
+        };
+        if *count < most {
+            *count += 1;
+            peers.push(peer.clone());
+        }
+        if (same, others) == MAX_PEERS {
+            break;
+        }
+    }
+    peers
+}
+
 fn broadcast<'a>(nodes: impl Iterator<Item = &'a Node>, frame: &Frame) {
     let able = nodes.filter(|node| frame.revision() <= node.hello.revision);
     link::broadcast(able.map(|node| &node.link), frame);
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -302,9 +302,15 @@
             call.deadline,
         );
         let request = self.build_request(call, &target);
-        let sent = send::send(&self.pool, endpoint, request).await;
+        let sent = send::send(&self.pool, &self.view, endpoint, request).await;
         let attempt = match sent {
             Sent::Response(response, sender) => {
+                if let Some(peer) = sender.via {
+                    base::event!(
+                        INFO, Event::Tunnelled, request = %exchange.id, endpoint = %endpoint.id,
+                        peer = %peer
+                    );
+                }
                 let (mut head, body) = response.into_parts();
                 if head.status.is_success()
                     && let Some(origin) = call.new_origin(endpoint)
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -20,6 +20,7 @@
 use crate::protocol::Protocol;
 use crate::serve;
 use crate::settings::Settings;
+use crate::tunnel;
 use crate::view::View;
 
 /// A running gate.
@@ -40,7 +41,7 @@
     /// Creates a gate and connects it to the keepers. Requests are accepted by [`Gate::serve`].
     pub fn start(settings: Settings, protocol: P, meter: &Meter) -> Arc<Gate<P>> {
         let view = Arc::new(View::new());
-        let pool = Arc::new(Pool::new(settings.ip));
+        let pool = Arc::new(Pool::new(&settings, &view));
         let hello = Hello {
             node: settings.node.clone(),
             incarnation: rand::random(),
@@ -69,6 +70,11 @@
         serve::run(self, listener).await
     }
 
+    /// Accepts tunnels of other gates until [`Gate::stop`] shuts the gate down.
+    pub async fn serve_tunnels(self: Arc<Gate<P>>, listener: TcpListener) {
+        tunnel::serve(self, listener).await;
+    }
+
     /// Connects to further keepers.
     pub fn add_keepers(&self, keepers: &[SocketAddr]) {
         self.keepers.add_seeds(keepers);
--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -247,6 +247,7 @@
             Frame::Limits(limits) if self.is_leader(address) => {
                 self.limits.replace(&limits, self.view.now());
             }
+            Frame::Peers(peers) if self.is_leader(address) => self.pool.peers.set(peers),
             Frame::Permit { request, wait_ms } => {
                 if let Some(reply) = self.permits.lock().remove(&request) {
                     let wait = wait_ms.map(|ms| Duration::from_millis(u64::from(ms)));
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -17,6 +17,8 @@
     pub(crate) attempts: IntCounterVec,
     /// The requests that were not sent to an endpoint because of its limit.
     pub(crate) limited: IntCounterVec,
+    /// The connections that other gates asked for, by answer.
+    pub(crate) tunnels: IntCounterVec,
     /// The lookups of where a resumed stream began, by the source of the answer.
     pub(crate) origins: IntCounterVec,
     /// The time that routing decisions took, by result.
@@ -43,6 +45,11 @@
                 "Requests not sent to an endpoint because of its limit.",
                 &[],
             ),
+            tunnels: meter.counters(
+                "gate_tunnels_total",
+                "Connections to endpoints that other gates asked for.",
+                &["answer"],
+            ),
             origins: meter.counters(
                 "gate_origins_total",
                 "Lookups of where a resumed stream began.",
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -19,6 +19,8 @@
     pub ip: IpAddr,
     /// The address on which the gate accepts callers.
     pub front: SocketAddr,
+    /// The address on which the gate accepts tunnels of other gates, all on the same port.
+    pub tunnels: SocketAddr,
     /// The link addresses of the keepers known at startup.
     pub keepers: Vec<SocketAddr>,
     /// The limit on retries at each service.
@@ -31,6 +33,12 @@
 
 /// The timeout for opening a connection to an endpoint; several round trips between failure domains.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// The time after which a connection to an endpoint that is not open yet is also tried through another gate.
+pub(crate) const TUNNEL_DELAY: Duration = Duration::from_millis(100);
+/// The number of gates that are asked for a tunnel, one after the other.
+pub(crate) const MAX_TUNNEL_TRIES: usize = 3;
+/// The time without any response from endpoints after which one that does not respond counts as not reached.
+pub(crate) const SILENCE: Duration = Duration::from_millis(400);
 /// The time for which an idle connection is kept if its endpoint announces no idle timeout.
 pub(crate) const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 /// The share of an endpoint's announced idle timeout for which a connection is reused.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod registry;
 pub mod revision;
 pub mod routing;
+pub mod tunnel;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -134,6 +134,8 @@
     },
     /// A gate reports an endpoint that says in its responses that it leaves; also sent to a new leader.
     Leaving(Incarnation),
+    /// The gates through which a gate may reach endpoints while it is cut off from them.
+    Peers(Vec<Peer>),
 }
 
 impl Frame {
@@ -141,6 +143,7 @@
     pub fn revision(&self) -> Revision {
         match self {
             Frame::Leaving(_) => Revision::LEAVING,
+            Frame::Peers(_) => Revision::TUNNELS,
             _ => Revision::UNNAMED,
         }
     }
@@ -163,6 +166,15 @@
     pub revision: Revision,
 }
 
+/// A gate as other gates know it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Peer {
+    /// The failure domain.
+    pub domain: Name,
+    /// The address to which callers connect.
+    pub front: Name,
+}
+
 /// A keeper's view of its group.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Welcome {
--- a/crates/fleet/src/revision.rs
+++ b/crates/fleet/src/revision.rs
@@ -13,8 +13,10 @@
     pub const UNNAMED: Revision = Revision(0);
     /// Adds [`crate::message::Frame::Leaving`].
     pub const LEAVING: Revision = Revision(1);
+    /// Adds [`crate::message::Frame::Peers`]; gates accept tunnels.
+    pub const TUNNELS: Revision = Revision(2);
     /// The revision of this release.
-    pub const CURRENT: Revision = Revision::LEAVING;
+    pub const CURRENT: Revision = Revision::TUNNELS;
 }
 
 impl<'de> Deserialize<'de> for Revision {
