sched: a load whose end was seen late says nothing about the store

The end of a load is seen by repeating its order; if that answer is lost, the load seems to take up 1.4 s in place of 0.26, and one such load in the slow start divided the limit of 8 to its minimum of 4. The queue for the store used to hide that; with loads kept short of the limit it does not.

Loads with a lost answer are not observed, neither for the limit nor for the time without contention. Test red before: the fourth of eight loads was refused after one such load.

--- a/crates/sched/src/engine.rs
+++ b/crates/sched/src/engine.rs
@@ -88,6 +88,8 @@
     pub(crate) uses_store: bool,
     /// Whether its load from the store began without contention.
     pub(crate) uncontended: bool,
+    /// Whether an answer was lost that could have shown the end of its load.
+    pub(crate) end_unseen: bool,
     /// The number of requests that use the adapter or wait for it.
     pub(crate) users: u32,
     /// When the requests that use it are expected to end.
@@ -247,6 +249,7 @@
             stage: Stage::Queued,
             uses_store: false,
             uncontended: false,
+            end_unseen: false,
             users: 0,
             expected_ends: Vec::new(),
             last_used_at: now,
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -307,6 +307,7 @@
             (Answer::Accepted | Answer::Conflict, Stage::Loading { since, .. }) => {
                 slot.stage = Stage::Loading { since: *since, poll_at: now + LOAD_POLL_INTERVAL };
             }
+            (Answer::Lost, Stage::Loading { .. }) => slot.end_unseen = true,
             (Answer::Holds, _) => self.adapter_loaded(id, adapter, now),
             // The order may not have been accepted; the next report shows whether it was.
             (_, Stage::Queued) if slot.uses_store => {
@@ -332,11 +333,13 @@
             _ => None,
         };
         let took = since.map(|since| now.saturating_sub(since));
-        if let (true, Some(took)) = (std::mem::take(&mut slot.uncontended), took) {
+        // The time of a load whose end was seen late is not that of the store.
+        let observed = took.filter(|_| !std::mem::take(&mut slot.end_unseen));
+        if let (true, Some(took)) = (std::mem::take(&mut slot.uncontended), observed) {
             self.store.record_uncontended(took);
         }
         if cold {
-            self.store.load_ended(took);
+            self.store.load_ended(observed);
         }
         if let Some(took) = took {
             let took_ms = took.as_secs_f64() * 1e3;
--- a/crates/sched/tests/store.rs
+++ b/crates/sched/tests/store.rs
@@ -5,9 +5,12 @@
 
 use std::time::Duration;
 
+use common::Cell;
+use common::Fault;
 use common::load::Load;
 use common::load::Site;
 use common::load::Unobserved;
+use sched::settings::Settings;
 
 /// The share of the requests in time at a scheduler that knows the store, which one that does not must reach.
 const SHARE: f64 = 0.75;
@@ -95,3 +98,18 @@
         assert_share(served_in(site, 2 * TIME), served_in(informed, 2 * TIME), seed);
     }
 }
+
+// Guards against a limit that falls because the leader did not hear that a load had ended.
+#[test]
+fn a_load_whose_end_was_seen_late_says_nothing_about_the_store() {
+    let mut cell = Cell::with_settings(8, Settings { cold_load_limit: 8, ..Settings::default() });
+    cell.submit("first");
+    cell.advance(50);
+    cell.order_faults.push(Fault::AnswerLost);
+    cell.now += Duration::from_secs(1);
+    cell.process_actions();
+    for number in 0..8 {
+        let request = cell.submit(&format!("adapter-{number}"));
+        assert_eq!(cell.denial_code(request), None, "{number}");
+    }
+}
