sched: engines are not blamed for what one gate can't reach

The class: one process's view of a path is taken for the state of what lies behind it.

A gate that loses requests at more than two engines with no response in between does not reach engines: its further losses do not count against them (LossAttributed, 418). A first event or any answer ends that.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -107,6 +107,7 @@
     415 PathRestored State "A gate reaches endpoints again."
     416 TunnelRequested Request "Another gate asked this gate for a connection to an endpoint."
     417 TunnelEnded Request "A connection that this gate carried for another gate broke off."
+    418 LossAttributed Request "The loss of a request does not count against its engine, because its gate reaches no engine."
     500 LeaseGranted State "The gate obtained its lease."
     501 LeaseLost State "The gate lost its lease and accepts no new requests."
     502 LeaseExpired State "The leader ended the lease of a gate."
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -16,6 +16,7 @@
 mod figures;
 mod health;
 mod order;
+mod paths;
 mod pool;
 mod popularity;
 mod prefix;
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -21,6 +21,7 @@
 use crate::engine::Base;
 use crate::engine::Engine;
 use crate::engine::Stage;
+use crate::paths::Paths;
 use crate::pool::Pool;
 use crate::popularity::Popularity;
 use crate::request::Assignment;
@@ -70,6 +71,7 @@
     decode: Decode,
     retries: Retries,
     pub(crate) unmet: Unmet,
+    paths: Paths,
     /// When the queue was last processed.
     last_pass: Duration,
     /// Whether something has changed since the queue was last processed.
@@ -95,6 +97,7 @@
             decode: Decode::new(settings.decode_ms_per_token),
             retries: Retries::default(),
             unmet: Unmet::default(),
+            paths: Paths::default(),
             last_pass: Duration::ZERO,
             dirty: false,
             actions: Vec::new(),
--- a/crates/sched/src/scheduler/completion.rs
+++ b/crates/sched/src/scheduler/completion.rs
@@ -27,6 +27,7 @@
             return;
         }
         assignment.phase = Phase::Started(now);
+        self.paths.record_response(gate);
         let Some(engine) = self.engines.get_mut(&assignment.engine) else { return };
         if let Some(slot) = engine.adapter_slots.get_mut(&assignment.adapter) {
             slot.expect_end((gate, request), now + self.decode.duration(assignment.output_tokens));
@@ -41,6 +42,16 @@
     /// Records the end of a request.
     pub fn request_ended(&mut self, gate: u64, request: u64, outcome: Outcome, now: Duration) {
         let Some(assignment) = self.release((gate, request), now) else { return };
+        match outcome {
+            Outcome::Done | Outcome::Failed | Outcome::Refused | Outcome::Misdirected => {
+                self.paths.record_response(gate);
+            }
+            Outcome::Lost if !self.paths.record_loss(gate, &assignment.engine) => {
+                base::event!(INFO, Event::LossAttributed, gate, request, endpoint = %assignment.engine);
+                return;
+            }
+            Outcome::Lost | Outcome::Cancelled => {}
+        }
         let Some(engine) = self.engines.get_mut(&assignment.engine) else { return };
         match outcome {
             Outcome::Done => {
@@ -102,6 +113,7 @@
     /// when it reconnects.
     pub fn gate_disconnected(&mut self, gate: u64, now: Duration) {
         self.queue.retain(|pending| pending.key.0 != gate);
+        self.paths.record_response(gate);
         let lost: Vec<Key> = self.assignments.keys().filter(|key| key.0 == gate).copied().collect();
         for key in lost {
             self.release(key, now);
--- a/crates/sched/tests/common/mod.rs
+++ b/crates/sched/tests/common/mod.rs
@@ -231,6 +231,15 @@
         self.last_request
     }
 
+    /// Submits a request of a gate; returns its number.
+    pub fn submit_from(&mut self, gate: u64, adapter: &str) -> u64 {
+        self.last_request += 1;
+        let query = query(self.last_request, adapter);
+        self.scheduler.submit(gate, &Name::from("a"), query, self.now);
+        self.process_actions();
+        self.last_request
+    }
+
     /// Advances the clock in steps of 5 ms, by at least `ms`.
     pub fn advance(&mut self, ms: u64) {
         for _ in 0..ms.div_ceil(5) {
--- a/crates/sched/tests/requests.rs
+++ b/crates/sched/tests/requests.rs
@@ -336,3 +336,22 @@
     cell.advance(400);
     assert!(cell.granted_engine(request).is_some());
 }
+
+// Guards against engines that are taken from all gates because one gate can't reach them.
+#[test]
+fn engines_that_one_gate_does_not_reach_are_not_taken_from_others() {
+    let mut cell = Cell::new(10);
+    let ids: Vec<Name> = cell.engines.keys().cloned().collect();
+    for id in ids[..4].iter().cycle().take(12) {
+        let others: Vec<Name> = ids.iter().filter(|other| *other != id).cloned().collect();
+        let request = cell.submit_with("", |query| query.excluded = others);
+        cell.end_at_gate(request, Outcome::Lost);
+    }
+    let another = 2;
+    let mut used = std::collections::BTreeSet::new();
+    for _ in 0..40 {
+        let request = cell.submit_from(another, "");
+        used.extend(cell.granted_engine(request));
+    }
+    assert_eq!(used.len(), ids.len(), "engines that another gate gets");
+}
