--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -406,7 +406,7 @@
         }
     }
 
-    /// Sends each gate the gates through which it may reach endpoints. Only the leader does.
+    /// Sends each gate its peers. Ignored unless this keeper leads.
     pub(crate) fn send_peers(&mut self) {
         if self.leadership.is_some() {
             self.links.send_peers();
--- a/crates/cell/src/links.rs
+++ b/crates/cell/src/links.rs
@@ -9,7 +9,7 @@
 use fleet::revision::Revision;
 use link::Link;
 
-/// The numbers of gates of the same and of other failure domains that a gate is told.
+/// The limits on the peers that a gate is sent: those in its own failure domain and those in others.
 const MAX_PEERS: (usize, usize) = (4, 12);
 
 /// A node behind an incoming link.
@@ -17,7 +17,7 @@
 pub(crate) struct Node {
     pub(crate) hello: Hello,
     pub(crate) link: Link<Frame>,
-    /// The gates that were last sent to it as its peers.
+    /// The peers that were last sent to it.
     sent_peers: Vec<Peer>,
 }
 
@@ -26,7 +26,7 @@
 pub(crate) struct Links {
     nodes: Map<u64, Node>,
     last_id: u64,
-    /// Whether nodes have changed since the gates were last told their peers.
+    /// Whether nodes have changed since peers were last sent.
     peers_changed: bool,
 }
 
@@ -80,7 +80,7 @@
         broadcast(self.keepers(), frame);
     }
 
-    /// Sends each gate the gates through which it may reach endpoints, if they have changed.
+    /// Sends each gate its peers, through which it may reach endpoints, if they have changed.
     pub(crate) fn send_peers(&mut self) {
         if !std::mem::take(&mut self.peers_changed) {
             return;
@@ -123,7 +123,7 @@
     }
 }
 
-/// Returns the gates that the gate at `index` of a ring may ask for tunnels: those that follow it.
+/// Returns the peers of the gate at `index` of a ring: those that follow it, so that each gate serves equally many.
 fn peers_of(ring: &[(u64, Peer)], index: usize) -> Vec<Peer> {
     let (_, own) = &ring[index];
     let (mut same, mut others) = (0, 0);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -50,4 +50,5 @@
 pub use crate::refusal::Refusal;
 pub use crate::runs::Run;
 pub use crate::runs::Runs;
+pub use crate::tunnel::unframe;
 pub use crate::view::Stats;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -17,7 +17,7 @@
     pub(crate) attempts: IntCounterVec,
     /// The requests that were not sent to an endpoint because of its limit.
     pub(crate) limited: IntCounterVec,
-    /// The connections that other gates asked for, by answer.
+    /// The connections that other gates requested, by answer.
     pub(crate) tunnels: IntCounterVec,
     /// The lookups of where a resumed stream began, by the source of the answer.
     pub(crate) origins: IntCounterVec,
@@ -47,7 +47,7 @@
             ),
             tunnels: meter.counters(
                 "gate_tunnels_total",
-                "Connections to endpoints that other gates asked for.",
+                "Connections to endpoints that other gates requested.",
                 &["answer"],
             ),
             origins: meter.counters(
--- a/crates/edge/src/path.rs
+++ b/crates/edge/src/path.rs
@@ -7,8 +7,8 @@
 use base::Set;
 use parking_lot::Mutex;
 
-/// The number of endpoints that fail with no success in between from which the path is taken for lost. A single endpoint
-/// may be down.
+/// The number of endpoints that fail without a response in between from which the path counts as lost. A single one may
+/// be down.
 const MIN_FAILED_ENDPOINTS: usize = 2;
 /// The delay before the lost path is tried again, which doubles with each failure up to the maximum.
 const MIN_PROBE_BACKOFF: Duration = Duration::from_millis(250);
@@ -20,7 +20,7 @@
     failed: Set<Name>,
     succeeded_at: Duration,
     lost: bool,
-    /// Whether the next connection is opened directly although the path is lost, since an endpoint has accepted a probe.
+    /// Whether the next connection is opened directly although the path is lost, because a probe was successful.
     trial: bool,
     probe_at: Duration,
     backoff: Duration,
@@ -100,14 +100,15 @@
         due
     }
 
-    /// Records that an endpoint has accepted a probe of the lost path. Whether it also responds is left to one request.
-    pub fn offer_trial(&self) {
+    /// Allows one direct connection after a successful probe. Its response restores the path: endpoints may accept
+    /// connections without responding.
+    pub fn allow_trial(&self) {
         let mut state = self.state.lock();
         state.trial = state.lost;
     }
 
-    /// Returns whether a connection must be opened through another gate. While a trial is on offer, one is not.
-    pub fn takes_detour(&self) -> bool {
+    /// Returns whether a connection must be opened through another gate. Uses up the trial, if one is allowed.
+    pub fn needs_tunnel(&self) -> bool {
         let mut state = self.state.lock();
         state.lost && !std::mem::take(&mut state.trial)
     }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -9,17 +9,17 @@
 use parking_lot::Mutex;
 use rand::seq::SliceRandom;
 
-/// The time for which a gate is not asked again that could not help.
+/// The time for which a gate that has opened no connection is not tried again.
 const AVOID_TIME: Duration = Duration::from_secs(1);
 
 #[derive(Debug, Default)]
 struct State {
     peers: Vec<Peer>,
-    /// The time until which a gate is not asked.
+    /// The time until which a gate is not tried.
     avoided: Map<SocketAddr, Duration>,
 }
 
-/// The gates that this gate may ask for tunnels.
+/// The gates that may open connections for this gate.
 #[derive(Debug)]
 pub(crate) struct Peers {
     domain: Name,
@@ -56,7 +56,7 @@
         peers.into_iter().map(|(_, address)| address).take(most).collect()
     }
 
-    /// Does not ask a gate for some time.
+    /// Excludes a gate for [`AVOID_TIME`].
     pub(crate) fn avoid(&self, peer: SocketAddr, now: Duration) {
         self.state.lock().avoided.insert(peer, now + AVOID_TIME);
     }
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -106,13 +106,13 @@
         self.open_watched(endpoint).await.map(|(sender, _)| sender)
     }
 
-    /// Opens a connection; the task ends when the connection is closed. An error of kind `ConnectionRefused` is the
-    /// endpoint's own, as far as another gate could be asked.
+    /// Opens a connection; the task ends when the connection is closed. An error of kind `ConnectionRefused` was
+    /// confirmed by another gate, unless none is available.
     pub(crate) async fn open_watched(
         self: &Arc<Pool>,
         endpoint: &Endpoint,
     ) -> io::Result<(Sender, JoinHandle<()>)> {
-        if self.path.takes_detour()
+        if self.path.needs_tunnel()
             && let Some(tunnel) = self.open_tunnel(endpoint).await
         {
             return tunnel;
@@ -122,7 +122,7 @@
         if let Ok(opened) = tokio::time::timeout(TUNNEL_DELAY, &mut direct).await {
             return match opened {
                 Ok(connection) => Ok(connection),
-                Err(error) => self.open_detour(endpoint, error).await,
+                Err(error) => self.open_tunnel_after(endpoint, error).await,
             };
         }
         let tunnel = self.open_tunnel(endpoint);
@@ -157,7 +157,7 @@
     }
 
     /// Opens a connection through another gate after a failure of a direct one, which stands if there is no other gate.
-    async fn open_detour(
+    async fn open_tunnel_after(
         &self,
         endpoint: &Endpoint,
         error: io::Error,
@@ -165,7 +165,7 @@
         self.open_tunnel(endpoint).await.unwrap_or(Err(error))
     }
 
-    /// Opens a connection through another gate; `None` if no gate can say whether the endpoint is reachable.
+    /// Opens a connection through another gate; `None` if no gate is available.
     async fn open_tunnel(
         &self,
         endpoint: &Endpoint,
@@ -185,8 +185,8 @@
         None
     }
 
-    /// Records that an endpoint could not be reached directly. If that is true of the path to all endpoints, closes the
-    /// idle connections if they are silent, and probes the path until it works again.
+    /// Records that an endpoint could not be reached directly. When that makes the path count as lost, closes the silent
+    /// idle connections and starts to probe the path.
     pub(crate) fn record_failure(self: &Arc<Pool>, endpoint: &Endpoint) {
         let now = self.view.now();
         if !self.path.record_failure(&endpoint.id, now) {
@@ -210,7 +210,7 @@
             let endpoints = self.view.endpoints();
             let Some(endpoint) = endpoints.values().choose(&mut rand::rng()) else { continue };
             if link::connect(self.ip, endpoint.address, CONNECT_TIMEOUT).await.is_ok() {
-                self.path.offer_trial();
+                self.path.allow_trial();
             }
         }
     }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -35,7 +35,7 @@
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// The time after which a connection to an endpoint that is not open yet is also tried through another gate.
 pub(crate) const TUNNEL_DELAY: Duration = Duration::from_millis(100);
-/// The number of gates that are asked for a tunnel, one after the other.
+/// The number of gates that are tried for a tunnel, one after the other.
 pub(crate) const MAX_TUNNEL_TRIES: usize = 3;
 /// The time without any response from endpoints after which one that does not respond counts as not reached.
 pub(crate) const SILENCE: Duration = Duration::from_millis(400);
--- a/crates/edge/src/tunnel.rs
+++ b/crates/edge/src/tunnel.rs
@@ -45,7 +45,8 @@
 /// The pause after a failed accept.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
-/// Asks the gate at `peer` for a connection to an endpoint. Returns its answer, with the tunnel if it is open.
+/// Requests a connection to an endpoint from the gate at `peer`. Returns the answer and the stream, which leads to the
+/// endpoint if the answer is [`Answer::Opened`].
 pub(crate) async fn open(
     from: IpAddr,
     peer: SocketAddr,
@@ -61,12 +62,12 @@
     Ok((answer, unframe(stream)))
 }
 
-/// Returns the sending side of a stream with the content of the frames that it receives.
-fn unframe(stream: TcpStream) -> impl AsyncRead + AsyncWrite + Send + Unpin + 'static {
+/// Returns a stream that writes unchanged bytes and reads the content of frames. Reading fails if the stream ends
+/// without an empty frame.
+pub fn unframe(stream: TcpStream) -> impl AsyncRead + AsyncWrite + Send + Unpin + 'static {
     let (read, write) = stream.into_split();
     let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
     let frames = FramedRead::new(read, codec);
-    // A stream without an empty frame has broken off.
     let broken = futures::stream::iter([Err(io::Error::from(io::ErrorKind::UnexpectedEof))]);
     let content = frames.chain(broken).take_while(|frame| {
         let ended = frame.as_ref().is_ok_and(|frame| frame.is_empty());
@@ -88,7 +89,7 @@
                 let Ok(permit) = permits.clone().try_acquire_owned() else { continue };
                 let gate = gate.clone();
                 tokio::spawn(async move {
-                    if let Err(error) = carry(&gate, stream, peer).await {
+                    if let Err(error) = forward(&gate, stream, peer).await {
                         base::event!(INFO, Event::TunnelEnded, peer = %peer, error = %error);
                     }
                     drop(permit);
@@ -102,8 +103,8 @@
     }
 }
 
-/// Opens the connection that another gate asks for and carries its bytes until one side ends.
-async fn carry<P: Protocol>(
+/// Connects to the endpoint that another gate requests, and forwards bytes until one side closes its connection.
+async fn forward<P: Protocol>(
     gate: &Gate<P>,
     mut stream: TcpStream,
     peer: SocketAddr,
@@ -123,11 +124,11 @@
     let Ok(endpoint) = connected else { return Ok(()) };
     let (mut from_peer, mut to_peer) = stream.into_split();
     let (mut from_endpoint, mut to_endpoint) = endpoint.into_split();
-    let forward = async {
+    let requests = async {
         tokio::io::copy(&mut from_peer, &mut to_endpoint).await?;
         to_endpoint.shutdown().await
     };
-    let backward = async {
+    let responses = async {
         let mut buffer = vec![0; HEADER_BYTES + MAX_FRAME_BYTES];
         loop {
             let length = from_endpoint.read(&mut buffer[HEADER_BYTES..]).await?;
@@ -139,8 +140,8 @@
         }
     };
     tokio::select! {
-        ended = backward => ended,
-        Err(error) = forward => Err(error),
+        ended = responses => ended,
+        Err(error) = requests => Err(error),
     }
 }
 
--- a/crates/edge/tests/path.rs
+++ b/crates/edge/tests/path.rs
@@ -36,7 +36,7 @@
     let path = Path::default();
     path.record_failure(&name(1), ms(1));
     assert!(path.record_failure(&name(2), ms(2)));
-    assert!(path.is_lost() && path.takes_detour());
+    assert!(path.is_lost() && path.needs_tunnel());
     assert!(!path.record_failure(&name(3), ms(3)), "reported once");
 }
 
@@ -46,11 +46,11 @@
     let path = Path::default();
     path.record_failure(&name(1), ms(1));
     path.record_failure(&name(2), ms(2));
-    path.offer_trial();
-    assert!(!path.takes_detour());
-    assert!(path.takes_detour());
+    path.allow_trial();
+    assert!(!path.needs_tunnel());
+    assert!(path.needs_tunnel());
     path.record_success(ms(3));
-    assert!(!path.is_lost() && !path.takes_detour());
+    assert!(!path.is_lost() && !path.needs_tunnel());
 }
 
 #[test]
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -134,7 +134,7 @@
     },
     /// A gate reports an endpoint that says in its responses that it leaves; also sent to a new leader.
     Leaving(Incarnation),
-    /// The gates through which a gate may reach endpoints while it is cut off from them.
+    /// The gates through which a gate can reach endpoints.
     Peers(Vec<Peer>),
 }
 
--- a/crates/fleet/src/tunnel.rs
+++ b/crates/fleet/src/tunnel.rs
@@ -25,6 +25,6 @@
     Refused,
     /// The endpoint could not be reached.
     Unreachable,
-    /// The gate opens no connection to this endpoint: it does not know it, must not use it, or reaches no endpoint itself.
+    /// The gate opens no connection to this endpoint: it does not know it, must not use it, is draining, or has no path.
     Unavailable,
 }
--- a/crates/sched/src/scheduler/placement.rs
+++ b/crates/sched/src/scheduler/placement.rs
@@ -173,7 +173,7 @@
         context.candidate(member, pending)
     }
 
-    /// Returns whether a load from the store may be queued for a request, unless it needs none.
+    /// Returns whether the store has room for a load for a request. True for a request of a base model.
     fn store_admits(&self, pending: &Pending) -> bool {
         let utilization = self.store.utilization(self.engines.queued_store_loads(u8::MAX));
         pending.query.adapter.is_empty() || utilization < self.settings.store_share(pending.unmet)
--- a/crates/sched/src/store.rs
+++ b/crates/sched/src/store.rs
@@ -47,7 +47,7 @@
     pub(crate) loading: usize,
     /// Whether a load has ended, so that the limit follows what is observed.
     observed: bool,
-    /// Whether nothing is known of the store and no load has been slow yet, so that it may bear far more than the limit.
+    /// Whether the limit grows fast, because no load has been slow yet and the store may bear far more.
     slow_start: bool,
     /// The limit at which the slow start ends.
     slow_start_end: f64,
@@ -68,8 +68,8 @@
         }
     }
 
-    /// Raises the limit to what a store bears that allows `base_rate` loads of base models per second; from there it
-    /// grows slowly. Ignored once a load has been observed.
+    /// Raises the limit for a store that allows `base_rate` loads of base models per second: the slow start begins at a
+    /// share of what such a store is expected to bear, and ends there. Ignored once a load has been observed.
     pub(crate) fn expect(&mut self, base_rate: f64) {
         let expected = (base_rate * LOADS_PER_BASE_RATE).min(MAX_LIMIT);
         if !self.observed && expected > self.limit {
--- a/crates/sched/src/unmet.rs
+++ b/crates/sched/src/unmet.rs
@@ -1,13 +1,13 @@
-//! Demand that was refused: the adapters whose requests were refused since one of them was last granted.
+//! Unmet demand: how many requests for each adapter were refused since one was last granted.
 
 use std::time::Duration;
 
 use base::Map;
 use base::Name;
 
-/// The time without a refusal after which an adapter is forgotten.
+/// The time after the last refusal of an adapter when its entry expires.
 const RETENTION: Duration = Duration::from_secs(30);
-/// The number of adapters from which forgotten ones are dropped.
+/// The number of adapters from which expired entries are removed.
 const MAX_ADAPTERS: usize = 16_384;
 
 #[derive(Clone, Copy, Debug)]
@@ -49,7 +49,7 @@
         entry.map_or(0, |entry| entry.refusals)
     }
 
-    /// Drops the forgotten adapters and, if that is not enough, those that were refused once.
+    /// Removes the expired entries and, if that is not enough, those with a single refusal.
     fn shrink(&mut self, now: Duration) {
         self.adapters.retain(|_, entry| now < entry.refused_at + RETENTION);
         if self.adapters.len() >= MAX_ADAPTERS {
