--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -50,5 +50,6 @@
 pub use crate::refusal::Refusal;
 pub use crate::runs::Run;
 pub use crate::runs::Runs;
+pub use crate::tunnel::splice;
 pub use crate::tunnel::unframe;
 pub use crate::view::Stats;
--- a/crates/edge/src/tunnel.rs
+++ b/crates/edge/src/tunnel.rs
@@ -122,12 +122,14 @@
     gate.metrics.tunnels.with_label_values(&[&format!("{answer:?}")]).inc();
     write_message(&mut stream, &answer).await?;
     let Ok(endpoint) = connected else { return Ok(()) };
-    let (mut from_peer, mut to_peer) = stream.into_split();
+    splice(stream, endpoint).await
+}
+
+/// Forwards bytes between another gate and an endpoint, whose bytes are framed, until one of them closes its connection.
+pub async fn splice(peer: TcpStream, endpoint: TcpStream) -> io::Result<()> {
+    let (mut from_peer, mut to_peer) = peer.into_split();
     let (mut from_endpoint, mut to_endpoint) = endpoint.into_split();
-    let requests = async {
-        tokio::io::copy(&mut from_peer, &mut to_endpoint).await?;
-        to_endpoint.shutdown().await
-    };
+    let requests = tokio::io::copy(&mut from_peer, &mut to_endpoint);
     let responses = async {
         let mut buffer = vec![0; HEADER_BYTES + MAX_FRAME_BYTES];
         loop {
@@ -141,7 +143,8 @@
     };
     tokio::select! {
         ended = responses => ended,
-        Err(error) = requests => Err(error),
+        // A gate does not half-close: it has dropped the request, and the endpoint must see that.
+        ended = requests => ended.map(drop),
     }
 }
 
