review: a script on a lookup that is refused for good after a rack was lost

Cause: coincident crashes count one by one against a request, and a quarantined request is neither probed nor released while it is asked for.

--- a/review/stand-ins/endpoint.rs
+++ b/review/stand-ins/endpoint.rs
@@ -54,6 +54,8 @@
     beating: AtomicBool,
     /// Whether it has ended.
     ended: AtomicBool,
+    /// Whether its port is closed.
+    closed: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
     runs: Mutex<Vec<Run>>,
 }
@@ -82,12 +84,17 @@
             work,
             beating: AtomicBool::new(true),
             ended: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
             connections: Mutex::default(),
             runs: Mutex::default(),
         });
         record.line(&format!("server {id}: starts at {address}"));
         let (accepting, beating) = (inner.clone(), inner.clone());
-        thread::spawn(move || accept(&accepting, &listener));
+        thread::spawn(move || {
+            accept(&accepting, &listener);
+            drop(listener);
+            accepting.closed.store(true, Ordering::SeqCst);
+        });
         thread::spawn(move || beat(&beating));
         Ok(Endpoint { inner })
     }
@@ -127,17 +134,26 @@
         Err(format!("nobody acknowledges that {} leaves", inner.id))
     }
 
-    /// Ends the server as a crash does: its connections break and new ones are refused.
-    pub fn end(&self) {
-        let inner = &self.inner;
-        inner.beating.store(false, Ordering::SeqCst);
-        inner.ended.store(true, Ordering::SeqCst);
-        for connection in inner.connections.lock().expect("no holder panics").drain(..) {
-            connection.shutdown(Shutdown::Both).ok();
+    /// Ends servers at the same moment as a crash does: new connections are refused, then the open ones break. A request
+    /// that is running then has no answer.
+    pub fn end_all(endpoints: &[Endpoint]) {
+        for Endpoint { inner } in endpoints {
+            inner.beating.store(false, Ordering::SeqCst);
+            inner.ended.store(true, Ordering::SeqCst);
+            // Wakes the thread that accepts connections, which closes the port.
+            TcpStream::connect(inner.address).ok();
+        }
+        for Endpoint { inner } in endpoints {
+            while !inner.closed.load(Ordering::SeqCst) {
+                thread::yield_now();
+            }
+        }
+        for Endpoint { inner } in endpoints {
+            for connection in inner.connections.lock().expect("no holder panics").drain(..) {
+                connection.shutdown(Shutdown::Both).ok();
+            }
+            inner.record.line(&format!("server {}: has ended", inner.id));
         }
-        // Wakes the thread that accepts connections, which closes the listener.
-        TcpStream::connect(inner.address).ok();
-        inner.record.line(&format!("server {}: has ended", inner.id));
     }
 }
 
--- a/review/stand-ins/lookup.rs
+++ b/review/stand-ins/lookup.rs
@@ -93,9 +93,7 @@
     for _ in 0..20_000 {
         if endpoints.iter().all(|endpoint| endpoint.runs_path("/status/7")) {
             record.line("servers: the rack loses power");
-            for endpoint in endpoints {
-                endpoint.end();
-            }
+            Endpoint::end_all(endpoints);
             return Ok(());
         }
         thread::sleep(Duration::from_millis(1));
