review: a script on commands that are refused and run

Cause: a response without a request id is taken for that of the request, and only successes must be signed; a status that promises that the request has not run is passed on without the header that states it.

--- a/review/stand-ins/departures.rs
+++ b/review/stand-ins/departures.rs
@@ -123,7 +123,8 @@
             [("Host", site::HOST), ("X-Request-Id", &id), ("X-Deadline-Remaining", "1000")];
         let answer =
             http::call(front, "POST", "/switch/7", &headers, b"energise", Duration::from_secs(2));
-        let text = answer.map_or_else(|error| error.to_string(), |answer| answer.status().to_string());
+        let text =
+            answer.map_or_else(|error| error.to_string(), |answer| answer.status().to_string());
         record.line(&format!("client: {id} sent to gate-{gate}, answered {text}"));
         thread::sleep(Duration::from_millis(50));
     }
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -7,7 +7,7 @@
 mod departures;
 mod endpoint;
 mod http;
-mod lookup;
+mod late_bytes;
 mod memory;
 mod record;
 mod site;
@@ -56,7 +56,7 @@
     record.line(&format!("case {case}, with the disruption: {trouble}"));
     let outcome = match case.as_str() {
         "departures" => departures::run(&record, trouble),
-        "lookup" => lookup::run(&record, trouble),
+        "late-bytes" => late_bytes::run(&record, trouble),
         "uploads" => uploads::run(&record, trouble),
         "memory" => memory::run(&record, trouble),
         other => Err(format!("unknown case '{other}'")),
--- a/review/stand-ins/site.rs
+++ b/review/stand-ins/site.rs
@@ -166,7 +166,8 @@
     /// Kills processes at the same moment (SIGKILL) and waits for their ends.
     pub fn kill(&self, names: &[String]) {
         let mut processes = PROCESSES.lock().expect("no holder panics");
-        let mut killed: Vec<Child> = names.iter().filter_map(|name| processes.remove(name)).collect();
+        let mut killed: Vec<Child> =
+            names.iter().filter_map(|name| processes.remove(name)).collect();
         for child in &mut killed {
             child.kill().ok();
         }
@@ -226,7 +227,12 @@
 
     /// Sends a configuration to one keeper after the other until one acknowledges it; returns the time that this took.
     /// Other nodes are tried after a failure, a 5xx or `patience` without a response.
-    pub fn publish(&self, config: &str, patience: Duration, limit: Duration) -> Result<Duration, String> {
+    pub fn publish(
+        &self,
+        config: &str,
+        patience: Duration,
+        limit: Duration,
+    ) -> Result<Duration, String> {
         let start = Instant::now();
         let mut keeper = 0;
         while start.elapsed() < limit {
@@ -257,7 +263,8 @@
         for gate in 0..self.gates {
             let ready = address(&self.gate_ip(gate), READY_PORT);
             loop {
-                let answer = http::call(ready, "GET", "/v1/ready", &[], b"", Duration::from_secs(1));
+                let answer =
+                    http::call(ready, "GET", "/v1/ready", &[], b"", Duration::from_secs(1));
                 if answer.is_ok_and(|answer| answer.status() == 200) {
                     break;
                 }
--- a/review/stand-ins/uploads.rs
+++ b/review/stand-ins/uploads.rs
@@ -74,7 +74,8 @@
     let seen: Arc<Mutex<Seen>> = Arc::default();
     let front = site.front(0);
     let platform = {
-        let (record, site, stop, killed) = (record.clone(), site.clone(), stop.clone(), killed.clone());
+        let (record, site, stop, killed) =
+            (record.clone(), site.clone(), stop.clone(), killed.clone());
         thread::spawn(move || limit_memory(&record, &site, &stop, &killed))
     };
     let mut clients = Vec::new();
@@ -124,7 +125,12 @@
 }
 
 /// Kills and restarts the gate if it uses more than its memory, until `stop` is set.
-fn limit_memory(record: &Record, site: &Site, stop: &AtomicBool, killed: &AtomicU32) -> Result<(), String> {
+fn limit_memory(
+    record: &Record,
+    site: &Site,
+    stop: &AtomicBool,
+    killed: &AtomicU32,
+) -> Result<(), String> {
     let mut most = 0;
     while !stop.load(Ordering::SeqCst) {
         let mb = site.memory_mb("gate-0").unwrap_or(0);
@@ -146,7 +152,13 @@
 }
 
 /// Sends switching commands on a connection that it keeps, until `stop` is set.
-fn send_commands(record: &Record, client: u32, front: SocketAddr, stop: &AtomicBool, seen: &Mutex<Seen>) {
+fn send_commands(
+    record: &Record,
+    client: u32,
+    front: SocketAddr,
+    stop: &AtomicBool,
+    seen: &Mutex<Seen>,
+) {
     let mut number = 0;
     let mut connection: Option<BufReader<TcpStream>> = None;
     while !stop.load(Ordering::SeqCst) {
