review: a script on keepers that order an engine in turn after restarts

Cause: the lease on orders is in memory only; a process that is started again orders at once when it leads.

What ends the keepers here is the memory of the case on many changes.

--- a/review/stand-ins/http.rs
+++ b/review/stand-ins/http.rs
@@ -109,3 +109,17 @@
     stream.write_all(&[head.as_bytes(), body].concat())?;
     read(&mut BufReader::new(stream), true)
 }
+
+/// Returns the number after `"name":` in a JSON text.
+pub fn json_number(text: &str, name: &str) -> Option<u64> {
+    let rest = text.split_once(&format!("\"{name}\":"))?.1.trim_start();
+    let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().ok()
+}
+
+/// Returns the text after `"name":` in a JSON text; it must have no escapes.
+pub fn json_text(text: &str, name: &str) -> Option<String> {
+    let rest = text.split_once(&format!("\"{name}\":"))?.1.trim_start();
+    let (value, _) = rest.strip_prefix('"')?.split_once('"')?;
+    Some(value.to_owned())
+}
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -9,8 +9,10 @@
 mod http;
 mod late_bytes;
 mod memory;
+mod model;
 mod record;
 mod site;
+mod turns;
 mod uploads;
 
 use std::path::Path;
@@ -57,6 +59,7 @@
     let outcome = match case.as_str() {
         "departures" => departures::run(&record, trouble),
         "late-bytes" => late_bytes::run(&record, trouble),
+        "turns" => turns::run(&record, trouble),
         "uploads" => uploads::run(&record, trouble),
         "memory" => memory::run(&record, trouble),
         other => Err(format!("unknown case '{other}'")),
--- a/review/stand-ins/memory.rs
+++ b/review/stand-ins/memory.rs
@@ -17,10 +17,10 @@
 use crate::site::Site;
 
 /// The number of keepers.
-const KEEPERS: u8 = 3;
+pub const KEEPERS: u8 = 3;
 /// The routes by which the configuration grows in a step, and the number of steps.
-const ROUTES_PER_STEP: usize = 350;
-const STEPS: usize = 16;
+pub const ROUTES_PER_STEP: usize = 350;
+pub const STEPS: usize = 16;
 /// The limit on the changes after it has grown.
 const MAX_CHANGES: u64 = 900;
 /// The time after which no more changes are sent.
@@ -83,7 +83,7 @@
 }
 
 /// Kills and restarts each keeper that uses more than its memory, until `stop` is set.
-fn limit_memory(
+pub fn limit_memory(
     record: &Record,
     site: &Site,
     stop: &AtomicBool,
@@ -116,12 +116,18 @@
 
 /// Returns a configuration with `routes` routes more. Each version changes the time-out of one of them.
 fn config(version: u64, routes: usize) -> String {
-    let mut all = vec![site::route("switch", "/switch/", "unsafe", "switchyard", 1)];
+    let first = [site::route("switch", "/switch/", "unsafe", "switchyard", 1)];
+    grown_config(version, routes, &first, &[site::service("switchyard")])
+}
+
+/// The same with other routes before those and with these services, one of which is `switchyard`.
+pub fn grown_config(version: u64, routes: usize, first: &[String], services: &[String]) -> String {
+    let mut all = first.to_vec();
     all.extend((0..routes).map(|number| {
         site::route(&format!("r-{number}"), &format!("/more{number}/"), "safe", "switchyard", 2)
     }));
     let changed = version as usize % all.len();
     let timeout = format!("\"TimeoutMs\":{}", 1_000 + version);
     all[changed] = all[changed].replace("\"TimeoutMs\":1000", &timeout);
-    site::config(version, &all, &[site::service("switchyard")])
+    site::config(version, &all, services)
 }
--- a/review/stand-ins/site.rs
+++ b/review/stand-ins/site.rs
@@ -30,6 +30,8 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// `DrainMs` in the settings.
 pub const DRAIN: Duration = Duration::from_millis(2_000);
+/// `LeaseMs` in the settings.
+pub const LEASE: Duration = Duration::from_millis(3_000);
 /// `StabilityWindowMs` in the settings.
 pub const STABILITY_WINDOW: Duration = Duration::from_millis(3_000);
 /// `MemoryMb` of a core machine.
@@ -133,7 +135,7 @@
              [Bounds]\nSeedLagS = 3\nReuseAfterS = 2\nStabilityWindowMs = {}\nAckMs = 4000\nCatchUpS = 4\n\
              DrainMs = {}\nGraceS = 8\nLossSlackMs = 200\nConfigApplyMs = 2000\nDowngradeSlackMs = 250\n\
              MaxStretchMs = 5000\nRetryBudgetRatio = 0.2\nBudgetWindowS = 10\nBudgetSlack = 58\nRecoveryS = 12\n\
-             PassMs = 120\nRetryAfterS = 0\nRequireFencing = true\nLeaseMs = 3000\nThawSlackMs = 300\n\
+             PassMs = 120\nRetryAfterS = 0\nRequireFencing = true\nLeaseMs = {}\nThawSlackMs = 300\n\
              CeilingWindowS = 5\nCeilingOverage = 1.1\nversion_ms = 5000\nttl_max_s = 5\n",
             INTERNAL_PORTS.0,
             INTERNAL_PORTS.1,
@@ -142,6 +144,7 @@
             HEARTBEAT.as_millis(),
             STABILITY_WINDOW.as_millis(),
             DRAIN.as_millis(),
+            LEASE.as_millis(),
         );
         let path = self.folder.join(format!("{name}.toml"));
         fs::write(path, text).map_err(|error| error.to_string())
@@ -342,3 +345,12 @@
         "{{\"Name\":\"{name}\",\"HealthPath\":\"/health\",\"MaxConnections\":110,\"Protocol\":\"h1\",\"Tls\":false}}"
     )
 }
+
+/// Returns a service of model engines for [`config`].
+pub fn model_service(name: &str, model: &str) -> String {
+    format!(
+        "{{\"Name\":\"{name}\",\"HealthPath\":\"/health\",\"MaxConnections\":370,\"Protocol\":\"h1\",\"Tls\":false,\"Engine\":\
+         {{\"Slots\":64,\"KvCapacityTokens\":148607,\"WeightsMb\":74600.0,\"AdapterSlots\":6,\"LoadsPerS\":2.4,\"Models\":\
+         [{{\"Name\":\"{model}\",\"WeightsMb\":72700.0,\"LoadS\":3.2,\"Adapters\":3000,\"AdapterSizeMb\":66.0}}]}}}}"
+    )
+}
