review: the uploads of the gate's case come at a steady rate

Before, 68 clients began at the same moment, so that their bodies would have left the gate together and waited at its link. Now uploads begin one after the other, 6 a second and 2.7 times as many for 4.2 s.

--- a/review/stand-ins/uploads.rs
+++ b/review/stand-ins/uploads.rs
@@ -21,25 +21,27 @@
 use crate::record::Record;
 use crate::site;
 use crate::site::GATE_MEMORY_MB;
-use crate::site::STABILITY_WINDOW;
 use crate::site::Site;
 
 /// `MaxBodyBytes` in the configuration.
 const BODY_BYTES: usize = 4_194_304;
-/// The clients that upload on a usual day, and the factor by which a burst multiplies them.
-const UPLOADS: u32 = 40;
+/// The uploads that begin in a second on a usual day, and the factor by which a burst multiplies them.
+const UPLOADS_PER_S: f64 = 6.0;
 const BURST: f64 = 2.7;
-/// The bytes that a client sends every [`TICK`]: 1.25 MB/s, so that all together stay below the gate's link of 1,500
-/// Mbit/s.
-const BYTES_PER_TICK: usize = 62_500;
-const TICK: Duration = Duration::from_millis(50);
+/// The bytes that a client sends every [`TICK`]: 350 kB/s, so that an upload takes 12 s, and all together stay far below the
+/// gate's link of 1,500 Mbit/s.
+const BYTES_PER_TICK: usize = 35_000;
+const TICK: Duration = Duration::from_millis(100);
+/// The time-out of the uploads' route and their clients' deadline, in ms.
+const UPLOAD_TIMEOUT_MS: u64 = 15_000;
 /// The clients that send switching commands, each on one connection that it keeps.
 const COMMANDS: u32 = 10;
 /// The time for which a server works on a request.
 const WORK: Duration = Duration::from_millis(220);
-/// The length of the burst and of the day after it.
+/// The length of the day before the burst, of the burst and of the day after it.
+const BEFORE: Duration = Duration::from_secs(18);
 const BURST_LENGTH: Duration = Duration::from_millis(4_200);
-const AFTER: Duration = Duration::from_secs(6);
+const AFTER: Duration = Duration::from_secs(14);
 /// The commands from a kept connection that the rule lets a machine close without an answer.
 const ALLOWED: usize = 3;
 
@@ -54,7 +56,7 @@
 pub fn run(record: &Record, trouble: bool) -> Outcome {
     let site = Arc::new(Site::start(record, 1, 3)?);
     let routes = [
-        site::route_with_timeout("logs", "/logs/", "unsafe", "logs", 1, 4_000),
+        site::route_with_timeout("logs", "/logs/", "unsafe", "logs", 1, UPLOAD_TIMEOUT_MS),
         site::route("switch", "/switch/", "unsafe", "switchyard", 1),
     ];
     let config = site::config(1, &routes, &[site::service("logs"), site::service("switchyard")]);
@@ -83,26 +85,19 @@
         let (record, stop, seen) = (record.clone(), stop.clone(), seen.clone());
         clients.push(thread::spawn(move || send_commands(&record, client, front, &stop, &seen)));
     }
-    for client in 0..UPLOADS {
-        let (record, stop) = (record.clone(), stop.clone());
-        clients.push(thread::spawn(move || {
-            // Usual clients don't come at the same moment.
-            thread::sleep(Duration::from_millis(u64::from(client) * 90));
-            upload(&record, client, front, &stop);
-        }));
+    let factor = Arc::new(Mutex::new(1.0));
+    {
+        let (record, stop, factor) = (record.clone(), stop.clone(), factor.clone());
+        clients.push(thread::spawn(move || begin_uploads(&record, front, &stop, &factor)));
     }
-    thread::sleep(STABILITY_WINDOW + Duration::from_secs(4));
-    let burst_end = Arc::new(AtomicBool::new(false));
+    thread::sleep(BEFORE);
     if trouble {
-        let more = (f64::from(UPLOADS) * (BURST - 1.0)) as u32;
-        record.line(&format!("clients: {more} more come at once"));
-        for client in UPLOADS..UPLOADS + more {
-            let (record, stop) = (record.clone(), burst_end.clone());
-            clients.push(thread::spawn(move || upload(&record, client, front, &stop)));
-        }
+        record.line(&format!("clients: {BURST} times as many uploads begin"));
+        *factor.lock().expect("no holder panics") = BURST;
     }
     thread::sleep(BURST_LENGTH);
-    burst_end.store(true, Ordering::SeqCst);
+    record.line("clients: as many uploads begin as before");
+    *factor.lock().expect("no holder panics") = 1.0;
     thread::sleep(AFTER);
     stop.store(true, Ordering::SeqCst);
     for client in clients {
@@ -198,27 +193,31 @@
     }
 }
 
-/// Uploads one body after the other at the speed of its link, until `stop` is set.
-fn upload(record: &Record, client: u32, front: SocketAddr, stop: &AtomicBool) {
-    let body = vec![b'x'; BODY_BYTES];
+/// Begins uploads, [`UPLOADS_PER_S`] times `factor`, until `stop` is set.
+fn begin_uploads(record: &Record, front: SocketAddr, stop: &AtomicBool, factor: &Mutex<f64>) {
+    let body = Arc::new(vec![b'x'; BODY_BYTES]);
     let mut number = 0;
     while !stop.load(Ordering::SeqCst) {
         number += 1;
-        let id = format!("u{client}-{number}");
-        let text = match upload_once(client, &id, front, &body) {
-            Ok(status) => status.to_string(),
-            Err(error) => error.to_string(),
-        };
-        record.line(&format!("client: {id} answered {text}"));
-        thread::sleep(Duration::from_millis(200));
+        let (record, body, id) = (record.clone(), body.clone(), format!("u{number}"));
+        thread::spawn(move || {
+            let text = match upload(&id, front, &body) {
+                Ok(status) => status.to_string(),
+                Err(error) => error.to_string(),
+            };
+            record.line(&format!("client: {id} answered {text}"));
+        });
+        let rate = UPLOADS_PER_S * *factor.lock().expect("no holder panics");
+        thread::sleep(Duration::from_secs_f64(1.0 / rate));
     }
 }
 
-fn upload_once(client: u32, id: &str, front: SocketAddr, body: &[u8]) -> std::io::Result<u16> {
+/// Uploads a body at the speed of a client's link; returns the status of the response.
+fn upload(id: &str, front: SocketAddr, body: &[u8]) -> std::io::Result<u16> {
     let stream = connect(front).ok_or(std::io::ErrorKind::NotConnected)?;
     let mut open = BufReader::new(stream);
     let head = format!(
-        "POST /logs/{client} HTTP/1.1\r\nHost: {}\r\nX-Request-Id: {id}\r\nX-Deadline-Remaining: 4000\r\n\
+        "POST /logs/{id} HTTP/1.1\r\nHost: {}\r\nX-Request-Id: {id}\r\nX-Deadline-Remaining: {UPLOAD_TIMEOUT_MS}\r\n\
          Content-Length: {}\r\n\r\n",
         site::HOST,
         body.len()
