--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -11,6 +11,7 @@
 mod memory;
 mod model;
 mod record;
+mod replaced;
 mod site;
 mod turns;
 mod uploads;
@@ -59,9 +60,9 @@
     let outcome = match case.as_str() {
         "departures" => departures::run(&record, trouble),
         "late-bytes" => late_bytes::run(&record, trouble),
+        "replaced" => replaced::run(&record, trouble),
         "turns" => turns::run(&record, trouble),
         "uploads" => uploads::run(&record, trouble),
-        "memory" => memory::run(&record, trouble),
         other => Err(format!("unknown case '{other}'")),
     };
     site::kill_all();
--- a/review/stand-ins/site.rs
+++ b/review/stand-ins/site.rs
@@ -300,7 +300,7 @@
     (0..100u32).find_map(|number| {
         let [low, high] = [(pid + number) % 250, (pid / 250 + number) % 100 + 100];
         let network = format!("127.{high}.{low}");
-        let free = [10u8, 11, 12, 50, 51, 100, 101, 102, 103, 104].iter().all(|host| {
+        let free = [10u8, 11, 12, 13, 14, 50, 51, 100, 101, 102, 103, 104].iter().all(|host| {
             let ip: Ipv4Addr = format!("{network}.{host}").parse().expect("a valid address");
             (FRONT_PORT..=SERVER_PORT).all(|port| TcpListener::bind((ip, port)).is_ok())
         });
--- a/review/stand-ins/turns.rs
+++ b/review/stand-ins/turns.rs
@@ -15,8 +15,6 @@
 use crate::http;
 use crate::memory;
 use crate::memory::KEEPERS;
-use crate::memory::ROUTES_PER_STEP;
-use crate::memory::STEPS;
 use crate::model::Engine;
 use crate::model::MODEL;
 use crate::model::Order;
@@ -25,8 +23,11 @@
 use crate::site::LEASE;
 use crate::site::Site;
 
-/// The time for which changes are sent.
-const LENGTH: Duration = Duration::from_secs(60);
+/// The routes by which the configuration grows in a step (`big_config`), and the number of steps.
+const ROUTES_PER_STEP: usize = 350;
+const STEPS: usize = 16;
+/// The time at which no more changes are sent. The operator has one in progress at a time; the pages allow eight.
+const LENGTH: Duration = Duration::from_secs(80);
 /// The clients, the pause between two requests of a client, and the adapters that they ask for.
 const CLIENTS: u64 = 4;
 const PAUSE: Duration = Duration::from_millis(50);
@@ -67,9 +68,12 @@
     for step in 1..=steps {
         publish(step * ROUTES_PER_STEP)?;
     }
+    let mut changes = 0;
     while record.now() < LENGTH && turn(&engine.orders()).is_none() {
         publish(steps * ROUTES_PER_STEP)?;
+        changes += 1;
     }
+    record.line(&format!("operator: {changes} changes with {} routes", 2 + steps * ROUTES_PER_STEP));
     // Orders that are on their way.
     thread::sleep(Duration::from_millis(500));
     stop.store(true, Ordering::SeqCst);
