--- a/review/stand-ins/replaced.rs
+++ b/review/stand-ins/replaced.rs
@@ -28,7 +28,7 @@
 /// The time after which a machine that is gone has a successor (`replace_core` with `x = 2.0`).
 const SUCCESSOR_DELAY: Duration = Duration::from_secs(2);
 /// The time from the start of the first successor to the end of the second machine; `CatchUpS` is 4 s.
-const BETWEEN: Duration = Duration::from_secs(8);
+const BETWEEN: Duration = Duration::from_secs(6);
 /// The time from the start of the second successor until the configuration is read; `RecoveryS` is 12 s.
 const RECOVERY: Duration = Duration::from_secs(12);
 /// The time for which it is read; at least the stability window.
