review: a script on keepers that run out of memory, at the pace of the site's changes

It takes the place of the case on uploads, whose bodies are far larger than the site's own requests. The case on turns is unchanged in what it plays.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -14,7 +14,6 @@
 mod replaced;
 mod site;
 mod turns;
-mod uploads;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -60,9 +59,9 @@
     let outcome = match case.as_str() {
         "departures" => departures::run(&record, trouble),
         "late-bytes" => late_bytes::run(&record, trouble),
+        "memory" => memory::run(&record, trouble),
         "replaced" => replaced::run(&record, trouble),
         "turns" => turns::run(&record, trouble),
-        "uploads" => uploads::run(&record, trouble),
         other => Err(format!("unknown case '{other}'")),
     };
     site::kill_all();
--- a/review/stand-ins/replaced.rs
+++ b/review/stand-ins/replaced.rs
@@ -103,7 +103,9 @@
                     record.line(&format!("operator: {control} answers 200, newest: {is_newest}"));
                     return is_newest;
                 }
-                Ok(answer) => record.line(&format!("operator: {control} answers {}", answer.status())),
+                Ok(answer) => {
+                    record.line(&format!("operator: {control} answers {}", answer.status()))
+                }
                 Err(error) => record.line(&format!("operator: {control}: {error}")),
             }
         }
--- a/review/stand-ins/turns.rs
+++ b/review/stand-ins/turns.rs
@@ -73,7 +73,8 @@
         publish(steps * ROUTES_PER_STEP)?;
         changes += 1;
     }
-    record.line(&format!("operator: {changes} changes with {} routes", 2 + steps * ROUTES_PER_STEP));
+    record
+        .line(&format!("operator: {changes} changes with {} routes", 2 + steps * ROUTES_PER_STEP));
     // Orders that are on their way.
     thread::sleep(Duration::from_millis(500));
     stop.store(true, Ordering::SeqCst);
