keeper: commit the departure of an endpoint before it is acknowledged

Cause: heartbeats with `draining` and deregistrations were acknowledged once the leader's memory and the queues of its links contained them. The only copy on disk is the file `endpoints`, written at most once a second and not replicated. After a restart a new leader restored the endpoint from that file as ready, with a full timeout, and the gates replaced their own lists, which were right, by the leader's. A late heartbeat of the same incarnation did the same for good, since nothing durable refused it.

Ruled out: gates that keep a list of their own (the endpoint was `Announced` and `Routed` again only after the leader's first list), requests in flight.

Change: a departure is a command of the replicated log (`Command::Depart`), proposed while the registry and the gates are updated; the acknowledgement waits for both. A leader drains what has departed when it starts to lead, and takes a later `ready` of a departed incarnation as draining. A departure of a service that the plan does not have yet is recorded too. Voters of an earlier release can't apply the command, so the leader raises the level of the log first, once all members have named a revision that supports it (docs/design/upgrades.md); until then departures are acknowledged as before, with a warning. A repeated call waits for the first one's change instead of being answered at once.

--- a/crates/cell/src/calls.rs
+++ b/crates/cell/src/calls.rs
@@ -1,9 +1,16 @@
 //! Handles calls that only the leader can answer, forwarding them to the leader when needed.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use base::Event;
+use base::Name;
+use fleet::endpoint;
+use fleet::endpoint::Announcement;
+use fleet::endpoint::Incarnation;
 use fleet::message::Call;
 use fleet::message::Reply;
+use fleet::revision::Revision;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -57,15 +64,89 @@
                     false => Reply::Unsure,
                 }
             }
-            Call::Announce(announcement) if !self.accepts_service(&announcement.service) => {
-                Reply::Done
+            Call::Announce(announcement) => self.announce(announcement).await,
+            Call::Leave { id, born } => self.leave(id, born).await,
+        }
+    }
+
+    async fn announce(&self, announcement: Announcement) -> Reply {
+        let leaves = matches!(announcement.state, endpoint::State::Draining(_));
+        let departure = leaves.then(|| announcement.incarnation());
+        let update = async {
+            if !self.accepts_service(&announcement.service) {
+                return Reply::Done;
             }
-            Call::Announce(announcement) => {
-                self.update_registry(|coordinator| coordinator.announce(announcement)).await
+            self.update_registry(|coordinator| {
+                let departed = &self.state.read();
+                coordinator.announce(announcement, departed.departed())
+            })
+            .await
+        };
+        self.acknowledge(update, departure).await
+    }
+
+    async fn leave(&self, id: Name, born: Option<u64>) -> Reply {
+        let latest = || self.coordinator.lock().registry.latest_start(&id);
+        let departure = born.or_else(latest).map(|born| Incarnation { endpoint: id.clone(), born });
+        let update = self.update_registry(|coordinator| coordinator.leave(&id, born));
+        self.acknowledge(update, departure).await
+    }
+
+    /// Waits for an update of the registry and for the commit of a departure, if the endpoint leaves.
+    async fn acknowledge(
+        &self,
+        update: impl Future<Output = Reply>,
+        departure: Option<Incarnation>,
+    ) -> Reply {
+        let commit = async {
+            match departure {
+                Some(departure) => self.commit_departure(departure).await,
+                None => Reply::Done,
+            }
+        };
+        match tokio::join!(update, commit) {
+            (Reply::Done, Reply::Done) => Reply::Done,
+            _ => Reply::Unsure,
+        }
+    }
+
+    /// Commits the departure of an endpoint, unless it is committed already.
+    async fn commit_departure(&self, departure: Incarnation) -> Reply {
+        let Incarnation { endpoint, born } = departure.clone();
+        let level = {
+            let state = self.state.read();
+            if state.departed().includes(&endpoint, born) {
+                return Reply::Done;
             }
-            Call::Leave { id, born } => {
-                self.update_registry(|coordinator| coordinator.leave(&id, born)).await
+            state.level()
+        };
+        let command = Command::Depart(departure);
+        if command.level() > level {
+            base::event!(
+                WARN, Event::DepartureNotDurable, endpoint = %endpoint, born, level = %level
+            );
+            return Reply::Done;
+        }
+        self.propose(command).await
+    }
+
+    /// Raises the level of the log if all members support a higher one. Ignored unless this keeper leads.
+    pub(crate) fn raise_level(self: &Arc<Keeper<E>>) {
+        let members = {
+            let status = self.status.borrow();
+            if status.leads.is_none() {
+                return;
             }
+            status.members.clone()
+        };
+        let supported = self.peers.supported_revision(&members);
+        let Some(supported) = supported.filter(|level| *level > self.state.read().level()) else {
+            return;
+        };
+        // The command itself came with the first level.
+        if supported >= Revision::DEPARTURES {
+            let keeper = self.clone();
+            tokio::spawn(async move { keeper.propose(Command::Raise(supported)).await });
         }
     }
 
@@ -83,12 +164,12 @@
         let (term, number) = {
             let mut coordinator = self.coordinator.lock();
             let Some(term) = coordinator.term() else { return Reply::Unsure };
-            if !change(&mut coordinator) {
-                return Reply::Done;
+            if change(&mut coordinator) {
+                self.wake_scheduler();
             }
+            // Also without an effect: the change may be that of an earlier call that has not been sent yet.
             (term, coordinator.changes)
         };
-        self.wake_scheduler();
         let is_sent = sent.wait_for(|sent| *sent >= number).await.is_ok();
         let still_leads = self.coordinator.lock().term() == Some(term);
         if is_sent && still_leads { Reply::Done } else { Reply::Unsure }
--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -5,7 +5,9 @@
 
 use base::Event;
 use base::Name;
+use fleet::endpoint;
 use fleet::endpoint::Announcement;
+use fleet::endpoint::Incarnation;
 use fleet::message::Frame;
 use fleet::message::Hello;
 use fleet::message::Welcome;
@@ -23,6 +25,7 @@
 use sched::action::Action;
 use tokio::time::Instant;
 
+use crate::departed;
 use crate::departures::Departures;
 use crate::leadership::Leadership;
 use crate::lease::Lease;
@@ -128,6 +131,7 @@
         // Announcements went to the previous leader, so all endpoints get a full timeout from now
         // on.
         self.registry.refresh_all(now);
+        self.drain_departed(state);
         let mut scheduler = Scheduler::new(self.settings.clone());
         let orders_from = self.lease.start(term, now);
         scheduler.hold_orders(orders_from);
@@ -149,6 +153,18 @@
         leadership
     }
 
+    /// Drains the endpoints whose departure is committed; the registry may be older.
+    fn drain_departed(&mut self, state: &State) {
+        let departed = self
+            .registry
+            .ready()
+            .filter(|endpoint| state.departed().includes(&endpoint.id, endpoint.born));
+        let departed: Vec<Incarnation> = departed.map(Announcement::incarnation).collect();
+        for Incarnation { endpoint, born } in departed {
+            self.registry.drain(&endpoint, born, "committed");
+        }
+    }
+
     /// Returns the leadership if it is that of `term`.
     pub(crate) fn leadership_in(&mut self, term: u64) -> Option<&mut Leadership> {
         self.leadership.as_mut().filter(|leadership| leadership.term == term)
@@ -341,11 +357,19 @@
     }
 
     /// Records an endpoint's announcement; returns whether the endpoints changed. Only called on the
-    /// leader.
-    pub(crate) fn announce(&mut self, mut announcement: Announcement) -> bool {
+    /// leader. One that has departed remains so, because the announcement may have been delayed.
+    pub(crate) fn announce(
+        &mut self,
+        mut announcement: Announcement,
+        departed: &departed::List,
+    ) -> bool {
         let now = self.now();
         let id = announcement.id.clone();
         let is_engine = announcement.held.is_some();
+        if announcement.state == endpoint::State::Ready && departed.includes(&id, announcement.born)
+        {
+            announcement.state = endpoint::State::Draining(None);
+        }
         if let Some(leadership) = &mut self.leadership {
             leadership.quarantine.endpoint_announced(&id, announcement.born, now);
             leadership.leaving.mark_draining(&mut announcement);
@@ -436,7 +460,7 @@
         if let Some(leadership) = &mut self.leadership {
             let gone = leadership.scheduler.engines().filter(|id| {
                 let known = self.registry.get(id);
-                known.is_none_or(|known| known.state != fleet::endpoint::State::Ready)
+                known.is_none_or(|known| known.state != endpoint::State::Ready)
             });
             let gone: Vec<Name> = gone.cloned().collect();
             let known = |id: &Name| self.registry.get(id).map(|known| known.born);
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -328,6 +328,7 @@
             self.metrics.state.with_label_values(&["quarantined"]).set(quarantined);
             self.metrics.state.with_label_values(&["limited"]).set(limited);
             writer.update(&self);
+            self.raise_level();
             self.update_quarantine();
             self.wake_scheduler();
         }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! Lock order: `coordinator` before `state`. Neither lock is held across an await.
 
+pub mod departed;
 pub mod departures;
 pub mod engines;
 pub mod lease;
--- a/crates/cell/src/notices.rs
+++ b/crates/cell/src/notices.rs
@@ -49,7 +49,9 @@
         let now = self.now();
         let Some(leadership) = &mut self.leadership else { return };
         let Incarnation { endpoint, born } = incarnation;
-        if leadership.leaving.insert(incarnation) && self.registry.drain(endpoint, *born) {
+        if leadership.leaving.insert(incarnation)
+            && self.registry.drain(endpoint, *born, "response")
+        {
             let state = State::Draining(None);
             self.departures.announced(endpoint, *born, state, now);
             self.registry_changed(now);
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -14,6 +14,7 @@
 use fleet::message::Hello;
 use fleet::message::Reply;
 use fleet::registry::Registry;
+use fleet::revision::Revision;
 use link::Link;
 use parking_lot::Mutex;
 use tokio::runtime::Handle;
@@ -40,6 +41,8 @@
     address: SocketAddr,
     seeds: Vec<SocketAddr>,
     links: Mutex<Map<Name, Option<Link<Frame>>>>,
+    /// The revision that each keeper named last, by its link address.
+    revisions: Mutex<Map<Name, Revision>>,
     calls: Mutex<Map<u64, oneshot::Sender<Reply>>>,
     next_call: AtomicU64,
     /// The runtime of the links.
@@ -63,6 +66,7 @@
             address,
             seeds,
             links: Mutex::default(),
+            revisions: Mutex::default(),
             calls: Mutex::default(),
             next_call: AtomicU64::new(1),
             runtime,
@@ -99,7 +103,7 @@
                 self.links.lock().insert(host.clone(), Some(link));
                 base::event!(INFO, Event::LinkUp, peer = %host);
                 while let Some(frame) = inbox.recv().await {
-                    self.handle(frame);
+                    self.handle(&host, frame);
                 }
                 base::event!(WARN, Event::LinkDown, peer = %host);
                 self.links.lock().insert(host.clone(), None);
@@ -121,7 +125,7 @@
         }
     }
 
-    fn handle(self: &Arc<Peers>, frame: Frame) {
+    fn handle(self: &Arc<Peers>, host: &Name, frame: Frame) {
         match frame {
             Frame::Reply(number, reply) => {
                 if let Some(sender) = self.calls.lock().remove(&number) {
@@ -130,6 +134,7 @@
                 }
             }
             Frame::Welcome(welcome) => {
+                self.revisions.lock().insert(host.clone(), welcome.revision);
                 for member in &welcome.members {
                     self.dial(member);
                 }
@@ -152,6 +157,15 @@
         }
     }
 
+    /// Returns the revision that all members support; `None` if one of them has not named its revision to this process.
+    pub(crate) fn supported_revision(&self, members: &[Name]) -> Option<Revision> {
+        let revisions = self.revisions.lock();
+        let own = self.address.to_string();
+        let others = members.iter().filter(|member| ***member != *own);
+        let mut named = others.map(|member| revisions.get(member).copied());
+        named.try_fold(Revision::CURRENT, |lowest, named| Some(lowest.min(named?)))
+    }
+
     /// Sends a frame over all open links.
     pub(crate) fn broadcast(&self, frame: &Frame) {
         link::broadcast(self.links.lock().values().flatten(), frame);
--- a/crates/cell/src/replica.rs
+++ b/crates/cell/src/replica.rs
@@ -8,6 +8,7 @@
 use base::Name;
 use bytes::Bytes;
 use disk::Identity;
+use fleet::endpoint::Incarnation;
 use fleet::message::Envelope;
 use fleet::message::Frame;
 use parking_lot::RwLock;
@@ -470,5 +471,9 @@
         Command::Release(subject) => {
             base::event!(INFO, Event::QuarantineApplied, subject = %subject, quarantined = false);
         }
+        Command::Raise(level) => base::event!(INFO, Event::LevelRaised, level = %level),
+        Command::Depart(Incarnation { endpoint, born }) => {
+            base::event!(INFO, Event::DepartureApplied, endpoint = %endpoint, born);
+        }
     }
 }
--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -1,16 +1,21 @@
-//! The replicated state machine: the plan, the adapter versions and the quarantine.
+//! The replicated state machine: the plan, the adapter versions, the quarantine and the departures of endpoints.
 
 use std::sync::Arc;
 
 use base::Map;
 use base::Name;
 use bytes::Bytes;
+use fleet::endpoint::Incarnation;
 use fleet::message::Version;
 use fleet::plan::Plan;
 use fleet::quarantine::List;
 use fleet::quarantine::Subject;
+use fleet::revision::Revision;
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::departed;
 
 /// A command that changes the state.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -28,21 +33,46 @@
     Quarantine(Subject),
     /// Releases a subject from quarantine.
     Release(Subject),
+    /// Raises the level to a revision that all members support. Since [`Revision::DEPARTURES`].
+    Raise(Revision),
+    /// Records that an incarnation of an endpoint leaves. Since [`Revision::DEPARTURES`].
+    Depart(Incarnation),
+}
+
+impl Command {
+    /// Returns the level from which the command may be proposed: a voter of an earlier revision can't apply it.
+    pub fn level(&self) -> Revision {
+        match self {
+            Command::Depart(_) => Revision::DEPARTURES,
+            // Raises are proposed only to members that support them.
+            Command::Raise(_)
+            | Command::Publish { .. }
+            | Command::Name(_)
+            | Command::Quarantine(_)
+            | Command::Release(_) => Revision::UNNAMED,
+        }
+    }
 }
 
-/// The replicated state.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+/// The replicated state. Snapshots contain the fields in their order; a new field comes last, and earlier releases
+/// ignore it.
+#[derive(Clone, Debug, Default, Serialize)]
 pub struct State {
     pub(crate) plan: Option<Arc<Plan>>,
     /// The plan document as received, before parsing.
     pub(crate) document: Option<Bytes>,
     versions: Map<(Name, Name), u64>,
     quarantine: List,
+    /// The revision that all members support.
+    ///
+    /// Invariant: never decreases.
+    level: Revision,
+    departed: departed::List,
 }
 
-/// The state as snapshots contained it before there was a quarantine.
+/// The fields that the snapshots of all releases contain.
 #[derive(Deserialize)]
-struct Former {
+struct Base {
     plan: Option<Arc<Plan>>,
     document: Option<Bytes>,
     versions: Map<(Name, Name), u64>,
@@ -51,11 +81,12 @@
 impl State {
     /// Decodes a snapshot, which an earlier release may have written.
     pub fn decode(snapshot: &[u8]) -> Result<State, postcard::Error> {
-        postcard::from_bytes(snapshot).or_else(|error| {
-            let former = postcard::from_bytes(snapshot).map_err(|_| error)?;
-            let Former { plan, document, versions } = former;
-            Ok(State { plan, document, versions, quarantine: List::default() })
-        })
+        let (base, rest) = postcard::take_from_bytes(snapshot)?;
+        let Base { plan, document, versions } = base;
+        let (quarantine, rest) = take_or_default(rest)?;
+        let (level, rest) = take_or_default(rest)?;
+        let (departed, _) = take_or_default(rest)?;
+        Ok(State { plan, document, versions, quarantine, level, departed })
     }
 
     /// Applies a command. Returns whether it changed the state.
@@ -78,9 +109,25 @@
             }
             Command::Quarantine(subject) => self.quarantine.insert(subject),
             Command::Release(subject) => self.quarantine.remove(subject),
+            Command::Raise(level) => {
+                let higher = level > self.level;
+                self.level = self.level.max(level);
+                higher
+            }
+            Command::Depart(incarnation) => self.departed.insert(incarnation),
         }
     }
 
+    /// Returns the revision that all members support.
+    pub fn level(&self) -> Revision {
+        self.level
+    }
+
+    /// Returns the incarnations of endpoints that have departed.
+    pub fn departed(&self) -> &departed::List {
+        &self.departed
+    }
+
     /// Returns the quarantined subjects.
     pub fn quarantine(&self) -> &List {
         &self.quarantine
@@ -96,3 +143,10 @@
         versions.collect()
     }
 }
+
+/// Decodes the next field of a snapshot; returns it with the remaining bytes. The default if the snapshot ends before it.
+fn take_or_default<T: Default + DeserializeOwned>(
+    rest: &[u8],
+) -> Result<(T, &[u8]), postcard::Error> {
+    if rest.is_empty() { Ok((T::default(), rest)) } else { postcard::take_from_bytes(rest) }
+}
--- a/crates/cell/tests/compatibility/main.rs
+++ b/crates/cell/tests/compatibility/main.rs
@@ -18,8 +18,9 @@
 use raft::message::Payload;
 use samples::Sample;
 
-/// The frames that have grown since a release. An earlier release ignores what follows the fields that it knows.
-const EXTENDED: [&str; 2] = ["hello", "welcome"];
+/// The frames and records that have grown since a release. An earlier release ignores what follows the fields that it
+/// knows.
+const EXTENDED: [&str; 3] = ["hello", "welcome", "state"];
 
 fn directory() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/compatibility/released")
--- a/crates/cell/tests/compatibility/samples.rs
+++ b/crates/cell/tests/compatibility/samples.rs
@@ -182,6 +182,16 @@
     state
 }
 
+fn state_sample() -> Sample {
+    let state = state();
+    Sample {
+        name: "state",
+        bytes: postcard::to_stdvec(&state).expect("encoded"),
+        text: format!("{state:?}"),
+        decode: |bytes| State::decode(bytes).map(|state| format!("{state:?}")),
+    }
+}
+
 /// What the replicated log and its snapshots contain.
 pub(crate) fn records() -> Vec<Sample> {
     let document = Bytes::from_static(b"{}");
@@ -190,7 +200,9 @@
         sample("command-name", &Command::Name(version())),
         sample("command-quarantine", &Command::Quarantine(Subject::Request(11))),
         sample("command-release", &Command::Release(Subject::Part(12))),
-        sample("state", &state()),
+        sample("command-raise", &Command::Raise(Revision::DEPARTURES)),
+        sample("command-depart", &Command::Depart(endpoint().incarnation())),
+        state_sample(),
         sample("entries", &entries()),
         sample("hard-state", &HardState { term: 2, vote: Some(5), commit: 3 }),
         sample("snapshot", &snapshot(Bytes::from_static(b"state"))),
--- a/crates/cell/tests/leaving.rs
+++ b/crates/cell/tests/leaving.rs
@@ -63,9 +63,9 @@
     let now = Duration::from_secs(1);
     let mut registry = Registry::default();
     registry.announce(announcement(1, 1), now);
-    assert!(!registry.drain(&Name::from("x"), 2));
+    assert!(!registry.drain(&Name::from("x"), 2, "response"));
     assert_eq!(registry.endpoints().len(), 1);
-    assert!(registry.drain(&Name::from("x"), 1));
-    assert!(!registry.drain(&Name::from("x"), 1));
+    assert!(registry.drain(&Name::from("x"), 1, "response"));
+    assert!(!registry.drain(&Name::from("x"), 1, "response"));
     assert!(registry.endpoints().is_empty());
 }
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -34,6 +34,13 @@
     pub build: Name,
 }
 
+impl Announcement {
+    /// Returns the incarnation of the endpoint.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation { endpoint: self.id.clone(), born: self.born }
+    }
+}
+
 /// Whether an endpoint accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -140,16 +140,16 @@
         true
     }
 
-    /// Records that an incarnation of an endpoint leaves, which it has not announced; returns whether it accepted
-    /// requests until now.
-    pub fn drain(&mut self, id: &Name, born: u64) -> bool {
+    /// Records that an incarnation of an endpoint leaves, which its latest announcement does not say; returns whether it
+    /// accepted requests until now. `source` is how that is known, for the log.
+    pub fn drain(&mut self, id: &Name, born: u64, source: &str) -> bool {
         let entry = self.entries.get_mut(id).filter(|entry| {
             let Announcement { born: known, state, .. } = &entry.announcement;
             (*known, *state) == (born, State::Ready)
         });
         let Some(entry) = entry else { return false };
         entry.announcement.state = State::Draining(None);
-        base::event!(INFO, Event::EndpointLeaves, endpoint = %id, born, how = "response");
+        base::event!(INFO, Event::EndpointLeaves, endpoint = %id, born, how = source);
         true
     }
 
@@ -228,6 +228,12 @@
         self.entries.get(id).map(|entry| &entry.announcement)
     }
 
+    /// Returns the start time of the latest incarnation of an endpoint that is known or has fallen silent.
+    pub fn latest_start(&self, id: &Name) -> Option<u64> {
+        let known = self.entries.get(id).map(|entry| entry.announcement.born);
+        known.or_else(|| self.silent.get(id).copied())
+    }
+
     /// Returns the build of a service if it is the only one that was announced within `window`, which is at
     /// most ten minutes.
     pub fn sole_build(&self, service: &str, window: Duration, now: Duration) -> Option<&Name> {
--- a/crates/fleet/src/revision.rs
+++ b/crates/fleet/src/revision.rs
@@ -1,5 +1,7 @@
 //! The revision of the protocol between nodes, by which processes of two releases work side by side.
 
+use std::fmt;
+
 use serde::Deserialize;
 use serde::Deserializer;
 use serde::Serialize;
@@ -15,8 +17,16 @@
     pub const LEAVING: Revision = Revision(1);
     /// Adds [`crate::message::Frame::Peers`]; gates accept tunnels.
     pub const TUNNELS: Revision = Revision(2);
+    /// Adds commands to the replicated log: the departures of endpoints, and the level by which they are allowed.
+    pub const DEPARTURES: Revision = Revision(3);
     /// The revision of this release.
-    pub const CURRENT: Revision = Revision::TUNNELS;
+    pub const CURRENT: Revision = Revision::DEPARTURES;
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
 }
 
 impl<'de> Deserialize<'de> for Revision {
