gate: take no request in a planned stop that may outlive it, and answer what does

What callers saw: in a planned stop of one gate, requests that came late in the grace period were passed on and cut without an answer at its end, unsafe ones too. With a grace of 20 s and endpoints that take 13 s four of them, sent 6.6 and 6.9 s after the signal (the users' figures).

Cause: a stopping gate went on taking requests for 0.35 of the grace period whatever their deadline, and at its end the process closed all connections with requests in progress.

Ruled out: a longer or shorter share for accepting; it would only move the deadline from which requests are lost.

Change: a request whose deadline is later than the end of the grace period is refused at once as not run (1301), to be sent to another gate without delay. What was taken before the signal and is still in progress at the end gets 504 (new code 1505, may have run); the gate exits 200 ms after that, within the margin before the kill.

--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -93,6 +93,7 @@
     1502 WrongAnswer 502 Unknown "The endpoint answered for another request, adapter or version."
     1503 ShortAnswer 502 Unknown "The answer ended before its end mark."
     1504 OwnerLost 502 Unknown "The owner of the endpoint was lost while it ran the request."
+    1505 GateStopped 504 Unknown "The gate stopped before the endpoint answered."
     1600 Conflict 409 No "The configuration has another revision than the command expects."
     1601 CommandReused 422 No "The command id was used with other content."
     1602 Exists 409 No "The object exists already."
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -1,6 +1,7 @@
 //! Forwards a request: matches its route, chooses endpoints and retries failed attempts.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use base::Code;
 use base::Event;
@@ -73,10 +74,7 @@
             Ok(call) => {
                 let id = call.request.id.clone();
                 let name = call.route.name.clone();
-                let deadline = call.deadline;
-                let forwarded = tokio::time::timeout_at(deadline, self.forward(call)).await;
-                let timed_out = || Err(Refusal::new(Code::EndpointTimeout));
-                (id, name, forwarded.unwrap_or_else(|_| timed_out()))
+                (id, name, self.forward_in_time(call).await)
             }
             Err((id, refusal)) => (id, Name::default(), Err(refusal)),
         };
@@ -152,6 +150,21 @@
         })
     }
 
+    /// Forwards a request until its deadline, or until the gate ends. A stopping gate refuses what it may not complete,
+    /// because another gate can.
+    async fn forward_in_time(self: &Arc<Gate<P>>, call: Call) -> Result<Response<Body>, Refusal> {
+        let deadline = call.deadline;
+        if self.ends_before(deadline) {
+            return Err(Refusal::retryable(Code::Draining, Duration::ZERO));
+        }
+        tokio::select! {
+            forwarded = tokio::time::timeout_at(deadline, self.forward(call)) => {
+                forwarded.unwrap_or_else(|_| Err(Refusal::new(Code::EndpointTimeout)))
+            }
+            () = self.ended.cancelled() => Err(Refusal::new(Code::GateStopped)),
+        }
+    }
+
     /// Makes attempts until one succeeds or no more are allowed; returns the response, which may report a
     /// failure, or a refusal.
     async fn forward(self: &Arc<Gate<P>>, mut call: Call) -> Result<Response<Body>, Refusal> {
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 
 use base::Event;
 use base::Name;
@@ -11,6 +12,7 @@
 use meter::Meter;
 use parking_lot::Mutex;
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::budget::Budget;
@@ -19,6 +21,7 @@
 use crate::pool::Pool;
 use crate::protocol::Protocol;
 use crate::serve;
+use crate::settings::FLUSH_TIME;
 use crate::settings::Settings;
 use crate::tunnel;
 use crate::view::View;
@@ -35,6 +38,10 @@
     pub(crate) metrics: Metrics,
     /// Cancelled when the listener and idle connections are to be closed; requests in progress continue.
     pub(crate) shutdown: CancellationToken,
+    /// When the grace period ends, once the gate has been asked to stop.
+    pub(crate) end: OnceLock<Instant>,
+    /// Cancelled at the end of the grace period, when requests in progress are to be answered.
+    pub(crate) ended: CancellationToken,
 }
 
 impl<P: Protocol> Gate<P> {
@@ -61,6 +68,8 @@
             budget: Mutex::new(budget),
             metrics: Metrics::new(meter),
             shutdown: CancellationToken::new(),
+            end: OnceLock::new(),
+            ended: CancellationToken::new(),
             settings,
         })
     }
@@ -86,14 +95,22 @@
     }
 
     /// Drains the gate: notifies the keepers that it accepts no more callers, continues to serve for the drain
-    /// time, then closes the listener and idle connections. Returns when the process should exit, at the end
-    /// of the grace period.
+    /// time, then closes the listener and idle connections. Answers what is still in progress at the end of the grace
+    /// period. Returns when the process should exit, [`FLUSH_TIME`] later.
     pub async fn stop(&self) {
         base::event!(INFO, Event::Stopping, node = %self.settings.node);
+        let end = *self.end.get_or_init(|| Instant::now() + self.settings.grace);
         self.view.set_draining();
         self.keepers.drain();
         tokio::time::sleep(self.settings.drain).await;
         self.shutdown.cancel();
-        tokio::time::sleep(self.settings.grace.saturating_sub(self.settings.drain)).await;
+        tokio::time::sleep_until(end).await;
+        self.ended.cancel();
+        tokio::time::sleep(FLUSH_TIME).await;
+    }
+
+    /// Returns whether the gate ends before `deadline`, so that a request with it might run in vain.
+    pub(crate) fn ends_before(&self, deadline: Instant) -> bool {
+        self.end.get().is_some_and(|end| *end < deadline)
     }
 }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -27,10 +27,14 @@
     pub retries: Limit,
     /// The time from the stop signal until the gate closes its listener and its idle connections.
     pub drain: Duration,
-    /// The time from the stop signal until the process exits.
+    /// The time from the stop signal until requests in progress get their last answer. The process exits
+    /// [`FLUSH_TIME`] later.
     pub grace: Duration,
 }
 
+/// The time for writing the answers that a stopping gate gives at the end of its grace period.
+pub const FLUSH_TIME: Duration = Duration::from_millis(200);
+
 /// The timeout for opening a connection to an endpoint; several round trips between failure domains.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// The time after which a connection to an endpoint that is not open yet is also tried through another gate.
