keeper: name the only build of a service only while a majority follows

What callers saw: streams that had begun at an engine of a new build went on at one of the old build, joined in one response (ORDER), when they were resumed at a gate whose only keeper had been frozen meanwhile.

Cause: a gate that finds no record of a stream takes the only build of its service, as the leader knows it. A former leader that goes on after a freeze still believes that it leads until its replica steps down, and its registry has nothing of a build that joined at its successor. A new leader had the like gap: it counted the time of its process, not of its leadership, so that it spoke for a time in which it got the registry second-hand.

Ruled out: records at gates and keepers, which name the build of the stream itself.

Change: the leader confirms its leadership by a read round before it names the only build, and does so only once it has led for as long as a stream can last. Resuming a stream whose record is lost is refused for that time after an election; streams with a record are not affected.

--- a/crates/cell/src/calls.rs
+++ b/crates/cell/src/calls.rs
@@ -10,6 +10,7 @@
 use fleet::endpoint::Incarnation;
 use fleet::message::Call;
 use fleet::message::Reply;
+use fleet::origin::Origin;
 use fleet::revision::Revision;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -150,6 +151,29 @@
         }
     }
 
+    /// Returns where a stream began and, if this keeper does not know it, the only build of its service. A build may have
+    /// joined at a later leader, so the latter is known only while a majority follows this keeper.
+    pub(crate) async fn locate(
+        &self,
+        stream: u64,
+        service: Option<Name>,
+    ) -> (Option<Origin>, Option<Name>) {
+        let sole_build = || {
+            let coordinator = self.coordinator.lock();
+            coordinator.sole_build(service.as_ref()?, &self.state.read())
+        };
+        let origin = {
+            let coordinator = self.coordinator.lock();
+            coordinator.origins.get(stream, coordinator.now())
+        };
+        if origin.is_some() || sole_build().is_none() {
+            return (origin, None);
+        }
+        let (reply, read) = oneshot::channel();
+        let leads = self.request_replica(Request::Read(reply), read).await;
+        (None, leads.then(sole_build).flatten())
+    }
+
     /// Returns whether the plan contains a service. Accepts any service while there is no plan.
     fn accepts_service(&self, service: &str) -> bool {
         let state = self.state.read();
--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -145,7 +145,7 @@
         for version in state.versions() {
             scheduler.set_version(&version);
         }
-        let mut leadership = Leadership::new(term, scheduler);
+        let mut leadership = Leadership::new(term, scheduler, now);
         for announcement in self.registry.ready().filter(|endpoint| endpoint.held.is_some()) {
             leadership.add_engine(announcement, now);
         }
@@ -412,13 +412,14 @@
     }
 
     /// Returns the only build of a service in the time in which a stream that has not ended can have begun.
-    /// Only known to a leader that has run for that time.
+    /// Only known to a leader that has led for that time: a former one may not have passed on its last announcements.
     pub(crate) fn sole_build(&self, service: &str, state: &State) -> Option<Name> {
         let now = self.now();
         let routes = &state.plan.as_ref()?.routes;
         let longest = routes.iter().map(|route| route.timeout).max()?;
         let window = longest + origin::GRACE;
-        let known = self.leadership.is_some() && now >= window;
+        let known =
+            self.leadership.as_ref().is_some_and(|leadership| now >= leadership.since + window);
         known.then(|| self.registry.sole_build(service, window, now).cloned()).flatten()
     }
 
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -214,12 +214,11 @@
                 }
             }
             Frame::Locate { lookup, stream, service } => {
-                let coordinator = self.coordinator.lock();
-                let origin = coordinator.origins.get(stream, coordinator.now());
-                let state = self.state.read();
-                let sole_build =
-                    service.and_then(|service| coordinator.sole_build(&service, &state));
-                link.send(Frame::Located { lookup, origin, sole_build });
+                let (keeper, link) = (self.clone(), link.clone());
+                tokio::spawn(async move {
+                    let (origin, sole_build) = keeper.locate(stream, service).await;
+                    link.send(Frame::Located { lookup, origin, sole_build });
+                });
             }
             Frame::Losses(losses) => {
                 self.coordinator.lock().record_losses(&losses, &self.state.read());
--- a/crates/cell/src/leadership.rs
+++ b/crates/cell/src/leadership.rs
@@ -16,6 +16,8 @@
 #[derive(Debug)]
 pub(crate) struct Leadership {
     pub(crate) term: u64,
+    /// When it began.
+    pub(crate) since: Duration,
     pub(crate) scheduler: Scheduler,
     pub(crate) quarantine: Quarantine,
     pub(crate) limits: Limits,
@@ -28,10 +30,11 @@
 }
 
 impl Leadership {
-    /// Creates the leadership of a term.
-    pub(crate) fn new(term: u64, scheduler: Scheduler) -> Leadership {
+    /// Creates the leadership of a term that begins at `since`.
+    pub(crate) fn new(term: u64, scheduler: Scheduler, since: Duration) -> Leadership {
         Leadership {
             term,
+            since,
             scheduler,
             quarantine: Quarantine::default(),
             limits: Limits::default(),
