gate: limit the memory for the bodies of requests in progress

What callers saw: uploads of 4 MiB at the same moment took a gate over the memory of its host; the process was ended, and with it all requests of other callers.

Cause: the configuration bounds a single body, nothing bounds their sum, and each body was copied once more when its pieces were joined.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use crate::protocol::Request;
+use crate::upload;
 
 /// A caller's request with its route.
 pub(crate) struct Call {
@@ -27,6 +28,8 @@
     /// The head as received.
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
+    /// The memory of the body.
+    pub(crate) _memory: upload::Reservation,
     /// The time at which the head was received.
     pub(crate) received: Instant,
     pub(crate) deadline: Instant,
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -11,10 +11,7 @@
 use fleet::origin::Origin;
 use fleet::plan::Kind;
 use fleet::quarantine::Fingerprint;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::Version;
@@ -44,6 +41,7 @@
 use crate::settings::STARTUP_TIME;
 use crate::target::Target;
 use crate::tracker::Tracker;
+use crate::upload;
 
 /// The share of the time left until the deadline after which an idempotent request without a response is
 /// retried elsewhere.
@@ -124,14 +122,14 @@
         let limits = &table.plan().limits;
         let timeout = request.deadline.map_or(route.timeout, |left| left.min(route.timeout));
         let deadline = received + timeout;
-        let limited = Limited::new(body, limits.body_bytes).collect();
-        let body = match tokio::time::timeout_at(deadline, limited).await {
+        let reading = upload::read(body, limits.body_bytes, &self.body_memory);
+        let (body, memory) = match tokio::time::timeout_at(deadline, reading).await {
             Err(_) => return Err(refuse(Code::DeadlineExceeded)),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
-                return Err(refuse(Code::TooLarge));
+            Ok(Err(Code::BodyMemory)) => {
+                return Err((id, Refusal::retryable(Code::BodyMemory, DEFAULT_RETRY_AFTER)));
             }
-            Ok(Err(_)) => return Err(refuse(Code::BadRequest)),
-            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(code)) => return Err(refuse(code)),
+            Ok(Ok(read)) => read,
         };
         let service = route.select_service(rand::random()).clone();
         self.budget.lock().record_request(&service, self.view.now());
@@ -145,6 +143,7 @@
             fingerprint: Arc::new(fingerprint),
             parts,
             body,
+            _memory: memory,
             received,
             deadline,
         })
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -24,6 +24,7 @@
 use crate::settings::FLUSH_TIME;
 use crate::settings::Settings;
 use crate::tunnel;
+use crate::upload;
 use crate::view::View;
 
 /// A running gate.
@@ -36,6 +37,7 @@
     pub(crate) keepers: Arc<Keepers>,
     pub(crate) budget: Mutex<Budget>,
     pub(crate) metrics: Metrics,
+    pub(crate) body_memory: Arc<upload::Memory>,
     /// Cancelled when the listener and idle connections are to be closed; requests in progress continue.
     pub(crate) shutdown: CancellationToken,
     /// When the grace period ends, once the gate has been asked to stop.
@@ -67,6 +69,7 @@
             keepers,
             budget: Mutex::new(budget),
             metrics: Metrics::new(meter),
+            body_memory: upload::Memory::new(settings.body_memory),
             shutdown: CancellationToken::new(),
             end: OnceLock::new(),
             ended: CancellationToken::new(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -34,6 +34,7 @@
 mod target;
 mod tracker;
 mod tunnel;
+mod upload;
 mod view;
 
 pub use crate::availability::Availability;
@@ -52,4 +53,6 @@
 pub use crate::runs::Runs;
 pub use crate::tunnel::splice;
 pub use crate::tunnel::unframe;
+pub use crate::upload::Memory;
+pub use crate::upload::Reservation;
 pub use crate::view::Stats;
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -23,6 +23,8 @@
     pub tunnels: SocketAddr,
     /// The link addresses of the keepers known at startup.
     pub keepers: Vec<SocketAddr>,
+    /// The memory for the bodies of the requests in progress, in bytes.
+    pub body_memory: usize,
     /// The limit on retries at each service.
     pub retries: Limit,
     /// The time from the stop signal until the gate closes its listener and its idle connections.
