platform: a status without proof is an unknown outcome, not a refusal

Cause: late bytes of a faulty endpoint, a bare 503 at the point where the next response is due. A response without a request id was taken for that of the request unless it bore the mark of a refusal, and any status other than a success was passed on as it came, also one that promises that the request did not run.

--- a/crates/edge/src/protocol.rs
+++ b/crates/edge/src/protocol.rs
@@ -58,7 +58,7 @@
     pub refused: bool,
     /// Whether the request reached another endpoint or one that does not hold the model.
     pub misdirected: bool,
-    /// Whether the response belongs to another request.
+    /// Whether the response belongs to another request, or its status says without proof that the request did not run.
     pub mismatched: bool,
     /// Whether the response bears the endpoint's signature, without which it does not count as a success.
     pub signed: bool,
