--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -55,8 +55,19 @@
         variables: Vec<(String, String)>,
         log: PathBuf,
     ) -> Process {
-        let child = spawn(&path(None, program), &args, &variables, &log);
-        Process { program, folder: None, args, variables, log, child }
+        Process::start_from(None, program, args, variables, log)
+    }
+
+    /// Starts a program from a folder; `None` for the workspace's programs.
+    pub fn start_from(
+        folder: Option<&Path>,
+        program: &'static str,
+        args: Vec<String>,
+        variables: Vec<(String, String)>,
+        log: PathBuf,
+    ) -> Process {
+        let child = spawn(&path(folder, program), &args, &variables, &log);
+        Process { program, folder: folder.map(Path::to_owned), args, variables, log, child }
     }
 
     /// Sends a signal; after `SIGSTOP` waits until all threads of the process have stopped.
