--- a/crates/cell/tests/leadership.rs
+++ b/crates/cell/tests/leadership.rs
@@ -1,22 +1,19 @@
 //! Tests of the leadership of a cell whose keepers run in the test process.
 
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
+mod running;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use base::Name;
-use cell::Keeper;
 use cell::engines::Engines;
 use cell::engines::Holder;
 use cell::engines::Response;
-use cell::settings::Settings;
 use fleet::endpoint::Announcement;
 use fleet::endpoint::Endpoint;
 use fleet::endpoint::State;
@@ -25,14 +22,16 @@
 use fleet::message::Hello;
 use fleet::message::Reply;
 use fleet::revision::Revision;
-use meter::Meter;
+use running::Running;
+use running::addresses;
+use running::settings;
+use running::start;
 use sched::action::Answer;
 use sched::action::Order;
 use sched::action::Report;
 use tempfile::TempDir;
 use tokio::sync::watch;
 
-const LINK_PORT: u16 = 7_005;
 const TIMEOUT: Duration = Duration::from_secs(20);
 /// Longer than any election timeout, shorter than the read timeout of a link.
 const BUSY: Duration = Duration::from_secs(1);
@@ -67,54 +66,6 @@
     }
 }
 
-/// A keeper with a runtime of its own, which ends when this value is dropped.
-struct Running {
-    keeper: Arc<Keeper<BusyEngines>>,
-    _stop: mpsc::Sender<()>,
-}
-
-fn start(settings: Settings, engines: BusyEngines) -> Running {
-    let (started, keeper) = mpsc::channel();
-    let (stop, stopped) = mpsc::channel::<()>();
-    thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.expect("a runtime");
-        runtime.block_on(async move {
-            let (keeper, _failures) =
-                Keeper::start(settings, engines, &Meter::default()).await.expect("a keeper");
-            started.send(keeper).expect("the test waits for the keeper");
-            tokio::task::spawn_blocking(move || stopped.recv()).await.ok();
-        });
-    });
-    Running { keeper: keeper.recv().expect("a keeper"), _stop: stop }
-}
-
-/// Returns the addresses of three keepers, on a network of this process; `first` is the number of the
-/// first one.
-fn addresses(first: u8) -> Vec<SocketAddr> {
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    let ip = |number| IpAddr::V4(Ipv4Addr::new(127, 1 + high % 250, low, number));
-    (first..first + 3).map(|number| SocketAddr::new(ip(number), LINK_PORT)).collect()
-}
-
-fn settings(address: SocketAddr, seeds: &[SocketAddr], directory: &TempDir) -> Settings {
-    Settings {
-        node: Name::from(address.to_string()),
-        domain: Name::from("a"),
-        address,
-        seeds: seeds.to_vec(),
-        bootstrap: true,
-        data_dir: directory.path().join(address.ip().to_string()),
-        scheduler: sched::settings::Settings::default(),
-        order_lease: BUSY,
-        fenced_orders: true,
-        tolerated_losses: 1,
-        all_vote: false,
-        endpoint_timeout: TIMEOUT,
-        endpoint_drain: Duration::from_secs(2),
-    }
-}
-
 /// Opens the link of a gate to a keeper and records the highest term that a keeper leads in, with the
 /// keeper's index.
 async fn watch_terms(index: usize, keeper: SocketAddr, terms: Arc<watch::Sender<(u64, usize)>>) {
@@ -161,7 +112,7 @@
     /// The term and the index of the first leader.
     first: (u64, usize),
     leader: watch::Receiver<(u64, usize)>,
-    _keepers: Vec<Running>,
+    _keepers: Vec<Running<BusyEngines>>,
     _directory: TempDir,
 }
 
@@ -169,7 +120,7 @@
     async fn start(first_address: u8, engines: &BusyEngines) -> Cell {
         let directory = TempDir::new().expect("a directory");
         let seeds = addresses(first_address);
-        let keepers: Vec<Running> = seeds
+        let keepers: Vec<Running<BusyEngines>> = seeds
             .iter()
             .map(|seed| start(settings(*seed, &seeds, &directory), engines.clone()))
             .collect();
