keeper: the process that follows one knows that it ordered

Cause: the lease is in memory. A process that has just started took a term for its first one and ordered at once, though the process before it on the same host may have ordered a moment ago.

Change: before its first order of a term a keeper writes the term to a file beside its replica, and clears it once it no longer leads and the lease has ended. A process that finds a term takes its start for the time of its last order, and waits if another keeper may have led since. Where no other one can have led, it orders at once, as before.

--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -69,8 +69,13 @@
 }
 
 impl Coordinator {
-    /// Creates the state of a keeper that knows the endpoints in `registry` from before its start.
-    pub(crate) fn new(settings: &Settings, mut registry: Registry) -> Coordinator {
+    /// Creates the state of a keeper that knows the endpoints in `registry` from before its start, and the last term in
+    /// which it may have ordered engines.
+    pub(crate) fn new(
+        settings: &Settings,
+        mut registry: Registry,
+        last_term: Option<u64>,
+    ) -> Coordinator {
         registry.refresh_all(Duration::ZERO);
         Coordinator {
             started: Instant::now(),
@@ -80,7 +85,7 @@
             leadership: None,
             origins: origin::Table::default(),
             departures: Departures::new(settings.endpoint_drain),
-            lease: Lease::new(settings.order_lease, settings.fenced_orders),
+            lease: Lease::new(settings.order_lease, settings.fenced_orders, last_term),
             settings: settings.scheduler.clone(),
             endpoint_timeout: settings.endpoint_timeout,
             last_expiry_check: Duration::ZERO,
@@ -170,6 +175,11 @@
         self.leadership.as_mut().filter(|leadership| leadership.term == term)
     }
 
+    /// Returns whether this keeper does not lead and none of its orders is within its lease.
+    pub(crate) fn has_no_lease(&self) -> bool {
+        self.leadership.is_none() && self.lease.has_ended(self.now())
+    }
+
     /// Records that an order of `term` is sent or answered.
     pub(crate) fn record_order(&mut self, term: u64) {
         let orders_from = self.lease.record_order(term, self.now());
--- a/crates/cell/src/dispatch.rs
+++ b/crates/cell/src/dispatch.rs
@@ -141,6 +141,7 @@
     /// Sends an order to an engine and reports the answer to the scheduler. Sends nothing if the
     /// replica has lost the term, which the scheduler may not know yet.
     async fn send_order(self: Arc<Keeper<E>>, order: Order, fence: u64) {
+        self.record_orders(fence).await;
         if self.status.borrow().leads != Some(fence) {
             return;
         }
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -28,6 +28,7 @@
 use crate::engines::Engines;
 use crate::error::Error;
 use crate::metrics::Metrics;
+use crate::orders;
 use crate::peers::Peers;
 use crate::replica;
 use crate::replica::Monitor;
@@ -49,6 +50,7 @@
     pub(crate) settings: Settings,
     pub(crate) engines: E,
     pub(crate) coordinator: Mutex<Coordinator>,
+    pub(crate) orders: orders::Record,
     pub(crate) state: Arc<RwLock<State>>,
     pub(crate) status: watch::Receiver<Status>,
     pub(crate) replica: mpsc::Sender<Request>,
@@ -101,13 +103,15 @@
         )
         .await?;
         let registry = endpoints::read(&settings).await;
+        let orders = orders::Record::open(&settings).await;
         let identity = replica.identity();
         base::event!(
             INFO, Event::Started, node = %settings.node, address = %address, known,
             replica = identity.replica, group = identity.group
         );
         let keeper = Arc::new(Keeper {
-            coordinator: Mutex::new(Coordinator::new(&settings, registry)),
+            coordinator: Mutex::new(Coordinator::new(&settings, registry, orders.term().await)),
+            orders,
             engines,
             state,
             status,
@@ -328,6 +332,7 @@
             self.metrics.state.with_label_values(&["limited"]).set(limited);
             writer.update(&self);
             self.raise_level();
+            self.clear_orders();
             self.update_quarantine();
             self.wake_scheduler();
         }
--- a/crates/cell/src/lease.rs
+++ b/crates/cell/src/lease.rs
@@ -2,8 +2,8 @@
 //!
 //! Each leader orders the engines under its term as fencing token, so an engine that checks the
 //! token refuses a former leader. In addition, no process orders again within a lease of its last
-//! order if another keeper may have ordered in between. A process that was restarted does not know
-//! its former orders.
+//! order if another keeper may have ordered in between. A process that was restarted knows the term of
+//! the orders before its start, and takes its start for the time of the last one.
 
 use std::time::Duration;
 
@@ -14,23 +14,24 @@
     /// Whether engines refuse orders with an outdated fencing token. Otherwise a new leader also
     /// waits until the orders of its predecessor must have ended.
     fenced: bool,
-    /// The last term in which this process led.
+    /// The last term in which this keeper led.
     last_term: Option<u64>,
     /// Whether another keeper may have led between this process's last two terms.
     superseded: bool,
-    /// When this process last sent an order or got the answer to one.
+    /// When this keeper last sent an order or got the answer to one; its start if that was before it.
     last_order_at: Duration,
     /// Invariant: never decreases.
     not_before: Duration,
 }
 
 impl Lease {
-    /// Creates the lease of a keeper that has not led since its start.
-    pub fn new(duration: Duration, fenced: bool) -> Lease {
+    /// Creates the lease of a keeper that has not led since its start. `last_term` is the term in which the process before
+    /// it may have ordered within a lease of its end.
+    pub fn new(duration: Duration, fenced: bool, last_term: Option<u64>) -> Lease {
         Lease {
             duration,
             fenced,
-            last_term: None,
+            last_term,
             superseded: false,
             last_order_at: Duration::ZERO,
             not_before: Duration::ZERO,
@@ -50,6 +51,11 @@
         self.not_before
     }
 
+    /// Returns whether no order of this keeper is within its lease at `now`.
+    pub fn has_ended(&self, now: Duration) -> bool {
+        now >= self.last_order_at + self.duration
+    }
+
     /// Records that an order of `term` is sent or answered at `now`. Returns when this keeper may
     /// order the engines in its present term, which the late answer to an order of an earlier term
     /// postpones.
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -29,6 +29,7 @@
 mod links;
 mod metrics;
 mod notices;
+mod orders;
 mod peers;
 mod replica;
 mod storage;
