fleet: plans with tenants, pauses and strides, and the frames of quotas and placement

Cause: the two new customers have tenants with API keys and quotas, and streams with a bound on pauses; the plan, whose encoding is fixed, has no place for them. Change: the plan has the fields, its encoding skips them, and an extension carries them in a frame and a log command of revision 4. A node of a former revision never gets a plan with tenants, since it would serve it without checking keys. A new group waits up to 0.8 s for the level, so that its first plan keeps its extension. Ruled out: a new encoding of the plan, which a former release can't read; sending keys to gates, which need digests only.

--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -87,6 +87,8 @@
     1312 LimitReached 503 No "The endpoints have reached the limits on their request rates that they named."
     1313 EndpointsPaused 503 No "All endpoints that could take the request have asked for a pause."
     1314 BodyMemory 503 No "The gate has no memory left for the body of the request."
+    1315 QuotaExceeded 429 No "The tenant has used its quota."
+    1316 QuotaTooLarge 429 No "The request is larger than the quota of its tenant."
     1400 Quarantined 422 No "The request, or a part of its prompt, crashed endpoints and is quarantined."
     1401 Suspected 503 No "The request was in progress at endpoints that crashed; it waits for a verdict."
     1500 EndpointFailed 502 Unknown "The endpoint failed while it ran the request."
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -118,6 +118,7 @@
     505 PlanApplied State "A plan was applied."
     506 PlanRefused State "A plan was rejected."
     507 VersionNamed State "A version of an adapter was activated."
+    508 PlanDeferred State "A plan with tenants was not committed, because members of an earlier release can't apply it."
     600 LeaderElected State "A keeper became leader."
     601 LeaderLost State "A keeper is no longer leader."
     602 LearnerAdded State "A new replica joined as a learner."
--- a/crates/cell/src/calls.rs
+++ b/crates/cell/src/calls.rs
@@ -5,12 +5,15 @@
 
 use base::Event;
 use base::Name;
+use bytes::Bytes;
 use fleet::endpoint;
 use fleet::endpoint::Announcement;
 use fleet::endpoint::Incarnation;
+use fleet::extension::Extension;
 use fleet::message::Call;
 use fleet::message::Reply;
 use fleet::origin::Origin;
+use fleet::plan::Plan;
 use fleet::revision::Revision;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -25,6 +28,10 @@
 /// Wait before checking again which keeper leads.
 const LEADER_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
+/// The longest wait for a level of the log that all members may support. A new group raises its level as soon as its
+/// members have connected.
+const LEVEL_TIMEOUT: Duration = Duration::from_millis(800);
+
 impl<E: Engines> Keeper<E> {
     /// Forwards a call to the leader and returns its reply, or `Reply::Unsure` if no leader
     /// answered in time.
@@ -55,7 +62,10 @@
     pub(crate) async fn answer(&self, call: Call) -> Reply {
         match call {
             Call::Publish { plan, document } => {
-                self.propose(Command::Publish { plan, document }).await
+                self.publish(plan, Arc::new(Extension::default()), document).await
+            }
+            Call::PublishExtended { plan, extension, document } => {
+                self.publish(plan, extension, document).await
             }
             Call::Name(version) => self.propose(Command::Name(version)).await,
             Call::Document => {
@@ -70,6 +80,35 @@
         }
     }
 
+    /// Commits a plan. One with tenants waits until all members know tenants, because a former release would serve it
+    /// without checking API keys; any other loses its extension if one of them is of a former release.
+    async fn publish(&self, plan: Arc<Plan>, extension: Arc<Extension>, document: Bytes) -> Reply {
+        let level = self.await_level(Revision::TENANTS).await;
+        if level >= Revision::TENANTS {
+            return self.propose(Command::PublishExtended { plan, extension, document }).await;
+        }
+        if extension.tenants.is_empty() {
+            return self.propose(Command::Publish { plan, document }).await;
+        }
+        base::event!(WARN, Event::PlanDeferred, version = plan.version, level = %level);
+        Reply::Unsure
+    }
+
+    /// Waits until the log has reached a level, unless a member does not support it; returns the level.
+    async fn await_level(&self, wanted: Revision) -> Revision {
+        let deadline = Instant::now() + LEVEL_TIMEOUT;
+        loop {
+            let level = self.state.read().level();
+            let members = self.status.borrow().members.clone();
+            let supported = self.peers.supported_revision(&members);
+            let unsupported = supported.is_some_and(|supported| supported < wanted);
+            if level >= wanted || unsupported || Instant::now() >= deadline {
+                return level;
+            }
+            tokio::time::sleep(LEADER_RETRY_INTERVAL).await;
+        }
+    }
+
     async fn announce(&self, announcement: Announcement) -> Reply {
         let leaves = matches!(announcement.state, endpoint::State::Draining(_));
         let departure = leaves.then(|| announcement.incarnation());
@@ -217,7 +256,7 @@
 
 fn call_name(call: &Call) -> &'static str {
     match call {
-        Call::Publish { .. } => "publish",
+        Call::Publish { .. } | Call::PublishExtended { .. } => "publish",
         Call::Name(_) => "name",
         Call::Document => "document",
         Call::Announce(_) => "announce",
--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -195,7 +195,7 @@
             && let Some(plan) = &state.plan
         {
             self.sent_plan_version = version;
-            self.links.broadcast_to_gates(&Frame::Plan(plan.clone()));
+            self.links.broadcast_plan(state);
             if let Some(leadership) = &mut self.leadership {
                 leadership.scheduler.set_plan(plan);
             }
@@ -330,6 +330,7 @@
         state: &State,
     ) {
         let is_gate = hello.front.is_some();
+        let revision = hello.revision;
         if !self.links.insert(link_id, hello, link) {
             return;
         }
@@ -346,8 +347,8 @@
         // Before the plan, without which the gate serves no requests.
         link.send(Frame::Limits(leadership.limits.list()));
         link.send(Frame::Quarantine(leadership.quarantine.subjects(state.quarantine())));
-        if let Some(plan) = &state.plan {
-            link.send(Frame::Plan(plan.clone()));
+        if let Some(frame) = state.plan_frame(revision) {
+            link.send(frame);
         }
         link.send(Frame::Versions(state.versions()));
         link.send(Frame::Endpoints(self.registry.endpoints()));
--- a/crates/cell/src/links.rs
+++ b/crates/cell/src/links.rs
@@ -9,6 +9,8 @@
 use fleet::revision::Revision;
 use link::Link;
 
+use crate::state::State;
+
 /// The limits on the peers that a gate is sent: those in its own failure domain and those in others.
 const MAX_PEERS: (usize, usize) = (4, 12);
 
@@ -75,6 +77,15 @@
         broadcast(self.gates(), frame);
     }
 
+    /// Sends the plan in force to all gates, but to those that would serve it without checking API keys.
+    pub(crate) fn broadcast_plan(&self, state: &State) {
+        for gate in self.gates() {
+            if let Some(frame) = state.plan_frame(gate.hello.revision) {
+                gate.link.send(frame);
+            }
+        }
+    }
+
     /// Sends a frame to all keepers, but to those of an earlier release that does not know it.
     pub(crate) fn broadcast_to_keepers(&self, frame: &Frame) {
         broadcast(self.keepers(), frame);
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -174,6 +174,8 @@
     /// Sends a call to the leader and returns its reply, or `Reply::Unsure` if the link is down or
     /// the call times out.
     pub(crate) async fn call(self: &Arc<Peers>, leader: &Name, call: Call) -> Reply {
+        let known = self.revisions.lock().get(leader).copied().unwrap_or(Revision::UNNAMED);
+        let Some(call) = call.for_revision(known) else { return Reply::Unsure };
         let number = self.next_call.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
         self.calls.lock().insert(number, sender);
--- a/crates/cell/src/replica.rs
+++ b/crates/cell/src/replica.rs
@@ -452,7 +452,7 @@
 
 fn log_command(command: &Command) {
     match command {
-        Command::Publish { plan, .. } => {
+        Command::Publish { plan, .. } | Command::PublishExtended { plan, .. } => {
             base::event!(
                 INFO,
                 Event::PlanApplied,
--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -6,6 +6,8 @@
 use base::Name;
 use bytes::Bytes;
 use fleet::endpoint::Incarnation;
+use fleet::extension::Extension;
+use fleet::message::Frame;
 use fleet::message::Version;
 use fleet::plan::Plan;
 use fleet::quarantine::List;
@@ -37,6 +39,15 @@
     Raise(Revision),
     /// Records that an incarnation of an endpoint leaves. Since [`Revision::DEPARTURES`].
     Depart(Incarnation),
+    /// Puts a plan with its extension into force unless a newer one already is. Since [`Revision::TENANTS`].
+    PublishExtended {
+        /// The plan.
+        plan: Arc<Plan>,
+        /// The fields that the encoding of the plan lacks.
+        extension: Arc<Extension>,
+        /// The plan document as received, before parsing.
+        document: Bytes,
+    },
 }
 
 impl Command {
@@ -44,6 +55,7 @@
     pub fn level(&self) -> Revision {
         match self {
             Command::Depart(_) => Revision::DEPARTURES,
+            Command::PublishExtended { .. } => Revision::TENANTS,
             // Raises are proposed only to members that support them.
             Command::Raise(_)
             | Command::Publish { .. }
@@ -68,6 +80,8 @@
     /// Invariant: never decreases.
     level: Revision,
     departed: departed::List,
+    /// The fields of the plan that its encoding lacks; a release without them skips them.
+    extension: Option<Arc<Extension>>,
 }
 
 /// The fields that the snapshots of all releases contain.
@@ -85,21 +99,22 @@
         let Base { plan, document, versions } = base;
         let (quarantine, rest) = take_or_default(rest)?;
         let (level, rest) = take_or_default(rest)?;
-        let (departed, _) = take_or_default(rest)?;
-        Ok(State { plan, document, versions, quarantine, level, departed })
+        let (departed, rest) = take_or_default(rest)?;
+        let (extension, _) = take_or_default::<Option<Arc<Extension>>>(rest)?;
+        let plan = match (plan, &extension) {
+            (Some(plan), Some(extension)) => Some(extended(&plan, extension)),
+            (plan, _) => plan,
+        };
+        Ok(State { plan, document, versions, quarantine, level, departed, extension })
     }
 
     /// Applies a command. Returns whether it changed the state.
     pub fn apply(&mut self, command: Command) -> bool {
         match command {
-            Command::Publish { plan, document } => {
-                let current = self.plan.as_ref().map(|plan| plan.version);
-                let newer = current.is_none_or(|current| plan.version > current);
-                if newer {
-                    self.plan = Some(plan);
-                    self.document = Some(document);
-                }
-                newer
+            Command::Publish { plan, document } => self.publish(plan, None, document),
+            Command::PublishExtended { plan, extension, document } => {
+                let plan = extended(&plan, &extension);
+                self.publish(plan, Some(extension), document)
             }
             Command::Name(named) => {
                 let current = self.versions.entry((named.model, named.adapter)).or_default();
@@ -118,6 +133,34 @@
         }
     }
 
+    fn publish(
+        &mut self,
+        plan: Arc<Plan>,
+        extension: Option<Arc<Extension>>,
+        document: Bytes,
+    ) -> bool {
+        let current = self.plan.as_ref().map(|plan| plan.version);
+        let newer = current.is_none_or(|current| plan.version > current);
+        if newer {
+            self.plan = Some(plan);
+            self.extension = extension;
+            self.document = Some(document);
+        }
+        newer
+    }
+
+    /// Returns the plan in force as the frame for a node of a revision; `None` if that node would serve the plan without
+    /// checking API keys.
+    pub fn plan_frame(&self, revision: Revision) -> Option<Frame> {
+        let plan = self.plan.clone()?;
+        match &self.extension {
+            Some(extension) if revision >= Revision::TENANTS => {
+                Some(Frame::ExtendedPlan(plan, extension.clone()))
+            }
+            _ => plan.tenants.is_empty().then_some(Frame::Plan(plan)),
+        }
+    }
+
     /// Returns the revision that all members support.
     pub fn level(&self) -> Revision {
         self.level
@@ -144,6 +187,13 @@
     }
 }
 
+/// Returns a plan with the fields of its extension.
+fn extended(plan: &Plan, extension: &Extension) -> Arc<Plan> {
+    let mut plan = plan.clone();
+    extension.apply(&mut plan);
+    Arc::new(plan)
+}
+
 /// Decodes the next field of a snapshot; returns it with the remaining bytes. The default if the snapshot ends before it.
 fn take_or_default<T: Default + DeserializeOwned>(
     rest: &[u8],
--- a/crates/cell/tests/compatibility/samples.rs
+++ b/crates/cell/tests/compatibility/samples.rs
@@ -92,6 +92,8 @@
         rank: 1,
         attempts: 2,
         splits: vec![Split { service: name("llm"), weight: 3 }],
+        public: false,
+        gap: None,
     };
     let engine = EngineSpec {
         slots: 64,
@@ -105,6 +107,7 @@
             load: Duration::from_millis(2_500),
             adapter_mb: 12.5,
         }],
+        stride: 0,
     };
     Plan {
         version,
@@ -118,6 +121,7 @@
             Service { name: name("ledger"), max_connections: 96, engine: None },
         ],
         limits: Limits::default(),
+        tenants: Vec::new(),
     }
 }
 
--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -21,6 +21,7 @@
 use fleet::message::Running;
 use fleet::message::Welcome;
 use fleet::origin::Origin;
+use fleet::plan::Plan;
 use fleet::quarantine::Fingerprint;
 use fleet::quarantine::Subject;
 use fleet::quarantine::Survival;
@@ -219,6 +220,11 @@
         match frame {
             Frame::Welcome(welcome) => self.handle_welcome(address, link, &welcome),
             Frame::Plan(plan) => drop(self.view.apply_plan(&plan)),
+            Frame::ExtendedPlan(plan, extension) => {
+                let mut plan = Plan::clone(&plan);
+                extension.apply(&mut plan);
+                self.view.apply_plan(&plan);
+            }
             Frame::Versions(versions) => self.view.update_versions(&versions),
             Frame::Endpoints(endpoints) if self.is_leader(address) => {
                 self.view.set_endpoints(endpoints);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,6 +2,7 @@
 //! announcements of endpoints, the origins of streams, and the messages between gates and keepers.
 
 pub mod endpoint;
+pub mod extension;
 pub mod limit;
 pub mod message;
 pub mod origin;
@@ -11,4 +12,5 @@
 pub mod registry;
 pub mod revision;
 pub mod routing;
+pub mod tenant;
 pub mod tunnel;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -16,6 +16,7 @@
 use crate::endpoint::Announcement;
 use crate::endpoint::Endpoint;
 use crate::endpoint::Incarnation;
+use crate::extension::Extension;
 use crate::limit::Limit;
 use crate::origin::Origin;
 use crate::plan::Plan;
@@ -136,6 +137,73 @@
     Leaving(Incarnation),
     /// The gates through which a gate can reach endpoints.
     Peers(Vec<Peer>),
+    /// The plan in force with the fields that [`Frame::Plan`] lacks. Replaces that frame for receivers that know it.
+    ExtendedPlan(Arc<Plan>, Arc<Extension>),
+    /// A gate queries the scheduler; replaces [`Frame::Ask`] for leaders that know it.
+    Submit(Box<Submission>),
+    /// The longest pause between two events of a granted request; sent before [`Frame::Ended`].
+    Paused {
+        /// The gate's number for the request.
+        request: u64,
+        /// The longest pause, in ms.
+        longest_ms: u32,
+    },
+    /// A gate reserves units of a tenant's quota; answered with [`Frame::Reserved`].
+    Reserve {
+        /// The gate's number for the reservation.
+        request: u64,
+        /// The tenant.
+        tenant: Name,
+        /// The units that the request needs.
+        need: u64,
+        /// The units that the gate expects to need soon in addition.
+        extra: u64,
+    },
+    /// The answer to [`Frame::Reserve`].
+    Reserved {
+        /// The gate's number for the reservation.
+        request: u64,
+        /// The units that were reserved: at least those needed, or 0.
+        granted: u64,
+        /// The units that all gates have used in the window.
+        used: u64,
+        /// The time until the units are available, in ms, if none were reserved; `None` if they will never be.
+        wait_ms: Option<u32>,
+    },
+    /// A gate returns units that it reserved and did not use.
+    Unspent {
+        /// The tenant.
+        tenant: Name,
+        /// The units.
+        units: u64,
+    },
+    /// What a gate has spent of the quotas; sent to a new leader.
+    Spent(Vec<Spending>),
+    /// The leader's totals of the quotas, for the other keepers.
+    Ledger(Vec<Spending>),
+    /// A gate asks the leader to choose the endpoint of a request to a plain service; answered with [`Frame::Placed`]
+    /// or [`Frame::Denial`].
+    Place(Box<Placement>),
+    /// The answer to [`Frame::Place`].
+    Placed {
+        /// The gate's number for the request.
+        request: u64,
+        /// The endpoint.
+        endpoint: Name,
+        /// The start time of the endpoint.
+        born: u64,
+    },
+    /// The end of a placed request.
+    PlacedEnded {
+        /// The gate's number for the request.
+        request: u64,
+        /// The outcome.
+        outcome: Outcome,
+        /// The time from sending the request to the end of the response, in ms.
+        ran_ms: u32,
+        /// The load that the endpoint reported with the response, if it did.
+        load: Option<Load>,
+    },
 }
 
 impl Frame {
@@ -144,6 +212,17 @@
         match self {
             Frame::Leaving(_) => Revision::LEAVING,
             Frame::Peers(_) => Revision::TUNNELS,
+            Frame::ExtendedPlan(..)
+            | Frame::Submit(_)
+            | Frame::Paused { .. }
+            | Frame::Reserve { .. }
+            | Frame::Reserved { .. }
+            | Frame::Unspent { .. }
+            | Frame::Spent(_)
+            | Frame::Ledger(_)
+            | Frame::Place(_)
+            | Frame::Placed { .. }
+            | Frame::PlacedEnded { .. } => Revision::TENANTS,
             _ => Revision::UNNAMED,
         }
     }
@@ -226,6 +305,27 @@
         /// The start time, if the endpoint sent it.
         born: Option<u64>,
     },
+    /// Commits a plan with the fields that [`Call::Publish`] lacks. Since [`Revision::TENANTS`].
+    PublishExtended {
+        /// The plan.
+        plan: Arc<Plan>,
+        /// The other fields.
+        extension: Arc<Extension>,
+        /// The original document, returned by [`Call::Document`].
+        document: Bytes,
+    },
+}
+
+impl Call {
+    /// Returns the call as a node of a revision can decode it; `None` if such a node must not get it.
+    pub fn for_revision(self, revision: Revision) -> Option<Call> {
+        match self {
+            Call::PublishExtended { plan, extension, document } if revision < Revision::TENANTS => {
+                extension.tenants.is_empty().then_some(Call::Publish { plan, document })
+            }
+            call => Some(call),
+        }
+    }
 }
 
 /// The answer to a [`Call`].
@@ -292,6 +392,60 @@
     pub build: Option<Name>,
 }
 
+/// A query with what [`Query`] lacks.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Submission {
+    /// The query.
+    pub query: Query,
+    /// The tenant, if the plan has tenants.
+    pub tenant: Option<Name>,
+    /// The longest pause between two events with which the stream is on time, in ms; 0 if there is no such bound.
+    pub gap_ms: u32,
+}
+
+/// The units of a tenant's quota that were used in a part of the window.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Spending {
+    /// The tenant.
+    pub tenant: Name,
+    /// The units by age: the age of the part's end in ms, and the units used in it.
+    pub slices: Vec<(u32, u64)>,
+}
+
+/// A gate's query for the endpoint of a request to a plain service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Placement {
+    /// The gate's number for the request.
+    pub request: u64,
+    /// The service.
+    pub service: Name,
+    /// The time left of the latency target, in ms; 0 if it has passed.
+    pub target_ms: u32,
+    /// The time left until the deadline, in ms.
+    pub left_ms: u32,
+    /// The priority class; 0 is the most urgent.
+    pub rank: u8,
+    /// The tenant, if the plan has tenants.
+    pub tenant: Option<Name>,
+    /// The endpoints that must not be chosen.
+    pub excluded: Vec<Name>,
+    /// The build that the endpoint must have, if the request resumes a stream.
+    pub build: Option<Name>,
+}
+
+/// The load that an endpoint states in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// The requests in progress.
+    pub running: u32,
+    /// The requests that wait for a slot.
+    pub queued: u32,
+    /// The slots; 0 if it is not stated.
+    pub slots: u32,
+    /// How long work takes on the endpoint's host at the moment, in percent of the usual time, if it is stated.
+    pub pace: Option<u32>,
+}
+
 /// The engine for a request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Grant {
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -7,7 +7,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::tenant;
+use crate::tenant::Tenant;
+
 /// A complete configuration; the plan with the highest version is in force.
+///
+/// The encoding has the fields of the first release. [`Extension`](crate::extension::Extension) carries the others, which
+/// are skipped.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Plan {
     /// Grows from one plan to the next, not always by 1.
@@ -18,6 +24,9 @@
     pub services: Vec<Service>,
     /// The limits on requests and connections of callers.
     pub limits: Limits,
+    /// The tenants; without any, requests need no API key.
+    #[serde(skip)]
+    pub tenants: Vec<Tenant>,
 }
 
 /// Whether and how a request may be retried.
@@ -55,6 +64,12 @@
     pub attempts: u32,
     /// The services with their weights; a service with weight 0 gets no requests.
     pub splits: Vec<Split>,
+    /// Whether requests need no API key.
+    #[serde(skip)]
+    pub public: bool,
+    /// The longest pause between two events with which a stream is on time; `None` if there is no such bound.
+    #[serde(skip)]
+    pub gap: Option<Duration>,
 }
 
 /// A service's share of a route.
@@ -92,6 +107,9 @@
     pub loads_per_s: f64,
     /// The base models.
     pub models: Vec<BaseModel>,
+    /// The number of decoding steps for each event of a stream; 0 if it is unknown.
+    #[serde(skip)]
+    pub stride: u32,
 }
 
 /// A base model.
@@ -162,6 +180,20 @@
     /// A prefix does not start and end with a slash.
     #[error("the prefix of route '{0}' does not begin and end with a slash")]
     BadPrefix(Name),
+    /// A tenant has no name.
+    #[error("a tenant has no name")]
+    UnnamedTenant,
+    /// Two tenants have the same name.
+    #[error("two tenants have the name '{0}'")]
+    DuplicateTenant(Name),
+    /// Two tenants have a key in common.
+    #[error("the tenants '{first}' and '{second}' have a key in common")]
+    SharedKey {
+        /// One of the tenants.
+        first: Name,
+        /// The other one.
+        second: Name,
+    },
 }
 
 impl Plan {
@@ -176,7 +208,7 @@
                 return Err(Error::DuplicateRoute { host, prefix });
             }
         }
-        Ok(())
+        tenant::validate(&self.tenants)
     }
 
     /// Returns the service with the given name.
--- a/crates/fleet/src/revision.rs
+++ b/crates/fleet/src/revision.rs
@@ -19,8 +19,11 @@
     pub const TUNNELS: Revision = Revision(2);
     /// Adds commands to the replicated log: the departures of endpoints, and the level by which they are allowed.
     pub const DEPARTURES: Revision = Revision(3);
+    /// Adds tenants: [`crate::message::Frame::ExtendedPlan`] and the frames of quotas and placement, and the command of the
+    /// log for a plan with an extension.
+    pub const TENANTS: Revision = Revision(4);
     /// The revision of this release.
-    pub const CURRENT: Revision = Revision::DEPARTURES;
+    pub const CURRENT: Revision = Revision::TENANTS;
 }
 
 impl fmt::Display for Revision {
--- a/crates/fleet/tests/plan.rs
+++ b/crates/fleet/tests/plan.rs
@@ -26,6 +26,8 @@
             .iter()
             .map(|(service, weight)| Split { service: Name::from(*service), weight: *weight })
             .collect(),
+        public: false,
+        gap: None,
     }
 }
 
@@ -33,7 +35,7 @@
     let service =
         |name: &str| Service { name: Name::from(name), max_connections: 10, engine: None };
     let services = vec![service("a"), service("b")];
-    Plan { version: 1, routes, services, limits: Limits::default() }
+    Plan { version: 1, routes, services, limits: Limits::default(), tenants: Vec::new() }
 }
 
 #[test]
--- a/crates/sched/tests/common/mod.rs
+++ b/crates/sched/tests/common/mod.rs
@@ -417,7 +417,14 @@
         weights_mb: 66_000.0,
         loads_per_s: 5.0,
         models: vec![model],
+        stride: 3,
     };
     let service = Service { name: Name::from(SERVICE), max_connections: 300, engine: Some(engine) };
-    Plan { version: 1, routes: Vec::new(), services: vec![service], limits: Limits::default() }
+    Plan {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![service],
+        limits: Limits::default(),
+        tenants: Vec::new(),
+    }
 }
