disk: only the owner may read the files of a keeper

Cause: the operator's document is stored as it was sent and will contain the API keys of tenants; files were created with the mode of the process, mostly readable by all users of the host. Ruled out: a umask for the process, which would also change files of libraries and does not mend existing files.

--- a/crates/disk/src/cache.rs
+++ b/crates/disk/src/cache.rs
@@ -1,7 +1,6 @@
 //! Files with state that may be lost.
 
 use std::fs;
-use std::fs::File;
 use std::io;
 use std::io::Write;
 use std::path::Path;
@@ -11,13 +10,14 @@
 
 use crate::error::Error;
 use crate::frame;
+use crate::private;
 
 /// Replaces a file by one with this value. After a crash it has the old or the new value, or is damaged.
 pub fn save_cache(path: &Path, value: &impl Serialize) -> Result<(), Error> {
     let content = postcard::to_stdvec(value).expect("a value of plain fields can be encoded");
     let temporary = path.with_extension("tmp");
     let write = || {
-        let mut file = File::create(&temporary)?;
+        let mut file = private::create(&temporary)?;
         file.write_all(&frame::write(0, 0, &content))?;
         file.sync_data()?;
         fs::rename(&temporary, path)
--- a/crates/disk/src/files.rs
+++ b/crates/disk/src/files.rs
@@ -9,6 +9,7 @@
 use std::path::PathBuf;
 
 use crate::error::Error;
+use crate::private;
 
 /// The file that is locked while the directory is open.
 const LOCK: &str = "lock";
@@ -44,13 +45,13 @@
 }
 
 impl Directory {
-    /// Opens a directory, which is created if needed, and locks it against other processes.
+    /// Opens a directory, which is created if needed, and locks it against other processes. Only the owner may read it and
+    /// its files.
     pub fn open(path: impl AsRef<Path>) -> Result<Directory, Error> {
         let path = path.as_ref().to_owned();
-        fs::create_dir_all(&path).map_err(Error::io(&path.to_string_lossy()))?;
+        private::create_directory(&path).map_err(Error::io(&path.to_string_lossy()))?;
         sync_parent(&path).map_err(Error::io(&path.to_string_lossy()))?;
-        let options = File::options().create(true).append(true).open(path.join(LOCK));
-        let lock = options.map_err(Error::io(LOCK))?;
+        let lock = private::append(&path.join(LOCK)).map_err(Error::io(LOCK))?;
         match lock.try_lock() {
             Ok(()) => Ok(Directory { path, open_file: None, _lock: lock }),
             Err(TryLockError::WouldBlock) => Err(Error::InUse),
@@ -62,7 +63,7 @@
     fn file(&mut self, name: &str) -> io::Result<&mut File> {
         let same = self.open_file.as_ref().is_some_and(|(open, _)| open == name);
         if !same {
-            let file = File::options().create(true).append(true).open(self.path.join(name))?;
+            let file = private::append(&self.path.join(name))?;
             self.open_file = Some((name.to_owned(), file));
         }
         let open = self.open_file.as_mut().map(|(_, file)| file);
--- a/crates/disk/src/lib.rs
+++ b/crates/disk/src/lib.rs
@@ -12,6 +12,7 @@
 mod files;
 mod frame;
 mod identity;
+mod private;
 mod replay;
 mod store;
 
