edge: requests need the API key of a tenant where the plan has tenants

Cause: API keys were not checked, and endpoints got the credentials and whatever a caller wrote in the tenant header. Change: the gate looks the digest of the key up in the plan in force before it reads the body, and refuses with 401 (Unauthorized) if the route is not public and no tenant has the key. A request that waited while a newer plan came is checked again before it is sent. The rank of the tenant replaces that of the route. Endpoints get the tenant's name, and neither the credential nor any spelling of the tenant header. Event 221 names route, cause and version of a 401; responses are counted by tenant and status for at most 1,000 tenants. The body of a request that is refused is read and dropped up to 64 KB, so that the connection is kept. Ruled out: keeping the key in the request, from where it could get into an output; a check only at the beginning of a connection; refusing without reading the body at all, after which the caller may see a reset instead of the 401.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -10,16 +10,25 @@
 use fleet::plan::Kind;
 use fleet::plan::Route;
 use fleet::quarantine::Fingerprint;
+use fleet::tenant::Tenant;
 use hyper::http::request::Parts;
 use tokio::time::Instant;
 
+use crate::identity::Sender;
 use crate::protocol::Request;
 use crate::upload;
 
 /// A caller's request with its route.
 pub(crate) struct Call {
     pub(crate) request: Request,
+    /// The route, with the rank of the tenant.
     pub(crate) route: Route,
+    /// The tenant that sent the request.
+    pub(crate) tenant: Option<Arc<Tenant>>,
+    /// Whether the plan has tenants.
+    pub(crate) checked: bool,
+    /// The version of the plan by which the tenant was determined.
+    pub(crate) version: u64,
     /// The service that was picked from the route's splits.
     pub(crate) service: Name,
     /// Where the stream began, if the request resumes one.
@@ -59,6 +68,15 @@
         })
     }
 
+    /// Returns the sender, as endpoints are told.
+    pub(crate) fn sender(&self) -> Sender {
+        match &self.tenant {
+            Some(tenant) => Sender::Tenant(tenant.name.clone()),
+            None if self.checked => Sender::Anonymous,
+            None => Sender::Unchecked,
+        }
+    }
+
     /// Returns whether an endpoint may run the request.
     pub(crate) fn admits(&self, endpoint: &Endpoint) -> bool {
         endpoint.service == self.service
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -7,6 +7,7 @@
 use base::Event;
 use base::Name;
 use bytes::Bytes;
+use fleet::message::Frame;
 use fleet::message::Outcome;
 use fleet::origin::Origin;
 use fleet::plan::Kind;
@@ -29,6 +30,7 @@
 use crate::call::Call;
 use crate::framing::Framing;
 use crate::gate::Gate;
+use crate::identity;
 use crate::protocol::Dispatch;
 use crate::protocol::Protocol;
 use crate::refusal::Refusal;
@@ -60,6 +62,15 @@
     header::UPGRADE,
 ];
 
+/// Who gets a response, for logs and metrics.
+#[derive(Clone, Debug, Default)]
+struct Caller {
+    /// The caller's id of the request.
+    id: Name,
+    /// The tenant that sent the request, if it is known.
+    tenant: Option<Name>,
+}
+
 impl<P: Protocol> Gate<P> {
     /// Serves a request and returns the response, or a refusal as a response.
     pub(crate) async fn handle(
@@ -68,20 +79,25 @@
     ) -> Response<Body> {
         let received = Instant::now();
         let (parts, body) = request.into_parts();
-        let (id, name, response) = match self.read(parts, body, received).await {
+        let (caller, name, response) = match self.read(parts, body, received).await {
             Ok(call) => {
-                let id = call.request.id.clone();
+                let tenant = call.tenant.as_ref().map(|tenant| tenant.name.clone());
+                let caller = Caller { id: call.request.id.clone(), tenant };
                 let name = call.route.name.clone();
-                (id, name, self.forward_in_time(call).await)
+                (caller, name, self.forward_in_time(call).await)
             }
-            Err((id, refusal)) => (id, Name::default(), Err(refusal)),
+            Err((caller, refusal)) => (caller, Name::default(), Err(refusal)),
         };
-        let mut response = response.unwrap_or_else(|refusal| self.refuse(&id, &refusal, received));
+        let mut response =
+            response.unwrap_or_else(|refusal| self.refuse(&caller, &refusal, received));
         if self.view.is_draining() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         let status = response.status();
         self.metrics.requests.with_label_values(&[&*name, status.as_str()]).inc();
+        if let Some(tenant) = &caller.tenant {
+            self.metrics.count_tenant_request(tenant, status.as_str());
+        }
         self.metrics
             .head_latency
             .with_label_values(&[&*name])
@@ -90,46 +106,62 @@
     }
 
     /// Logs and counts a refusal and builds its response.
-    fn refuse(&self, id: &Name, refusal: &Refusal, received: Instant) -> Response<Body> {
+    fn refuse(&self, caller: &Caller, refusal: &Refusal, received: Instant) -> Response<Body> {
+        let Caller { id, tenant } = caller;
         let ms = received.elapsed().as_millis() as u64;
         let retry_ms = refusal.retry_after.unwrap_or_default().as_millis() as u64;
         base::event!(
-            INFO, Event::Refused, request = %id, code = refusal.code.number(),
+            INFO, Event::Refused, request = %id, tenant = tenant.as_deref(), code = refusal.code.number(),
             reason = refusal.code.name(), retry_ms, ms
         );
         self.metrics.refusals.with_label_values(&[refusal.code.name()]).inc();
         self.protocol.refusal(refusal, id).map(attempt::buffered)
     }
 
-    /// Reads a request with its body and matches its route. An error carries the caller's id of the request.
+    /// Reads a request with its body, matches its route and authenticates its sender. An error names the caller.
     async fn read(
         &self,
         parts: Parts,
         body: Incoming,
         received: Instant,
-    ) -> Result<Call, (Name, Refusal)> {
+    ) -> Result<Call, (Caller, Refusal)> {
         let request =
-            self.protocol.parse_request(&parts).map_err(|refusal| (Name::default(), refusal))?;
-        let id = request.id.clone();
-        let refuse = |code| (id.clone(), Refusal::new(code));
+            self.protocol.parse_request(&parts).map_err(|refusal| (Caller::default(), refusal))?;
+        let mut caller = Caller { id: request.id.clone(), tenant: None };
         let plan_wait = request.deadline.unwrap_or(STARTUP_TIME).mul_f64(PLAN_WAIT_SHARE);
         let table = self.view.await_table(plan_wait).await.ok_or_else(|| {
             let left = STARTUP_TIME.saturating_sub(self.view.now());
-            (id.clone(), Refusal::retryable(Code::NotServing, left.max(DEFAULT_RETRY_AFTER)))
+            let refusal = Refusal::retryable(Code::NotServing, left.max(DEFAULT_RETRY_AFTER));
+            (caller.clone(), refusal)
         })?;
         let route = table.route(&request.host, parts.uri.path());
-        let route = route.ok_or_else(|| refuse(Code::UnknownPath))?.clone();
+        let unknown = || (caller.clone(), Refusal::new(Code::UnknownPath));
+        let mut route = route.ok_or_else(unknown)?.clone();
+        let version = table.plan().version;
+        let tenant = match identity::authenticate(&table, &route, request.credential) {
+            Ok(tenant) => tenant,
+            Err(code) => {
+                identity::log_unauthorized(&caller.id, &route, request.credential, version);
+                upload::discard(&parts.headers, body);
+                return Err((caller, Refusal::new(code)));
+            }
+        };
+        caller.tenant = tenant.as_ref().map(|tenant| tenant.name.clone());
+        if let Some(rank) = tenant.as_ref().and_then(|tenant| tenant.rank) {
+            route.rank = rank;
+        }
         let limits = &table.plan().limits;
         let timeout = request.deadline.map_or(route.timeout, |left| left.min(route.timeout));
         let deadline = received + timeout;
         let reading = upload::read(body, limits.body_bytes, &self.body_memory);
-        let (body, memory) = match tokio::time::timeout_at(deadline, reading).await {
-            Err(_) => return Err(refuse(Code::DeadlineExceeded)),
-            Ok(Err(Code::BodyMemory)) => {
-                return Err((id, Refusal::retryable(Code::BodyMemory, DEFAULT_RETRY_AFTER)));
+        let read = tokio::time::timeout_at(deadline, reading).await;
+        let (body, memory) = match read.unwrap_or(Err(Code::DeadlineExceeded)) {
+            Ok(read) => read,
+            Err(Code::BodyMemory) => {
+                let refusal = Refusal::retryable(Code::BodyMemory, DEFAULT_RETRY_AFTER);
+                return Err((caller, refusal));
             }
-            Ok(Err(code)) => return Err(refuse(code)),
-            Ok(Ok(read)) => read,
+            Err(code) => return Err((caller, Refusal::new(code))),
         };
         let service = route.select_service(rand::random()).clone();
         self.budget.lock().record_request(&service, self.view.now());
@@ -138,6 +170,9 @@
         Ok(Call {
             request,
             route,
+            tenant,
+            checked: table.has_tenants(),
+            version,
             service,
             origin: None,
             fingerprint: Arc::new(fingerprint),
@@ -181,6 +216,12 @@
                 Ok(target) => target,
                 Err(refusal) => return last.unwrap_or(Err(refusal)),
             };
+            if let Err(refusal) = self.reauthenticate(&mut call) {
+                if let Some(query) = &target.query {
+                    self.keepers.send(Frame::Withdraw(query.request));
+                }
+                return last.unwrap_or(Err(refusal));
+            }
             let retry = attempts > 0;
             if retry && !self.try_retry(&call.service) {
                 return last
@@ -380,6 +421,7 @@
             left,
             version: target.version,
             urgency: target.urgency,
+            sender: call.sender(),
         };
         self.protocol.set_headers(headers, &dispatch);
         request
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,6 +4,7 @@
 //! Dependencies between the modules go one way: `serve` → `forward` → `target`, `send`, `relay` → `choose`, `keepers`,
 //! `pool` → `view`. Lock order: at most one lock of the view is held at a time.
 
+pub mod identity;
 pub mod protocol;
 pub mod settings;
 
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,14 +1,31 @@
 //! The metrics of a gate.
 
+use std::sync::Arc;
+
+use base::Name;
+use base::Set;
 use meter::Meter;
+use parking_lot::Mutex;
 use prometheus::HistogramVec;
 use prometheus::IntCounterVec;
 
+/// The limit on the tenants with metrics of their own. A gate that serves 1,000 tenants with ten statuses has 10,000 series
+/// of some 200 bytes.
+const MAX_TENANTS: usize = 1_000;
+/// Stands for the tenants beyond [`MAX_TENANTS`].
+const OTHER_TENANTS: &str = "(other)";
+
 /// The metrics of a gate.
 #[derive(Clone, Debug)]
 pub(crate) struct Metrics {
     /// The responses sent to callers, by route and status.
     pub(crate) requests: IntCounterVec,
+    /// The responses sent to tenants, by tenant and status.
+    tenant_requests: IntCounterVec,
+    /// The tenants with metrics of their own.
+    ///
+    /// Invariant: at most [`MAX_TENANTS`].
+    tenants: Arc<Mutex<Set<Name>>>,
     /// The time from a request to the head of its response, by route.
     pub(crate) head_latency: HistogramVec,
     /// The refusals, by result code.
@@ -33,6 +50,12 @@
                 "Requests answered.",
                 &["route", "status"],
             ),
+            tenant_requests: meter.counters(
+                "gate_tenant_requests_total",
+                "Requests of tenants answered.",
+                &["tenant", "status"],
+            ),
+            tenants: Arc::default(),
             head_latency: meter.histograms(
                 "gate_head_seconds",
                 "Time to the head of an answer.",
@@ -62,4 +85,13 @@
             ),
         }
     }
+
+    /// Counts a response to a tenant.
+    pub(crate) fn count_tenant_request(&self, tenant: &Name, status: &str) {
+        let mut tenants = self.tenants.lock();
+        let known = tenants.contains(tenant)
+            || (tenants.len() < MAX_TENANTS && tenants.insert(tenant.clone()));
+        let label = if known { tenant } else { OTHER_TENANTS };
+        self.tenant_requests.with_label_values(&[label, status]).inc();
+    }
 }
--- a/crates/edge/src/protocol.rs
+++ b/crates/edge/src/protocol.rs
@@ -12,6 +12,8 @@
 use hyper::http::response;
 use limit::Notice;
 
+use crate::identity::Credential;
+use crate::identity::Sender;
 use crate::refusal::Refusal;
 
 /// The content of a request head.
@@ -36,6 +38,8 @@
     /// The caller's id of the attempt that began a stream, if the request resumes one; empty if the caller does
     /// not state it.
     pub resumes: Option<Name>,
+    /// What proves which tenant sent the request.
+    pub credential: Credential,
 }
 
 /// The instructions that are sent to an endpoint with a request.
@@ -49,6 +53,8 @@
     pub version: Option<u64>,
     /// The urgency at the engine, from 0 (most urgent) to 9.
     pub urgency: Option<u8>,
+    /// Who sent the request.
+    pub sender: Sender,
 }
 
 /// The content of a response head.
@@ -81,7 +87,8 @@
     /// Parses a request head.
     fn parse_request(&self, head: &request::Parts) -> Result<Request, Refusal>;
 
-    /// Sets the headers for an endpoint and removes those that a caller must not send to it.
+    /// Sets the headers for an endpoint and removes those that a caller must not send to it: where the plan has tenants,
+    /// the credential and the names of tenants too.
     fn set_headers(&self, headers: &mut HeaderMap, dispatch: &Dispatch);
 
     /// Parses the response head for the request `id`.
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -230,7 +230,8 @@
             Decision::Grant(grant) => {
                 base::event!(
                     INFO, Event::Routed, request = %call.request.id, endpoint = %grant.endpoint.id,
-                    build = %grant.endpoint.build, resumes = call.request.resumes.as_deref(),
+                    build = %grant.endpoint.build, tenant = call.tenant.as_ref().map(|tenant| &*tenant.name),
+                    resumes = call.request.resumes.as_deref(),
                     adapter = %query.adapter, parts = format_parts(query.parts.iter().map(|(id, _)| *id)), urgency = grant.urgency, target_ms = query.target_ms,
                     waited_ms = waited.as_millis() as u64
                 );
--- a/crates/edge/src/upload.rs
+++ b/crates/edge/src/upload.rs
@@ -4,13 +4,21 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use base::Code;
 use bytes::Bytes;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
+use hyper::HeaderMap;
 use hyper::body::Body as _;
 use hyper::body::Incoming;
+use hyper::header;
+
+/// The largest body of a refused request that is read, in bytes.
+const MAX_DISCARDED_BYTES: usize = 64 << 10;
+/// The timeout for reading it.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The memory for the bodies of the requests in progress.
 #[derive(Debug)]
@@ -100,3 +108,23 @@
     }
     if fits { Ok((buffer.freeze(), reservation)) } else { Err(Code::BodyMemory) }
 }
+
+/// Reads and drops the body of a request that is refused meanwhile. Otherwise the connection would be closed with unread
+/// bytes, and the caller might not see the refusal. A large or slow body, and one that waits for `100 Continue`, is not read.
+pub(crate) fn discard(headers: &HeaderMap, mut body: Incoming) {
+    let expected = body.size_hint().lower();
+    let large = usize::try_from(expected).map_or(true, |length| length > MAX_DISCARDED_BYTES);
+    if body.is_end_stream() || large || headers.contains_key(header::EXPECT) {
+        return;
+    }
+    let reading = async move {
+        let mut left = MAX_DISCARDED_BYTES;
+        while let Some(Ok(frame)) = body.frame().await {
+            left = left.saturating_sub(frame.data_ref().map_or(0, Bytes::len));
+            if left == 0 {
+                return;
+            }
+        }
+    };
+    tokio::spawn(tokio::time::timeout(DISCARD_TIMEOUT, reading));
+}
--- a/crates/fleet/src/routing.rs
+++ b/crates/fleet/src/routing.rs
@@ -1,17 +1,23 @@
 //! The routing table.
 
+use std::sync::Arc;
+
 use base::Map;
 use base::Name;
 
 use crate::plan::Plan;
 use crate::plan::Route;
+use crate::tenant::Digest;
+use crate::tenant::Tenant;
 
-/// A plan with an index of its routes by host.
+/// A plan with indices of its routes by host and of its tenants by key.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     plan: Plan,
     /// The indices of the plan's routes by host, the longest prefix first.
     hosts: Map<Name, Vec<usize>>,
+    /// The tenants by the digests of their keys.
+    tenants: Map<Digest, Arc<Tenant>>,
 }
 
 impl Table {
@@ -24,7 +30,12 @@
         for indices in hosts.values_mut() {
             indices.sort_by_key(|at| std::cmp::Reverse(plan.routes[*at].prefix.len()));
         }
-        Table { plan, hosts }
+        let mut tenants = Map::default();
+        for tenant in &plan.tenants {
+            let tenant = Arc::new(tenant.clone());
+            tenants.extend(tenant.keys.iter().map(|key| (*key, tenant.clone())));
+        }
+        Table { plan, hosts, tenants }
     }
 
     /// Returns the plan.
@@ -38,4 +49,14 @@
         let mut routes = indices.iter().map(|at| &self.plan.routes[*at]);
         routes.find(|route| path.starts_with(&*route.prefix))
     }
+
+    /// Returns the tenant with a key; `None` if no tenant has it.
+    pub fn tenant(&self, key: &Digest) -> Option<&Arc<Tenant>> {
+        self.tenants.get(key)
+    }
+
+    /// Returns whether requests need keys, unless their routes are public.
+    pub fn has_tenants(&self) -> bool {
+        !self.plan.tenants.is_empty()
+    }
 }
