--- a/crates/cell/tests/state.rs
+++ b/crates/cell/tests/state.rs
@@ -1,15 +1,23 @@
 //! The replicated state and its snapshots.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use base::Name;
+use bytes::Bytes;
 use cell::departed::MAX_DEPARTED;
 use cell::state::Command;
 use cell::state::State;
 use fleet::endpoint::Incarnation;
+use fleet::extension::Extension;
+use fleet::message::Call;
+use fleet::message::Frame;
 use fleet::message::Version;
+use fleet::plan::Plan;
 use fleet::quarantine::Subject;
 use fleet::revision::Revision;
+use fleet::tenant::Digest;
+use fleet::tenant::Tenant;
 
 /// The layout of snapshots before there was a quarantine: plan, document and versions.
 type Former = (Option<()>, Option<Vec<u8>>, BTreeMap<(Name, Name), u64>);
@@ -100,3 +108,54 @@
     assert_eq!(state.level(), Revision::UNNAMED);
     assert!(state.departed().is_empty());
 }
+
+fn plan(version: u64, names: &[&str]) -> Arc<Plan> {
+    let tenant = |name: &&str| Tenant {
+        name: Name::from(*name),
+        keys: vec![Digest::of(name.as_bytes())],
+        rank: Some(1),
+        quota: None,
+    };
+    Arc::new(Plan { version, tenants: names.iter().map(tenant).collect(), ..Plan::default() })
+}
+
+fn publish(plan: &Arc<Plan>) -> Command {
+    let extension = Arc::new(Extension::of(plan));
+    Command::PublishExtended { plan: plan.clone(), extension, document: Bytes::new() }
+}
+
+// Guards against a snapshot after which requests need no keys.
+#[test]
+fn a_snapshot_keeps_the_tenants() {
+    let plan = plan(1, &["blue", "red"]);
+    let mut state = State::default();
+    assert!(state.apply(publish(&plan)));
+    let snapshot = postcard::to_stdvec(&state).expect("encoded");
+    let restored = State::decode(&snapshot).expect("a snapshot");
+    let frame = restored.plan_frame(Revision::CURRENT);
+    let Some(Frame::ExtendedPlan(decoded, extension)) = frame else { panic!("{frame:?}") };
+    assert_eq!((decoded, extension.tenants.clone()), (plan.clone(), plan.tenants.clone()));
+    // The extension is the last field: a snapshot that was cut off inside it is no plan without tenants.
+    assert!(State::decode(&snapshot[..snapshot.len() - 1]).is_err());
+}
+
+// Guards against a node of a former release that serves a plan with tenants without checking their keys.
+#[test]
+fn a_former_revision_gets_no_plan_with_tenants() {
+    for former in [Revision::UNNAMED, Revision::DEPARTURES] {
+        let mut state = State::default();
+        state.apply(publish(&plan(1, &[])));
+        assert!(matches!(state.plan_frame(former), Some(Frame::Plan(_))));
+        state.apply(publish(&plan(2, &["blue"])));
+        assert!(state.plan_frame(former).is_none());
+        let call = |names| {
+            let plan = plan(3, names);
+            let extension = Arc::new(Extension::of(&plan));
+            let call = Call::PublishExtended { plan, extension, document: Bytes::new() };
+            call.for_revision(former)
+        };
+        assert!(call(&["blue"]).is_none());
+        assert!(matches!(call(&[]), Some(Call::Publish { .. })));
+    }
+    assert_eq!(publish(&plan(1, &["blue"])).level(), Revision::TENANTS);
+}
