sched: a late order for an old version is not taken for one for the new version

Cause: a report that lists an adapter as being loaded was compared by name only. A late order for version 1, carried out after version 2 was queued, was taken for the load of version 2. The next check for its end ordered version 2, which the engine accepts as a new order, while version 1 held its slot.

Change: the slot takes over the version that the engine reports as being loaded. When that load has ended, the version is found to be outdated and is unloaded before the new one is ordered.

Ruled out: unloading during the load (engines refuse that until it has ended).

Test: a_late_order_for_an_old_version_is_not_taken_for_the_new_version plays seeds 194677, 18455, 38736, 40324, 40999 and 59255; red without the change, passes with it. The random test calls the same function; prop_assert became assert, which proptest treats alike.

--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -432,6 +432,12 @@
         for (name, version) in &report.loading {
             let slot =
                 engine.adapter_slots.get_or_insert_with(name, || Slot::queued(*version, now));
+            if slot.is_loading() {
+                // The engine may carry out a late order for another version than the queued one.
+                // The load of that version must end, and its slot be freed, before the other one is
+                // ordered, since together they need two slots.
+                slot.version = *version;
+            }
             if slot.stage == Stage::Queued {
                 slot.stage = Stage::Loading { since: now, poll_at: now + LOAD_POLL_INTERVAL };
                 slot.uses_store = true;
--- a/crates/sched/tests/orders.rs
+++ b/crates/sched/tests/orders.rs
@@ -12,7 +12,6 @@
 use fleet::message::Running;
 use fleet::message::Version;
 use proptest::prelude::ProptestConfig;
-use proptest::prop_assert;
 use proptest::proptest;
 use sched::Scheduler;
 use sched::action::Operation;
@@ -232,48 +231,68 @@
     cell.check_adapter_slots();
 }
 
+/// The seeds of [`run_random_load`] on which a late order for an adapter's old version was taken for
+/// one for the new version, which was then ordered while the old one held a slot.
+const SEEDS_WITH_LATE_ORDERS: [u64; 6] = [194_677, 18_455, 38_736, 40_324, 40_999, 59_255];
+
+#[test]
+fn a_late_order_for_an_old_version_is_not_taken_for_the_new_version() {
+    SEEDS_WITH_LATE_ORDERS.into_iter().for_each(run_random_load);
+}
+
+#[test]
+#[ignore = "takes half a minute; run by hand after a change of orders"]
+fn adapter_slots_are_never_exceeded_on_the_first_60_000_seeds() {
+    (0..60_000).for_each(run_random_load);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
 
-    /// Random requests for many adapters on few engines, with lost and delayed orders, lost
-    /// answers, new versions and requests that end in any order.
     #[test]
     fn adapter_slots_are_never_exceeded(seed in 0_u64..1_000_000) {
-        let mut cell = Cell::new(2);
-        let mut state = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1;
-        let mut random = move |below: u64| {
-            state ^= state << 13;
-            state ^= state >> 7;
-            state ^= state << 17;
-            state % below
-        };
-        let mut running: Vec<(u64, String)> = Vec::new();
-        let mut versions = 1;
-        for _ in 0..150 {
-            match random(10) {
-                0..=4 => {
-                    let adapter = format!("a{}", random(12));
-                    let request = cell.submit(&adapter);
-                    running.push((request, adapter));
-                }
-                5 | 6 if !running.is_empty() => {
-                    let (request, _) = running.swap_remove(random(running.len() as u64) as usize);
-                    cell.end_at_gate(request, Outcome::Done);
-                }
-                7 => {
-                    cell.order_faults.push(Fault::Delayed(MS(random(4_000))));
-                }
-                8 => cell.order_faults.push(Fault::AnswerLost),
-                9 if random(4) == 0 => {
-                    versions += 1;
-                    cell.scheduler.set_version(&version(&format!("a{}", random(12)), versions));
-                }
-                _ => {}
+        run_random_load(seed);
+    }
+}
+
+/// Runs random requests for many adapters on two engines, with lost and delayed orders, lost
+/// answers, new versions and requests that end in any order. Checks the adapter slots in use.
+fn run_random_load(seed: u64) {
+    let mut cell = Cell::new(2);
+    let mut state = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1;
+    let mut random = move |below: u64| {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        state % below
+    };
+    let mut running: Vec<(u64, String)> = Vec::new();
+    let mut versions = 1;
+    for _ in 0..150 {
+        match random(10) {
+            0..=4 => {
+                let adapter = format!("a{}", random(12));
+                let request = cell.submit(&adapter);
+                running.push((request, adapter));
             }
-            cell.advance(random(120));
-            for engine in cell.engines.values() {
-                prop_assert!(engine.max_used_slots <= common::ADAPTER_SLOTS as usize);
+            5 | 6 if !running.is_empty() => {
+                let (request, _) = running.swap_remove(random(running.len() as u64) as usize);
+                cell.end_at_gate(request, Outcome::Done);
             }
+            7 => {
+                cell.order_faults.push(Fault::Delayed(MS(random(4_000))));
+            }
+            8 => cell.order_faults.push(Fault::AnswerLost),
+            9 if random(4) == 0 => {
+                versions += 1;
+                cell.scheduler.set_version(&version(&format!("a{}", random(12)), versions));
+            }
+            _ => {}
+        }
+        cell.advance(random(120));
+        for engine in cell.engines.values() {
+            let used = engine.max_used_slots;
+            assert!(used <= common::ADAPTER_SLOTS as usize, "seed {seed}: {used} adapters");
         }
     }
 }
