edge, sched: queries carry the gap of their route, gates report pauses, and the load of endpoints has four figures

Cause: the scheduler can't weigh the pauses of streams, since it knows neither the longest pause that a route tolerates nor the pauses that streams have; of the load that endpoints state, two of four figures are read. It measures the longest pause between the events of such a stream, without the time in which the caller does not read, and reports it before the end. The load of a response head is a fleet::message::Load. If an engine states the pace of its host, Frame::BeganLoaded carries it to the leader in place of Frame::Began, so that no message is added. The scheduler keeps tenant, gap, pause and pace; decisions do not change yet (sched/tests/golden.rs). Ruled out: pauses from the arrival of the previous event, which would count the slowness of callers. Measured: tests of fleet, edge and sched, platform/tests/headers.rs and streams.rs pass.

--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -262,11 +262,25 @@
             Frame::Ask(query) => {
                 scheduler.submit(link_id, &domain.unwrap_or_default(), *query, now);
             }
+            Frame::Submit(submission) => {
+                scheduler.submit(link_id, &domain.unwrap_or_default(), *submission, now);
+            }
             Frame::Withdraw(request) => scheduler.cancel(link_id, request, now),
             Frame::Began { request, after_ms } => {
                 let after = Duration::from_millis(u64::from(after_ms));
                 scheduler.request_began(link_id, request, after, now);
             }
+            Frame::BeganLoaded { request, after_ms, load } => {
+                let after = Duration::from_millis(u64::from(after_ms));
+                if let Some(pace) = load.pace {
+                    scheduler.record_pace(link_id, request, pace, now);
+                }
+                scheduler.request_began(link_id, request, after, now);
+            }
+            Frame::Paused { request, longest_ms } => {
+                let longest = Duration::from_millis(u64::from(longest_ms));
+                scheduler.request_paused(link_id, request, longest);
+            }
             Frame::Ended(ended) => {
                 scheduler.request_ended(link_id, ended.request, ended.outcome, now);
             }
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -313,6 +313,9 @@
             &call.fingerprint,
             call.deadline,
         );
+        if call.route.gap.is_some() {
+            tracker.measure_pauses();
+        }
         let request = self.build_request(call, &target);
         let sent = send::send(&self.pool, &self.view, endpoint, request).await;
         let attempt = match sent {
--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -19,6 +19,7 @@
 use fleet::message::Hello;
 use fleet::message::Query;
 use fleet::message::Running;
+use fleet::message::Submission;
 use fleet::message::Welcome;
 use fleet::origin::Origin;
 use fleet::plan::Plan;
@@ -396,12 +397,16 @@
     }
 
     /// Queries the leader's scheduler for the engine of a request.
-    pub(crate) async fn schedule(self: &Arc<Keepers>, query: Query, timeout: Duration) -> Decision {
-        let request = query.request;
+    pub(crate) async fn schedule(
+        self: &Arc<Keepers>,
+        submission: Submission,
+        timeout: Duration,
+    ) -> Decision {
+        let request = submission.query.request;
         let (reply, decision) = oneshot::channel();
         self.pending.lock().insert(request, reply);
         let guard = Withdrawal { keepers: self.clone(), request };
-        if !self.send(Frame::Ask(Box::new(query))) {
+        if !self.submit(submission) {
             return Decision::NoLeader;
         }
         let decision = tokio::time::timeout(timeout, decision).await;
@@ -412,6 +417,19 @@
         }
     }
 
+    /// Sends a query to the leader; returns false if that is not possible. A leader of an earlier release gets the query
+    /// alone.
+    fn submit(&self, submission: Submission) -> bool {
+        let leader = self.leader.lock();
+        let Some(leader) = leader.as_ref() else { return false };
+        let extended = submission.tenant.is_some() || submission.gap_ms > 0;
+        if extended && leader.revision >= Revision::TENANTS {
+            leader.link.send(Frame::Submit(Box::new(submission)))
+        } else {
+            leader.link.send(Frame::Ask(Box::new(submission.query)))
+        }
+    }
+
     /// Records that a request is sent to the engine that the scheduler granted.
     pub(crate) fn track(&self, query: &Query, endpoint: &Name) {
         let running = Running {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
 use sse::Scanner;
+use tokio::time::Instant;
 use tokio::time::Sleep;
 
 use crate::attempt::Exchange;
@@ -121,6 +122,9 @@
         }
         let frame = match Pin::new(&mut self.source.body).poll_frame(context) {
             Poll::Pending => {
+                if let Some(pauses) = self.tracker.pauses() {
+                    pauses.wait(Instant::now());
+                }
                 if self.deadline.as_mut().poll(context).is_ready() {
                     return Poll::Ready(Some(Err(self.fail("the deadline has passed"))));
                 }
@@ -135,6 +139,11 @@
                     self.bytes += data.len() as u64;
                     self.source.scan(data);
                 }
+                if let Some(pauses) = self.tracker.pauses()
+                    && let Some(scanner) = &self.source.events
+                {
+                    pauses.record(scanner.events(), Instant::now());
+                }
                 if self.source.body.is_end_stream() {
                     // Without its last frame the response does not look complete.
                     if let Err(error) = self.end() {
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -9,6 +9,7 @@
 use fleet::endpoint::Endpoint;
 use fleet::message::Frame;
 use fleet::message::Query;
+use fleet::message::Submission;
 use fleet::quarantine::format_parts;
 use tokio::time::Instant;
 
@@ -277,7 +278,13 @@
     ) -> (Query, Decision) {
         let query = self.build_query(call, model, excluded);
         let timeout = call.route.target.mul_f64(SCHEDULER_QUEUE_SHARE) + SCHEDULER_REPLY_MARGIN;
-        let decision = self.keepers.schedule(query.clone(), timeout).await;
+        let gap = call.route.gap.unwrap_or_default();
+        let submission = Submission {
+            query: query.clone(),
+            tenant: None,
+            gap_ms: u32::try_from(gap.as_millis()).unwrap_or(u32::MAX),
+        };
+        let decision = self.keepers.schedule(submission, timeout).await;
         (query, decision)
     }
 
--- a/crates/edge/src/tracker.rs
+++ b/crates/edge/src/tracker.rs
@@ -8,6 +8,7 @@
 use fleet::endpoint::Endpoint;
 use fleet::message::Ended;
 use fleet::message::Frame;
+use fleet::message::Load;
 use fleet::message::Outcome;
 use fleet::origin::Origin;
 use fleet::quarantine::Fingerprint;
@@ -16,6 +17,7 @@
 
 use crate::framing::Framing;
 use crate::keepers::Keepers;
+use crate::pauses::Pauses;
 use crate::runs::Run;
 use crate::view::View;
 
@@ -42,6 +44,10 @@
     ending: Ending,
     /// Whether the endpoint has asked for a pause. Its refusal does not count as a failure then.
     paused: bool,
+    /// The load that the endpoint stated in its response.
+    load: Option<Load>,
+    /// The pauses between the events of the response, if they are measured.
+    pauses: Option<Pauses>,
 }
 
 /// How a request ended at its endpoint.
@@ -83,6 +89,8 @@
             outcome: Outcome::Cancelled,
             ending: Ending::Abandoned,
             paused: false,
+            load: None,
+            pauses: None,
         }
     }
 
@@ -97,7 +105,11 @@
         }
         if let Some(request) = self.scheduled {
             let after_ms = self.sent.elapsed().as_millis() as u32;
-            self.keepers.send(Frame::Began { request, after_ms });
+            let paced = self.load.filter(|load| load.pace.is_some());
+            let paced = paced.map(|load| Frame::BeganLoaded { request, after_ms, load });
+            if !paced.is_some_and(|frame| self.keepers.send(frame)) {
+                self.keepers.send(Frame::Began { request, after_ms });
+            }
         }
     }
 
@@ -133,14 +145,25 @@
         };
     }
 
-    /// Records the number of requests that the endpoint reported.
-    pub(crate) fn record_load(&self, requests: u32) {
+    /// Records the load that the endpoint stated in its response.
+    pub(crate) fn record_load(&mut self, load: Load) {
+        self.load = Some(load);
         let now = self.view.now();
         if let Some(stats) = self.view.stats.lock().get_mut(&self.endpoint.id) {
-            stats.reported = Some((requests, now));
+            stats.reported = Some((load.requests(), now));
         }
     }
 
+    /// Starts to measure the pauses between the events of the response.
+    pub(crate) fn measure_pauses(&mut self) {
+        self.pauses = Some(Pauses::default());
+    }
+
+    /// Returns the pauses of the response, if they are measured.
+    pub(crate) fn pauses(&mut self) -> Option<&mut Pauses> {
+        self.pauses.as_mut()
+    }
+
     /// Reports that the end of the request at its endpoint is unknown. The gate stopped waiting for it at `ended`, and the
     /// endpoint may have run it until `until`.
     fn report_run(&self, ended: Duration, until: Duration) {
@@ -193,6 +216,10 @@
             }
         }
         if let Some(request) = self.scheduled {
+            if let Some(longest) = self.pauses.as_ref().and_then(Pauses::longest) {
+                let longest_ms = u32::try_from(longest.as_millis()).unwrap_or(u32::MAX);
+                self.keepers.send(Frame::Paused { request, longest_ms });
+            }
             self.keepers.report_end(Ended { request, outcome: self.outcome });
         }
         match self.ending {
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -204,6 +204,16 @@
         /// The load that the endpoint reported with the response, if it did.
         load: Option<Load>,
     },
+    /// The first event of a response arrived from an engine that states the pace of its host. Replaces [`Frame::Began`]
+    /// for leaders that know it.
+    BeganLoaded {
+        /// The gate's number for the request.
+        request: u64,
+        /// The time from sending the request to the first event, in ms.
+        after_ms: u32,
+        /// The load that the engine stated in the response.
+        load: Load,
+    },
 }
 
 impl Frame {
@@ -222,7 +232,8 @@
             | Frame::Ledger(_)
             | Frame::Place(_)
             | Frame::Placed { .. }
-            | Frame::PlacedEnded { .. } => Revision::TENANTS,
+            | Frame::PlacedEnded { .. }
+            | Frame::BeganLoaded { .. } => Revision::TENANTS,
             _ => Revision::UNNAMED,
         }
     }
@@ -403,6 +414,13 @@
     pub gap_ms: u32,
 }
 
+impl From<Query> for Submission {
+    /// Returns a submission without a tenant and without a bound on pauses.
+    fn from(query: Query) -> Submission {
+        Submission { query, tenant: None, gap_ms: 0 }
+    }
+}
+
 /// The units of a tenant's quota that were used in a part of the window.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Spending {
@@ -446,6 +464,13 @@
     pub pace: Option<u32>,
 }
 
+impl Load {
+    /// Returns the number of requests at the endpoint.
+    pub fn requests(&self) -> u32 {
+        self.running.saturating_add(self.queued)
+    }
+}
+
 /// The engine for a request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Grant {
--- a/crates/sched/src/engine.rs
+++ b/crates/sched/src/engine.rs
@@ -44,6 +44,9 @@
     /// Admits requests at the rate that the engine has named, if it has.
     pub(crate) limit: Option<Bucket>,
     pub(crate) prefill_speed: Prefill,
+    /// How long work takes on the engine's host, in percent of the usual time, and when the engine stated that.
+    #[allow(dead_code, reason = "read once speeds are learned from it")]
+    pub(crate) host_pace: Option<(u32, Duration)>,
     pub(crate) health: Health,
     pub(crate) prefix_cache: Cache,
     pub(crate) order_state: OrderState,
@@ -145,6 +148,7 @@
             full_until: Duration::ZERO,
             limit: None,
             prefill_speed: Prefill::new(settings.prefill_tokens_per_ms),
+            host_pace: None,
             health: Health::default(),
             prefix_cache: Cache::default(),
             order_state: OrderState::Unknown { min_sequence: 0, inspect_at: now },
--- a/crates/sched/src/request.rs
+++ b/crates/sched/src/request.rs
@@ -22,6 +22,15 @@
     pub(crate) kv_tokens: u64,
     /// The estimated output length.
     pub(crate) output_tokens: u32,
+    /// The tenant, if the plan has tenants.
+    #[allow(dead_code, reason = "read once requests are ordered by tenants")]
+    pub(crate) tenant: Option<Name>,
+    /// The longest pause between two events with which the stream is on time, in ms; 0 if there is no such bound.
+    #[allow(dead_code, reason = "read once placement weighs pauses")]
+    pub(crate) gap_ms: u32,
+    /// The longest pause between two events that the gate reported.
+    #[allow(dead_code, reason = "read once pauses are learned")]
+    pub(crate) longest_pause: Option<Duration>,
     /// The engine's prefill backlog when the request was granted, its own tokens included.
     pub(crate) queued_prefill_tokens: f64,
     /// The urgency at the engine, from 0 (most urgent) to 9.
@@ -62,6 +71,10 @@
     /// The failure domain of the gate.
     pub(crate) domain: Name,
     pub(crate) query: Query,
+    /// The tenant, if the plan has tenants.
+    pub(crate) tenant: Option<Name>,
+    /// The longest pause between two events with which the stream is on time, in ms; 0 if there is no such bound.
+    pub(crate) gap_ms: u32,
     pub(crate) prefixes: Prefixes,
     pub(crate) received_at: Duration,
     /// When the first attempt was received; earlier than `received_at` for a retry.
--- a/crates/sched/src/scheduler/admission.rs
+++ b/crates/sched/src/scheduler/admission.rs
@@ -9,6 +9,7 @@
 use fleet::message::Grant;
 use fleet::message::Query;
 use fleet::message::Running;
+use fleet::message::Submission;
 
 use crate::action::Action;
 use crate::action::Reason;
@@ -25,7 +26,14 @@
 impl Scheduler {
     /// Schedules a new request of a gate in the failure domain `domain`: grants it, queues it or
     /// refuses it.
-    pub fn submit(&mut self, gate: u64, domain: &Name, query: Query, now: Duration) {
+    pub fn submit(
+        &mut self,
+        gate: u64,
+        domain: &Name,
+        submission: impl Into<Submission>,
+        now: Duration,
+    ) {
+        let Submission { query, tenant, gap_ms } = submission.into();
         if self.popularity.record(&query.adapter, now) {
             self.engines.mark_all_changed();
         }
@@ -38,6 +46,8 @@
             domain: domain.clone(),
             prefixes: Prefixes::new(&query.adapter, &query.parts),
             query,
+            tenant,
+            gap_ms,
             received_at: now,
             first_received_at,
             awaited_engine: None,
@@ -88,6 +98,9 @@
                 prefill_tokens: 0.0,
                 kv_tokens: u64::from(request.tokens),
                 output_tokens: 0,
+                tenant: None,
+                gap_ms: 0,
+                longest_pause: None,
                 queued_prefill_tokens: 0.0,
                 urgency: URGENCY_ON_TIME,
                 phase: Phase::Started(now),
--- a/crates/sched/src/scheduler/completion.rs
+++ b/crates/sched/src/scheduler/completion.rs
@@ -20,6 +20,14 @@
 const FULL_BACKOFF: Duration = Duration::from_millis(100);
 
 impl Scheduler {
+    /// Records how long work takes on the host of a request's engine at the moment, in percent of the usual time.
+    pub fn record_pace(&mut self, gate: u64, request: u64, pace: u32, now: Duration) {
+        let Some(assignment) = self.assignments.get(&(gate, request)) else { return };
+        if let Some(engine) = self.engines.get_mut(&assignment.engine) {
+            engine.host_pace = Some((pace, now));
+        }
+    }
+
     /// Records the first event of a request, `after` it was sent to its engine.
     pub fn request_began(&mut self, gate: u64, request: u64, after: Duration, now: Duration) {
         let Some(assignment) = self.assignments.get_mut(&(gate, request)) else { return };
@@ -39,6 +47,13 @@
         self.dirty = true;
     }
 
+    /// Records the longest pause between two events of a request.
+    pub fn request_paused(&mut self, gate: u64, request: u64, longest: Duration) {
+        if let Some(assignment) = self.assignments.get_mut(&(gate, request)) {
+            assignment.longest_pause = Some(longest);
+        }
+    }
+
     /// Records the end of a request.
     pub fn request_ended(&mut self, gate: u64, request: u64, outcome: Outcome, now: Duration) {
         let Some(assignment) = self.release((gate, request), now) else { return };
