--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -231,7 +231,8 @@
             Decision::Grant(grant) => {
                 base::event!(
                     INFO, Event::Routed, request = %call.request.id, endpoint = %grant.endpoint.id,
-                    build = %grant.endpoint.build, resumes = call.request.resumes.as_deref(),
+                    build = %grant.endpoint.build, tenant = call.tenant.as_ref().map(|tenant| &*tenant.name),
+                    resumes = call.request.resumes.as_deref(),
                     adapter = %query.adapter, parts = format_parts(query.parts.iter().map(|(id, _)| *id)), urgency = grant.urgency, target_ms = query.target_ms,
                     waited_ms = waited.as_millis() as u64
                 );
@@ -281,7 +282,7 @@
         let gap = call.route.gap.unwrap_or_default();
         let submission = Submission {
             query: query.clone(),
-            tenant: None,
+            tenant: call.tenant.as_ref().map(|tenant| tenant.name.clone()),
             gap_ms: u32::try_from(gap.as_millis()).unwrap_or(u32::MAX),
         };
         let decision = self.keepers.schedule(submission, timeout).await;
