link: a link tells whether its peer fell silent

Cause: a keeper must tell a gate that has ended from one that is cut off and may go on. The process of the former closes its connections.

Change: Link::is_silent after a read timeout.

--- a/crates/link/src/link.rs
+++ b/crates/link/src/link.rs
@@ -1,6 +1,9 @@
 //! A connection that carries frames.
 
 use std::io;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -50,11 +53,12 @@
 pub struct Link<T> {
     queue: mpsc::Sender<Outgoing<T>>,
     closed: CancellationToken,
+    silent: Arc<AtomicBool>,
 }
 
 impl<T> Clone for Link<T> {
     fn clone(&self) -> Link<T> {
-        Link { queue: self.queue.clone(), closed: self.closed.clone() }
+        Link { queue: self.queue.clone(), closed: self.closed.clone(), silent: self.silent.clone() }
     }
 }
 
@@ -65,6 +69,12 @@
         self.enqueue(Outgoing::Frame(frame))
     }
 
+    /// Returns whether the link was closed because nothing arrived from the peer, which may still run. A process that ends
+    /// closes its connections.
+    pub fn is_silent(&self) -> bool {
+        self.silent.load(Ordering::Relaxed)
+    }
+
     fn enqueue(&self, frame: Outgoing<T>) -> bool {
         let sent = self.queue.try_send(frame).is_ok();
         if !sent {
@@ -172,8 +182,14 @@
     let (queue, frames) = mpsc::channel(SEND_QUEUE_FRAMES);
     let (sender, inbox) = mpsc::channel(RECEIVE_QUEUE_FRAMES);
     let closed = CancellationToken::new();
-    let link = Link { queue, closed: closed.clone() };
-    tokio::spawn(run_half(closed.clone(), read_frames(read, received, sender)));
+    let silent = Arc::new(AtomicBool::new(false));
+    let link = Link { queue, closed: closed.clone(), silent: silent.clone() };
+    tokio::spawn(run_half(closed.clone(), async move {
+        let read = read_frames(read, received, sender).await;
+        let timed_out = |error: &io::Error| error.kind() == io::ErrorKind::TimedOut;
+        silent.store(read.as_ref().is_err_and(timed_out), Ordering::Relaxed);
+        read
+    }));
     tokio::spawn(run_half(closed, write_frames(write, frames, ping)));
     (link, Inbox(inbox))
 }
