cell: the leader keeps the ledger of the quotas

Change: the leader answers Reserve from the task of the link, takes Unspent and Spent, and tells the other keepers every 500 ms what has changed. A new leader starts with what it was told. Metrics keeper_quota for up to 64 tenants; event 721 QuotaRestored.

Ruled out: totals in the replicated log (a commit for each request).

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -149,6 +149,8 @@
     707 QuarantineProbe State "A single request with a quarantined subject was admitted as a probe."
     708 LossDismissed Request "The loss of an endpoint under a request was not counted, because the endpoint had left as planned."
     709 EndpointProbed Request "A gate opened a connection to an endpoint that may have crashed."
+    720 QuotaRefused Request "A request was refused because of its tenant's quota."
+    721 QuotaRestored State "A new leader knows what tenants have spent of their quotas."
     800 Commanded State "An operator's command was accepted or refused."
     900 FaultInjected Request "A stub injected a fault."
     901 Violation State "A stub observed a protocol violation."
--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -21,6 +21,7 @@
 use fleet::registry::Registry;
 use fleet::revision::Revision;
 use link::Link;
+use quota::Totals;
 use sched::Scheduler;
 use sched::action::Action;
 use tokio::time::Instant;
@@ -48,6 +49,8 @@
     pub(crate) origins: origin::Table,
     /// The endpoints that left as planned while this keeper led.
     pub(crate) departures: Departures,
+    /// What tenants have spent, as the leader told; not used while this keeper leads.
+    pub(crate) totals: Totals,
     lease: Lease,
     settings: sched::settings::Settings,
     endpoint_timeout: Duration,
@@ -85,6 +88,7 @@
             leadership: None,
             origins: origin::Table::default(),
             departures: Departures::new(settings.endpoint_drain),
+            totals: Totals::default(),
             lease: Lease::new(settings.order_lease, settings.fenced_orders, last_term),
             settings: settings.scheduler.clone(),
             endpoint_timeout: settings.endpoint_timeout,
@@ -112,6 +116,7 @@
     pub(crate) fn apply_status(&mut self, status: Status, state: &State) {
         let previous = std::mem::replace(&mut self.status, status);
         if previous.leads != self.status.leads {
+            self.end_ledger();
             self.leadership = self.status.leads.map(|term| self.start_leading(term, state));
         }
         if previous.leads != self.status.leads || previous.members != self.status.members {
@@ -150,7 +155,8 @@
         for version in state.versions() {
             scheduler.set_version(&version);
         }
-        let mut leadership = Leadership::new(term, scheduler, now);
+        let ledger = self.start_ledger(term, state);
+        let mut leadership = Leadership::new(term, scheduler, ledger, now);
         for announcement in self.registry.ready().filter(|endpoint| endpoint.held.is_some()) {
             leadership.add_engine(announcement, now);
         }
@@ -198,6 +204,7 @@
             self.links.broadcast_plan(state);
             if let Some(leadership) = &mut self.leadership {
                 leadership.scheduler.set_plan(plan);
+                leadership.ledger.set_tenants(&plan.tenants, self.started.elapsed());
             }
         }
         let versions = state.versions();
@@ -331,6 +338,9 @@
     ) {
         let is_gate = hello.front.is_some();
         let revision = hello.revision;
+        if let Some(leadership) = &mut self.leadership {
+            leadership.ledger.add_gate(&hello.node);
+        }
         if !self.links.insert(link_id, hello, link) {
             return;
         }
@@ -342,6 +352,7 @@
         let Some(leadership) = &self.leadership else { return };
         if !is_gate {
             link.send(Frame::Registry(Box::new(self.registry.clone())));
+            self.send_totals(link, revision);
             return;
         }
         // Before the plan, without which the gate serves no requests.
@@ -359,10 +370,15 @@
     /// reports those still running when it reconnects.
     pub(crate) fn handle_link_down(&mut self, link_id: u64) {
         let now = self.now();
-        if let Some(node) = self.links.remove(link_id) {
+        let gates = self.links.gate_count();
+        let node = self.links.remove(link_id, now);
+        if let Some(node) = &node {
             base::event!(WARN, Event::LinkDown, peer = %node.hello.node);
         }
         if let Some(leadership) = &mut self.leadership {
+            if let Some(node) = node.filter(|node| self.links.is_absent(&node.hello.node)) {
+                leadership.ledger.remove_gate(&node.hello.node, gates, now);
+            }
             leadership.scheduler.gate_disconnected(link_id, now);
         }
     }
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -8,7 +8,6 @@
 use base::Name;
 use fleet::message::Frame;
 use fleet::message::Hello;
-use fleet::registry::Registry;
 use fleet::revision::Revision;
 use link::Inbox;
 use link::Link;
@@ -84,9 +83,9 @@
             revision: Revision::CURRENT,
         };
         let (sender, inbox) = mpsc::channel(MAX_QUEUED_REQUESTS);
-        let (registries, received) = mpsc::unbounded_channel();
+        let (updates, received) = mpsc::unbounded_channel();
         let (address, seeds) = (settings.address, settings.seeds.clone());
-        let peers = Peers::new(hello, address, seeds, runtime.clone(), sender.clone(), registries);
+        let peers = Peers::new(hello, address, seeds, runtime.clone(), sender.clone(), updates);
         let known = crate::storage::exists(&settings.data_dir);
         let state = Arc::new(RwLock::new(State::default()));
         let (publisher, status) = watch::channel(Status::default());
@@ -145,9 +144,10 @@
         runtime.spawn(Acceptor { peers, replica: sender, incoming }.run(listener));
         tokio::spawn(keeper.clone().serve_links(accepted));
         tokio::spawn(keeper.clone().watch_replica());
-        tokio::spawn(keeper.clone().replace_registry(received));
+        tokio::spawn(keeper.clone().apply_updates(received));
         tokio::spawn(keeper.clone().run_maintenance());
         tokio::spawn(keeper.clone().run_scheduler());
+        tokio::spawn(keeper.clone().run_ledger());
         Ok((keeper, failures))
     }
 
@@ -239,6 +239,14 @@
             Frame::AskPermit { request, endpoint, born } => {
                 self.coordinator.lock().answer_permit(link_id, request, &endpoint, born);
             }
+            Frame::Reserve { request, tenant, need, extra } => {
+                let units = (need, extra);
+                self.coordinator.lock().answer_reservation(link_id, request, &tenant, units);
+            }
+            Frame::Unspent { tenant, units } => {
+                self.coordinator.lock().take_unspent(link_id, &tenant, units);
+            }
+            Frame::Spent(report) => self.coordinator.lock().record_spent(link_id, &report),
             Frame::QuarantineHit(subject) => {
                 self.coordinator.lock().record_quarantine_hit(link_id, subject);
             }
@@ -303,13 +311,15 @@
         }
     }
 
-    /// Replaces the registry by each one that the leader sends.
-    async fn replace_registry(
-        self: Arc<Keeper<E>>,
-        mut registries: mpsc::UnboundedReceiver<Registry>,
-    ) {
-        while let Some(registry) = registries.recv().await {
-            self.coordinator.lock().replace_registry(registry);
+    /// Applies what the leader tells the other keepers.
+    async fn apply_updates(self: Arc<Keeper<E>>, mut updates: mpsc::UnboundedReceiver<Frame>) {
+        while let Some(update) = updates.recv().await {
+            let mut coordinator = self.coordinator.lock();
+            match update {
+                Frame::Registry(registry) => coordinator.replace_registry(*registry),
+                Frame::Ledger(changes) => coordinator.update_totals(&changes),
+                _ => {}
+            }
         }
     }
 
--- a/crates/cell/src/leadership.rs
+++ b/crates/cell/src/leadership.rs
@@ -5,6 +5,7 @@
 use base::Name;
 use fleet::endpoint::Announcement;
 use fleet::message::Holding;
+use quota::Ledger;
 use sched::Scheduler;
 use sched::action::Action;
 
@@ -21,6 +22,8 @@
     pub(crate) scheduler: Scheduler,
     pub(crate) quarantine: Quarantine,
     pub(crate) limits: Limits,
+    /// What tenants have spent of their quotas.
+    pub(crate) ledger: Ledger,
     pub(crate) leaving: Leaving,
     /// Which adapters each engine holds, as last sent to the gates.
     pub(crate) holdings: Vec<Holding>,
@@ -31,13 +34,19 @@
 
 impl Leadership {
     /// Creates the leadership of a term that begins at `since`.
-    pub(crate) fn new(term: u64, scheduler: Scheduler, since: Duration) -> Leadership {
+    pub(crate) fn new(
+        term: u64,
+        scheduler: Scheduler,
+        ledger: Ledger,
+        since: Duration,
+    ) -> Leadership {
         Leadership {
             term,
             since,
             scheduler,
             quarantine: Quarantine::default(),
             limits: Limits::default(),
+            ledger,
             leaving: Leaving::default(),
             holdings: Vec::new(),
             announced: Vec::new(),
--- a/crates/cell/src/links.rs
+++ b/crates/cell/src/links.rs
@@ -1,5 +1,7 @@
 //! Incoming links from other nodes.
 
+use std::time::Duration;
+
 use base::Map;
 use base::Name;
 use base::Set;
@@ -14,6 +16,9 @@
 /// The limits on the peers that a gate is sent: those in its own failure domain and those in others.
 const MAX_PEERS: (usize, usize) = (4, 12);
 
+/// The time for which a gate without a link may still run; without a leader it uses less of the quotas after that.
+const ABSENCE: Duration = Duration::from_secs(30);
+
 /// A node behind an incoming link.
 #[derive(Debug)]
 pub(crate) struct Node {
@@ -28,6 +33,8 @@
 pub(crate) struct Links {
     nodes: Map<u64, Node>,
     last_id: u64,
+    /// The gates that have lost their only link because they fell silent, and when.
+    absent: Map<Name, Duration>,
     /// Whether nodes have changed since peers were last sent.
     peers_changed: bool,
 }
@@ -42,6 +49,7 @@
     /// Stores the node behind a link. Returns `true` if it is the first hello on this link.
     pub(crate) fn insert(&mut self, link_id: u64, hello: Hello, link: &Link<Frame>) -> bool {
         self.peers_changed = true;
+        self.absent.remove(&hello.node);
         let former = self.nodes.remove(&link_id);
         let first = former.is_none();
         let sent_peers = former.map(|node| node.sent_peers).unwrap_or_default();
@@ -49,9 +57,26 @@
         first
     }
 
-    pub(crate) fn remove(&mut self, link_id: u64) -> Option<Node> {
+    pub(crate) fn remove(&mut self, link_id: u64, now: Duration) -> Option<Node> {
         self.peers_changed = true;
-        self.nodes.remove(&link_id)
+        let node = self.nodes.remove(&link_id)?;
+        let name = &node.hello.node;
+        let again = self.gates().any(|gate| gate.hello.node == *name);
+        if node.hello.front.is_some() && node.link.is_silent() && !again {
+            self.absent.insert(name.clone(), now);
+        }
+        Some(node)
+    }
+
+    /// Returns whether a gate has lost its only link.
+    pub(crate) fn is_absent(&self, gate: &str) -> bool {
+        self.absent.contains_key(gate)
+    }
+
+    /// Returns the gates that have lost their links lately.
+    pub(crate) fn absent_gates(&mut self, now: Duration) -> Vec<Name> {
+        self.absent.retain(|_, since| now < *since + ABSENCE);
+        self.absent.keys().cloned().collect()
     }
 
     pub(crate) fn get(&self, link_id: u64) -> Option<&Node> {
--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -20,6 +20,8 @@
     pub(crate) replica: HistogramVec,
     /// Duration of a pass of the scheduler, in seconds.
     pub(crate) passes: HistogramVec,
+    /// Limits and spending of tenants, while the keeper leads.
+    pub(crate) quota: IntGaugeVec,
     /// Leadership, applied index, and numbers of voters, standbys, gates, endpoints and quarantined
     /// subjects.
     pub(crate) state: IntGaugeVec,
@@ -50,6 +52,11 @@
                 "Duration of a pass of the scheduler.",
                 &[],
             ),
+            quota: meter.gauges(
+                "keeper_quota",
+                "Quotas: the limit of a window, the units used, the reservations refused.",
+                &["tenant", "what"],
+            ),
             state: meter.gauges("keeper_state", "What the keeper knows.", &["what"]),
         }
     }
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -13,7 +13,6 @@
 use fleet::message::Frame;
 use fleet::message::Hello;
 use fleet::message::Reply;
-use fleet::registry::Registry;
 use fleet::revision::Revision;
 use link::Link;
 use parking_lot::Mutex;
@@ -48,8 +47,8 @@
     /// The runtime of the links.
     runtime: Handle,
     replica: mpsc::Sender<Request>,
-    /// The leader's registry, each time that it is received.
-    registries: mpsc::UnboundedSender<Registry>,
+    /// The leader's registry and the totals of its ledger, each time that they are received.
+    updates: mpsc::UnboundedSender<Frame>,
 }
 
 impl Peers {
@@ -59,7 +58,7 @@
         seeds: Vec<SocketAddr>,
         runtime: Handle,
         replica: mpsc::Sender<Request>,
-        registries: mpsc::UnboundedSender<Registry>,
+        updates: mpsc::UnboundedSender<Frame>,
     ) -> Arc<Peers> {
         Arc::new(Peers {
             hello,
@@ -71,7 +70,7 @@
             next_call: AtomicU64::new(1),
             runtime,
             replica,
-            registries,
+            updates,
         })
     }
 
@@ -139,7 +138,7 @@
                     self.dial(member);
                 }
             }
-            Frame::Registry(registry) => drop(self.registries.send(*registry)),
+            Frame::Registry(_) | Frame::Ledger(_) => drop(self.updates.send(frame)),
             _ => {}
         }
     }
