edge: requests are charged to the quotas of their tenants

Change: a request of a tenant with a quota is charged once, after its body was read and its origin located, before an endpoint is chosen; the charge is given back unless an attempt may have run the request. Refusals 1315 and 1316 with one log line each (event 720 QuotaRefused). Call::tenant is not filled yet; the authentication does that.

A gate tells a new leader what it has spent before its requests can reserve with it. Without a leader, or if it does not answer in 150 ms, requests are paid for from the gate's share.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -10,6 +10,7 @@
 use fleet::plan::Kind;
 use fleet::plan::Route;
 use fleet::quarantine::Fingerprint;
+use fleet::tenant::Tenant;
 use hyper::http::request::Parts;
 use tokio::time::Instant;
 
@@ -20,6 +21,8 @@
 pub(crate) struct Call {
     pub(crate) request: Request,
     pub(crate) route: Route,
+    /// The tenant, if the plan has tenants.
+    pub(crate) tenant: Option<Arc<Tenant>>,
     /// The service that was picked from the route's splits.
     pub(crate) service: Name,
     /// Where the stream began, if the request resumes one.
--- /dev/null
+++ b/crates/edge/src/charging.rs
@@ -0,0 +1,72 @@
+//! Charges requests to the quotas of their tenants.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Code;
+use base::Event;
+use base::Name;
+use fleet::tenant::Tenant;
+
+use crate::gate::Gate;
+use crate::keepers::Keepers;
+use crate::metrics::Metrics;
+use crate::protocol::Protocol;
+use crate::quotas::Charge;
+use crate::quotas::Excess;
+use crate::refusal::Refusal;
+
+/// The interval at which expired credit is returned to the leader.
+const CREDIT_INTERVAL: Duration = Duration::from_millis(100);
+/// The retry delay in the refusal of a request whose units are available at once.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(1);
+
+impl<P: Protocol> Gate<P> {
+    /// Charges the request `id` of a tenant once, whatever the number of its attempts. `tokens` is `None` for a request
+    /// without a token count. Returns `None` if the tenant has no quota.
+    pub(crate) async fn charge(
+        &self,
+        tenant: &Tenant,
+        tokens: Option<u64>,
+        id: &Name,
+    ) -> Result<Option<Charge>, Refusal> {
+        let charged = self.keepers.charge(tenant, tokens).await;
+        let label = self.keepers.tenant_label(&tenant.name);
+        let (result, units) = match &charged {
+            Ok(None) => return Ok(None),
+            Ok(Some(charge)) => ("charged", charge.units()),
+            Err(Excess { wait: Some(_), units, .. }) => ("exceeded", *units),
+            Err(Excess { wait: None, units, .. }) => ("too_large", *units),
+        };
+        self.metrics.quota_requests.with_label_values(&[&*label, result]).inc();
+        self.metrics.quota_units.with_label_values(&[&*label, result]).inc_by(units);
+        charged.map_err(|excess| self.refuse_quota(tenant, id, &excess))
+    }
+
+    /// Logs why a request may not run and returns the refusal.
+    fn refuse_quota(&self, tenant: &Tenant, id: &Name, excess: &Excess) -> Refusal {
+        let refusal = match excess.wait {
+            Some(wait) => Refusal::retryable(Code::QuotaExceeded, wait.max(MIN_RETRY_AFTER)),
+            None => Refusal::new(Code::QuotaTooLarge),
+        };
+        let plan = self.view.table().map_or(0, |table| table.plan().version);
+        base::event!(
+            INFO, Event::QuotaRefused, request = %id, tenant = %tenant.name, code = refusal.code.number(),
+            units = excess.units, limit = excess.limit, used = excess.answer.map(|(_, used)| used),
+            age_ms = excess.answer.map(|(age, _)| age.as_millis() as u64), plan,
+            retry_ms = refusal.retry_after.map(|wait| wait.as_millis() as u64)
+        );
+        refusal
+    }
+}
+
+/// Returns expired credit to the leader for as long as the gate runs.
+pub(crate) async fn return_credit(keepers: Arc<Keepers>, metrics: Metrics) {
+    loop {
+        tokio::time::sleep(CREDIT_INTERVAL).await;
+        keepers.expire_credit();
+        for (label, units) in keepers.held_credit() {
+            metrics.quota_credit.with_label_values(&[&*label]).set(units as i64);
+        }
+    }
+}
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -93,10 +93,13 @@
     fn refuse(&self, id: &Name, refusal: &Refusal, received: Instant) -> Response<Body> {
         let ms = received.elapsed().as_millis() as u64;
         let retry_ms = refusal.retry_after.unwrap_or_default().as_millis() as u64;
-        base::event!(
+        // A refusal for a quota is logged with the budget.
+        if !matches!(refusal.code, Code::QuotaExceeded | Code::QuotaTooLarge) {
+            base::event!(
             INFO, Event::Refused, request = %id, code = refusal.code.number(),
             reason = refusal.code.name(), retry_ms, ms
-        );
+            );
+        }
         self.metrics.refusals.with_label_values(&[refusal.code.name()]).inc();
         self.protocol.refusal(refusal, id).map(attempt::buffered)
     }
@@ -138,6 +141,7 @@
         Ok(Call {
             request,
             route,
+            tenant: None,
             service,
             origin: None,
             fingerprint: Arc::new(fingerprint),
@@ -172,6 +176,13 @@
             call.service = origin.service.clone();
             call.origin = Some(origin);
         }
+        // Given back when it is dropped, unless an attempt may have run the request.
+        let charge = match &call.tenant {
+            Some(tenant) => self.charge(tenant, call.request.tokens, &call.request.id).await?,
+            None => None,
+        };
+        let set_ran = |ran| charge.iter().for_each(|charge| charge.set_ran(ran));
+        let mut may_have_run = false;
         let mut excluded = Vec::new();
         let mut attempts = 0;
         let mut unsent = 0;
@@ -188,7 +199,10 @@
             }
             excluded.push(target.endpoint.id.clone());
             let attempts_left = attempts + 1 < call.route.attempts;
+            set_ran(true);
             let outcome = self.attempt(&call, target, attempts_left).await;
+            may_have_run |= !matches!(outcome, Attempt::Refused(_) | Attempt::Unsent);
+            set_ran(may_have_run);
             let repeatable = call.route.kind.is_retryable();
             match outcome {
                 Attempt::Response { response, failed } => {
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -16,6 +16,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::budget::Budget;
+use crate::charging;
 use crate::keepers::Keepers;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
@@ -61,6 +62,8 @@
         };
         let keepers = Keepers::new(&view, &pool, hello, settings.keepers.clone());
         keepers.start();
+        let metrics = Metrics::new(meter);
+        tokio::spawn(charging::return_credit(keepers.clone(), metrics.clone()));
         let budget = Budget::new(settings.retries);
         Arc::new(Gate {
             protocol,
@@ -68,7 +71,7 @@
             pool,
             keepers,
             budget: Mutex::new(budget),
-            metrics: Metrics::new(meter),
+            metrics,
             body_memory: upload::Memory::new(settings.body_memory),
             shutdown: CancellationToken::new(),
             end: OnceLock::new(),
--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -25,7 +25,6 @@
 use fleet::quarantine::Fingerprint;
 use fleet::quarantine::Subject;
 use fleet::quarantine::Survival;
-use fleet::revision::Revision;
 use link::Inbox;
 use link::Link;
 use parking_lot::Mutex;
@@ -34,11 +33,13 @@
 use tokio::time::Instant;
 
 use crate::availability::Availability;
+use crate::leader::Leader;
 use crate::limits::Limits;
 use crate::origins::Located;
 use crate::origins::Origins;
 use crate::pool::Pool;
 use crate::quarantine::Quarantine;
+use crate::quotas::Quotas;
 use crate::runs::Runs;
 use crate::view::View;
 
@@ -64,22 +65,6 @@
     Timeout,
 }
 
-/// The current leader.
-#[derive(Clone, Debug)]
-struct Leader {
-    address: SocketAddr,
-    term: u64,
-    link: Link<Frame>,
-    revision: Revision,
-}
-
-impl Leader {
-    /// Sends a frame, unless the leader is of an earlier release that does not know it; returns whether it was sent.
-    fn send(&self, frame: Frame) -> bool {
-        frame.revision() <= self.revision && self.link.send(frame)
-    }
-}
-
 /// A scheduled request in progress at an engine.
 #[derive(Debug)]
 struct InFlight {
@@ -114,6 +99,7 @@
     pub(crate) availability: Availability,
     /// The requests that wait for a permit, by number.
     pub(crate) permits: Mutex<Map<u64, oneshot::Sender<Result<(), Duration>>>>,
+    pub(crate) quotas: Quotas,
     next_number: AtomicU64,
 }
 
@@ -142,6 +128,7 @@
             limits: Limits::default(),
             availability: Availability::default(),
             permits: Mutex::default(),
+            quotas: Quotas::default(),
             next_number: AtomicU64::new(1),
         })
     }
@@ -261,6 +248,9 @@
                     reply.send(wait.map_or(Ok(()), Err)).ok();
                 }
             }
+            Frame::Reserved { request, granted, used, wait_ms } if self.is_leader(address) => {
+                self.handle_reserved(request, (granted, used, wait_ms));
+            }
             Frame::Suspects(subjects) => self.quarantine.add_suspects(&subjects),
             Frame::Located { lookup, origin, sole_build } => {
                 self.origins.handle_reply(lookup, origin, sole_build);
@@ -305,6 +295,8 @@
             return;
         }
         base::event!(INFO, Event::LeaderFollowed, peer = %new.address, term = new.term);
+        // Before the leader is known to requests, which reserve with it.
+        self.report_spending(&new);
         *leader = Some(new.clone());
         drop(leader);
         self.leader_known.notify_waiters();
@@ -338,6 +330,7 @@
         let mut leader = self.leader.lock();
         if leader.as_ref().is_some_and(|leader| leader.address == address) {
             *leader = None;
+            self.lose_quota_leader();
             drop(leader);
             self.fail_pending();
         }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -3,6 +3,7 @@
 use meter::Meter;
 use prometheus::HistogramVec;
 use prometheus::IntCounterVec;
+use prometheus::IntGaugeVec;
 
 /// The metrics of a gate.
 #[derive(Clone, Debug)]
@@ -21,6 +22,12 @@
     pub(crate) tunnels: IntCounterVec,
     /// The lookups of where a resumed stream began, by the source of the answer.
     pub(crate) origins: IntCounterVec,
+    /// The requests of tenants with a quota, by tenant and result.
+    pub(crate) quota_requests: IntCounterVec,
+    /// The units of these requests, by tenant and result.
+    pub(crate) quota_units: IntCounterVec,
+    /// The credit that the gate holds, by tenant.
+    pub(crate) quota_credit: IntGaugeVec,
     /// The time that routing decisions took, by result.
     pub(crate) decision_latency: HistogramVec,
 }
@@ -55,6 +62,21 @@
                 "Lookups of where a resumed stream began.",
                 &["source"],
             ),
+            quota_requests: meter.counters(
+                "gate_quota_requests_total",
+                "Requests of tenants with a quota.",
+                &["tenant", "result"],
+            ),
+            quota_units: meter.counters(
+                "gate_quota_units_total",
+                "Units of requests of tenants with a quota.",
+                &["tenant", "result"],
+            ),
+            quota_credit: meter.gauges(
+                "gate_quota_credit",
+                "Units of a quota that the gate has reserved and not spent.",
+                &["tenant"],
+            ),
             decision_latency: meter.histograms(
                 "gate_grant_seconds",
                 "Time until a scheduler's answer.",
--- a/crates/edge/src/permits.rs
+++ b/crates/edge/src/permits.rs
@@ -12,8 +12,8 @@
 
 /// The timeout of a permit for an endpoint with a limit; several round trips to a keeper.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(150);
-/// The number of gates among which an endpoint's limit is divided without a leader, if no leader has told it yet.
-const DEFAULT_GATES: u32 = 8;
+/// The number of gates among which a limit is divided without a leader, if no leader has told it yet.
+pub(crate) const DEFAULT_GATES: u32 = 8;
 
 impl Keepers {
     /// Applies the notice in a response as [`crate::limits::Limits::record`] does, and reports a change to the leader.
--- a/crates/edge/src/protocol.rs
+++ b/crates/edge/src/protocol.rs
@@ -31,6 +31,8 @@
     pub input: u32,
     /// The estimated output length, in tokens.
     pub output: u32,
+    /// The sum of the prompt length and the longest output, in tokens, if the caller sent them.
+    pub tokens: Option<u64>,
     /// The parts of the prompt, in order: the digest and the length in tokens of each.
     pub parts: Vec<(u64, u32)>,
     /// The caller's id of the attempt that began a stream, if the request resumes one; empty if the caller does
