quota: what a gate spent before counts against its share; tests of faults

Cause: after a leader was lost, a gate that had spent its whole limit at once got as much again within the window (1.25 limits in the simulation).

Change: a share is used only if the gate's own window has room. A turn can be used for 2 s: gates with few requests missed nearly all turns of 1 s.

--- a/crates/quota/src/account.rs
+++ b/crates/quota/src/account.rs
@@ -181,7 +181,13 @@
             Some(share) => share,
             None => entry.new_share(quota, gates, since, now),
         };
-        let taken = entry.share.insert(share).try_take(units, phase, now);
+        let room = share.units().max(units as f64) as u64;
+        let share = entry.share.insert(share);
+        // What was spent before counts, also what a leader granted.
+        let taken = match entry.spent.wait(units, room, now) {
+            Some(Duration::ZERO) => share.try_take(units, phase, now),
+            wait => Err(wait.unwrap_or(quota.window)),
+        };
         if taken.is_ok() {
             entry.spent.spend(units, now);
             entry.uncounted.spend(units, now);
--- a/crates/quota/src/share.rs
+++ b/crates/quota/src/share.rs
@@ -4,7 +4,7 @@
 
 /// The time for which a turn can be used. Turns that are not used lapse, so that many idle gates do not use several at
 /// the same time later.
-const VALIDITY: Duration = Duration::from_secs(1);
+const VALIDITY: Duration = Duration::from_secs(2);
 
 /// A gate's share of a limit. Units accrue with time. If the share is less than a request, the gate has turns instead,
 /// each for one request, at equal intervals.
@@ -35,6 +35,11 @@
         Share { units, equal, window, level: level.min(units), at, turn: None }
     }
 
+    /// Returns the units for each window.
+    pub(crate) fn units(&self) -> f64 {
+        self.units
+    }
+
     /// Reduces the share, because the gate has had no leader for long.
     pub(crate) fn lapse(&mut self) {
         self.units = self.units.min(self.equal);
--- a/crates/quota/tests/sim/mod.rs
+++ b/crates/quota/tests/sim/mod.rs
@@ -3,6 +3,7 @@
 //! A simulated site without a network: gates, one leader at a time, a keeper that follows, and callers of one tenant.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use base::Map;
@@ -361,3 +362,69 @@
         }
     }
 }
+
+/// What callers send: the demand in limits per window, and the gates of which a part of the demand goes to few.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand {
+    /// The units that are sent, as a multiple of the sustained rate.
+    pub rate: f64,
+    /// The gates that get four fifths of the requests; they change every two seconds.
+    pub few: usize,
+    /// Whether callers send only what the limit of a window that is longer by [`MARGIN`] allows.
+    pub within: bool,
+}
+
+/// By how much the ledger counts a unit for longer than the window, and the time of messages.
+const MARGIN: Duration = Duration::from_millis(1_010);
+
+/// Sends requests for a time.
+pub fn run(site: &mut Site, demand: Demand, time: Duration) {
+    let end = site.now + time;
+    let mut debt = 0.0;
+    let mut sent = VecDeque::new();
+    let mut sum = 0;
+    let step = 0.005;
+    while site.now < end {
+        debt += demand.rate * site.quota.rate * step;
+        while debt > 0.0 {
+            let most = (site.quota.limit().min(site.stale.limit()) / 16).clamp(1, 7_000);
+            let units = site.rng.random_range(1..=most);
+            let gates = site.gates.len();
+            let favoured = site.rng.random_bool(0.8) && demand.few > 0;
+            let moved = site.now.as_secs() as usize / 2 * 7;
+            let gate = match favoured {
+                true => (moved + site.rng.random_range(0..demand.few)) % gates,
+                false => site.rng.random_range(0..gates),
+            };
+            debt -= units as f64;
+            if demand.within {
+                let from = site.now.saturating_sub(WINDOW + MARGIN);
+                while let Some((_, units)) = sent.pop_front_if(|(at, _)| *at < from) {
+                    sum -= units;
+                }
+                if sum + units > site.quota.limit() {
+                    continue;
+                }
+                sent.push_back((site.now, units));
+                sum += units;
+            }
+            site.request(gate, units);
+        }
+        site.step();
+    }
+}
+
+const QUOTAS: [(f64, f64); 4] =
+    [(4_000.0, 5_800.0), (40_000.0, 80_000.0), (400_000.0, 400_000.0), (4_000.0, 0.0)];
+const GATES: [usize; 6] = [1, 2, 5, 28, 74, 700];
+
+/// Calls `check` with sites of several sizes, quotas and seeds.
+pub fn for_sites(check: impl Fn(Site, Quota, u64)) {
+    let mut seed = 0;
+    for gates in GATES {
+        for (rate, burst) in QUOTAS {
+            seed += 1;
+            check(Site::new(gates, quota(rate, burst), seed), quota(rate, burst), seed);
+        }
+    }
+}
