edge: without a leader a request waits for a new one before its quota refuses it

Cause: in an election a gate's share is often less than a request, although the tenant is within its limit.

Change: a request that the share can't pay for waits for a new leader until half of its target has passed, as model requests do, and is charged again then.

--- a/crates/edge/src/charging.rs
+++ b/crates/edge/src/charging.rs
@@ -7,7 +7,9 @@
 use base::Event;
 use base::Name;
 use fleet::tenant::Tenant;
+use tokio::time::Instant;
 
+use crate::call::Call;
 use crate::gate::Gate;
 use crate::keepers::Keepers;
 use crate::metrics::Metrics;
@@ -15,6 +17,7 @@
 use crate::quotas::Charge;
 use crate::quotas::Excess;
 use crate::refusal::Refusal;
+use crate::settings::LEADER_WAIT_SHARE;
 
 /// The interval at which expired credit is returned to the leader.
 const CREDIT_INTERVAL: Duration = Duration::from_millis(100);
@@ -22,15 +25,12 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(1);
 
 impl<P: Protocol> Gate<P> {
-    /// Charges the request `id` of a tenant once, whatever the number of its attempts. `tokens` is `None` for a request
-    /// without a token count. Returns `None` if the tenant has no quota.
-    pub(crate) async fn charge(
-        &self,
-        tenant: &Tenant,
-        tokens: Option<u64>,
-        id: &Name,
-    ) -> Result<Option<Charge>, Refusal> {
-        let charged = self.keepers.charge(tenant, tokens).await;
+    /// Charges a call to its tenant's quota, once for all attempts; `None` if there is no quota.
+    pub(crate) async fn charge(&self, call: &Call) -> Result<Option<Charge>, Refusal> {
+        let Some(tenant) = &call.tenant else { return Ok(None) };
+        let end = call.received + call.route.target.mul_f64(LEADER_WAIT_SHARE);
+        let patience = end.saturating_duration_since(Instant::now());
+        let charged = self.keepers.charge(tenant, call.request.tokens, patience).await;
         let label = self.keepers.tenant_label(&tenant.name);
         let (result, units) = match &charged {
             Ok(None) => return Ok(None),
@@ -40,7 +40,7 @@
         };
         self.metrics.quota_requests.with_label_values(&[&*label, result]).inc();
         self.metrics.quota_units.with_label_values(&[&*label, result]).inc_by(units);
-        charged.map_err(|excess| self.refuse_quota(tenant, id, &excess))
+        charged.map_err(|excess| self.refuse_quota(tenant, &call.request.id, &excess))
     }
 
     /// Logs why a request may not run and returns the refusal.
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -177,10 +177,7 @@
             call.origin = Some(origin);
         }
         // Given back when it is dropped, unless an attempt may have run the request.
-        let charge = match &call.tenant {
-            Some(tenant) => self.charge(tenant, call.request.tokens, &call.request.id).await?,
-            None => None,
-        };
+        let charge = self.charge(&call).await?;
         let set_ran = |ran| charge.iter().for_each(|charge| charge.set_ran(ran));
         let mut may_have_run = false;
         let mut excluded = Vec::new();
--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -399,7 +399,8 @@
         let (reply, decision) = oneshot::channel();
         self.pending.lock().insert(request, reply);
         let guard = Withdrawal { keepers: self.clone(), request };
-        if !self.submit(submission) {
+        let submit = |leader: &Leader| leader.submit(submission);
+        if !self.leader.lock().as_ref().is_some_and(submit) {
             return Decision::NoLeader;
         }
         let decision = tokio::time::timeout(timeout, decision).await;
@@ -410,19 +411,6 @@
         }
     }
 
-    /// Sends a query to the leader; returns false if that is not possible. A leader of an earlier release gets the query
-    /// alone.
-    fn submit(&self, submission: Submission) -> bool {
-        let leader = self.leader.lock();
-        let Some(leader) = leader.as_ref() else { return false };
-        let extended = submission.tenant.is_some() || submission.gap_ms > 0;
-        if extended && leader.revision >= Revision::TENANTS {
-            leader.link.send(Frame::Submit(Box::new(submission)))
-        } else {
-            leader.link.send(Frame::Ask(Box::new(submission.query)))
-        }
-    }
-
     /// Records that a request is sent to the engine that the scheduler granted.
     pub(crate) fn track(&self, query: &Query, endpoint: &Name) {
         let running = Running {
--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -10,6 +10,7 @@
 use base::Set;
 use fleet::message::Frame;
 use fleet::message::Spending;
+use fleet::revision::Revision;
 use fleet::tenant::Quota;
 use fleet::tenant::Tenant;
 use parking_lot::Mutex;
@@ -107,32 +108,24 @@
         self.view.now() + self.quotas.lag.elapsed()
     }
 
-    /// Charges a request of `tokens` to its tenant's quota; `None` if the tenant has no quota.
+    /// Charges a request of `tokens` to its tenant's quota; `None` if the tenant has no quota. Without a leader, a request
+    /// that this gate's share can't pay for waits up to `patience` for a new one.
     pub(crate) async fn charge(
         self: &Arc<Keepers>,
         tenant: &Tenant,
         tokens: Option<u64>,
+        patience: Duration,
     ) -> Result<Option<Charge>, Excess> {
         let Some(quota) = tenant.quota else { return Ok(None) };
         let units = quota.units(tokens);
-        let mut paid = None;
-        for _ in 0..MAX_RESERVATIONS {
-            let now = self.quota_time();
-            let charge = self.quotas.account.lock().charge(&tenant.name, &quota, units, now);
-            paid = match charge {
-                quota::Charge::Paid => Some(Ok(())),
-                quota::Charge::TooLarge => Some(Err(None)),
-                quota::Charge::Alone => break,
-                quota::Charge::Reserve(need) => self.reserve(&tenant.name, &quota, &need).await,
-            };
-            if paid.is_some() {
-                break;
-            }
+        let mut paid = self.pay(&tenant.name, &quota, units).await;
+        let alone = !self.quotas.account.lock().has_leader();
+        if let Err(Some(_)) = paid
+            && alone
+            && self.await_leader(patience).await
+        {
+            paid = self.pay(&tenant.name, &quota, units).await;
         }
-        let paid = match paid {
-            Some(paid) => paid,
-            None => self.take_quota_share(&tenant.name, &quota, units).map_err(Some),
-        };
         let tenant = tenant.name.clone();
         match paid {
             Ok(()) => {
@@ -147,6 +140,26 @@
         }
     }
 
+    /// Pays for a request with credit, a reservation or the gate's share. Returns the time until the units are available
+    /// if they are not; `None` if they never will be.
+    async fn pay(&self, tenant: &Name, quota: &Quota, units: u64) -> Result<(), Option<Duration>> {
+        for _ in 0..MAX_RESERVATIONS {
+            let now = self.quota_time();
+            let charge = self.quotas.account.lock().charge(tenant, quota, units, now);
+            match charge {
+                quota::Charge::Paid => return Ok(()),
+                quota::Charge::TooLarge => return Err(None),
+                quota::Charge::Alone => break,
+                quota::Charge::Reserve(need) => {
+                    if let Some(paid) = self.reserve(tenant, quota, &need).await {
+                        return paid;
+                    }
+                }
+            }
+        }
+        self.take_quota_share(tenant, quota, units).map_err(Some)
+    }
+
     /// Reserves units with the leader. Returns the time until they are available if they are not, and `None` if the
     /// leader does not answer or another one leads.
     async fn reserve(
@@ -222,6 +235,9 @@
     /// Tells a leader what this gate has spent without it. Must come before anything is reserved with it.
     pub(crate) fn report_spending(&self, leader: &Leader) {
         self.quotas.pending.lock().clear();
+        if leader.revision < Revision::TENANTS {
+            return;
+        }
         let report = self.quotas.account.lock().follow(leader.term, self.quota_time());
         if !report.is_empty() {
             leader.send(Frame::Spent(report));
--- a/crates/quota/src/account.rs
+++ b/crates/quota/src/account.rs
@@ -233,6 +233,11 @@
         report
     }
 
+    /// Returns whether the gate follows a leader that keeps a ledger.
+    pub fn has_leader(&self) -> bool {
+        self.leader.is_some()
+    }
+
     /// Records that the leader is lost.
     pub fn lose_leader(&mut self, now: Duration) {
         self.leader = None;
