--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -8,6 +8,7 @@
 use parking_lot::Mutex;
 use prometheus::HistogramVec;
 use prometheus::IntCounterVec;
+use prometheus::IntGaugeVec;
 
 /// The limit on the tenants with metrics of their own. A gate that serves 1,000 tenants with ten statuses has 10,000 series
 /// of some 200 bytes.
@@ -38,6 +39,12 @@
     pub(crate) tunnels: IntCounterVec,
     /// The lookups of where a resumed stream began, by the source of the answer.
     pub(crate) origins: IntCounterVec,
+    /// The requests of tenants with a quota, by tenant and result.
+    pub(crate) quota_requests: IntCounterVec,
+    /// The units of these requests, by tenant and result.
+    pub(crate) quota_units: IntCounterVec,
+    /// The credit that the gate holds, by tenant.
+    pub(crate) quota_credit: IntGaugeVec,
     /// The time that routing decisions took, by result.
     pub(crate) decision_latency: HistogramVec,
 }
@@ -78,6 +85,21 @@
                 "Lookups of where a resumed stream began.",
                 &["source"],
             ),
+            quota_requests: meter.counters(
+                "gate_quota_requests_total",
+                "Requests of tenants with a quota.",
+                &["tenant", "result"],
+            ),
+            quota_units: meter.counters(
+                "gate_quota_units_total",
+                "Units of requests of tenants with a quota.",
+                &["tenant", "result"],
+            ),
+            quota_credit: meter.gauges(
+                "gate_quota_credit",
+                "Units of a quota that the gate has reserved and not spent.",
+                &["tenant"],
+            ),
             decision_latency: meter.histograms(
                 "gate_grant_seconds",
                 "Time until a scheduler's answer.",
