link: a large frame on a slow connection is not taken for silence

Cause: the read timeout of 1.2 s applied to whole frames.

Change: the timeout begins again when a part of the frame has arrived.

Ruled out: a longer timeout, by which a lost peer would be noticed later.

Test: a_frame_may_take_longer_than_the_read_timeout_while_its_bytes_arrive was red before (the link ended after 1.2 s); a_peer_that_stops_within_a_frame_ is_lost guards the other side. All tests of the crate pass.

--- a/crates/link/src/link.rs
+++ b/crates/link/src/link.rs
@@ -197,15 +197,32 @@
     parts.read_buf = received;
     let mut frames = Framed::from_parts(parts);
     loop {
-        let next = tokio::time::timeout(READ_TIMEOUT, frames.next()).await;
-        let Some(bytes) = next.map_err(|_| io::ErrorKind::TimedOut)? else { return Ok(()) };
-        let frame = decode(&bytes?)?;
+        let Some(bytes) = next_bytes(&mut frames).await? else { return Ok(()) };
+        let frame = decode(&bytes)?;
         if sender.send(frame).await.is_err() {
             return Ok(());
         }
     }
 }
 
+/// Returns the bytes of the next frame, or `None` at the end of the connection. Fails if nothing has
+/// arrived for [`READ_TIMEOUT`]; a large frame on a slow connection takes longer as a whole.
+async fn next_bytes(
+    frames: &mut Framed<OwnedReadHalf, LengthDelimitedCodec>,
+) -> io::Result<Option<BytesMut>> {
+    let mut received = frames.read_buffer().len();
+    loop {
+        if let Ok(next) = tokio::time::timeout(READ_TIMEOUT, frames.next()).await {
+            return next.transpose();
+        }
+        // The part of a frame that has arrived stays in the buffer.
+        let before = std::mem::replace(&mut received, frames.read_buffer().len());
+        if received <= before {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+    }
+}
+
 async fn write_frames<T: Serialize + Clone>(
     mut write: OwnedWriteHalf,
     mut frames: mpsc::Receiver<Outgoing<T>>,
--- a/crates/link/tests/frames.rs
+++ b/crates/link/tests/frames.rs
@@ -6,6 +6,7 @@
 
 use link::Inbox;
 use link::Link;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
@@ -75,3 +76,35 @@
     link.close();
     assert_eq!(next(&mut inbox).await, None);
 }
+
+/// Writes a frame in pieces, with a pause after each one.
+async fn write_slowly(mut stream: TcpStream, frame: &str, pieces: usize, pause: Duration) {
+    let content = postcard::to_stdvec(frame).expect("a string can be encoded");
+    let mut bytes = (content.len() as u32).to_be_bytes().to_vec();
+    bytes.extend(content);
+    for piece in bytes.chunks(bytes.len().div_ceil(pieces)) {
+        stream.write_all(piece).await.expect("the link is open");
+        tokio::time::sleep(pause).await;
+    }
+    std::future::pending::<()>().await;
+}
+
+/// Guards against a large frame on a slow connection being taken for silence of the peer.
+#[tokio::test]
+async fn a_frame_may_take_longer_than_the_read_timeout_while_its_bytes_arrive() {
+    let (_link, mut inbox, stream) = connect().await;
+    let frame = "x".repeat(1_000);
+    let sent = frame.clone();
+    tokio::spawn(async move { write_slowly(stream, &sent, 4, Duration::from_millis(700)).await });
+    assert_eq!(next(&mut inbox).await, Some(frame));
+}
+
+#[tokio::test]
+async fn a_peer_that_stops_within_a_frame_is_lost() {
+    let (link, mut inbox, stream) = connect().await;
+    let frame = "x".repeat(1_000);
+    tokio::spawn(async move { write_slowly(stream, &frame, 2, Duration::from_secs(60)).await });
+    let ended = tokio::time::timeout(Duration::from_secs(4), next(&mut inbox)).await;
+    assert_eq!(ended, Ok(None));
+    assert!(link.is_closed());
+}
