--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod state;
 
 mod acceptor;
+mod budget;
 mod calls;
 mod coordinator;
 mod delay;
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -157,6 +157,11 @@
         }
     }
 
+    /// Returns the revision that a keeper has named to this process.
+    pub(crate) fn revision(&self, host: &str) -> Option<Revision> {
+        self.revisions.lock().get(host).copied()
+    }
+
     /// Returns the revision that all members support; `None` if one of them has not named its revision to this process.
     pub(crate) fn supported_revision(&self, members: &[Name]) -> Option<Revision> {
         let revisions = self.revisions.lock();
--- a/crates/cell/src/replica.rs
+++ b/crates/cell/src/replica.rs
@@ -8,9 +8,9 @@
 use base::Name;
 use bytes::Bytes;
 use disk::Identity;
-use fleet::endpoint::Incarnation;
 use fleet::message::Envelope;
 use fleet::message::Frame;
+use fleet::revision::Revision;
 use parking_lot::RwLock;
 use prometheus::HistogramVec;
 use raft::message::Entry;
@@ -28,6 +28,7 @@
 use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
 
+use crate::budget::Budget;
 use crate::delay::Delay;
 use crate::error::Error;
 use crate::peers::Peers;
@@ -50,8 +51,11 @@
 
 /// Maximum number of requests handled before the log is written once for all of them.
 const MAX_REQUESTS_PER_WRITE: usize = 128;
-/// Maximum size of the entries in one message, in bytes.
-const MAX_MESSAGE_BYTES: usize = 1 << 20;
+/// Maximum size of the entries in one message, and of the messages in one frame if there are more, in
+/// bytes. Heartbeats wait behind it: 250 ms on a link of 1 MB a second.
+const MAX_MESSAGE_BYTES: usize = 256 << 10;
+/// Size of a part of a larger entry or snapshot, in bytes.
+const PART_BYTES: usize = 64 << 10;
 
 /// A request to the replica.
 #[derive(Debug)]
@@ -130,6 +134,7 @@
     identified: bool,
     started: Instant,
     node: Node,
+    budget: Budget,
     state: Arc<RwLock<State>>,
     storage: Storage,
     peers: Arc<Peers>,
@@ -170,10 +175,15 @@
         };
         *state.write() = restored;
         let applied = stored.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        let budget = Budget::new(settings.memory_bytes);
         let config = Config {
             heartbeat_interval: HEARTBEAT_INTERVAL,
             election_timeout: ELECTION_TIMEOUT,
             max_batch_bytes: MAX_MESSAGE_BYTES,
+            part_bytes: PART_BYTES,
+            max_object_bytes: budget.object,
+            max_in_flight_bytes: budget.in_flight,
+            retained_bytes: budget.retained,
             seed: rand::random(),
         };
         let mut node = Node::new(id, config, stored, Duration::ZERO);
@@ -185,6 +195,7 @@
             identified: true,
             started: Instant::now(),
             node,
+            budget,
             state,
             storage,
             peers,
@@ -225,6 +236,7 @@
                 self.node.tick(self.now());
             }
             let more = std::iter::from_fn(|| inbox.try_recv().ok()).take(MAX_REQUESTS_PER_WRITE);
+            self.update_part_receivers();
             for request in first.into_iter().chain(more) {
                 self.handle(request);
             }
@@ -250,8 +262,19 @@
             Request::Deliver(envelope) => self.deliver(envelope),
             Request::Propose(command, reply) => {
                 let bytes = postcard::to_stdvec(&command).expect("a command can be encoded");
-                // On error the reply is dropped, which tells the caller that the outcome is
-                // unknown.
+                let log_bytes = self.node.log_bytes();
+                if log_bytes + bytes.len() > self.budget.log {
+                    // The caller repeats the call; by then entries may be committed and dropped.
+                    base::event!(
+                        WARN,
+                        Event::LogFull,
+                        bytes = bytes.len(),
+                        held = log_bytes,
+                        limit = self.budget.log
+                    );
+                    return;
+                }
+                // On error the reply is dropped: the outcome is unknown.
                 if let Ok(index) = self.node.propose(Bytes::from(bytes)) {
                     self.proposals.insert(index, (self.node.term(), reply));
                 }
@@ -345,7 +368,7 @@
         let Payload::Data(bytes) = &entry.payload else { return Ok(()) };
         self.bytes_since_snapshot += bytes.len();
         let command: Command = decode(entry.index, bytes)?;
-        log_command(&command);
+        command.log();
         self.state.write().apply(command);
         if let Some((term, reply)) = self.proposals.remove(&entry.index)
             && term == entry.term
@@ -361,16 +384,42 @@
         for member in members.voters.iter().chain(&members.learners) {
             self.hosts.insert(member.id, Name::from(member.host.as_str()));
         }
-        let mut by_receiver: Map<Id, Vec<Message>> = Map::default();
+        let mut by_receiver: Map<Id, (usize, Vec<Message>)> = Map::default();
         for (to, message) in messages {
-            by_receiver.entry(to).or_default().push(message);
+            let (bytes, queued) = by_receiver.entry(to).or_default();
+            *bytes += message.data_bytes();
+            queued.push(message);
+            if *bytes > MAX_MESSAGE_BYTES {
+                let full = std::mem::take(queued);
+                *bytes = 0;
+                self.send_envelope(to, full);
+            }
         }
-        for (to, messages) in by_receiver {
-            let Some(host) = self.hosts.get(&to) else { continue };
-            let (group, from) = (self.group, self.node.id());
-            let envelope = Envelope { group, from, host: self.host.clone(), to, messages };
-            self.peers.send(host, Frame::Raft(envelope));
+        for (to, (_, messages)) in by_receiver {
+            if !messages.is_empty() {
+                self.send_envelope(to, messages);
+            }
+        }
+    }
+
+    fn send_envelope(&self, to: Id, messages: Vec<Message>) {
+        let Some(host) = self.hosts.get(&to) else { return };
+        let (group, from) = (self.group, self.node.id());
+        let envelope = Envelope { group, from, host: self.host.clone(), to, messages };
+        self.peers.send(host, Frame::Raft(envelope));
+    }
+
+    /// Tells the node which replicas know messages in parts.
+    fn update_part_receivers(&mut self) {
+        if self.node.role() != Role::Leader {
+            return;
         }
+        let members = self.node.members();
+        let all = members.voters.iter().chain(&members.learners);
+        let knows_parts =
+            |member: &&Member| self.peers.revision(&member.host) >= Some(Revision::TENANTS);
+        let receivers = all.filter(knows_parts).map(|member| member.id).collect();
+        self.node.set_part_receivers(receivers);
     }
 
     /// Broadcasts a request to join if this replica has no leader or is not a member.
@@ -449,31 +498,3 @@
 fn decode_snapshot(index: Index, bytes: &[u8]) -> Result<State, Error> {
     State::decode(bytes).map_err(|error| Error::Entry { index, message: error.to_string() })
 }
-
-fn log_command(command: &Command) {
-    match command {
-        Command::Publish { plan, .. } | Command::PublishExtended { plan, .. } => {
-            base::event!(
-                INFO,
-                Event::PlanApplied,
-                version = plan.version,
-                routes = plan.routes.len()
-            );
-        }
-        Command::Name(version) => {
-            base::event!(
-                INFO, Event::VersionNamed, adapter = %version.adapter, version = version.version
-            );
-        }
-        Command::Quarantine(subject) => {
-            base::event!(INFO, Event::QuarantineApplied, subject = %subject, quarantined = true);
-        }
-        Command::Release(subject) => {
-            base::event!(INFO, Event::QuarantineApplied, subject = %subject, quarantined = false);
-        }
-        Command::Raise(level) => base::event!(INFO, Event::LevelRaised, level = %level),
-        Command::Depart(Incarnation { endpoint, born }) => {
-            base::event!(INFO, Event::DepartureApplied, endpoint = %endpoint, born);
-        }
-    }
-}
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -36,6 +36,9 @@
     pub fenced_orders: bool,
     /// Time without an announcement after which an endpoint is removed.
     pub endpoint_timeout: Duration,
+    /// The memory at which the process is killed, in bytes. The bounds in [`crate::budget`] follow from
+    /// it.
+    pub memory_bytes: usize,
     /// Time for which an endpoint serves on after it has announced its departure.
     pub endpoint_drain: Duration,
 }
--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use base::Event;
 use base::Map;
 use base::Name;
 use bytes::Bytes;
@@ -51,6 +52,35 @@
 }
 
 impl Command {
+    /// Logs that the command was applied.
+    pub(crate) fn log(&self) {
+        match self {
+            Command::Publish { plan, .. } | Command::PublishExtended { plan, .. } => {
+                base::event!(
+                    INFO,
+                    Event::PlanApplied,
+                    version = plan.version,
+                    routes = plan.routes.len()
+                );
+            }
+            Command::Name(version) => {
+                base::event!(
+                    INFO, Event::VersionNamed, adapter = %version.adapter, version = version.version
+                );
+            }
+            Command::Quarantine(subject) => {
+                base::event!(INFO, Event::QuarantineApplied, subject = %subject, quarantined = true);
+            }
+            Command::Release(subject) => {
+                base::event!(INFO, Event::QuarantineApplied, subject = %subject, quarantined = false);
+            }
+            Command::Raise(level) => base::event!(INFO, Event::LevelRaised, level = %level),
+            Command::Depart(Incarnation { endpoint, born }) => {
+                base::event!(INFO, Event::DepartureApplied, endpoint = %endpoint, born);
+            }
+        }
+    }
+
     /// Returns the level from which the command may be proposed: a voter of an earlier revision can't apply it.
     pub fn level(&self) -> Revision {
         match self {
--- a/crates/cell/tests/running/mod.rs
+++ b/crates/cell/tests/running/mod.rs
@@ -65,6 +65,7 @@
         tolerated_losses: 1,
         all_vote: false,
         endpoint_timeout: ENDPOINT_TIMEOUT,
+        memory_bytes: 256 << 20,
         endpoint_drain: Duration::from_secs(2),
     }
 }
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -35,6 +35,15 @@
 const QUEUE_CAPACITY: usize = 8_192;
 /// The maximum size of the entries in one message between replicas, in bytes.
 const MAX_BATCH_BYTES: usize = 1 << 20;
+/// The size of a part of a larger entry or snapshot, in bytes. Unused as long as no replica is named
+/// as a receiver of parts.
+const PART_BYTES: usize = 64 << 10;
+/// The maximum size of an entry or snapshot, in bytes.
+const MAX_OBJECT_BYTES: usize = 64 << 20;
+/// The maximum size of the entries on the way to a replica, in bytes.
+const MAX_IN_FLIGHT_BYTES: usize = 16 << 20;
+/// The maximum size of the entries behind the latest snapshot that stay in memory, in bytes.
+const RETAINED_BYTES: usize = 32 << 20;
 /// The number of entries after which a snapshot is taken.
 const SNAPSHOT_AFTER_ENTRIES: u64 = 8_192;
 /// The maximum number of requests that share one write of the log.
@@ -161,6 +170,10 @@
         heartbeat_interval: Duration::from_millis(timing.heartbeat_ms),
         election_timeout: Duration::from_millis(timing.election_ms),
         max_batch_bytes: MAX_BATCH_BYTES,
+        part_bytes: PART_BYTES,
+        max_object_bytes: MAX_OBJECT_BYTES,
+        max_in_flight_bytes: MAX_IN_FLIGHT_BYTES,
+        retained_bytes: RETAINED_BYTES,
         seed: rand::random(),
     };
     let (storage, recovered) = Storage::open(entry).await?;
--- a/crates/raft/examples/measure.rs
+++ b/crates/raft/examples/measure.rs
@@ -118,6 +118,10 @@
         heartbeat_interval: HEARTBEAT_INTERVAL,
         election_timeout: ELECTION_TIMEOUT,
         max_batch_bytes: 1 << 20,
+        part_bytes: 64 << 10,
+        max_object_bytes: 64 << 20,
+        max_in_flight_bytes: 64 << 20,
+        retained_bytes: 64 << 20,
         seed,
     }
 }
--- a/crates/raft/src/follower.rs
+++ b/crates/raft/src/follower.rs
@@ -15,11 +15,11 @@
 use crate::node::Node;
 
 /// The log part of an append message.
-struct Batch {
-    prev_index: Index,
-    prev_term: Term,
-    entries: Vec<Entry>,
-    commit: Index,
+pub(crate) struct Batch {
+    pub(crate) prev_index: Index,
+    pub(crate) prev_term: Term,
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) commit: Index,
 }
 
 impl Batch {
@@ -54,6 +54,10 @@
                 self.handle_append_response(from, term, success, index, round);
             }
             Body::Install { snapshot, round } => self.handle_install(from, term, snapshot, round),
+            Body::Part { part, round } => self.handle_part(from, term, part, round),
+            Body::PartReceived { digest, offset, received, round } => {
+                self.handle_part_response(from, term, (digest, offset, received), round);
+            }
         }
     }
 
@@ -123,7 +127,7 @@
     }
 
     /// Records contact with the leader of a term and follows it.
-    fn record_leader_contact(&mut self, from: Id, term: Term) {
+    pub(crate) fn record_leader_contact(&mut self, from: Id, term: Term) {
         if term > self.hard_state.term || self.leader != Some(from) || !self.is_following() {
             self.become_follower(term, Some(from));
         }
@@ -138,7 +142,7 @@
 
     /// Follows a higher term seen in a response. A leader ignores replicas that are no longer
     /// members, so that a removed replica can't depose it.
-    fn observe_higher_term(&mut self, from: Id, term: Term) {
+    pub(crate) fn observe_higher_term(&mut self, from: Id, term: Term) {
         let removed = self.is_leader() && !self.progress.contains_key(&from);
         if !removed {
             self.become_follower(term, None);
@@ -147,7 +151,7 @@
 
     /// Appends a batch if the log matches at `prev_index`. Returns whether it does, and the last
     /// matching index or else a hint for the leader's next attempt.
-    fn append_batch(&mut self, batch: Batch) -> (bool, Index) {
+    pub(crate) fn append_batch(&mut self, batch: Batch) -> (bool, Index) {
         let Batch { prev_index, prev_term, entries, commit } = batch;
         // Entries before the log's start are committed, so they match the leader's.
         let known = prev_index < self.log.start() || self.log.term(prev_index) == Some(prev_term);
@@ -188,7 +192,7 @@
     }
 
     /// Replaces the log by a snapshot, unless the log already contains the snapshot's last entry.
-    fn install_snapshot(&mut self, snapshot: Snapshot) {
+    pub(crate) fn install_snapshot(&mut self, snapshot: Snapshot) {
         if snapshot.index <= self.commit {
             return;
         }
--- a/crates/raft/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -16,6 +16,7 @@
 mod read;
 mod recover;
 mod replication;
+mod transfer;
 
 pub use crate::message::Message;
 pub use crate::node::Node;
--- a/crates/raft/src/log.rs
+++ b/crates/raft/src/log.rs
@@ -2,8 +2,12 @@
 
 use crate::message::Entry;
 use crate::message::Index;
+use crate::message::Payload;
 use crate::message::Term;
 
+/// Size counted for an entry in addition to its data, in bytes.
+const ENTRY_OVERHEAD_BYTES: usize = 32;
+
 /// Consecutive entries after a start position whose term is known.
 #[derive(Debug, Default)]
 pub(crate) struct Log {
@@ -13,6 +17,8 @@
     start_term: Term,
     /// Invariant: the entry at position `i` has the index `start + 1 + i`; terms never decrease.
     entries: Vec<Entry>,
+    /// The size of `entries`, in bytes.
+    bytes: usize,
     /// The first entry not yet handed to the driver for writing.
     ///
     /// Invariant: `start < unstable <= last_index() + 1`.
@@ -23,10 +29,10 @@
     /// Creates a log that starts after `start`. Stored entries that are not consecutive are
     /// ignored.
     pub(crate) fn new(start: Index, start_term: Term, stored: Vec<Entry>) -> Log {
-        let mut log = Log { start, start_term, entries: Vec::new(), unstable: 0 };
+        let mut log = Log { start, start_term, entries: Vec::new(), bytes: 0, unstable: 0 };
         for entry in stored {
             if entry.index == log.last_index() + 1 {
-                log.entries.push(entry);
+                log.push(entry);
             }
         }
         log.unstable = log.last_index() + 1;
@@ -64,6 +70,22 @@
         &self.entries[begin.min(end)..end]
     }
 
+    /// Returns the size of the entries held, in bytes.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Returns the lowest index after which the entries up to `index` have at most `max_bytes`.
+    pub(crate) fn retained_from(&self, index: Index, max_bytes: usize) -> Index {
+        let covered = self.slice(self.start + 1, index);
+        let mut bytes = 0;
+        let retained = covered.iter().rev().take_while(|entry| {
+            bytes += entry_bytes(entry);
+            bytes <= max_bytes
+        });
+        index - retained.count() as Index
+    }
+
     /// Returns the last index before the run of entries that have the same term as the one at
     /// `index`.
     pub(crate) fn before_term_of(&self, index: Index) -> Index {
@@ -78,19 +100,23 @@
     /// Appends an entry, whose index must be the next one.
     pub(crate) fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
+        self.bytes += entry_bytes(&entry);
         self.entries.push(entry);
     }
 
     /// Drops the entries from `index` on.
     pub(crate) fn truncate(&mut self, index: Index) {
-        self.entries.truncate(index.saturating_sub(self.start + 1) as usize);
+        let kept = index.saturating_sub(self.start + 1) as usize;
+        let dropped = self.entries.drain(kept.min(self.entries.len())..);
+        self.bytes -= dropped.map(|entry| entry_bytes(&entry)).sum::<usize>();
         self.unstable = self.unstable.min(index);
     }
 
     /// Drops the entries up to `index`. No-op if `index` is not held.
     pub(crate) fn compact(&mut self, index: Index) {
         let Some(term) = self.term(index) else { return };
-        self.entries.drain(..(index - self.start) as usize);
+        let dropped = self.entries.drain(..(index - self.start) as usize);
+        self.bytes -= dropped.map(|entry| entry_bytes(&entry)).sum::<usize>();
         self.start = index;
         self.start_term = term;
         self.unstable = self.unstable.max(index + 1);
@@ -98,7 +124,7 @@
 
     /// Empties the log and moves its start.
     pub(crate) fn reset(&mut self, start: Index, start_term: Term) {
-        *self = Log { start, start_term, entries: Vec::new(), unstable: start + 1 };
+        *self = Log { start, start_term, entries: Vec::new(), bytes: 0, unstable: start + 1 };
     }
 
     /// Takes the entries not yet handed to the driver for writing.
@@ -108,3 +134,11 @@
         entries
     }
 }
+
+/// Returns the size that an entry counts, in bytes.
+pub(crate) fn entry_bytes(entry: &Entry) -> usize {
+    match &entry.payload {
+        Payload::Data(data) => ENTRY_OVERHEAD_BYTES + data.len(),
+        Payload::Empty | Payload::Members(_) => ENTRY_OVERHEAD_BYTES,
+    }
+}
--- a/crates/raft/src/message.rs
+++ b/crates/raft/src/message.rs
@@ -85,6 +85,22 @@
     pub body: Body,
 }
 
+impl Message {
+    /// Returns the size of the commands, parts and snapshots that the message contains, in bytes.
+    pub fn data_bytes(&self) -> usize {
+        let entry_bytes = |entry: &Entry| match &entry.payload {
+            Payload::Data(data) => data.len(),
+            Payload::Empty | Payload::Members(_) => 0,
+        };
+        match &self.body {
+            Body::Append { entries, .. } => entries.iter().map(entry_bytes).sum(),
+            Body::Install { snapshot, .. } => snapshot.data.len(),
+            Body::Part { part, .. } => part.data.len(),
+            _ => 0,
+        }
+    }
+}
+
 /// The content of a message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
@@ -134,4 +150,72 @@
         /// The heartbeat round.
         round: u64,
     },
+    /// A part of a snapshot or entry that is too large for one message. Earlier releases do not know
+    /// it, see [`crate::Node::set_part_receivers`].
+    Part {
+        /// The part.
+        part: Part,
+        /// The heartbeat round.
+        round: u64,
+    },
+    /// The response to [`Body::Part`], unless the object is complete: then it is
+    /// [`Body::Appended`].
+    PartReceived {
+        /// The digest of the object.
+        digest: u64,
+        /// The offset of the part to which this responds.
+        offset: u64,
+        /// The number of bytes that the receiver has, from the first one on.
+        received: u64,
+        /// The heartbeat round of that part.
+        round: u64,
+    },
+}
+
+/// A part of a snapshot or entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// What the part belongs to.
+    pub object: Object,
+    /// The digest of the object's data. The snapshots of two leaders at the same index may differ
+    /// in the order of their content.
+    pub digest: u64,
+    /// The size of the object's data, in bytes.
+    pub total: u64,
+    /// The offset of this part in the data.
+    pub offset: u64,
+    /// The bytes from there on.
+    pub data: Bytes,
+}
+
+/// A snapshot or entry without its data.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Object {
+    /// A snapshot; see [`Snapshot`].
+    Snapshot {
+        /// The index of the last entry included.
+        index: Index,
+        /// The term of that entry.
+        term: Term,
+        /// The members at that entry.
+        members: Members,
+    },
+    /// A command in the log.
+    Entry {
+        /// The index.
+        index: Index,
+        /// The term of the leader that appended it.
+        term: Term,
+        /// The term of the entry before it.
+        prev_term: Term,
+    },
+}
+
+impl Object {
+    /// Returns the index of the entry, or of the last one that the snapshot includes.
+    pub fn index(&self) -> Index {
+        match self {
+            Object::Snapshot { index, .. } | Object::Entry { index, .. } => *index,
+        }
+    }
 }
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -24,6 +24,7 @@
 use crate::message::Term;
 use crate::progress::Progress;
 use crate::read::Read;
+use crate::transfer::Assembly;
 
 /// Timing and limits of a replica.
 #[derive(Clone, Copy, Debug)]
@@ -32,8 +33,18 @@
     pub heartbeat_interval: Duration,
     /// Minimum election timeout. The actual one is random, below twice this value.
     pub election_timeout: Duration,
-    /// Maximum size of the entries in one message, in bytes.
+    /// Maximum size of the entries in one message, in bytes. A larger entry or snapshot is sent in
+    /// parts.
     pub max_batch_bytes: usize,
+    /// Size of a part, in bytes.
+    pub part_bytes: usize,
+    /// Maximum size of an entry or snapshot that this replica accepts in parts, in bytes.
+    pub max_object_bytes: usize,
+    /// Maximum size of the entries that wait for a response, per replica and in bytes; one message
+    /// is always allowed.
+    pub max_in_flight_bytes: usize,
+    /// Maximum size of the entries behind the latest snapshot that stay in memory, in bytes.
+    pub retained_bytes: usize,
     /// Seed of the randomized timeouts.
     pub seed: u64,
 }
@@ -89,8 +100,8 @@
     pub leader: Option<Id>,
 }
 
-/// Default number of entries covered by the latest snapshot that stay in memory, so that a replica
-/// that lags a little needs no snapshot.
+/// Default number of entries covered by the latest snapshot that stay in memory at most, so that a
+/// replica that lags a little needs no snapshot.
 const RETAINED_ENTRIES: Index = 256;
 
 /// A Raft replica.
@@ -142,6 +153,10 @@
     pub(crate) max_voters: usize,
     pub(crate) messages: Vec<(Id, Message)>,
     retained_entries: Index,
+    /// The replicas that know [`crate::message::Body::Part`].
+    pub(crate) part_receivers: Vec<Id>,
+    /// The object that this replica is receiving in parts.
+    pub(crate) assembly: Option<Assembly>,
 }
 
 impl Node {
@@ -183,6 +198,8 @@
             max_voters: usize::MAX,
             messages: Vec::new(),
             retained_entries: RETAINED_ENTRIES,
+            part_receivers: Vec::new(),
+            assembly: None,
         };
         // A live leader makes contact within a heartbeat interval of the first connection, so the
         // full election timeout is not needed.
@@ -212,6 +229,7 @@
 
     /// Returns the pending output. The caller must carry it out before the next call.
     pub fn ready(&mut self) -> Ready {
+        self.drop_needless_parts();
         if self.is_leader() {
             self.update_commit();
             self.advance_membership();
@@ -260,7 +278,8 @@
         let members = self.members_at(index).clone();
         let snapshot = Snapshot { index, term, members, data };
         self.snapshot = Some(snapshot.clone());
-        self.log.compact(index.saturating_sub(self.retained_entries));
+        let retained = self.log.retained_from(index, self.config.retained_bytes);
+        self.log.compact(retained.max(index.saturating_sub(self.retained_entries)));
         self.drop_replaced_members(index);
         base::event!(INFO, Event::SnapshotTaken, replica = self.id, index = index);
         Some(snapshot)
@@ -302,6 +321,11 @@
         self.log.last_index()
     }
 
+    /// Returns the size of the entries in memory, in bytes.
+    pub fn log_bytes(&self) -> usize {
+        self.log.bytes()
+    }
+
     /// Returns the id of this replica.
     pub fn id(&self) -> Id {
         self.id
--- a/crates/raft/src/progress.rs
+++ b/crates/raft/src/progress.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::message::Index;
+use crate::transfer::Transfer;
 
 /// Maximum number of messages with entries that wait for a response, per replica.
 const MAX_IN_FLIGHT_MESSAGES: usize = 64;
@@ -16,9 +17,12 @@
         /// Whether a response is outstanding.
         awaiting_response: bool,
     },
-    /// Many messages at once. Contains the last index of each message without a response.
-    Pipeline(VecDeque<Index>),
-    /// A snapshot is being transferred.
+    /// Many messages at once. Contains the last index and the size in bytes of each message without
+    /// a response.
+    Pipeline(VecDeque<(Index, usize)>),
+    /// A snapshot or entry is being sent in parts.
+    Transfer(Box<Transfer>),
+    /// A snapshot was sent in one message.
     Snapshot {
         /// The index of the snapshot.
         index: Index,
@@ -54,24 +58,47 @@
         Progress { matched: 0, next, mode, last_contact: now, round: 0, heartbeat_due: true }
     }
 
-    /// Returns whether more entries may be sent now.
-    pub(crate) fn can_send(&self) -> bool {
+    /// Returns whether more entries may be sent now, with at most `max_bytes` in messages without a
+    /// response.
+    pub(crate) fn can_send(&self, max_bytes: usize) -> bool {
         match &self.mode {
             Mode::Probe { awaiting_response } => !awaiting_response,
-            Mode::Pipeline(in_flight) => in_flight.len() < MAX_IN_FLIGHT_MESSAGES,
-            Mode::Snapshot { .. } => false,
+            Mode::Pipeline(in_flight) => {
+                let bytes = in_flight.iter().map(|(_, bytes)| bytes).sum::<usize>();
+                in_flight.len() < MAX_IN_FLIGHT_MESSAGES && bytes < max_bytes
+            }
+            Mode::Transfer(_) | Mode::Snapshot { .. } => false,
         }
     }
 
-    /// Records that entries up to `last` were sent.
-    pub(crate) fn record_sent(&mut self, last: Index) {
+    /// Returns whether the last matching index is unknown.
+    pub(crate) fn is_probing(&self) -> bool {
+        matches!(self.mode, Mode::Probe { .. })
+    }
+
+    /// Returns whether the log matches up to `next` and all messages were answered.
+    pub(crate) fn is_pipeline_empty(&self) -> bool {
+        let Mode::Pipeline(in_flight) = &self.mode else { return false };
+        in_flight.is_empty() && self.matched + 1 == self.next
+    }
+
+    /// Returns the transfer in progress.
+    pub(crate) fn transfer(&mut self) -> Option<&mut Transfer> {
+        match &mut self.mode {
+            Mode::Transfer(transfer) => Some(transfer),
+            _ => None,
+        }
+    }
+
+    /// Records that entries up to `last` of this size were sent.
+    pub(crate) fn record_sent(&mut self, last: Index, bytes: usize) {
         match &mut self.mode {
             Mode::Probe { awaiting_response } => *awaiting_response = true,
             Mode::Pipeline(in_flight) => {
-                in_flight.push_back(last);
+                in_flight.push_back((last, bytes));
                 self.next = last + 1;
             }
-            Mode::Snapshot { .. } => {}
+            Mode::Transfer(_) | Mode::Snapshot { .. } => {}
         }
     }
 
@@ -86,7 +113,11 @@
                 self.next = self.matched + 1;
                 self.mode = Mode::Pipeline(VecDeque::new());
             }
-            Mode::Pipeline(in_flight) => in_flight.retain(|last| *last > index),
+            Mode::Transfer(transfer) if self.matched >= transfer.index() => {
+                self.next = self.matched + 1;
+                self.mode = Mode::Pipeline(VecDeque::new());
+            }
+            Mode::Pipeline(in_flight) => in_flight.retain(|(last, _)| *last > index),
             _ => {}
         }
     }
@@ -95,7 +126,7 @@
     pub(crate) fn record_rejected(&mut self, hint: Index) {
         let next = hint.max(self.matched) + 1;
         let stale = next >= self.next;
-        if stale || matches!(self.mode, Mode::Snapshot { .. }) {
+        if stale || matches!(self.mode, Mode::Transfer(_) | Mode::Snapshot { .. }) {
             return;
         }
         self.next = next;
--- a/crates/raft/src/replication.rs
+++ b/crates/raft/src/replication.rs
@@ -2,18 +2,19 @@
 
 use base::Map;
 
+use crate::log::entry_bytes;
 use crate::message::Body;
 use crate::message::Entry;
 use crate::message::Id;
 use crate::message::Index;
+use crate::message::Object;
 use crate::message::Payload;
 use crate::node::Node;
 use crate::progress::Mode;
 use crate::progress::Progress;
 use crate::read::majority_value;
+use crate::transfer::Transfer;
 
-/// Size counted for an entry in addition to its data, in bytes.
-const ENTRY_OVERHEAD_BYTES: usize = 32;
 /// Delay before an unanswered snapshot is sent again, in election timeouts. It doubles with each
 /// attempt, so that a transfer that takes long is not restarted forever.
 const SNAPSHOT_RESEND_ELECTION_TIMEOUTS: u32 = 4;
@@ -40,21 +41,75 @@
 
     /// Queues the messages due to a replica.
     fn flush_to(&mut self, to: Id, progress: &mut Progress) {
+        self.start_transfer_if_needed(to, progress);
         self.send_snapshot_if_needed(to, progress);
-        while progress.can_send() && progress.next <= self.log.last_index() {
+        let max_bytes = self.config.max_in_flight_bytes;
+        while progress.can_send(max_bytes) && progress.next <= self.log.last_index() {
+            if self.next_needs_parts(to, progress) {
+                if !progress.is_probing() {
+                    break;
+                }
+                // Only a replica whose log is known to match gets a large entry.
+                self.send_heartbeat(to, progress);
+                progress.record_sent(progress.next - 1, 0);
+                break;
+            }
             self.send_entries(to, progress);
         }
+        if let Mode::Transfer(transfer) = &mut progress.mode {
+            self.send_parts(to, transfer);
+        }
         if progress.heartbeat_due {
             self.send_heartbeat(to, progress);
         }
     }
 
-    /// Sends a snapshot if the needed entries are gone, and again if there was no response in time.
+    /// Returns whether the next entry for a replica must be sent in parts.
+    fn next_needs_parts(&self, to: Id, progress: &Progress) -> bool {
+        let next = self.log.slice(progress.next, progress.next).first();
+        next.is_some_and(|entry| match &entry.payload {
+            Payload::Data(data) => self.needs_parts(to, data.len()),
+            Payload::Empty | Payload::Members(_) => false,
+        })
+    }
+
+    /// Starts a transfer if the needed entries are gone and the snapshot is large, or if all entries
+    /// sent before were acknowledged and the next one is large.
+    fn start_transfer_if_needed(&mut self, to: Id, progress: &mut Progress) {
+        if matches!(progress.mode, Mode::Transfer(_)) {
+            if !self.part_receivers.contains(&to) {
+                // The replica was replaced by one of a former release.
+                progress.mode = Mode::Probe { awaiting_response: false };
+            }
+            return;
+        }
+        let resend_delay = self.config.election_timeout;
+        if progress.next <= self.log.start() {
+            let whole = matches!(progress.mode, Mode::Snapshot { .. });
+            let snapshot = self.snapshot.as_ref().filter(|_| !whole);
+            let snapshot = snapshot.filter(|snapshot| self.needs_parts(to, snapshot.data.len()));
+            if let Some(snapshot) = snapshot.cloned() {
+                let transfer = Transfer::snapshot(snapshot, resend_delay, self.now);
+                progress.mode = Mode::Transfer(Box::new(transfer));
+            }
+        } else if progress.is_pipeline_empty() && self.next_needs_parts(to, progress) {
+            let prev_term = self.log.term(progress.next - 1);
+            let entry = self.log.slice(progress.next, progress.next).first();
+            let (Some(prev_term), Some(entry)) = (prev_term, entry) else { return };
+            let Payload::Data(data) = &entry.payload else { return };
+            let object = Object::Entry { index: entry.index, term: entry.term, prev_term };
+            let transfer = Transfer::new(object, data.clone(), resend_delay, self.now);
+            progress.mode = Mode::Transfer(Box::new(transfer));
+        }
+    }
+
+    /// Sends a snapshot in one message if the needed entries are gone, and again if there was no response in time.
     fn send_snapshot_if_needed(&mut self, to: Id, progress: &mut Progress) {
         let (due, resend_delay) = match progress.mode {
             Mode::Snapshot { resend_at, resend_delay, .. } => {
                 (self.now >= resend_at, resend_delay * 2)
             }
+            Mode::Transfer(_) => return,
             _ => {
                 let first = self.config.election_timeout * SNAPSHOT_RESEND_ELECTION_TIMEOUTS;
                 (progress.next <= self.log.start(), first)
@@ -73,16 +128,21 @@
     fn send_entries(&mut self, to: Id, progress: &mut Progress) {
         let entries = self.batch(progress.next);
         let last = progress.next + entries.len() as Index - 1;
+        let bytes = entries.iter().map(entry_bytes).sum();
         self.send_append(to, progress.next - 1, entries);
-        progress.record_sent(last);
+        progress.record_sent(last, bytes);
         progress.heartbeat_due = false;
     }
 
-    /// Sends a message without entries. During a snapshot transfer it refers to index 0, which
-    /// matches any log.
+    /// Sends a message without entries. While a snapshot is sent in one message it refers to index 0,
+    /// which matches any log, and during a transfer to the last index known to match.
     fn send_heartbeat(&mut self, to: Id, progress: &mut Progress) {
         let prev_index = match progress.mode {
             Mode::Snapshot { .. } => 0,
+            Mode::Transfer(_) => match self.log.term(progress.matched) {
+                Some(_) => progress.matched,
+                None => 0,
+            },
             _ => progress.next - 1,
         };
         self.send_append(to, prev_index, Vec::new());
@@ -123,6 +183,9 @@
         let Some(progress) = self.progress.get_mut(&from) else { return };
         progress.last_contact = self.now;
         progress.round = progress.round.max(round);
+        if let Some(transfer) = progress.transfer() {
+            transfer.record_heartbeat(round);
+        }
         if success {
             progress.record_accepted(index.min(last));
             self.update_commit();
@@ -178,11 +241,3 @@
         self.progress = progress;
     }
 }
-
-/// Returns the size that an entry counts in a batch, in bytes.
-fn entry_bytes(entry: &Entry) -> usize {
-    match &entry.payload {
-        Payload::Data(data) => ENTRY_OVERHEAD_BYTES + data.len(),
-        Payload::Empty | Payload::Members(_) => ENTRY_OVERHEAD_BYTES,
-    }
-}
--- a/crates/raft/tests/log/main.rs
+++ b/crates/raft/tests/log/main.rs
@@ -3,4 +3,5 @@
 mod basics;
 mod schedules;
 mod sim;
+mod transfers;
 mod voters;
--- a/crates/raft/tests/log/schedules.rs
+++ b/crates/raft/tests/log/schedules.rs
@@ -5,7 +5,7 @@
 
 use super::sim::Cluster;
 use super::sim::HOSTS;
-use super::sim::Report;
+use super::sim::rates::Report;
 
 /// Number of seeds run by default.
 const SEEDS: u64 = 300;
--- a/crates/raft/tests/log/sim/check.rs
+++ b/crates/raft/tests/log/sim/check.rs
@@ -66,7 +66,10 @@
 
 /// Returns the state contained in a snapshot.
 pub(crate) fn state_of(snapshot: &Snapshot) -> u64 {
-    u64::from_le_bytes(snapshot.data.as_ref().try_into().expect("eight bytes"))
+    let (state, padding) = snapshot.data.split_first_chunk().expect("eight bytes");
+    let state = u64::from_le_bytes(*state);
+    assert!(padding.iter().all(|byte| *byte == state as u8), "a snapshot is damaged");
+    state
 }
 
 fn digest(entry: &Entry) -> u64 {
--- a/crates/raft/tests/log/sim/mod.rs
+++ b/crates/raft/tests/log/sim/mod.rs
@@ -2,6 +2,8 @@
 
 pub(crate) mod check;
 pub(crate) mod files;
+pub(crate) mod network;
+pub(crate) mod rates;
 pub(crate) mod replica;
 
 // The tests of the crate `disk` use the methods that are unused here.
@@ -17,6 +19,7 @@
 use raft::Node;
 use raft::message::Id;
 use raft::message::Members;
+use raft::node::Config;
 use raft::node::Ready;
 use raft::node::Role;
 use rand::RngExt;
@@ -24,6 +27,8 @@
 use rand::rngs::SmallRng;
 
 use self::check::Checker;
+use self::rates::Rates;
+use self::rates::Report;
 use self::replica::Replica;
 
 /// Number of hosts in a random schedule.
@@ -41,6 +46,18 @@
 /// Time without contact after which the leader replaces a voter, if the number of voters is limited.
 const VOTER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Sizes by which the entries and snapshots of some schedules are sent in parts, in bytes.
+const SMALL_SIZES: Config = Config {
+    max_batch_bytes: 60,
+    part_bytes: 50,
+    max_in_flight_bytes: 400,
+    retained_bytes: 300,
+    ..replica::CONFIG
+};
+/// Upper bound of the data of a large entry and of the padding of a snapshot in those schedules, in
+/// bytes.
+const MAX_LARGE_BYTES: usize = 1_000;
+
 /// A message in transit.
 struct Delivery {
     from: Id,
@@ -49,34 +66,6 @@
     message: Message,
 }
 
-/// Rates of faults per thousand steps, messages or writes.
-struct Rates {
-    loss: u32,
-    duplicate: u32,
-    delay: u32,
-    slow_sync: u32,
-    crash: u32,
-    crash_leader: u32,
-    restart: u32,
-    wipe: u32,
-    pause: u32,
-    split: u32,
-    remove: u32,
-}
-
-/// Counters of a schedule.
-#[derive(Debug, Default)]
-pub(crate) struct Report {
-    pub(crate) committed: u64,
-    pub(crate) terms: usize,
-    pub(crate) reads: usize,
-    pub(crate) installs: usize,
-    pub(crate) crashes: usize,
-    pub(crate) wipes: usize,
-    pub(crate) splits: usize,
-    pub(crate) removals: usize,
-}
-
 /// A simulated cluster.
 pub(crate) struct Cluster {
     seed: u64,
@@ -92,6 +81,11 @@
     /// The number of voters to keep; `None` if all hosts vote.
     voters: Option<usize>,
     rates: Rates,
+    config: Config,
+    /// The size of snapshots beyond the state, in bytes.
+    pub(crate) snapshot_padding: usize,
+    /// Whether the replicas know messages that are sent in parts.
+    pub(crate) with_parts: bool,
     faulty: bool,
     /// Voters with a requested removal, and the time until which it can still take effect.
     pending_removals: Vec<(Id, Duration)>,
@@ -106,25 +100,25 @@
         Cluster::with_voters(seed, hosts, None)
     }
 
-    /// Creates a cluster that keeps a number of voters, or in which all hosts vote.
+    /// Creates a cluster that keeps a number of voters, or in which all hosts vote. A third of the
+    /// seeds send large entries and snapshots in parts.
     pub(crate) fn with_voters(seed: u64, hosts: usize, voters: Option<usize>) -> Cluster {
+        let config = if seed % 3 == 2 { SMALL_SIZES } else { replica::CONFIG };
+        Cluster::with_config(seed, hosts, voters, config)
+    }
+
+    pub(crate) fn with_config(
+        seed: u64,
+        hosts: usize,
+        voters: Option<usize>,
+        config: Config,
+    ) -> Cluster {
         let mut random = SmallRng::seed_from_u64(seed);
-        let rates = Rates {
-            loss: random.random_range(0..200),
-            duplicate: random.random_range(0..100),
-            delay: random.random_range(0..100),
-            slow_sync: random.random_range(0..60),
-            crash: random.random_range(0..10),
-            crash_leader: random.random_range(0..2) * random.random_range(0..60),
-            restart: random.random_range(10..300),
-            wipe: random.random_range(0..4),
-            pause: random.random_range(0..10),
-            split: random.random_range(0..8),
-            remove: random.random_range(0..2) * random.random_range(0..30),
-        };
+        let rates = Rates::random(&mut random);
         let disks = if random.random_bool(0.5) { DISKS } else { hosts };
-        let replicas =
-            (0..hosts).map(|host| Replica::new(random.random(), host, seed % 2 == 1)).collect();
+        let replicas = (0..hosts)
+            .map(|host| Replica::new(random.random(), host, seed % 2 == 1, config))
+            .collect();
         let mut cluster = Cluster {
             seed,
             random,
@@ -136,6 +130,9 @@
             disks,
             voters,
             rates,
+            config,
+            snapshot_padding: MAX_LARGE_BYTES,
+            with_parts: config.max_batch_bytes == SMALL_SIZES.max_batch_bytes,
             faulty: false,
             pending_removals: Vec::new(),
             check: Checker::default(),
@@ -292,6 +289,11 @@
             self.send_client_requests(host);
             self.replace_lost_voter(host);
         }
+        if self.with_parts {
+            let ids = self.replicas.iter().map(|replica| replica.id).collect();
+            self.node(host).set_part_receivers(ids);
+            self.replicas[host].snapshot_padding = self.snapshot_padding;
+        }
         let ready = self.node(host).ready();
         self.write(host, ready);
     }
@@ -360,7 +362,12 @@
     fn propose(&mut self, host: usize) {
         for _ in 0..self.random.random_range(1..4) {
             self.next_value += 1;
-            let data = Bytes::from(format!("value {} of {}", self.next_value, host));
+            let mut data = format!("value {} of {}", self.next_value, host);
+            if self.with_parts && self.chance(50) {
+                let length = self.random.random_range(0..MAX_LARGE_BYTES);
+                data.extend(std::iter::repeat_n('x', length));
+            }
+            let data = Bytes::from(data);
             self.node(host).propose(data).expect("leads");
         }
     }
@@ -447,7 +454,8 @@
             self.report.wipes += 1;
             self.report.installs += self.replicas[host].installed;
             self.report.reads += self.replicas[host].confirmed;
-            self.replicas[host] = Replica::new(self.random.random(), host, self.seed % 2 == 1);
+            let id = self.random.random();
+            self.replicas[host] = Replica::new(id, host, self.seed % 2 == 1, self.config);
         }
     }
 
--- a/crates/raft/tests/log/sim/replica.rs
+++ b/crates/raft/tests/log/sim/replica.rs
@@ -51,10 +51,13 @@
     pub(crate) reads: Map<u64, Index>,
     pub(crate) confirmed: usize,
     pub(crate) installed: usize,
+    pub(crate) config: Config,
+    /// The size of a snapshot beyond the state, in bytes.
+    pub(crate) snapshot_padding: usize,
 }
 
 impl Replica {
-    pub(crate) fn new(id: Id, host: usize, with_disk: bool) -> Replica {
+    pub(crate) fn new(id: Id, host: usize, with_disk: bool, config: Config) -> Replica {
         Replica {
             id,
             host,
@@ -69,6 +72,8 @@
             reads: Map::default(),
             confirmed: 0,
             installed: 0,
+            config,
+            snapshot_padding: 0,
         }
     }
 
@@ -77,7 +82,7 @@
     }
 
     pub(crate) fn start(&mut self, seed: u64, now: Duration) {
-        let mut node = Node::new(self.id, config(seed), self.stored.clone(), now);
+        let mut node = Node::new(self.id, Config { seed, ..self.config }, self.stored.clone(), now);
         node.set_retained_entries(RETAINED_ENTRIES);
         self.state = self.stored.snapshot.as_ref().map_or(0, state_of);
         self.applied = self.stored.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
@@ -179,7 +184,9 @@
         if self.applied < index + SNAPSHOT_EVERY {
             return;
         }
-        let data = Bytes::copy_from_slice(&self.state.to_le_bytes());
+        let mut data = self.state.to_le_bytes().to_vec();
+        data.resize(data.len() + self.snapshot_padding, self.state as u8);
+        let data = Bytes::from(data);
         let node = self.node.as_mut().expect("a running node");
         let snapshot = node.compact(self.applied, data).expect("a later snapshot");
         if let Some(disk) = &mut self.disk {
@@ -237,12 +244,14 @@
         == (&other.hard_state, &other.snapshot, &other.entries)
 }
 
-/// Returns the timing used by all tests.
-pub(crate) fn config(seed: u64) -> Config {
-    Config {
-        heartbeat_interval: Duration::from_millis(50),
-        election_timeout: Duration::from_millis(200),
-        max_batch_bytes: 200,
-        seed,
-    }
-}
+/// The timing and sizes of most tests.
+pub(crate) const CONFIG: Config = Config {
+    heartbeat_interval: Duration::from_millis(50),
+    election_timeout: Duration::from_millis(200),
+    max_batch_bytes: 200,
+    part_bytes: 64,
+    max_object_bytes: 1 << 30,
+    max_in_flight_bytes: 1 << 20,
+    retained_bytes: 1 << 20,
+    seed: 0,
+};
