cell: a change larger than the memory allows is refused when it is proposed

Cause: a change of any size was committed; the state could then exceed what a replica that is behind accepts, or what the hosts hold.

Reply::TooLarge is a new variant at the end and answers only Call::PublishExtended; callers of former releases get Unsure. Commands are encoded by the caller's task and no longer by the replica's, which sends the heartbeats.

Ruled out: a bound on the document, which says little about the size in the log.

--- a/crates/cell/src/budget.rs
+++ b/crates/cell/src/budget.rs
@@ -4,6 +4,9 @@
 /// snapshots: the latest one, one that is being sent, one that is being received or encoded, and the
 /// decoded state, which takes twice as much.
 const OBJECT_SHARE: usize = 16;
+/// The share of an object that one change may have. A snapshot contains the last plan, which is almost
+/// all of a large change, and the versions of adapters, the quarantine and the departures.
+const CHANGE_SHARE: usize = 2;
 /// The share for the log entries behind the latest snapshot.
 const RETAINED_SHARE: usize = 16;
 /// The share for all log entries in memory, those not committed yet included.
@@ -16,6 +19,8 @@
 pub(crate) struct Budget {
     /// The largest entry or snapshot.
     pub(crate) object: usize,
+    /// The largest command that is proposed.
+    pub(crate) change: usize,
     /// The log entries behind the latest snapshot.
     pub(crate) retained: usize,
     /// All log entries in memory; a leader accepts no further command above it.
@@ -28,6 +33,7 @@
     pub(crate) fn new(memory_bytes: usize) -> Budget {
         Budget {
             object: memory_bytes / OBJECT_SHARE,
+            change: memory_bytes / OBJECT_SHARE / CHANGE_SHARE,
             retained: memory_bytes / RETAINED_SHARE,
             log: memory_bytes / LOG_SHARE,
             in_flight: memory_bytes / IN_FLIGHT_SHARE,
--- a/crates/cell/src/calls.rs
+++ b/crates/cell/src/calls.rs
@@ -18,6 +18,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::budget::Budget;
 use crate::coordinator::Coordinator;
 use crate::engines::Engines;
 use crate::keeper::Keeper;
@@ -53,13 +54,26 @@
                 _ => tokio::time::sleep(LEADER_RETRY_INTERVAL).await,
             }
         };
-        let outcome = if reply == Reply::Unsure { "unsure" } else { "done" };
+        let outcome = match reply {
+            Reply::Unsure => "unsure",
+            Reply::TooLarge { .. } => "refused",
+            Reply::Done | Reply::Document(_) => "done",
+        };
         self.metrics.calls.with_label_values(&[name, outcome]).inc();
         reply
     }
 
     /// Answers a call locally. Returns `Reply::Unsure` if this keeper does not lead.
     pub(crate) async fn answer(&self, call: Call) -> Reply {
+        let knows_limit = matches!(call, Call::PublishExtended { .. });
+        match self.carry_out(call).await {
+            // Callers of former releases repeat the call.
+            Reply::TooLarge { .. } if !knows_limit => Reply::Unsure,
+            reply => reply,
+        }
+    }
+
+    async fn carry_out(&self, call: Call) -> Reply {
         match call {
             Call::Publish { plan, document } => {
                 self.publish(plan, Arc::new(Extension::default()), document).await
@@ -238,9 +252,17 @@
         if is_sent && still_leads { Reply::Done } else { Reply::Unsure }
     }
 
+    /// Commits a command, unless it is larger than the memory allows.
     pub(crate) async fn propose(&self, command: Command) -> Reply {
+        // Encoded here, since a large command takes long and the replica sends heartbeats.
+        let command = postcard::to_stdvec(&command).expect("a command can be encoded");
+        let (bytes, limit) = (command.len(), Budget::new(self.settings.memory_bytes).change);
+        if bytes > limit {
+            base::event!(WARN, Event::PlanRefused, bytes, limit, reason = "too large");
+            return Reply::TooLarge { bytes: bytes as u64, limit: limit as u64 };
+        }
         let (reply, applied) = oneshot::channel();
-        match self.request_replica(Request::Propose(command, reply), applied).await {
+        match self.request_replica(Request::Propose(command.into(), reply), applied).await {
             true => Reply::Done,
             false => Reply::Unsure,
         }
--- a/crates/cell/src/replica.rs
+++ b/crates/cell/src/replica.rs
@@ -62,9 +62,9 @@
 pub(crate) enum Request {
     /// Messages from another replica.
     Deliver(Envelope),
-    /// Proposes a command. The sender fires once it is applied and is dropped if the outcome is
+    /// Proposes an encoded command. The sender fires once it is applied and is dropped if the outcome is
     /// unknown.
-    Propose(Command, oneshot::Sender<()>),
+    Propose(Bytes, oneshot::Sender<()>),
     /// Linearizable read. The sender fires once the state contains all commands committed before
     /// this request, and is dropped on loss of leadership.
     Read(oneshot::Sender<()>),
@@ -260,8 +260,7 @@
     fn handle(&mut self, request: Request) {
         match request {
             Request::Deliver(envelope) => self.deliver(envelope),
-            Request::Propose(command, reply) => {
-                let bytes = postcard::to_stdvec(&command).expect("a command can be encoded");
+            Request::Propose(bytes, reply) => {
                 let log_bytes = self.node.log_bytes();
                 if log_bytes + bytes.len() > self.budget.log {
                     // The caller repeats the call; by then entries may be committed and dropped.
@@ -275,7 +274,7 @@
                     return;
                 }
                 // On error the reply is dropped: the outcome is unknown.
-                if let Ok(index) = self.node.propose(Bytes::from(bytes)) {
+                if let Ok(index) = self.node.propose(bytes) {
                     self.proposals.insert(index, (self.node.term(), reply));
                 }
             }
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -337,6 +337,14 @@
     Document(Option<Bytes>),
     /// The outcome is unknown; the call may have taken effect.
     Unsure,
+    /// The change is larger than the memory of the keepers allows and did not take effect. Since
+    /// [`Revision::TENANTS`], in answers to [`Call::PublishExtended`] only, which no earlier release sends.
+    TooLarge {
+        /// The size of the change, in bytes.
+        bytes: u64,
+        /// The limit, in bytes.
+        limit: u64,
+    },
 }
 
 /// The version of an adapter that is in force.
