sched: a stream goes where its own later pauses are few

Cause: requests with a bound on pauses went to the engine of the earliest first event also where prompts are read nearly all the time, so that the prompts after them had to wait or stopped them. Change: where the learned pauses of an engine may exceed the gap, its cost grows by up to 250 ms with the share of the last second in which it read prompts.

--- a/crates/sched/src/candidate.rs
+++ b/crates/sched/src/candidate.rs
@@ -23,6 +23,11 @@
 /// The penalty for a stream that is expected to pause for too long, in ms of waiting.
 const LATE_STREAM_MS: f64 = 400.0;
 
+/// The penalty for the pauses that a stream would have at an engine that reads prompts all the time, in ms of waiting.
+const OWN_PAUSES_MS: f64 = 250.0;
+/// The period over which the time that an engine reads prompts is measured.
+const READING_PERIOD: Duration = Duration::from_secs(1);
+
 /// Keeps a lower bound of a popularity below the exact value despite rounding.
 const ROUNDING_MARGIN: f64 = 1.0 - 1e-9;
 
@@ -134,7 +139,7 @@
     /// Returns the estimate for an engine; `None` if the engine can't take the request now.
     pub(crate) fn candidate(&self, member: Member<'_>, pending: &Pending) -> Option<Candidate> {
         let access = self.access(member, &pending.query.adapter)?;
-        let mut penalty = access.penalty;
+        let mut penalty = access.penalty + self.own_pauses(member, pending);
         let mut victim = None;
         if access.availability == Availability::NeedsEviction {
             let (name, eviction_penalty) = self.victim(member)?;
@@ -189,13 +194,26 @@
         let prefill_tokens = prefill_tokens(engine, pending);
         better(prefill_tokens, access.penalty, 0.0)?;
         let stalled = self.stalled(member, prefill_tokens, access.load_ms);
-        let rating = better(prefill_tokens, access.penalty, stalled)?;
+        let penalty = access.penalty + self.own_pauses(member, pending);
+        let rating = better(prefill_tokens, penalty, stalled)?;
         if access.availability != Availability::NeedsEviction || rating.misses {
             return Some(rating);
         }
-        better(prefill_tokens, access.penalty + self.min_eviction_penalty(figures), stalled)?;
+        better(prefill_tokens, penalty + self.min_eviction_penalty(figures), stalled)?;
         let (_, eviction_penalty) = self.victim(member)?;
-        better(prefill_tokens, access.penalty + eviction_penalty, stalled)
+        better(prefill_tokens, penalty + eviction_penalty, stalled)
+    }
+
+    /// Returns the penalty for the pauses that the request's own stream would have at an engine, in ms.
+    fn own_pauses(&self, member: Member<'_>, pending: &Pending) -> f64 {
+        let gap_ms = f64::from(pending.gap_ms);
+        let speed = member.engine.current_reading_speed(self.now);
+        match self.pauses {
+            Some(pauses) if pending.gap_ms > 0 && pauses.binds(speed, gap_ms) => {
+                OWN_PAUSES_MS * member.engine.reading.utilization(READING_PERIOD, self.now)
+            }
+            _ => 0.0,
+        }
     }
 
     /// Returns the expected number of streams at an engine that would pause for too long if it read a prompt of
--- a/crates/sched/src/pause.rs
+++ b/crates/sched/src/pause.rs
@@ -116,6 +116,11 @@
         if share < MIN_SHARE { 0.0 } else { share }
     }
 
+    /// Returns whether most streams are expected to pause for longer than `gap_ms` beside any number of prompt tokens.
+    pub fn binds(&self, tokens_per_ms: f64, gap_ms: f64) -> bool {
+        self.late_share(f64::INFINITY, tokens_per_ms, gap_ms) > 0.5
+    }
+
     /// Returns the learned number of prompt tokens that engines read within the steps of one event; `None` without
     /// evidence. It is a lower bound while longer pauses go with more prompt tokens.
     pub fn bound(&self) -> Option<Bound> {
--- a/crates/sched/src/reading.rs
+++ b/crates/sched/src/reading.rs
@@ -101,6 +101,15 @@
         Some(windows.fold(0.0, f64::max))
     }
 
+    /// Returns the share of the last `period` in which prompts were read.
+    pub(crate) fn utilization(&self, period: Duration, now: Duration) -> f64 {
+        let from = now.saturating_sub(period);
+        let batches = self.batches.iter().rev().take_while(|batch| batch.end > from);
+        let read: Duration =
+            batches.map(|batch| batch.end - batch.start.max(from).min(batch.end)).sum();
+        read.as_secs_f64() / period.as_secs_f64()
+    }
+
     /// Returns when a prompt can be sent that is not read within the steps of one event with those that were sent before.
     pub(crate) fn clear_at(&self, steps: Steps) -> Duration {
         self.batches.back().map_or(Duration::ZERO, |last| last.end + steps.time * steps.stride)
