sched: times of prompts hold also where the first event takes a stride

Cause: the batches of an engine were corrected by a first event as if it came with the first token. Popular engines rarely have a queue with one request, so their speed remained the biased estimate. Change: only requests that are alone until their first event are samples of the speed; its constant part says when a batch ended, if no prompts were read after it. Pauses count from the first event. Ruled out: a setting for the time of the first event, since the regression has it. The bound of the first test goes from 3 to 1.5%.

--- a/crates/sched/src/engine.rs
+++ b/crates/sched/src/engine.rs
@@ -47,8 +47,10 @@
     /// Admits requests at the rate that the engine has named, if it has.
     pub(crate) limit: Option<Bucket>,
     pub(crate) prefill_speed: Prefill,
-    /// The speed as requests without others before them show it.
+    /// The speed as requests that are alone in its queue show it.
     pub(crate) fit: Fit,
+    /// The speed that requests alone at engines of its service show, in tokens per ms, if that is known.
+    pub(crate) service_speed: Option<f64>,
     /// The pace of the engine's host, if the engine states it.
     pub(crate) host_pace: Option<Pace>,
     pub(crate) health: Health,
@@ -157,6 +159,7 @@
             limit: None,
             prefill_speed: Prefill::new(settings.prefill_tokens_per_ms),
             fit: Fit::default(),
+            service_speed: None,
             host_pace: None,
             health: Health::default(),
             prefix_cache: Cache::default(),
@@ -208,13 +211,23 @@
     /// Returns the speed that is expected of its queue, in tokens per ms. Where the engine does not state the pace of its
     /// host, a fit would follow the host's noise, so the bounded estimate is used.
     pub(crate) fn queue_speed(&self) -> f64 {
-        let fitted = self.host_pace.and_then(|_| self.fitted_speed());
+        let fitted = self.host_pace.and_then(|_| self.fit.tokens_per_ms(self.assumed_speed()));
         fitted.unwrap_or(self.prefill_speed.tokens_per_ms)
     }
 
+    /// Returns the time from the end of a prompt's prefill to the first event, in ms.
+    pub(crate) fn first_event_ms(&self) -> Option<f64> {
+        self.fit.constant_ms(self.assumed_speed())
+    }
+
     /// Returns [`Engine::reading_speed`] if there is evidence for it.
     pub(crate) fn fitted_speed(&self) -> Option<f64> {
-        self.fit.tokens_per_ms(self.prefill_speed.default_tokens_per_ms)
+        self.fit.tokens_per_ms(self.assumed_speed()).or(self.service_speed)
+    }
+
+    /// Returns the speed that is assumed before the engine has shown its own.
+    fn assumed_speed(&self) -> f64 {
+        self.service_speed.unwrap_or(self.prefill_speed.default_tokens_per_ms)
     }
 
     /// Returns the number of queued and running loads.
--- a/crates/sched/src/reading.rs
+++ b/crates/sched/src/reading.rs
@@ -57,12 +57,17 @@
         self.dropped + self.batches.len() as u64 - 1
     }
 
-    /// Corrects the times of a batch, whose first event has arrived, and of those after it.
-    pub(crate) fn record_end(&mut self, number: u64, end: Duration) {
+    /// Corrects the times of a batch whose first event has arrived, and of those after it. The batch ended at `end` if no
+    /// prompts were read between it and the event.
+    pub(crate) fn record_first_event(&mut self, number: u64, end: Duration, now: Duration) {
         let Some(index) = number.checked_sub(self.dropped).map(|index| index as usize) else {
             return;
         };
+        let delayed = self.batches.get(index + 1).is_some_and(|next| next.start < now);
         let Some(batch) = self.batches.get_mut(index) else { return };
+        if delayed && batch.end <= now {
+            return;
+        }
         batch.end = end.max(batch.arrival);
         batch.start = batch.start.min(batch.end);
         let mut free_from = batch.end;
@@ -92,10 +97,18 @@
         tokens + before
     }
 
-    /// Returns the most prompt tokens within the steps of one event that a stream met until `now` whose own prompt was
-    /// in the batch `own`; `None` if that is not known any more.
-    pub(crate) fn worst_window(&self, own: u64, now: Duration, steps: Steps) -> Option<f64> {
-        let first = (own + 1).checked_sub(self.dropped)? as usize;
+    /// Returns the most prompt tokens within the steps of one event that a stream met from its first event, at `began`,
+    /// until `now`, whose own prompt was in the batch `own`; `None` if that is not known any more.
+    pub(crate) fn worst_window(
+        &self,
+        own: u64,
+        began: Duration,
+        now: Duration,
+        steps: Steps,
+    ) -> Option<f64> {
+        let next = (own + 1).checked_sub(self.dropped)? as usize;
+        let after = self.batches.iter().skip(next).take_while(|batch| batch.end <= began);
+        let first = next + after.count();
         let read = (first..self.batches.len()).filter(|index| self.batches[*index].end <= now);
         let windows = read.map(|index| self.window_of(index, first, steps));
         Some(windows.fold(0.0, f64::max))
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -33,6 +33,7 @@
 use crate::retries::Retries;
 use crate::settings::Settings;
 use crate::speed::Decode;
+use crate::speed::Fit;
 use crate::store::Limiter;
 use crate::unmet::Unmet;
 
@@ -71,6 +72,8 @@
     pub(crate) base_loads: VecDeque<Duration>,
     pub(crate) popularity: Popularity,
     decode: Decode,
+    /// The prefill speed over all engines, by service.
+    speeds: Map<Name, Fit>,
     /// The pauses of streams, by service.
     pub(crate) pauses: Map<Name, Pauses>,
     retries: Retries,
@@ -99,6 +102,7 @@
             base_loads: VecDeque::new(),
             popularity: Popularity::new(settings.popularity_half_life),
             decode: Decode::new(settings.decode_ms_per_token),
+            speeds: Map::default(),
             pauses: Map::default(),
             retries: Retries::default(),
             unmet: Unmet::default(),
--- a/crates/sched/src/scheduler/completion.rs
+++ b/crates/sched/src/scheduler/completion.rs
@@ -19,8 +19,9 @@
 
 /// The time for which an engine gets no requests after it refused one.
 const FULL_BACKOFF: Duration = Duration::from_millis(100);
-/// The time from the end of the step that reads a prompt until the scheduler learns of the first event.
-const FIRST_EVENT_DELAY: Duration = Duration::from_millis(12);
+/// The part of the time to a first event that passes before its prompt is read: the end of the step in progress, less the
+/// time of the messages between leader and gate.
+const ARRIVAL_DELAY: Duration = Duration::from_millis(5);
 
 impl Scheduler {
     /// Records how long work takes on the host of a request's engine at the moment, in percent of the usual time.
@@ -43,17 +44,28 @@
         if let Some(slot) = engine.adapter_slots.get_mut(&assignment.adapter) {
             slot.expect_end((gate, request), now + self.decode.duration(assignment.output_tokens));
         }
+        // Prompts that are read before or after this one, until its first event, delay that event.
+        let alone = assignment.queued_prefill_tokens == assignment.prefill_tokens
+            && engine.backlog_tokens == assignment.prefill_tokens;
         engine.backlog_tokens = (engine.backlog_tokens - assignment.prefill_tokens).max(0.0);
         engine.start_deadlines.retain(|(key, _)| *key != (gate, request));
         if let Some(batch) = assignment.batch {
-            engine.reading.record_end(batch, now.saturating_sub(FIRST_EVENT_DELAY));
+            let ms = engine.first_event_ms().unwrap_or(self.settings.first_event_ms);
+            let delay = Duration::from_secs_f64(ms / 1e3).saturating_sub(ARRIVAL_DELAY);
+            engine.reading.record_first_event(batch, now.saturating_sub(delay), now);
         }
         let ms = after.as_secs_f64() * 1e3 - self.settings.first_event_ms;
         engine.prefill_speed.observe(assignment.queued_prefill_tokens, ms);
-        if assignment.queued_prefill_tokens == assignment.prefill_tokens {
+        if alone {
             let pace = engine.host_pace.map_or(1.0, |pace| pace.stated());
-            engine.fit.observe(assignment.prefill_tokens, after.as_secs_f64() * 1e3 / pace);
+            let ms = after.as_secs_f64() * 1e3 / pace;
+            engine.fit.observe(assignment.prefill_tokens, ms);
+            let speed = self.speeds.entry(engine.endpoint.service.clone()).or_default();
+            speed.observe(assignment.prefill_tokens, ms);
         }
+        let speed = self.speeds.get(&engine.endpoint.service);
+        engine.service_speed =
+            speed.and_then(|speed| speed.tokens_per_ms(self.settings.prefill_tokens_per_ms));
         self.dirty = true;
     }
 
--- a/crates/sched/src/scheduler/pauses.rs
+++ b/crates/sched/src/scheduler/pauses.rs
@@ -10,6 +10,7 @@
 use crate::pause::Pauses;
 use crate::reading::Steps;
 use crate::request::Pending;
+use crate::request::Phase;
 use crate::scheduler::Scheduler;
 use crate::scheduler::placement::URGENCY_LATE;
 
@@ -80,7 +81,8 @@
         let (batch, engine) = (assignment.batch?, self.engines.get(&assignment.engine)?);
         let service = engine.endpoint.service.clone();
         let steps = self.steps(&service);
-        let window = engine.reading.worst_window(batch, now, steps)?;
+        let Phase::Started(began) = assignment.phase else { return None };
+        let window = engine.reading.worst_window(batch, began, now, steps)?;
         // Without a good estimate of the speed, pauses don't show the number of tokens.
         let speed = engine.fitted_speed()?;
         if engine.host_pace.is_some_and(|pace| pace.expected(now) > MAX_LEARNED_PACE) {
--- a/crates/sched/src/speed.rs
+++ b/crates/sched/src/speed.rs
@@ -52,7 +52,7 @@
 /// The number of samples that a [`Fit`] remembers.
 const FIT_MAX_SAMPLES: f64 = 1.0 / FIT_WEIGHT;
 
-/// The prefill speed of an engine, from requests that found its queue empty.
+/// The prefill speed of an engine, from requests that were alone in its queue.
 ///
 /// The time to the first event is a constant plus the tokens divided by the speed. A linear regression over the latest
 /// requests separates the two, which a quotient of tokens and time does not. Requests behind others are left out, because
@@ -87,6 +87,13 @@
         let covariance = self.covariance.max(0.0) + prior / assumed;
         known.then(|| (self.variance + prior) / covariance)
     }
+
+    /// Returns the part of the time to the first event that does not depend on the prompt, in ms; `None` without enough
+    /// samples.
+    pub(crate) fn constant_ms(&self, assumed: f64) -> Option<f64> {
+        let speed = self.tokens_per_ms(assumed)?;
+        Some((self.ms - self.tokens / speed).max(0.0))
+    }
 }
 
 /// The time constant with which a stated pace returns to the usual one. Hosts are slow for about 600 ms at a time.
--- a/crates/sched/tests/common/streams.rs
+++ b/crates/sched/tests/common/streams.rs
@@ -38,6 +38,8 @@
     /// The prompt tokens that an engine reads in a step.
     pub chunk: f64,
     pub stride: u32,
+    /// The number of steps until the first event.
+    pub first_event_steps: u32,
     /// The longest pause with which a stream is on time, in ms.
     pub gap_ms: u32,
     /// Whether the scheduler is told the gap.
@@ -275,7 +277,7 @@
     /// Ends and starts the steps of an engine that are due.
     fn run_host(&mut self, id: &Name) {
         let (sample, now_ms) = (self.fraction(), self.now_ms);
-        let Load { noise, chunk, stride, gap_ms, .. } = self.load;
+        let Load { noise, chunk, stride, first_event_steps, gap_ms, .. } = self.load;
         let host = self.hosts.get_mut(id).expect("known");
         if host.noisy && now_ms > host.slow_until && sample < noise / (1.0 - noise) / NOISE_MS {
             host.slow_until = now_ms + NOISE_MS;
@@ -294,6 +296,11 @@
             host.decoding.retain(|request| {
                 let stream = streams.get_mut(request).expect("decoding");
                 stream.generated += 1;
+                let steps = stream.generated + stride - first_event_steps;
+                let event = steps.is_multiple_of(stride);
+                if !event && stream.generated < stream.left {
+                    return true;
+                }
                 let Some(last) = stream.last_event_at else {
                     stream.first_ms = end - stream.submitted_at;
                     stream.last_event_at = Some(end);
@@ -302,7 +309,7 @@
                     reports.push_back((end, Report::Began { request, after_ms, pace }));
                     return true;
                 };
-                if stream.generated % stride == 1 || stride == 1 {
+                if event {
                     stream.longest_ms = stream.longest_ms.max(end - last);
                     stream.last_event_at = Some(end);
                 }
--- a/crates/sched/tests/pauses.rs
+++ b/crates/sched/tests/pauses.rs
@@ -11,6 +11,7 @@
     requests_per_s: 213.0,
     chunk: 4_096.0,
     stride: 3,
+    first_event_steps: 1,
     gap_ms: 400,
     states_gap: true,
     tokens_per_ms: 19.1,
@@ -34,12 +35,25 @@
         let unaware = play(Load { states_gap: false, seed, ..V }).totals;
         assert!(unaware.late_share() > 0.12, "the load shows no pauses: {unaware:?}");
         let totals = play(Load { seed, ..V }).totals;
-        assert!(totals.late_share() < 0.03, "seed {seed}: {totals:?}");
+        assert!(totals.late_share() < 0.015, "seed {seed}: {totals:?}");
         assert!(totals.late_first + totals.denied < 15, "seed {seed}: {totals:?}");
         assert!(totals.first_ms <= unaware.first_ms * 1.05, "seed {seed}: {totals:?}");
     }
 }
 
+// Guards against times that are right only if the first event comes with the first token. On this load it comes after a
+// stride, so that later prompts delay it, and 4 to 5% are late if the gap is not stated.
+#[test]
+fn load_v_has_few_late_streams_if_first_events_take_a_stride() {
+    for seed in SEEDS {
+        let load = Load { first_event_steps: 3, seed, ..V };
+        let unaware = play(Load { states_gap: false, ..load }).totals;
+        let totals = play(load).totals;
+        assert!(totals.late_share() < unaware.late_share() * 0.3, "seed {seed}: {totals:?}");
+        assert!(totals.late_first + totals.denied < 15, "seed {seed}: {totals:?}");
+    }
+}
+
 // Guards against a price for the same with half as many requests again, where waiting for gaps costs capacity.
 #[test]
 fn load_v_and_half_has_fewer_late_streams() {
