sched: tenants over their fair share leave capacity to the others while the engines are short

Cause: requests were ordered by rank, worth and age. A tenant with six times its usual load took the answers of the others. Change: the scheduler keeps each tenant's usage of tokens and of loads from the store. The queue goes by rank, then by the level of the tenant's usage of what the request waits for, then as before. While the engines are short, a request of a tenant over 1.25 times its share must be served within a smaller part of its target (half, from 1.5 times on) and finds less of the store's share (0.7). A full queue is left by the latest request of the tenant with the most requests in it. Event 222 says that a request was refused for this alone.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -85,6 +85,7 @@
     216 GrantDeclined Request "A gate declined the engine that the scheduler chose, because the engine leaves or has asked for a pause."
     217 Tunnelled Request "An endpoint that was reached through another gate responded to a request."
     221 Unauthorized Request "A request was refused because its API key is missing, malformed or unknown."
+    222 ShareExceeded Request "A request was refused because its tenant has received more than its fair share of what is scarce."
     300 Placed Request "An adapter was scheduled for loading on an endpoint."
     301 Loaded Request "An adapter was loaded."
     302 LoadFailed Request "The load of an adapter failed."
--- a/crates/fleet/src/tenant.rs
+++ b/crates/fleet/src/tenant.rs
@@ -82,6 +82,28 @@
     }
 }
 
+/// Returns the weight of each tenant in the sharing of scarce capacity: the rate of its quota relative to the mean of those
+/// that are counted in the same unit, and 1 for one without a rate.
+pub fn weights(tenants: &[Tenant]) -> Vec<(Name, f64)> {
+    let rate = |tenant: &Tenant| {
+        let quota = tenant.quota.filter(|quota| quota.rate > 0.0);
+        quota.map(|quota| (quota.unit, quota.rate))
+    };
+    let mean = |unit| {
+        let rates = tenants.iter().filter_map(rate).filter(|(other, _)| *other == unit);
+        let (sum, count) =
+            rates.fold((0.0, 0.0), |(sum, count), (_, rate)| (sum + rate, count + 1.0));
+        sum / f64::max(count, 1.0)
+    };
+    let means = [Unit::Requests, Unit::Tokens].map(|unit| (unit, mean(unit)));
+    let weight = |tenant: &Tenant| {
+        let (unit, rate) = rate(tenant)?;
+        let (_, mean) = means.iter().find(|(other, _)| *other == unit)?;
+        Some(rate / mean)
+    };
+    tenants.iter().map(|tenant| (tenant.name.clone(), weight(tenant).unwrap_or(1.0))).collect()
+}
+
 /// Checks that no two tenants have the same name or share a key.
 pub(crate) fn validate(tenants: &[Tenant]) -> Result<(), Error> {
     let mut names = Set::default();
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod candidate;
 mod engine;
+mod fairness;
 mod figures;
 mod health;
 mod order;
--- a/crates/sched/src/request.rs
+++ b/crates/sched/src/request.rs
@@ -23,7 +23,6 @@
     /// The estimated output length.
     pub(crate) output_tokens: u32,
     /// The tenant, if the plan has tenants.
-    #[allow(dead_code, reason = "read once requests are ordered by tenants")]
     pub(crate) tenant: Option<Name>,
     /// The longest pause between two events with which the stream is on time, in ms; 0 if there is no such bound.
     #[allow(dead_code, reason = "read once placement weighs pauses")]
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -21,6 +21,7 @@
 use crate::engine::Base;
 use crate::engine::Engine;
 use crate::engine::Stage;
+use crate::fairness::Fairness;
 use crate::paths::Paths;
 use crate::pool::Pool;
 use crate::popularity::Popularity;
@@ -72,6 +73,7 @@
     retries: Retries,
     pub(crate) unmet: Unmet,
     paths: Paths,
+    fairness: Fairness,
     /// When the queue was last processed.
     last_pass: Duration,
     /// Whether something has changed since the queue was last processed.
@@ -98,6 +100,7 @@
             retries: Retries::default(),
             unmet: Unmet::default(),
             paths: Paths::default(),
+            fairness: Fairness::new(),
             last_pass: Duration::ZERO,
             dirty: false,
             actions: Vec::new(),
@@ -119,6 +122,7 @@
         self.specs = engines.collect();
         let base_rate = self.specs.values().map(|spec| spec.loads_per_s).fold(0.0, f64::max);
         self.store.expect(base_rate);
+        self.fairness.set_tenants(&plan.tenants);
         for engine in self.engines.values_mut() {
             apply_spec(engine, &self.specs);
         }
@@ -192,16 +196,16 @@
     }
 
     /// Removes an engine; the requests that wait for an adapter there return to the queue.
-    pub fn remove_engine(&mut self, id: &Name, _now: Duration) {
+    pub fn remove_engine(&mut self, id: &Name, now: Duration) {
         let Some(engine) = self.engines.remove(id) else { return };
         for slot in engine.adapter_slots.values() {
             if slot.uses_store {
                 self.store.load_ended(None);
             }
             for key in &slot.waiting {
-                if let Some(Assignment { phase: Phase::Reserved(pending), .. }) =
-                    self.assignments.remove(key)
-                {
+                let Some(assignment) = self.assignments.remove(key) else { continue };
+                self.fairness.refund(&assignment, now);
+                if let Phase::Reserved(pending) = assignment.phase {
                     self.queue.push_back(*pending);
                 }
             }
@@ -226,9 +230,10 @@
             self.dirty = false;
             self.last_pass = now;
             let mut queued: Vec<Pending> = std::mem::take(&mut self.queue).into();
-            queued.sort_by_key(|pending| {
+            queued.sort_by_cached_key(|pending| {
                 let unmet = pending.unmet.min(MAX_COUNTED_REFUSALS);
-                (pending.query.rank, Reverse(unmet), pending.received_at)
+                let level = self.fairness.level(pending, now);
+                (pending.query.rank, level, Reverse(unmet), pending.received_at)
             });
             for pending in queued {
                 if let Some(pending) = self.schedule(pending, now) {
--- a/crates/sched/src/scheduler/admission.rs
+++ b/crates/sched/src/scheduler/admission.rs
@@ -60,7 +60,12 @@
         }
         if let Some(pending) = self.schedule(pending, now) {
             if self.queue.len() >= self.settings.max_queued {
-                return self.deny(&pending, Code::QueueFull, None, now);
+                self.fairness.record_shortage(now);
+                let displaced = self.fairness.displaced(self.queue.iter(), &pending);
+                let Some(displaced) = displaced.and_then(|index| self.queue.remove(index)) else {
+                    return self.deny(&pending, Code::QueueFull, None, now);
+                };
+                self.deny(&displaced, Code::QueueFull, None, now);
             }
             base::event!(
                 INFO, Event::Waiting, gate, request = pending.query.request, adapter = %pending.query.adapter,
@@ -75,8 +80,12 @@
     pub fn cancel(&mut self, gate: u64, request: u64, now: Duration) {
         let key = (gate, request);
         self.queue.retain(|pending| pending.key != key);
-        if let Some(Assignment { engine, phase: Phase::Granted, .. }) = self.release(key, now)
-            && let Some(engine) = self.engines.get_mut(&engine)
+        let Some(assignment) = self.release(key, now) else { return };
+        if !matches!(assignment.phase, Phase::Granted) {
+            return;
+        }
+        self.fairness.refund(&assignment, now);
+        if let Some(engine) = self.engines.get_mut(&assignment.engine)
             && let Some(limit) = &mut engine.limit
         {
             limit.give_back();
--- a/crates/sched/src/scheduler/completion.rs
+++ b/crates/sched/src/scheduler/completion.rs
@@ -102,6 +102,9 @@
     pub(super) fn release(&mut self, key: Key, now: Duration) -> Option<Assignment> {
         let assignment = self.assignments.remove(&key)?;
         self.dirty = true;
+        if matches!(assignment.phase, Phase::Reserved(_)) {
+            self.fairness.refund(&assignment, now);
+        }
         let Some(engine) = self.engines.get_mut(&assignment.engine) else {
             return Some(assignment);
         };
--- a/crates/sched/src/scheduler/placement.rs
+++ b/crates/sched/src/scheduler/placement.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use base::Code;
+use base::Event;
 use base::Map;
 use base::Name;
 use fleet::message::Query;
@@ -41,38 +42,59 @@
         self.engines.refresh();
         let target_ms = pending.target_ms(now) - self.settings.network_ms;
         let margin = 1.0 - self.settings.rank_margin * f64::from(pending.query.rank).min(4.0);
-        let best = self.best_candidate(&pending, target_ms * margin, now);
+        let fair = self.fairness.target_share(&pending, now);
+        let best = self.best_candidate(&pending, target_ms * margin * fair, now);
         pending.awaited_engine =
             self.engine_to_await(&pending, best.as_ref(), target_ms * margin, now);
         if pending.awaited_engine.is_some() {
             return Some(pending);
         }
         let Some(best) = best else {
-            if self.store_admits(&pending) {
+            if self.store_admits(&pending, now) {
                 return self.queue_or_deny(pending, now);
             }
+            self.record_scarcity(&pending, self.has_room(&pending, 1.0), now);
             let reason = self.store_reason(&pending, now);
             self.deny(&pending, Code::DeadlineUnreachable, Some(reason), now);
             return None;
         };
-        if self.meets_target(&best, target_ms * margin) {
+        if self.meets_target(&best, target_ms * margin * fair) {
             let urgency = (URGENCY_ON_TIME + pending.query.rank).min(URGENCY_LATE - 1);
             self.assign(pending, &best, urgency, now);
-        } else if self.accepts_late(&best, &pending, now) {
+        } else if self.accepts_late(&best, &pending, fair, now) {
             let urgency = (URGENCY_LATE + pending.query.rank).min(URGENCY_LAST);
             self.assign(pending, &best, urgency, now);
         } else {
+            let unshared = self.meets_target(&best, target_ms * margin)
+                || self.accepts_late(&best, &pending, 1.0, now);
+            self.record_scarcity(&pending, unshared, now);
             let reason = self.denial_reason(&pending, &best, now);
             self.deny(&pending, Code::DeadlineUnreachable, Some(reason), now);
         }
         None
     }
 
+    /// Records that a request is refused: because its tenant is over its share, or because the engines are short.
+    fn record_scarcity(&mut self, pending: &Pending, over_share: bool, now: Duration) {
+        if !over_share {
+            return self.fairness.record_shortage(now);
+        }
+        base::event!(
+            INFO,
+            Event::ShareExceeded,
+            gate = pending.key.0,
+            request = pending.query.request,
+            tenant = pending.tenant.as_deref(),
+            excess = self.fairness.excess(pending, now)
+        );
+    }
+
     /// Handles a request that no engine can take now: returns it to be queued, or refuses it if it
     /// was queued for too long.
     pub(super) fn queue_or_deny(&mut self, pending: Pending, now: Duration) -> Option<Pending> {
         let limit_ms = f64::from(pending.query.target_ms) * self.settings.queue_target_share;
         let wait = self.limit_wait(&pending.query, now);
+        self.fairness.record_shortage(now);
         if pending.held_ms(now) + wait.as_secs_f64() * 1e3 >= limit_ms && !wait.is_zero() {
             self.deny_for(&pending, Code::LimitReached, wait, now);
             return None;
@@ -138,13 +160,21 @@
     }
 
     /// Returns whether an engine has capacity for a request that will miss its target.
-    pub(super) fn accepts_late(&self, best: &Candidate, pending: &Pending, now: Duration) -> bool {
+    ///
+    /// `fair` is the share of the backlog up to which it is accepted that its tenant may use.
+    pub(super) fn accepts_late(
+        &self,
+        best: &Candidate,
+        pending: &Pending,
+        fair: f64,
+        now: Duration,
+    ) -> bool {
         let Some(queue_ms) = self.engines.queue_ms(&best.engine, now) else { return false };
         // Late requests must not delay the loads of requests that can still meet their target.
         let store_idle = self.store.utilization(self.engines.queued_store_loads(u8::MAX))
             < self.settings.late_store_share;
         (store_idle || !best.cold)
-            && queue_ms <= self.settings.late_backlog_ms
+            && queue_ms <= self.settings.late_backlog_ms * fair
             && best.expected_ms <= pending.left_ms(now) * DEADLINE_SHARE
     }
 
@@ -163,7 +193,7 @@
             context.better_rating(member, pending, target_ms, best.as_ref()).or(best)
         };
         let mut best = self.engines.knowing(service, adapter).fold(None, better);
-        if self.store_admits(pending)
+        if self.store_admits(pending, now)
             && !best.is_some_and(|best| context.precedes_new_loads(&best, adapter))
         {
             best = self.engines.not_knowing(service, adapter).fold(best, better);
@@ -174,9 +204,15 @@
     }
 
     /// Returns whether the store has room for a load for a request. True for a request of a base model.
-    fn store_admits(&self, pending: &Pending) -> bool {
+    fn store_admits(&self, pending: &Pending, now: Duration) -> bool {
+        self.has_room(pending, self.fairness.store_share(pending, now))
+    }
+
+    /// Returns whether the store has room for a load for a request that may use a part of it.
+    fn has_room(&self, pending: &Pending, part: f64) -> bool {
         let utilization = self.store.utilization(self.engines.queued_store_loads(u8::MAX));
-        pending.query.adapter.is_empty() || utilization < self.settings.store_share(pending.unmet)
+        pending.query.adapter.is_empty()
+            || utilization < self.settings.store_share(pending.unmet) * part
     }
 
     /// Returns the inputs of the estimates for a request; `None` if its service has no engines.
@@ -236,6 +272,8 @@
         let version = self.min_version(&pending.query);
         let Some(engine) = self.engines.get_mut(&best.engine) else { return };
         let query = &pending.query;
+        let tokens = best.prefill_tokens + f64::from(query.output);
+        self.fairness.record(&pending, tokens, best.cold, now);
         if let Some(limit) = &mut engine.limit {
             // Only an engine with a token is a candidate.
             limit.try_take(now).ok();
--- a/crates/sched/tests/common/load.rs
+++ b/crates/sched/tests/common/load.rs
@@ -11,6 +11,7 @@
 use fleet::message::Outcome;
 use fleet::message::Query;
 use fleet::message::Running;
+use fleet::message::Submission;
 use fleet::message::Version;
 use sched::Scheduler;
 use sched::action::Action;
@@ -109,6 +110,26 @@
     pub served: u32,
 }
 
+/// A tenant and what became of its requests.
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    pub name: Name,
+    /// Its part of the requests, relative to the parts of the others.
+    pub part: u64,
+    /// The adapter of all its requests; any if `None`.
+    pub adapter: Option<Name>,
+    /// Its requests, without those that repeat a refused one.
+    pub sent: u32,
+    /// Those whose first event met the target since their last repetition.
+    pub on_time: u32,
+}
+
+impl Tenant {
+    pub fn new(name: &str, part: u64) -> Tenant {
+        Tenant { name: Name::from(name), part, adapter: None, sent: 0, on_time: 0 }
+    }
+}
+
 /// A site on simulated time.
 pub struct Load<P> {
     pub site: Site,
@@ -117,6 +138,8 @@
     pub now: Duration,
     pub totals: Totals,
     pub demand: BTreeMap<Name, Demand>,
+    /// The tenants; none if requests have no tenant.
+    pub tenants: Vec<Tenant>,
     /// A digest of all actions in their order.
     pub digest: u64,
     /// The time within which reports of engines arrive, each at a random time.
@@ -157,6 +180,7 @@
             now: Duration::from_secs(1),
             totals: Totals::default(),
             demand: BTreeMap::new(),
+            tenants: Vec::new(),
             digest: 0,
             report_spread: Duration::ZERO,
             engines: BTreeMap::new(),
@@ -204,6 +228,13 @@
         let spec = plan.services[0].engine.as_mut().expect("a service of engines");
         spec.adapter_slots = self.site.adapter_slots;
         spec.loads_per_s = self.site.base_loads_per_s;
+        let tenant = |tenant: &Tenant| fleet::tenant::Tenant {
+            name: tenant.name.clone(),
+            keys: Vec::new(),
+            rank: None,
+            quota: None,
+        };
+        plan.tenants = self.tenants.iter().map(tenant).collect();
         self.scheduler.set_plan(&plan);
         let now = self.now;
         for (announcement, _) in self.engines.values() {
@@ -256,11 +287,28 @@
         Name::from(format!("adapter-{}", number % self.site.adapters))
     }
 
+    /// Returns the index of the tenant of a request.
+    fn tenant(&self, query: &Query) -> Option<usize> {
+        let total: u64 = self.tenants.iter().map(|tenant| tenant.part).sum();
+        let mut left = base::digest(&query.fingerprint.to_le_bytes()).checked_rem(total)?;
+        self.tenants.iter().position(|tenant| {
+            let found = left < tenant.part;
+            left = left.saturating_sub(tenant.part);
+            found
+        })
+    }
+
     /// Submits `requests` new requests at this time.
     pub fn submit(&mut self, requests: usize) {
         for _ in 0..requests {
             let gate = self.random(self.site.gates);
-            let query = self.query();
+            let mut query = self.query();
+            if let Some(index) = self.tenant(&query) {
+                self.tenants[index].sent += 1;
+                if let Some(adapter) = &self.tenants[index].adapter {
+                    query.adapter = adapter.clone();
+                }
+            }
             self.schedule(Duration::ZERO, Event::Submit(gate, query));
         }
     }
@@ -379,6 +427,9 @@
         let began = *prefill_end - self.now + Duration::from_millis(30);
         let on_time = self.now + began <= submitted_at + Duration::from_millis(800);
         self.totals.on_time += u64::from(on_time);
+        if let Some(index) = self.tenant(&query) {
+            self.tenants[index].on_time += u32::from(on_time);
+        }
         let deadline = submitted_at + Duration::from_millis(u64::from(query.left_ms));
         if self.now + began <= deadline
             && let Some(demand) = self.demand.get_mut(&query.adapter)
@@ -396,6 +447,11 @@
     /// Handles an event; returns whether it wakes the scheduler.
     fn handle(&mut self, event: Event) -> bool {
         let now = self.now;
+        let tenant = match &event {
+            Event::Submit(_, query) => self.tenant(query),
+            _ => None,
+        };
+        let tenant = tenant.map(|index| self.tenants[index].name.clone());
         let (scheduler, probe) = (&mut self.scheduler, &mut self.probe);
         match event {
             Event::Submit(gate, query) => {
@@ -407,7 +463,8 @@
                 let request = query.request;
                 self.requests.insert((gate, request), (query.clone(), now));
                 let domain = Name::from(DOMAINS[gate as usize % DOMAINS.len()]);
-                probe.call(Call::Submit, || scheduler.submit(gate, &domain, query, now));
+                let submission = Submission { query, tenant, gap_ms: 0 };
+                probe.call(Call::Submit, || scheduler.submit(gate, &domain, submission, now));
                 if self.random(200) == 0 {
                     self.schedule(Duration::from_millis(100), Event::Cancel(gate, request));
                 }
--- a/crates/share/src/usage.rs
+++ b/crates/share/src/usage.rs
@@ -75,7 +75,8 @@
         self.active_weight = self.used.keys().map(|tenant| self.weight(tenant)).sum();
     }
 
-    fn weight(&self, tenant: &Name) -> f64 {
+    /// Returns the weight of a tenant.
+    pub fn weight(&self, tenant: &Name) -> f64 {
         self.weights.get(tenant).copied().unwrap_or(DEFAULT_WEIGHT)
     }
 
@@ -98,6 +99,14 @@
         self.total = Sum { amount: self.total.at(now, self.half_life_s) + amount, at: now };
     }
 
+    /// Takes back an amount that was recorded and that the tenant did not receive after all.
+    pub fn refund(&mut self, tenant: &Name, amount: f64, now: Duration) {
+        let half_life_s = self.half_life_s;
+        let Some(used) = self.used.get_mut(tenant) else { return };
+        *used = Sum { amount: (used.at(now, half_life_s) - amount).max(0.0), at: now };
+        self.total = Sum { amount: (self.total.at(now, half_life_s) - amount).max(0.0), at: now };
+    }
+
     /// Returns the usage of a tenant divided by its fair share: 1 is exactly its share, 0 if it has used nothing lately.
     ///
     /// The fair share is the tenant's part, by weight, of what all active tenants have used, and one amount of average size
