--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -26,7 +26,6 @@
 use fleet::quarantine::Fingerprint;
 use fleet::quarantine::Subject;
 use fleet::quarantine::Survival;
-use fleet::revision::Revision;
 use link::Inbox;
 use link::Link;
 use parking_lot::Mutex;
@@ -35,11 +34,13 @@
 use tokio::time::Instant;
 
 use crate::availability::Availability;
+use crate::leader::Leader;
 use crate::limits::Limits;
 use crate::origins::Located;
 use crate::origins::Origins;
 use crate::pool::Pool;
 use crate::quarantine::Quarantine;
+use crate::quotas::Quotas;
 use crate::runs::Runs;
 use crate::view::View;
 
@@ -65,22 +66,6 @@
     Timeout,
 }
 
-/// The current leader.
-#[derive(Clone, Debug)]
-struct Leader {
-    address: SocketAddr,
-    term: u64,
-    link: Link<Frame>,
-    revision: Revision,
-}
-
-impl Leader {
-    /// Sends a frame, unless the leader is of an earlier release that does not know it; returns whether it was sent.
-    fn send(&self, frame: Frame) -> bool {
-        frame.revision() <= self.revision && self.link.send(frame)
-    }
-}
-
 /// A scheduled request in progress at an engine.
 #[derive(Debug)]
 struct InFlight {
@@ -115,6 +100,7 @@
     pub(crate) availability: Availability,
     /// The requests that wait for a permit, by number.
     pub(crate) permits: Mutex<Map<u64, oneshot::Sender<Result<(), Duration>>>>,
+    pub(crate) quotas: Quotas,
     next_number: AtomicU64,
 }
 
@@ -143,6 +129,7 @@
             limits: Limits::default(),
             availability: Availability::default(),
             permits: Mutex::default(),
+            quotas: Quotas::default(),
             next_number: AtomicU64::new(1),
         })
     }
@@ -262,6 +249,9 @@
                     reply.send(wait.map_or(Ok(()), Err)).ok();
                 }
             }
+            Frame::Reserved { request, granted, used, wait_ms } if self.is_leader(address) => {
+                self.handle_reserved(request, (granted, used, wait_ms));
+            }
             Frame::Suspects(subjects) => self.quarantine.add_suspects(&subjects),
             Frame::Located { lookup, origin, sole_build } => {
                 self.origins.handle_reply(lookup, origin, sole_build);
@@ -306,6 +296,8 @@
             return;
         }
         base::event!(INFO, Event::LeaderFollowed, peer = %new.address, term = new.term);
+        // Before the leader is known to requests, which reserve with it.
+        self.report_spending(&new);
         *leader = Some(new.clone());
         drop(leader);
         self.leader_known.notify_waiters();
@@ -339,6 +331,7 @@
         let mut leader = self.leader.lock();
         if leader.as_ref().is_some_and(|leader| leader.address == address) {
             *leader = None;
+            self.lose_quota_leader();
             drop(leader);
             self.fail_pending();
         }
@@ -406,7 +399,8 @@
         let (reply, decision) = oneshot::channel();
         self.pending.lock().insert(request, reply);
         let guard = Withdrawal { keepers: self.clone(), request };
-        if !self.submit(submission) {
+        let submit = |leader: &Leader| leader.submit(submission);
+        if !self.leader.lock().as_ref().is_some_and(submit) {
             return Decision::NoLeader;
         }
         let decision = tokio::time::timeout(timeout, decision).await;
@@ -417,19 +411,6 @@
         }
     }
 
-    /// Sends a query to the leader; returns false if that is not possible. A leader of an earlier release gets the query
-    /// alone.
-    fn submit(&self, submission: Submission) -> bool {
-        let leader = self.leader.lock();
-        let Some(leader) = leader.as_ref() else { return false };
-        let extended = submission.tenant.is_some() || submission.gap_ms > 0;
-        if extended && leader.revision >= Revision::TENANTS {
-            leader.link.send(Frame::Submit(Box::new(submission)))
-        } else {
-            leader.link.send(Frame::Ask(Box::new(submission.query)))
-        }
-    }
-
     /// Records that a request is sent to the engine that the scheduler granted.
     pub(crate) fn track(&self, query: &Query, endpoint: &Name) {
         let running = Running {
