edge: no tenant uses up the retries of a service

Cause: the budget for retries of a service was used as requests came, so a tenant whose requests fail left none to the others. Change: half of the budget is used as before; of the rest a tenant gets at most twice its part of the requests. Without tenants the budget is the same. The calls in the existing tests name no tenant; their checks are as they were. Ruled out: a budget for each tenant by its part alone, which on a gate with 20 retries for 16 tenants would refuse retries while others are left. Measured: of 240 retries among 16 tenants, one whose requests all fail gets 120, the others 8 each of the rest; alone it gets 240 (crates/edge/tests/balancing.rs).

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -167,7 +167,8 @@
             Err(code) => return Err((caller, Refusal::new(code))),
         };
         let service = route.select_service(rand::random()).clone();
-        self.budget.lock().record_request(&service, self.view.now());
+        let name = caller.tenant.as_ref();
+        self.budget.lock().record_request(&service, name, self.view.now());
         let prompt = request.parts.iter().map(|(id, _)| *id);
         let fingerprint = Fingerprint::new(digest(&request.host, &parts, &body), prompt);
         Ok(Call {
@@ -230,7 +231,7 @@
                 return last.unwrap_or(Err(refusal));
             }
             let retry = attempts > 0;
-            if retry && !self.try_retry(&call.service) {
+            if retry && !self.try_retry(&call) {
                 return last
                     .unwrap_or(Err(Refusal::retryable(Code::RetryBudget, DEFAULT_RETRY_AFTER)));
             }
@@ -287,10 +288,11 @@
         last.unwrap_or(Err(Refusal::retryable(Code::NoEndpoint, DEFAULT_RETRY_AFTER)))
     }
 
-    /// Takes one retry from the budget of a service; returns false if none is left.
-    fn try_retry(&self, service: &Name) -> bool {
+    /// Takes one retry of a request from the budget of its service; returns false if none is left.
+    fn try_retry(&self, call: &Call) -> bool {
         let (gates, now) = (self.view.gates(), self.view.now());
-        self.budget.lock().try_retry(service, gates, now)
+        let tenant = call.tenant.as_ref().map(|tenant| &tenant.name);
+        self.budget.lock().try_retry(&call.service, tenant, gates, now)
     }
 
     /// Returns where the stream began that a request resumes. Refuses the request if nobody knows it or if the
--- a/crates/edge/tests/balancing.rs
+++ b/crates/edge/tests/balancing.rs
@@ -79,14 +79,14 @@
 /// Takes retries from a budget until none is left; returns their number.
 fn take_all(budget: &mut Budget, service: &str, gates: Option<u32>, now: Duration) -> usize {
     let service = Name::from(service);
-    (0..100_000).take_while(|_| budget.try_retry(&service, gates, now)).count()
+    (0..100_000).take_while(|_| budget.try_retry(&service, None, gates, now)).count()
 }
 
 /// Returns a budget that has counted 100 requests for the ledger.
 fn budget() -> Budget {
     let mut budget = Budget::new(LIMIT);
     for ms in 0..100 {
-        budget.record_request(&Name::from("ledger"), Duration::from_millis(ms));
+        budget.record_request(&Name::from("ledger"), None, Duration::from_millis(ms));
     }
     budget
 }
@@ -134,7 +134,7 @@
         let now = begin + Duration::from_millis(retry_ms);
         let mut budgets: Vec<Budget> = (0..gates).map(|_| Budget::new(LIMIT)).collect();
         for (number, at) in requests.iter().enumerate().filter(|(_, at)| **at <= now) {
-            budgets[number % gates].record_request(&Name::from("ledger"), *at);
+            budgets[number % gates].record_request(&Name::from("ledger"), None, *at);
         }
         let taken = budgets.iter_mut().map(|budget| take_all(budget, "ledger", Some(5), now));
         let retries: usize = taken.sum();
@@ -150,3 +150,33 @@
         }
     }
 }
+
+// Guards against a tenant whose requests fail and which leaves no retries to the others.
+#[test]
+fn no_tenant_uses_up_the_retries_of_a_service() {
+    let service = Name::from("ledger");
+    let limit = Limit { ratio: 0.2, slack: 0.0, window: Duration::from_secs(10) };
+    let now = Duration::from_secs(1);
+    let tenants: Vec<Name> = (0..16).map(|number| Name::from(format!("t{number}"))).collect();
+    let mut budget = Budget::new(limit);
+    for request in 0..1_600 {
+        budget.record_request(&service, Some(&tenants[request % 16]), now);
+    }
+    let mut retry = |tenant: usize, most: usize| {
+        let tenant = Some(&tenants[tenant]);
+        (0..most).take_while(|_| budget.try_retry(&service, tenant, None, now)).count()
+    };
+    // The budget is 1,600 x 0.2 x 0.75 = 240.
+    assert_eq!(retry(0, 1_000), 120);
+    let others: Vec<usize> = (1..16).map(|tenant| retry(tenant, 8)).collect();
+    assert_eq!(others, [8; 15]);
+    assert_eq!((1..16).map(|tenant| retry(tenant, 1_000)).sum::<usize>(), 0);
+    // A tenant alone has the whole budget.
+    let mut budget = Budget::new(limit);
+    for _ in 0..1_600 {
+        budget.record_request(&service, Some(&tenants[0]), now);
+    }
+    let retries =
+        (0..1_000).take_while(|_| budget.try_retry(&service, Some(&tenants[0]), None, now));
+    assert_eq!(retries.count(), 240);
+}
