fleet, raft: no debug output contains the operator's document

Cause: the document contains API keys. No line prints it today, but the types that carry it derived their Debug output, so a new log line or a failed assertion could. The digest keeps what the tests of compatibility compare. The encodings are the same. Ruled out: keeping the document out of the replicated log, since it is returned as it was sent.

--- a/crates/cell/src/calls.rs
+++ b/crates/cell/src/calls.rs
@@ -5,7 +5,7 @@
 
 use base::Event;
 use base::Name;
-use bytes::Bytes;
+use fleet::document::Document;
 use fleet::endpoint;
 use fleet::endpoint::Announcement;
 use fleet::endpoint::Incarnation;
@@ -82,7 +82,12 @@
 
     /// Commits a plan. One with tenants waits until all members know tenants, because a former release would serve it
     /// without checking API keys; any other loses its extension if one of them is of a former release.
-    async fn publish(&self, plan: Arc<Plan>, extension: Arc<Extension>, document: Bytes) -> Reply {
+    async fn publish(
+        &self,
+        plan: Arc<Plan>,
+        extension: Arc<Extension>,
+        document: Document,
+    ) -> Reply {
         let level = self.await_level(Revision::TENANTS).await;
         if level >= Revision::TENANTS {
             return self.propose(Command::PublishExtended { plan, extension, document }).await;
--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -4,7 +4,7 @@
 
 use base::Map;
 use base::Name;
-use bytes::Bytes;
+use fleet::document::Document;
 use fleet::endpoint::Incarnation;
 use fleet::extension::Extension;
 use fleet::message::Frame;
@@ -27,7 +27,7 @@
         /// The plan.
         plan: Arc<Plan>,
         /// The plan document as received, before parsing.
-        document: Bytes,
+        document: Document,
     },
     /// Puts a version of an adapter into force unless a newer one already is.
     Name(Version),
@@ -46,7 +46,7 @@
         /// The fields that the encoding of the plan lacks.
         extension: Arc<Extension>,
         /// The plan document as received, before parsing.
-        document: Bytes,
+        document: Document,
     },
 }
 
@@ -72,7 +72,7 @@
 pub struct State {
     pub(crate) plan: Option<Arc<Plan>>,
     /// The plan document as received, before parsing.
-    pub(crate) document: Option<Bytes>,
+    pub(crate) document: Option<Document>,
     versions: Map<(Name, Name), u64>,
     quarantine: List,
     /// The revision that all members support.
@@ -88,7 +88,7 @@
 #[derive(Deserialize)]
 struct Base {
     plan: Option<Arc<Plan>>,
-    document: Option<Bytes>,
+    document: Option<Document>,
     versions: Map<(Name, Name), u64>,
 }
 
@@ -137,7 +137,7 @@
         &mut self,
         plan: Arc<Plan>,
         extension: Option<Arc<Extension>>,
-        document: Bytes,
+        document: Document,
     ) -> bool {
         let current = self.plan.as_ref().map(|plan| plan.version);
         let newer = current.is_none_or(|current| plan.version > current);
--- a/crates/cell/tests/compatibility/main.rs
+++ b/crates/cell/tests/compatibility/main.rs
@@ -70,7 +70,7 @@
     let commands = [
         Command::Publish {
             plan: samples::plan(9).into(),
-            document: Bytes::from_static(b"{\"Version\":9}"),
+            document: Bytes::from_static(b"{\"Version\":9}").into(),
         },
         Command::Name(samples::version()),
     ];
--- a/crates/cell/tests/compatibility/samples.rs
+++ b/crates/cell/tests/compatibility/samples.rs
@@ -10,6 +10,7 @@
 use cell::state::Command;
 use cell::state::State;
 use disk::Identity;
+use fleet::document::Document;
 use fleet::endpoint;
 use fleet::endpoint::Adapter;
 use fleet::endpoint::Announcement;
@@ -178,7 +179,7 @@
 /// Returns a state with something of everything that it contains.
 pub(crate) fn state() -> State {
     let mut state = State::default();
-    let document = Bytes::from_static(b"{}");
+    let document = Document::from(Bytes::from_static(b"{}"));
     state.apply(Command::Publish { plan: Arc::new(plan(7)), document });
     state.apply(Command::Name(version()));
     state.apply(Command::Quarantine(Subject::Request(11)));
@@ -198,7 +199,7 @@
 
 /// What the replicated log and its snapshots contain.
 pub(crate) fn records() -> Vec<Sample> {
-    let document = Bytes::from_static(b"{}");
+    let document = Document::from(Bytes::from_static(b"{}"));
     vec![
         sample("command-publish", &Command::Publish { plan: Arc::new(plan(7)), document }),
         sample("command-name", &Command::Name(version())),
@@ -215,7 +216,7 @@
 }
 
 fn calls() -> Vec<Sample> {
-    let document = Bytes::from_static(b"{}");
+    let document = Document::from(Bytes::from_static(b"{}"));
     let draining = endpoint::State::Draining(Some(Duration::from_millis(2_500)));
     let call = |call| Frame::Call(4, call);
     let reply = |reply| Frame::Reply(4, reply);
--- a/crates/cell/tests/state.rs
+++ b/crates/cell/tests/state.rs
@@ -8,16 +8,22 @@
 use cell::departed::MAX_DEPARTED;
 use cell::state::Command;
 use cell::state::State;
+use fleet::document::Document;
 use fleet::endpoint::Incarnation;
 use fleet::extension::Extension;
 use fleet::message::Call;
 use fleet::message::Frame;
+use fleet::message::Reply;
 use fleet::message::Version;
 use fleet::plan::Plan;
 use fleet::quarantine::Subject;
 use fleet::revision::Revision;
 use fleet::tenant::Digest;
 use fleet::tenant::Tenant;
+use raft::message::Entry;
+use raft::message::Members;
+use raft::message::Payload;
+use raft::message::Snapshot;
 
 /// The layout of snapshots before there was a quarantine: plan, document and versions.
 type Former = (Option<()>, Option<Vec<u8>>, BTreeMap<(Name, Name), u64>);
@@ -121,7 +127,7 @@
 
 fn publish(plan: &Arc<Plan>) -> Command {
     let extension = Arc::new(Extension::of(plan));
-    Command::PublishExtended { plan: plan.clone(), extension, document: Bytes::new() }
+    Command::PublishExtended { plan: plan.clone(), extension, document: Document::default() }
 }
 
 // Guards against a snapshot after which requests need no keys.
@@ -151,7 +157,7 @@
         let call = |names| {
             let plan = plan(3, names);
             let extension = Arc::new(Extension::of(&plan));
-            let call = Call::PublishExtended { plan, extension, document: Bytes::new() };
+            let call = Call::PublishExtended { plan, extension, document: Document::default() };
             call.for_revision(former)
         };
         assert!(call(&["blue"]).is_none());
@@ -159,3 +165,44 @@
     }
     assert_eq!(publish(&plan(1, &["blue"])).level(), Revision::TENANTS);
 }
+
+// Guards against API keys in log lines and errors.
+#[test]
+fn no_debug_output_contains_the_operators_document() {
+    let secret = "sk-secret";
+    let document = Document::from(Bytes::from_static(b"{\"ApiKeys\":[\"sk-secret\"]}"));
+    let plan = plan(1, &[secret]);
+    let plan = Arc::new(Plan {
+        tenants: plan
+            .tenants
+            .iter()
+            .cloned()
+            .map(|tenant| Tenant { name: Name::from("blue"), ..tenant })
+            .collect(),
+        ..Plan::clone(&plan)
+    });
+    let extension = Arc::new(Extension::of(&plan));
+    let command = Command::PublishExtended {
+        plan: plan.clone(),
+        extension: extension.clone(),
+        document: document.clone(),
+    };
+    let encoded = Bytes::from(postcard::to_stdvec(&command).expect("encoded"));
+    let mut state = State::default();
+    state.apply(command.clone());
+    let data = Bytes::from(postcard::to_stdvec(&state).expect("encoded"));
+    let (members, call) =
+        (Members::default(), Call::PublishExtended { plan, extension, document: document.clone() });
+    let outputs = [
+        format!("{command:?}"),
+        format!("{state:?}"),
+        format!("{:?}", state.plan_frame(Revision::CURRENT)),
+        format!("{:?}", Frame::Call(1, call)),
+        format!("{:?}", Reply::Document(Some(document))),
+        format!("{:?}", Entry { index: 1, term: 1, payload: Payload::Data(encoded) }),
+        format!("{:?}", Snapshot { index: 1, term: 1, members, data }),
+    ];
+    for output in outputs {
+        assert!(output.len() > 20 && !output.contains(secret), "{output}");
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,6 +1,7 @@
 //! The data types that gates and keepers of a cell share: the plan of routes and services, the
 //! announcements of endpoints, the origins of streams, and the messages between gates and keepers.
 
+pub mod document;
 pub mod endpoint;
 pub mod extension;
 pub mod limit;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -7,12 +7,12 @@
 
 use base::Code;
 use base::Name;
-use bytes::Bytes;
 use raft::message::Id;
 use raft::message::Message;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::document::Document;
 use crate::endpoint::Announcement;
 use crate::endpoint::Endpoint;
 use crate::endpoint::Incarnation;
@@ -301,7 +301,7 @@
         /// The plan.
         plan: Arc<Plan>,
         /// The original document, returned by [`Call::Document`].
-        document: Bytes,
+        document: Document,
     },
     /// Commits a version of an adapter and puts it into force.
     Name(Version),
@@ -323,7 +323,7 @@
         /// The other fields.
         extension: Arc<Extension>,
         /// The original document, returned by [`Call::Document`].
-        document: Bytes,
+        document: Document,
     },
 }
 
@@ -345,7 +345,7 @@
     /// The call took effect or had nothing to change.
     Done,
     /// The original document of the newest plan; `None` if there is no plan yet.
-    Document(Option<Bytes>),
+    Document(Option<Document>),
     /// The outcome is unknown; the call may have taken effect.
     Unsure,
 }
--- a/crates/raft/src/message.rs
+++ b/crates/raft/src/message.rs
@@ -1,5 +1,7 @@
 //! Messages between replicas, and the state that replicas persist.
 
+use std::fmt;
+
 use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
@@ -23,8 +25,8 @@
     pub payload: Payload,
 }
 
-/// The content of an entry.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// The content of an entry. The `Debug` output of data has its length and a digest only, since it may contain secrets.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Payload {
     /// Empty. A new leader appends one to commit the entries of earlier terms.
     Empty,
@@ -34,6 +36,21 @@
     Members(Members),
 }
 
+impl fmt::Debug for Payload {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Payload::Empty => f.write_str("Empty"),
+            Payload::Data(data) => write!(f, "Data({})", summary(data)),
+            Payload::Members(members) => f.debug_tuple("Members").field(members).finish(),
+        }
+    }
+}
+
+/// Returns the length and a digest of data.
+fn summary(data: &[u8]) -> String {
+    format!("{} bytes, {:016x}", data.len(), base::digest(data))
+}
+
 /// The members of the group.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Members {
@@ -63,8 +80,8 @@
     pub commit: Index,
 }
 
-/// A snapshot of the driver's state.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// A snapshot of the driver's state. Its `Debug` output has the length and a digest of the data.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
     /// The index of the last entry included.
     pub index: Index,
@@ -76,6 +93,17 @@
     pub data: Bytes,
 }
 
+impl fmt::Debug for Snapshot {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Snapshot")
+            .field("index", &self.index)
+            .field("term", &self.term)
+            .field("members", &self.members)
+            .field("data", &format_args!("{}", summary(&self.data)))
+            .finish()
+    }
+}
+
 /// A message between replicas.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
