--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod limit;
 pub mod message;
 pub mod origin;
+pub mod placed;
 pub mod plan;
 pub mod presence;
 pub mod quarantine;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -19,6 +19,7 @@
 use crate::extension::Extension;
 use crate::limit::Limit;
 use crate::origin::Origin;
+use crate::placed;
 use crate::plan::Plan;
 use crate::quarantine::Crash;
 use crate::quarantine::Loss;
@@ -204,6 +205,8 @@
         /// The load that the endpoint reported with the response, if it did.
         load: Option<Load>,
     },
+    /// The calls of a gate that are in progress at plain services; sent to a new leader.
+    PlacedCalls(Vec<placed::Call>),
 }
 
 impl Frame {
@@ -222,7 +225,8 @@
             | Frame::Ledger(_)
             | Frame::Place(_)
             | Frame::Placed { .. }
-            | Frame::PlacedEnded { .. } => Revision::TENANTS,
+            | Frame::PlacedEnded { .. }
+            | Frame::PlacedCalls(_) => Revision::TENANTS,
             _ => Revision::UNNAMED,
         }
     }
