cell, edge: the leader places the calls of plain services whose endpoints state the pace of their hosts

A gate that has seen the pace of an endpoint of the service asks the leader, which answers from the link's task with an endpoint or a refusal. Gates report the calls in progress to a new leader. A call that is not sent after all is withdrawn when its hold is dropped. The limits that endpoints named still hold. Services without the fourth figure are served as before.

A denial with NoEndpoint is not final for the gate, since the leader may not know the endpoints yet. Requests without a model to engines are not placed.

The tests of edge, fleet, platform and base passed. In cell, a_snapshot_keeps_departures_and_the_level fails in code that this change does not touch.

--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -30,6 +30,7 @@
 use crate::leadership::Leadership;
 use crate::lease::Lease;
 use crate::links::Links;
+use crate::placing::Decisions;
 use crate::replica::Status;
 use crate::settings::MAINTENANCE_INTERVAL;
 use crate::settings::Settings;
@@ -49,6 +50,7 @@
     /// The endpoints that left as planned while this keeper led.
     pub(crate) departures: Departures,
     lease: Lease,
+    pub(crate) placements: Decisions,
     settings: sched::settings::Settings,
     endpoint_timeout: Duration,
     /// Time of the last check for expired endpoints.
@@ -86,6 +88,7 @@
             origins: origin::Table::default(),
             departures: Departures::new(settings.endpoint_drain),
             lease: Lease::new(settings.order_lease, settings.fenced_orders, last_term),
+            placements: Decisions::default(),
             settings: settings.scheduler.clone(),
             endpoint_timeout: settings.endpoint_timeout,
             last_expiry_check: Duration::ZERO,
@@ -113,6 +116,7 @@
         let previous = std::mem::replace(&mut self.status, status);
         if previous.leads != self.status.leads {
             self.leadership = self.status.leads.map(|term| self.start_leading(term, state));
+            self.update_balancer();
         }
         if previous.leads != self.status.leads || previous.members != self.status.members {
             let welcome = Frame::Welcome(self.welcome());
@@ -364,6 +368,8 @@
         }
         if let Some(leadership) = &mut self.leadership {
             leadership.scheduler.gate_disconnected(link_id, now);
+            leadership.balancer.gate_lost(link_id, now);
+            self.send_placements();
         }
     }
 
@@ -483,6 +489,7 @@
                 leadership.holdings.retain(|holding| holding.endpoint != id);
             }
         }
+        self.update_balancer();
         self.changes += 1;
         self.registry_changes += 1;
     }
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -57,6 +57,8 @@
     pub(crate) peers: Arc<Peers>,
     pub(crate) metrics: Metrics,
     pub(crate) scheduler_wakeup: Notify,
+    /// Notified when a call of a plain service starts to wait.
+    pub(crate) placing_wakeup: Notify,
     /// Number of changes of the endpoints that the queues of all links contain.
     pub(crate) sent_changes: watch::Sender<u64>,
     pulse: Pulse,
@@ -119,6 +121,7 @@
             peers: peers.clone(),
             metrics,
             scheduler_wakeup: Notify::new(),
+            placing_wakeup: Notify::new(),
             sent_changes: watch::Sender::new(0),
             settings,
             pulse,
@@ -148,6 +151,7 @@
         tokio::spawn(keeper.clone().replace_registry(received));
         tokio::spawn(keeper.clone().run_maintenance());
         tokio::spawn(keeper.clone().run_scheduler());
+        tokio::spawn(keeper.clone().run_balancer());
         Ok((keeper, failures))
     }
 
@@ -242,7 +246,13 @@
             Frame::QuarantineHit(subject) => {
                 self.coordinator.lock().record_quarantine_hit(link_id, subject);
             }
+            frame @ (Frame::Place(_) | Frame::PlacedEnded { .. } | Frame::PlacedCalls(_)) => {
+                self.place(link_id, frame);
+            }
             frame => {
+                if let Frame::Withdraw(request) = frame {
+                    self.place(link_id, Frame::Withdraw(request));
+                }
                 if self.pass_to_scheduler(link_id, frame) {
                     self.wake_scheduler();
                 }
@@ -321,6 +331,7 @@
             let mut coordinator = self.coordinator.lock();
             coordinator.expire_endpoints();
             coordinator.send_peers();
+            coordinator.poll_balancer();
             let gates = coordinator.links.gates().count() as i64;
             let endpoints = coordinator.registry.ready().count() as i64;
             let limited = coordinator.limited() as i64;
@@ -330,6 +341,7 @@
             let quarantined = self.state.read().quarantine().iter().count() as i64;
             self.metrics.state.with_label_values(&["quarantined"]).set(quarantined);
             self.metrics.state.with_label_values(&["limited"]).set(limited);
+            self.record_capacity();
             writer.update(&self);
             self.raise_level();
             self.clear_orders();
--- a/crates/cell/src/leadership.rs
+++ b/crates/cell/src/leadership.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use base::Name;
+use capacity::Balancer;
 use fleet::endpoint::Announcement;
 use fleet::message::Holding;
 use sched::Scheduler;
@@ -22,6 +23,8 @@
     pub(crate) quarantine: Quarantine,
     pub(crate) limits: Limits,
     pub(crate) leaving: Leaving,
+    /// Places the calls of plain services. Starts empty; gates report their calls in progress to a new leader.
+    pub(crate) balancer: Balancer,
     /// Which adapters each engine holds, as last sent to the gates.
     pub(crate) holdings: Vec<Holding>,
     /// Holdings that engines announced, to be sent to the gates with the next scheduler round. Gates that lose the leader
@@ -39,6 +42,7 @@
             quarantine: Quarantine::default(),
             limits: Limits::default(),
             leaving: Leaving::default(),
+            balancer: Balancer::default(),
             holdings: Vec::new(),
             announced: Vec::new(),
         }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -31,6 +31,7 @@
 mod notices;
 mod orders;
 mod peers;
+mod placing;
 mod replica;
 mod storage;
 mod thread;
--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -20,6 +20,10 @@
     pub(crate) replica: HistogramVec,
     /// Duration of a pass of the scheduler, in seconds.
     pub(crate) passes: HistogramVec,
+    /// Calls of plain services that were placed or denied.
+    pub(crate) calls_placed: IntCounterVec,
+    /// The estimates of the endpoints of plain services, and the calls in progress and waiting.
+    pub(crate) capacity: IntGaugeVec,
     /// Leadership, applied index, and numbers of voters, standbys, gates, endpoints and quarantined
     /// subjects.
     pub(crate) state: IntGaugeVec,
@@ -50,6 +54,16 @@
                 "Duration of a pass of the scheduler.",
                 &[],
             ),
+            calls_placed: meter.counters(
+                "keeper_calls_placed_total",
+                "Calls of plain services that the leader decided on.",
+                &["result"],
+            ),
+            capacity: meter.gauges(
+                "keeper_capacity",
+                "The endpoints of plain services as the leader sees them.",
+                &["service", "endpoint", "what"],
+            ),
             state: meter.gauges("keeper_state", "What the keeper knows.", &["what"]),
         }
     }
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -72,8 +72,8 @@
         parsed: &ResponseHead,
         mut tracker: Tracker,
     ) -> Attempt {
-        if let Some((running, queued)) = parsed.load {
-            tracker.record_load(running + queued);
+        if let Some(load) = parsed.load {
+            tracker.record_load(load);
         }
         tracker.record_availability(parsed.leaving, parsed.pause);
         let status = response.status();
--- a/crates/edge/src/choose.rs
+++ b/crates/edge/src/choose.rs
@@ -14,6 +14,10 @@
 const FAILURE_COST: f64 = 40.0;
 /// The cost of an excluded endpoint, above that of any other.
 const EXCLUDED_COST: f64 = 1e6;
+/// The cost of an endpoint of which all requests fail, in ms; above the time of any call that is on time.
+const FAILURE_MS: f64 = 2_000.0;
+/// The cost of an endpoint in another failure domain, in ms.
+const REMOTE_MS: f64 = 1.0;
 
 /// Returns the endpoint with the lowest cost, from its load, failure rate and failure domain. Endpoints in
 /// `excluded` are returned only if there is no other. `tie` is a random number that varies the order of
@@ -26,8 +30,9 @@
     tie: u64,
     now: Duration,
 ) -> Option<&'a Endpoint> {
+    let unknown = Stats::default();
     let cost = |endpoint: &Endpoint| {
-        let stats = stats.get(&endpoint.id).cloned().unwrap_or_default();
+        let stats = stats.get(&endpoint.id).unwrap_or(&unknown);
         let remote = if &*endpoint.domain == domain { 0.0 } else { REMOTE_COST };
         let exclusion = if excluded.contains(&endpoint.id) { EXCLUDED_COST } else { 0.0 };
         let jitter =
@@ -38,3 +43,36 @@
     let costs = endpoints.map(|endpoint| (cost(endpoint), endpoint));
     costs.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, endpoint)| endpoint)
 }
+
+/// Returns the better one of two random endpoints, by the time that a call is expected to take there. For endpoints that
+/// state the pace of their hosts; gates that see the same outdated loads would all choose the one with the lowest cost.
+/// `draw` returns a random index below its argument.
+pub fn choose_of_two<'a>(
+    endpoints: &[&'a Endpoint],
+    stats: &Map<Name, Stats>,
+    domain: &str,
+    draw: impl FnMut(usize) -> usize,
+    now: Duration,
+) -> Option<&'a Endpoint> {
+    let works = endpoints.iter().filter_map(|endpoint| work_ms(stats.get(&endpoint.id)?, now));
+    let (sum, known) = works.fold((0.0, 0.0), |(sum, known), work| (sum + work, known + 1.0));
+    // An endpoint without a run is assumed to work like the others.
+    let mean = if known > 0.0 { sum / known } else { 1.0 };
+    let unknown = Stats::default();
+    let cost = |endpoint: &&Endpoint| {
+        let stats = stats.get(&endpoint.id).unwrap_or(&unknown);
+        let load = stats.load(now) + 1.0;
+        let takes = stats.estimate.as_ref().and_then(|estimate| estimate.takes());
+        let takes = takes.unwrap_or(f64::from(endpoint.slots.max(1)));
+        let remote = if &*endpoint.domain == domain { 0.0 } else { REMOTE_MS };
+        // Below the capacity, the share of used slots decides between endpoints of equal speed.
+        let expected =
+            work_ms(stats, now).unwrap_or(mean) * ((load / takes).max(1.0) + load / takes);
+        expected + stats.failure_rate(now) * FAILURE_MS + remote
+    };
+    capacity::pick_of_two(endpoints, draw, cost).copied()
+}
+
+fn work_ms(stats: &Stats, now: Duration) -> Option<f64> {
+    stats.estimate.as_ref()?.work_ms(now)
+}
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -296,9 +296,10 @@
     async fn send(
         self: &Arc<Gate<P>>,
         call: &Call,
-        target: Target,
+        mut target: Target,
         exchange: &Exchange,
     ) -> Attempt {
+        let hold = target.hold.take();
         let endpoint = &target.endpoint;
         let scheduled = target.query.as_ref().map(|query| {
             self.keepers.track(query, &endpoint.id);
@@ -313,6 +314,9 @@
             &call.fingerprint,
             call.deadline,
         );
+        if let Some(hold) = hold {
+            tracker.set_placed(hold);
+        }
         let request = self.build_request(call, &target);
         let sent = send::send(&self.pool, &self.view, endpoint, request).await;
         let attempt = match sent {
--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -20,7 +20,6 @@
 use fleet::message::Query;
 use fleet::message::Running;
 use fleet::message::Welcome;
-use fleet::origin::Origin;
 use fleet::plan::Plan;
 use fleet::quarantine::Fingerprint;
 use fleet::quarantine::Subject;
@@ -35,8 +34,8 @@
 
 use crate::availability::Availability;
 use crate::limits::Limits;
-use crate::origins::Located;
 use crate::origins::Origins;
+use crate::placing::Placing;
 use crate::pool::Pool;
 use crate::quarantine::Quarantine;
 use crate::runs::Runs;
@@ -99,7 +98,7 @@
     /// The group members that the latest leader announced.
     members: Mutex<Set<SocketAddr>>,
     /// The open links.
-    links: Mutex<Map<SocketAddr, Link<Frame>>>,
+    pub(crate) links: Mutex<Map<SocketAddr, Link<Frame>>>,
     leader: Mutex<Option<Leader>>,
     /// Notified when a leader becomes known.
     leader_known: Notify,
@@ -107,13 +106,14 @@
     pending: Mutex<Map<u64, oneshot::Sender<Decision>>>,
     /// The scheduled requests at engines, by request number.
     in_flight: Mutex<Map<u64, InFlight>>,
-    origins: Origins,
+    pub(crate) origins: Origins,
     pub(crate) quarantine: Quarantine,
     pub(crate) runs: Mutex<Runs>,
     pub(crate) limits: Limits,
     pub(crate) availability: Availability,
     /// The requests that wait for a permit, by number.
     pub(crate) permits: Mutex<Map<u64, oneshot::Sender<Result<(), Duration>>>>,
+    pub(crate) placing: Placing,
     next_number: AtomicU64,
 }
 
@@ -142,6 +142,7 @@
             limits: Limits::default(),
             availability: Availability::default(),
             permits: Mutex::default(),
+            placing: Placing::default(),
             next_number: AtomicU64::new(1),
         })
     }
@@ -266,6 +267,10 @@
                 self.origins.handle_reply(lookup, origin, sole_build);
             }
             Frame::Grant(grant) => self.resolve(grant.request, Decision::Grant(grant)),
+            Frame::Placed { request, endpoint, born } => {
+                self.handle_placed(request, endpoint, born);
+            }
+            Frame::Denial(denial) if self.placing.resolve(denial.request, Err(denial.clone())) => {}
             Frame::Denial(denial) => self.resolve(denial.request, Decision::Denial(denial)),
             _ => {}
         }
@@ -317,6 +322,7 @@
         });
         new.send(Frame::Running(running.collect()));
         drop(in_flight);
+        self.placing.restore(|frame| new.send(frame));
         for limit in self.limits.list() {
             new.send(Frame::Limit(limit));
         }
@@ -345,6 +351,7 @@
 
     /// Ends all pending requests without a decision.
     fn fail_pending(&self) {
+        self.placing.fail_pending();
         for (_, reply) in self.pending.lock().drain() {
             // The request may have been cancelled in the meantime.
             reply.send(Decision::NoLeader).ok();
@@ -448,29 +455,6 @@
         }
     }
 
-    /// Records a stream that begins at this gate.
-    pub(crate) fn record_origin(&self, origin: &Origin) {
-        let links = self.links.lock();
-        let keepers = links
-            .iter()
-            .map(|(address, link)| (base::digest(address.to_string().as_bytes()), link));
-        self.origins.record(origin, keepers, self.view.now());
-    }
-
-    /// Returns where a stream began whose route leads to `service`; `None` if that is unknown.
-    pub(crate) async fn locate_origin(
-        &self,
-        stream: u64,
-        service: Option<Name>,
-        timeout: Duration,
-    ) -> Option<Located> {
-        if let Some(located) = self.origins.own(stream, self.view.now()) {
-            return Some(located);
-        }
-        let links: Vec<Link<Frame>> = self.links.lock().values().cloned().collect();
-        self.origins.look_up(stream, service, links.iter(), timeout).await
-    }
-
     /// Notifies the keepers that this gate accepts no more callers.
     pub(crate) fn drain(&self) {
         let mut hello = self.hello.lock();
--- a/crates/edge/src/origins.rs
+++ b/crates/edge/src/origins.rs
@@ -14,6 +14,8 @@
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
+use crate::keepers::Keepers;
+
 /// The number of keepers that record an origin.
 const COPIES: usize = 2;
 
@@ -161,3 +163,28 @@
         lookup.reply.send(recorded.or(assumed)).ok();
     }
 }
+
+impl Keepers {
+    /// Records a stream that begins at this gate.
+    pub(crate) fn record_origin(&self, origin: &Origin) {
+        let links = self.links.lock();
+        let keepers = links
+            .iter()
+            .map(|(address, link)| (base::digest(address.to_string().as_bytes()), link));
+        self.origins.record(origin, keepers, self.view.now());
+    }
+
+    /// Returns where a stream began whose route leads to `service`; `None` if that is unknown.
+    pub(crate) async fn locate_origin(
+        &self,
+        stream: u64,
+        service: Option<Name>,
+        timeout: Duration,
+    ) -> Option<Located> {
+        if let Some(located) = self.origins.own(stream, self.view.now()) {
+            return Some(located);
+        }
+        let links: Vec<Link<Frame>> = self.links.lock().values().cloned().collect();
+        self.origins.look_up(stream, service, links.iter(), timeout).await
+    }
+}
--- a/crates/edge/src/protocol.rs
+++ b/crates/edge/src/protocol.rs
@@ -6,6 +6,7 @@
 use base::Name;
 use bytes::Bytes;
 use fleet::endpoint::Endpoint;
+use fleet::message::Load;
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::http::request;
@@ -62,8 +63,8 @@
     pub mismatched: bool,
     /// Whether the response bears the endpoint's signature, without which it does not count as a success.
     pub signed: bool,
-    /// The numbers of running and of queued requests at the endpoint.
-    pub load: Option<(u32, u32)>,
+    /// The load that the endpoint reports.
+    pub load: Option<Load>,
     /// The limit on its request rate that the endpoint names.
     pub limit: Notice,
     /// Whether the endpoint leaves and takes no new requests.
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -17,6 +17,7 @@
 use crate::choose;
 use crate::gate::Gate;
 use crate::keepers::Decision;
+use crate::placing::Hold;
 use crate::protocol::Protocol;
 use crate::refusal::Refusal;
 use crate::settings::DEFAULT_RETRY_AFTER;
@@ -35,29 +36,43 @@
     pub(crate) urgency: Option<u8>,
     /// The query to the scheduler, if it chose the endpoint.
     pub(crate) query: Option<Query>,
+    /// The number of the call, if it is one to a plain service whose endpoints state the pace of their hosts.
+    pub(crate) hold: Option<Hold>,
+}
+
+impl Target {
+    /// Returns the target of a call to a plain service whose endpoints state the pace of their hosts.
+    pub(crate) fn placed(endpoint: Endpoint, hold: Hold) -> Target {
+        Target { endpoint, version: None, urgency: None, query: None, hold: Some(hold) }
+    }
 }
 
 /// The endpoints that a request can't be sent to because their limits are reached.
 #[derive(Debug, Default)]
-struct Limited {
+pub(crate) struct Limited {
     endpoints: Vec<Name>,
     /// The shortest time until one of them admits a request.
     wait: Option<Duration>,
 }
 
 impl Limited {
-    fn add(&mut self, endpoint: &Name, wait: Duration) {
+    pub(crate) fn add(&mut self, endpoint: &Name, wait: Duration) {
         self.endpoints.push(endpoint.clone());
         self.wait = Some(self.wait.map_or(wait, |known| known.min(wait)));
     }
 
-    fn contains(&self, endpoint: &Name) -> bool {
+    pub(crate) fn contains(&self, endpoint: &Name) -> bool {
         self.endpoints.contains(endpoint)
     }
 
+    /// Returns `excluded` with these endpoints.
+    pub(crate) fn with(&self, excluded: &[Name]) -> Vec<Name> {
+        [excluded, &self.endpoints].concat()
+    }
+
     /// Returns the refusal of a request that no other endpoint can take. Its retry delay varies, so that callers do not
     /// retry together.
-    fn refusal(&self) -> Option<Refusal> {
+    pub(crate) fn refusal(&self) -> Option<Refusal> {
         let wait = self.wait?.max(DEFAULT_RETRY_AFTER);
         let spread: f64 = rand::random();
         Some(Refusal::retryable(Code::LimitReached, wait.mul_f64(1.0 + spread)))
@@ -160,28 +175,8 @@
         Err(Refusal::retryable(Code::Quarantined, QUARANTINE_RETRY_AFTER))
     }
 
-    /// Chooses an endpoint of a service that has no model engines.
-    async fn choose_endpoint(&self, call: &Call, excluded: &[Name]) -> Result<Target, Refusal> {
-        let mut limited = Limited::default();
-        loop {
-            let endpoints = self.view.endpoints();
-            let candidates = endpoints.values();
-            let candidates = candidates
-                .filter(|endpoint| call.admits(endpoint) && !limited.contains(&endpoint.id));
-            let target = self.least_loaded(candidates, excluded, None);
-            let target = target.map_err(|refusal| limited.refusal().unwrap_or(refusal))?;
-            match self.keepers.acquire(&target.endpoint).await {
-                Ok(()) => return Ok(target),
-                Err(wait) => {
-                    self.record_limit_reached(call, &target.endpoint.id, wait);
-                    limited.add(&target.endpoint.id, wait);
-                }
-            }
-        }
-    }
-
     /// Logs and counts that a request is not sent to an endpoint because of the endpoint's limit.
-    fn record_limit_reached(&self, call: &Call, endpoint: &Name, wait: Duration) {
+    pub(crate) fn record_limit_reached(&self, call: &Call, endpoint: &Name, wait: Duration) {
         self.metrics.limited.with_label_values::<&str>(&[]).inc();
         base::event!(
             INFO, Event::LimitReached, request = %call.request.id, endpoint = %endpoint,
@@ -190,7 +185,7 @@
     }
 
     /// Chooses the endpoint of the lowest cost that is not excluded.
-    fn least_loaded<'a>(
+    pub(crate) fn least_loaded<'a>(
         &self,
         endpoints: impl Iterator<Item = &'a Endpoint>,
         excluded: &[Name],
@@ -203,7 +198,7 @@
         let chosen = choose::choose(endpoints, &stats, domain, excluded, tie, now);
         let endpoint = chosen.filter(|endpoint| !excluded.contains(&endpoint.id)).cloned();
         let endpoint = endpoint.ok_or(Refusal::retryable(Code::NoEndpoint, DEFAULT_RETRY_AFTER))?;
-        Ok(Target { endpoint, version, urgency: None, query: None })
+        Ok(Target { endpoint, version, urgency: None, query: None, hold: None })
     }
 
     /// Queries the scheduler for an engine. Without a decision the gate chooses an engine that holds the
@@ -237,7 +232,7 @@
                 self.observe_decision("granted", waited);
                 let urgency = Some(grant.urgency);
                 let (endpoint, version) = (grant.endpoint, grant.version);
-                Ok(Target { endpoint, version, urgency, query: Some(query) })
+                Ok(Target { endpoint, version, urgency, query: Some(query), hold: None })
             }
             Decision::Denial(denial) => {
                 self.observe_decision("denied", waited);
@@ -264,7 +259,7 @@
     }
 
     /// Records the result and the duration of a routing decision.
-    fn observe_decision(&self, result: &str, waited: Duration) {
+    pub(crate) fn observe_decision(&self, result: &str, waited: Duration) {
         self.metrics.decision_latency.with_label_values(&[result]).observe(waited.as_secs_f64());
     }
 
--- a/crates/edge/src/tracker.rs
+++ b/crates/edge/src/tracker.rs
@@ -5,9 +5,11 @@
 
 use base::Event;
 use base::Name;
+use capacity::Estimate;
 use fleet::endpoint::Endpoint;
 use fleet::message::Ended;
 use fleet::message::Frame;
+use fleet::message::Load;
 use fleet::message::Outcome;
 use fleet::origin::Origin;
 use fleet::quarantine::Fingerprint;
@@ -16,7 +18,9 @@
 
 use crate::framing::Framing;
 use crate::keepers::Keepers;
+use crate::placing::Hold;
 use crate::runs::Run;
+use crate::view::Stats;
 use crate::view::View;
 
 /// Tracks a request at an endpoint. On drop it updates the endpoint's statistics and reports to the leader the end of
@@ -29,6 +33,12 @@
     id: Name,
     /// The request's number, if the scheduler placed the request.
     scheduled: Option<u64>,
+    /// The number of the call, if it is one to a plain service whose endpoints state the pace of their hosts.
+    placed: Option<u64>,
+    /// The calls at the endpoint when the request was sent, itself included.
+    calls: u32,
+    /// The load that the endpoint reported with the response.
+    load: Option<Load>,
     endpoint: Endpoint,
     fingerprint: Arc<Fingerprint>,
     sent: Instant,
@@ -67,12 +77,20 @@
         fingerprint: &Arc<Fingerprint>,
         deadline: Instant,
     ) -> Tracker {
-        view.stats.lock().entry(endpoint.id.clone()).or_default().running += 1;
+        let calls = {
+            let mut stats = view.stats.lock();
+            let stats = stats.entry(endpoint.id.clone()).or_default();
+            stats.running += 1;
+            stats.load(view.now()).round().max(1.0) as u32
+        };
         Tracker {
             view: view.clone(),
             keepers: keepers.clone(),
             id: id.clone(),
             scheduled,
+            placed: None,
+            calls,
+            load: None,
             endpoint: endpoint.clone(),
             fingerprint: fingerprint.clone(),
             sent: Instant::now(),
@@ -133,11 +151,34 @@
         };
     }
 
-    /// Records the number of requests that the endpoint reported.
-    pub(crate) fn record_load(&self, requests: u32) {
+    /// Records that the request is sent with the number of a hold.
+    pub(crate) fn set_placed(&mut self, hold: Hold) {
+        self.placed = Some(hold.track(&self.endpoint, self.deadline));
+    }
+
+    /// Records the load that the endpoint reported.
+    pub(crate) fn record_load(&mut self, load: Load) {
+        self.load = Some(load);
         let now = self.view.now();
         if let Some(stats) = self.view.stats.lock().get_mut(&self.endpoint.id) {
-            stats.reported = Some((requests, now));
+            stats.reported = Some((load.running.saturating_add(load.queued), now));
+            // The scheduler keeps the estimates of engines.
+            if self.scheduled.is_none() && load.pace.is_some() && stats.estimate.is_none() {
+                stats.estimate = Some(Box::new(Estimate::new(self.endpoint.slots)));
+            }
+        }
+    }
+
+    /// Records what the end of the request shows about the endpoint's capacity.
+    fn record_run(&self, stats: &mut Stats, now: Duration) {
+        let Some(estimate) = &mut stats.estimate else { return };
+        match (self.outcome, self.load) {
+            (Outcome::Done, load) => {
+                let run = capacity::Run { ran: self.sent.elapsed(), calls: self.calls };
+                estimate.record_run(run, load, now);
+            }
+            (_, Some(load)) => estimate.record_load(load, now),
+            _ => {}
         }
     }
 
@@ -185,6 +226,7 @@
         let now = self.view.now();
         if let Some(stats) = self.view.stats.lock().get_mut(&self.endpoint.id) {
             stats.running = stats.running.saturating_sub(1);
+            self.record_run(stats, now);
             match self.outcome {
                 Outcome::Done => stats.record(false, now),
                 Outcome::Refused if self.paused => {}
@@ -195,6 +237,9 @@
         if let Some(request) = self.scheduled {
             self.keepers.report_end(Ended { request, outcome: self.outcome });
         }
+        if let Some(request) = self.placed {
+            self.keepers.report_call_end(request, self.outcome, self.sent.elapsed(), self.load);
+        }
         match self.ending {
             Ending::Inconclusive => {}
             Ending::Complete => self.keepers.report_survival(&self.endpoint, &self.fingerprint),
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -10,6 +10,7 @@
 use base::Map;
 use base::Name;
 use base::Set;
+use capacity::Estimate;
 use fleet::endpoint::Endpoint;
 use fleet::message::Holding;
 use fleet::message::Version;
@@ -34,6 +35,8 @@
     pub running: u32,
     /// The number of requests that the endpoint last reported, and the time of the report.
     pub reported: Option<(u32, Duration)>,
+    /// The estimate of a plain endpoint's capacity; only of one that states the pace of its host.
+    pub estimate: Option<Box<Estimate>>,
     /// The moving average of failures, from 0 to 1, and the time of its update.
     failures: (f64, Duration),
 }
