--- a/crates/capacity/src/estimate.rs
+++ b/crates/capacity/src/estimate.rs
@@ -6,12 +6,18 @@
 
 use crate::curve::Curve;
 
-/// The weight of the latest report of the pace. Three reports follow a change to 94%; a single one does not.
+/// The weight of the latest report of the pace beside one at the same time. Three reports follow a change to 94%; a single
+/// one does not.
 const PACE_WEIGHT: f64 = 0.6;
+/// The half-life of what an earlier report adds to the latest one. A gate that sees one call in a second takes the latest
+/// one alone.
+const PACE_MEMORY: Duration = Duration::from_millis(100);
 /// The weight of the latest report in the mean pace.
 const MEAN_PACE_WEIGHT: f64 = 1.0 / 64.0;
 /// The half-life of a reported pace, after which the mean is the better guess. Hosts slow down for some 600 ms.
 const PACE_HALF_LIFE: Duration = Duration::from_millis(300);
+/// The spread of the logarithm of the speeds of endpoints of one service, as far as their hosts' paces do not explain it.
+const SPEED_SPREAD: f64 = 0.2;
 /// The bounds of a reported pace, against values that no host has.
 const PACE_BOUNDS: (u32, u32) = (10, 10_000);
 /// The growth of the uncertainty without results, as a share of the time of a call, per second.
@@ -48,9 +54,14 @@
 }
 
 impl Pace {
+    /// Returns what is left of the latest report with a half-life.
+    fn kept(&self, now: Duration, half_life: Duration) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64() / half_life.as_secs_f64();
+        (-age).exp2()
+    }
+
     fn at(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.at).as_secs_f64() / PACE_HALF_LIFE.as_secs_f64();
-        self.mean + (self.latest - self.mean) * (-age).exp2()
+        self.mean + (self.latest - self.mean) * self.kept(now, PACE_HALF_LIFE)
     }
 }
 
@@ -86,8 +97,9 @@
             None => Pace { latest: stated, mean: stated.min(1.0), at: now },
             Some(known) => {
                 let former = known.at(now);
+                let kept = (1.0 - PACE_WEIGHT) * known.kept(now, PACE_MEMORY);
                 Pace {
-                    latest: former + PACE_WEIGHT * (stated - former),
+                    latest: stated + kept * (former - stated),
                     mean: known.mean + MEAN_PACE_WEIGHT * (stated - known.mean),
                     at: now,
                 }
@@ -99,14 +111,16 @@
     /// Records a run, with the load that came with its response.
     pub fn record_run(&mut self, run: Run, load: Option<Load>, now: Duration) {
         self.updated = Some(now);
-        let before = self.pace.map(|pace| pace.at(now));
+        // A report from before the call was sent says little of the pace at which it ran.
+        let before = self.pace.filter(|pace| pace.at + run.ran >= now).map(|pace| pace.at(now));
         if let Some(load) = load {
             self.record_load(load, now);
         }
         let after = self.pace.map(|pace| pace.at(now));
         // The pace may have changed during the run; the geometric mean is half the error of either.
-        let pace = before.or(after).unwrap_or(1.0) * after.unwrap_or(1.0);
-        let ms = run.ran.as_secs_f64() * 1e3 / pace.sqrt();
+        let after = after.unwrap_or(1.0);
+        let pace = (before.unwrap_or(after) * after).sqrt();
+        let ms = run.ran.as_secs_f64() * 1e3 / pace;
         self.curve.record(f64::from(run.calls), ms, self.slots);
     }
 
@@ -120,6 +134,20 @@
         Some(self.curve.work_ms()? * self.pace(now))
     }
 
+    /// Returns the mean time of a call that does not wait, at the usual pace, in ms; `None` without any run.
+    pub fn usual_ms(&self) -> Option<f64> {
+        self.curve.work_ms()
+    }
+
+    /// Returns the time as [`Estimate::work_ms`], drawn towards `usual_ms`, that of the service's endpoints, as far as it is
+    /// uncertain. A node that sees few runs would else prefer the endpoint with the luckiest ones.
+    pub fn blended_ms(&self, usual_ms: f64, now: Duration) -> f64 {
+        let error = self.uncertainty(now);
+        let share = SPEED_SPREAD.powi(2) / (SPEED_SPREAD.powi(2) + error.powi(2));
+        let own = self.curve.work_ms().unwrap_or(usual_ms);
+        usual_ms * (own / usual_ms).powf(share) * self.pace(now)
+    }
+
     /// Returns the number of calls that the endpoint takes before callers wait longer. The stated slots, or fewer if runs
     /// take longer before these are in use; `None` if nothing is stated and no run has shown it.
     pub fn takes(&self) -> Option<f64> {
--- a/crates/capacity/tests/simulation.rs
+++ b/crates/capacity/tests/simulation.rs
@@ -353,8 +353,12 @@
             Way::Weights => Some(turned[0]),
             Way::LeastLoad => least(turned),
             Way::OfTwo => {
+                let works = all.iter().filter_map(|index| seen[*index].estimate.usual_ms());
+                let (sum, count) =
+                    works.fold((0.0, 0.0), |(sum, count), work| (sum + work, count + 1.0));
+                let mean = if count > 0.0 { sum / count } else { 1.0 };
                 let cost = |index: &usize| {
-                    let work = seen[*index].estimate.work_ms(at(now)).unwrap_or(60.0);
+                    let work = seen[*index].estimate.blended_ms(mean, at(now));
                     let share = (load(index) + 1.0) / SLOTS as f64;
                     work * (share.max(1.0) + share)
                 };
--- a/crates/edge/src/choose.rs
+++ b/crates/edge/src/choose.rs
@@ -54,7 +54,9 @@
     draw: impl FnMut(usize) -> usize,
     now: Duration,
 ) -> Option<&'a Endpoint> {
-    let works = endpoints.iter().filter_map(|endpoint| work_ms(stats.get(&endpoint.id)?, now));
+    let estimates =
+        endpoints.iter().filter_map(|endpoint| stats.get(&endpoint.id)?.estimate.as_ref());
+    let works = estimates.filter_map(|estimate| estimate.usual_ms());
     let (sum, known) = works.fold((0.0, 0.0), |(sum, known), work| (sum + work, known + 1.0));
     // An endpoint without a run is assumed to work like the others.
     let mean = if known > 0.0 { sum / known } else { 1.0 };
@@ -62,17 +64,14 @@
     let cost = |endpoint: &&Endpoint| {
         let stats = stats.get(&endpoint.id).unwrap_or(&unknown);
         let load = stats.load(now) + 1.0;
-        let takes = stats.estimate.as_ref().and_then(|estimate| estimate.takes());
+        let estimate = stats.estimate.as_ref();
+        let work = estimate.map_or(mean, |estimate| estimate.blended_ms(mean, now));
+        let takes = estimate.and_then(|estimate| estimate.takes());
         let takes = takes.unwrap_or(f64::from(endpoint.slots.max(1)));
         let remote = if &*endpoint.domain == domain { 0.0 } else { REMOTE_MS };
         // Below the capacity, the share of used slots decides between endpoints of equal speed.
-        let expected =
-            work_ms(stats, now).unwrap_or(mean) * ((load / takes).max(1.0) + load / takes);
+        let expected = work * ((load / takes).max(1.0) + load / takes);
         expected + stats.failure_rate(now) * FAILURE_MS + remote
     };
     capacity::pick_of_two(endpoints, draw, cost).copied()
 }
-
-fn work_ms(stats: &Stats, now: Duration) -> Option<f64> {
-    stats.estimate.as_ref()?.work_ms(now)
-}
