--- a/crates/capacity/src/balancer.rs
+++ b/crates/capacity/src/balancer.rs
@@ -43,6 +43,8 @@
         gate: u64,
         /// The gate's number for the request.
         request: u64,
+        /// The tenant, which is charged for a slot.
+        tenant: Option<Name>,
         /// The endpoint.
         endpoint: Name,
         /// The start time of the endpoint.
@@ -294,8 +296,9 @@
             forget_at: now + left + FORGET_AFTER,
         };
         let (endpoint, born, request) = (site.id.clone(), site.born, placement.request);
+        let tenant = placement.tenant.clone();
         self.placed.insert((gate, request), call);
-        self.answers.push(Answer::Placed { gate, request, endpoint, born, calls, waited });
+        self.answers.push(Answer::Placed { gate, request, tenant, endpoint, born, calls, waited });
     }
 
     /// Refuses a call that waited.
--- a/crates/cell/src/placing.rs
+++ b/crates/cell/src/placing.rs
@@ -15,6 +15,8 @@
 use crate::engines::Engines;
 use crate::keeper::Keeper;
 
+/// The excess of each tenant over its share while no usage is counted: none.
+const EQUAL_SHARE: f64 = 1.0;
 /// The longest time between two checks of the calls that wait, since one that arrives later may wait for a shorter time.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -27,7 +29,7 @@
         match frame {
             Frame::Place(placement) => {
                 let domain = self.links.get(link_id).map(|node| node.hello.domain.clone());
-                balancer.place(link_id, &domain.unwrap_or_default(), *placement, 1.0, now);
+                balancer.place(link_id, &domain.unwrap_or_default(), *placement, EQUAL_SHARE, now);
             }
             Frame::PlacedEnded { request, outcome, ran_ms, load } => {
                 let ran = Duration::from_millis(u64::from(ran_ms));
@@ -69,9 +71,10 @@
         let Some(leadership) = &mut self.leadership else { return };
         for answer in leadership.balancer.take_answers() {
             let (gate, frame) = match answer {
-                Answer::Placed { gate, request, endpoint, born, calls, waited } => {
+                Answer::Placed { gate, request, tenant, endpoint, born, calls, waited } => {
                     base::event!(
-                        DEBUG, Event::CallPlaced, gate, request, endpoint = %endpoint, calls,
+                        DEBUG, Event::CallPlaced, gate, request, tenant = tenant.as_deref(),
+                        endpoint = %endpoint, calls,
                         waited_ms = waited.as_millis() as u64
                     );
                     self.placements.placed += 1;
