--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -31,6 +31,7 @@
 use crate::leadership::Leadership;
 use crate::lease::Lease;
 use crate::links::Links;
+use crate::placing::Decisions;
 use crate::replica::Status;
 use crate::settings::MAINTENANCE_INTERVAL;
 use crate::settings::Settings;
@@ -52,6 +53,7 @@
     /// What tenants have spent, as the leader told; not used while this keeper leads.
     pub(crate) totals: Totals,
     lease: Lease,
+    pub(crate) placements: Decisions,
     settings: sched::settings::Settings,
     endpoint_timeout: Duration,
     /// Time of the last check for expired endpoints.
@@ -90,6 +92,7 @@
             departures: Departures::new(settings.endpoint_drain),
             totals: Totals::default(),
             lease: Lease::new(settings.order_lease, settings.fenced_orders, last_term),
+            placements: Decisions::default(),
             settings: settings.scheduler.clone(),
             endpoint_timeout: settings.endpoint_timeout,
             last_expiry_check: Duration::ZERO,
@@ -118,6 +121,7 @@
         if previous.leads != self.status.leads {
             self.end_ledger();
             self.leadership = self.status.leads.map(|term| self.start_leading(term, state));
+            self.update_balancer();
         }
         if previous.leads != self.status.leads || previous.members != self.status.members {
             let welcome = Frame::Welcome(self.welcome());
@@ -380,6 +384,8 @@
                 leadership.ledger.remove_gate(&node.hello.node, gates, now);
             }
             leadership.scheduler.gate_disconnected(link_id, now);
+            leadership.balancer.gate_lost(link_id, now);
+            self.send_placements();
         }
     }
 
@@ -499,6 +505,7 @@
                 leadership.holdings.retain(|holding| holding.endpoint != id);
             }
         }
+        self.update_balancer();
         self.changes += 1;
         self.registry_changes += 1;
     }
--- a/crates/cell/src/leadership.rs
+++ b/crates/cell/src/leadership.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use base::Name;
+use capacity::Balancer;
 use fleet::endpoint::Announcement;
 use fleet::message::Holding;
 use quota::Ledger;
@@ -25,6 +26,8 @@
     /// What tenants have spent of their quotas.
     pub(crate) ledger: Ledger,
     pub(crate) leaving: Leaving,
+    /// Places the calls of plain services. Starts empty; gates report their calls in progress to a new leader.
+    pub(crate) balancer: Balancer,
     /// Which adapters each engine holds, as last sent to the gates.
     pub(crate) holdings: Vec<Holding>,
     /// Holdings that engines announced, to be sent to the gates with the next scheduler round. Gates that lose the leader
@@ -48,6 +51,7 @@
             limits: Limits::default(),
             ledger,
             leaving: Leaving::default(),
+            balancer: Balancer::default(),
             holdings: Vec::new(),
             announced: Vec::new(),
         }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -32,6 +32,7 @@
 mod notices;
 mod orders;
 mod peers;
+mod placing;
 mod quotas;
 mod replica;
 mod storage;
--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -31,6 +31,10 @@
     /// The learned number of prompt tokens that the engines of a service read within the decoding steps of one event, with
     /// its standard error.
     pause_tokens: IntGaugeVec,
+    /// Calls of plain services that were placed or denied.
+    pub(crate) calls_placed: IntCounterVec,
+    /// The estimates of the endpoints of plain services, and the calls in progress and waiting.
+    pub(crate) capacity: IntGaugeVec,
     /// Leadership, applied index, and numbers of voters, standbys, gates, endpoints and quarantined
     /// subjects.
     pub(crate) state: IntGaugeVec,
@@ -76,6 +80,16 @@
                 "Prompt tokens that engines read within the decoding steps of one event, as learned.",
                 &["service", "figure"],
             ),
+            calls_placed: meter.counters(
+                "keeper_calls_placed_total",
+                "Calls of plain services that the leader decided on.",
+                &["result"],
+            ),
+            capacity: meter.gauges(
+                "keeper_capacity",
+                "The endpoints of plain services as the leader sees them.",
+                &["service", "endpoint", "what"],
+            ),
             state: meter.gauges("keeper_state", "What the keeper knows.", &["what"]),
         }
     }
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -349,9 +349,10 @@
     async fn send(
         self: &Arc<Gate<P>>,
         call: &Call,
-        target: Target,
+        mut target: Target,
         exchange: &Exchange,
     ) -> Attempt {
+        let hold = target.hold.take();
         let endpoint = &target.endpoint;
         let scheduled = target.query.as_ref().map(|query| {
             self.keepers.track(query, &endpoint.id);
@@ -369,6 +370,9 @@
         if call.route.gap.is_some() {
             tracker.measure_pauses();
         }
+        if let Some(hold) = hold {
+            tracker.set_placed(hold);
+        }
         let request = self.build_request(call, &target);
         let sent = send::send(&self.pool, &self.view, endpoint, request).await;
         let attempt = match sent {
--- a/crates/edge/src/tracker.rs
+++ b/crates/edge/src/tracker.rs
@@ -5,6 +5,7 @@
 
 use base::Event;
 use base::Name;
+use capacity::Estimate;
 use fleet::endpoint::Endpoint;
 use fleet::message::Ended;
 use fleet::message::Frame;
@@ -18,7 +19,9 @@
 use crate::framing::Framing;
 use crate::keepers::Keepers;
 use crate::pauses::Pauses;
+use crate::placing::Hold;
 use crate::runs::Run;
+use crate::view::Stats;
 use crate::view::View;
 
 /// Tracks a request at an endpoint. On drop it updates the endpoint's statistics and reports to the leader the end of
@@ -31,6 +34,10 @@
     id: Name,
     /// The request's number, if the scheduler placed the request.
     scheduled: Option<u64>,
+    /// The number of the call, if it is one to a plain service whose endpoints state the pace of their hosts.
+    placed: Option<u64>,
+    /// The calls at the endpoint when the request was sent, itself included.
+    calls: u32,
     endpoint: Endpoint,
     fingerprint: Arc<Fingerprint>,
     sent: Instant,
@@ -73,12 +80,19 @@
         fingerprint: &Arc<Fingerprint>,
         deadline: Instant,
     ) -> Tracker {
-        view.stats.lock().entry(endpoint.id.clone()).or_default().running += 1;
+        let calls = {
+            let mut stats = view.stats.lock();
+            let stats = stats.entry(endpoint.id.clone()).or_default();
+            stats.running += 1;
+            stats.load(view.now()).round().max(1.0) as u32
+        };
         Tracker {
             view: view.clone(),
             keepers: keepers.clone(),
             id: id.clone(),
             scheduled,
+            placed: None,
+            calls,
             endpoint: endpoint.clone(),
             fingerprint: fingerprint.clone(),
             sent: Instant::now(),
@@ -145,12 +159,34 @@
         };
     }
 
+    /// Records that the request is sent with the number of a hold.
+    pub(crate) fn set_placed(&mut self, hold: Hold) {
+        self.placed = Some(hold.track(&self.endpoint, self.deadline));
+    }
+
     /// Records the load that the endpoint stated in its response.
     pub(crate) fn record_load(&mut self, load: Load) {
         self.load = Some(load);
         let now = self.view.now();
         if let Some(stats) = self.view.stats.lock().get_mut(&self.endpoint.id) {
             stats.reported = Some((load.requests(), now));
+            // The scheduler keeps the estimates of engines.
+            if self.scheduled.is_none() && load.pace.is_some() && stats.estimate.is_none() {
+                stats.estimate = Some(Box::new(Estimate::new(self.endpoint.slots)));
+            }
+        }
+    }
+
+    /// Records what the end of the request shows about the endpoint's capacity.
+    fn record_run(&self, stats: &mut Stats, now: Duration) {
+        let Some(estimate) = &mut stats.estimate else { return };
+        match (self.outcome, self.load) {
+            (Outcome::Done, load) => {
+                let run = capacity::Run { ran: self.sent.elapsed(), calls: self.calls };
+                estimate.record_run(run, load, now);
+            }
+            (_, Some(load)) => estimate.record_load(load, now),
+            _ => {}
         }
     }
 
@@ -208,6 +244,7 @@
         let now = self.view.now();
         if let Some(stats) = self.view.stats.lock().get_mut(&self.endpoint.id) {
             stats.running = stats.running.saturating_sub(1);
+            self.record_run(stats, now);
             match self.outcome {
                 Outcome::Done => stats.record(false, now),
                 Outcome::Refused if self.paused => {}
@@ -222,6 +259,9 @@
             }
             self.keepers.report_end(Ended { request, outcome: self.outcome });
         }
+        if let Some(request) = self.placed {
+            self.keepers.report_call_end(request, self.outcome, self.sent.elapsed(), self.load);
+        }
         match self.ending {
             Ending::Inconclusive => {}
             Ending::Complete => self.keepers.report_survival(&self.endpoint, &self.fingerprint),
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -19,6 +19,7 @@
 use crate::extension::Extension;
 use crate::limit::Limit;
 use crate::origin::Origin;
+use crate::placed;
 use crate::plan::Plan;
 use crate::quarantine::Crash;
 use crate::quarantine::Loss;
@@ -214,6 +215,9 @@
         /// The load that the engine stated in the response.
         load: Load,
     },
+    /// Calls of a gate that are in progress at plain services; sent to a new leader, and for each call for which the gate
+    /// chose the endpoint itself.
+    PlacedCalls(Vec<placed::Call>),
 }
 
 impl Frame {
@@ -233,7 +237,8 @@
             | Frame::Place(_)
             | Frame::Placed { .. }
             | Frame::PlacedEnded { .. }
-            | Frame::BeganLoaded { .. } => Revision::TENANTS,
+            | Frame::BeganLoaded { .. }
+            | Frame::PlacedCalls(_) => Revision::TENANTS,
             _ => Revision::UNNAMED,
         }
     }
