raft: tests of transfers compare the content and bound what is sent again

Change: no two parts of a state are equal, and whole states are compared. A transfer over bad links has a bound in bytes, and one that goes on after a lost link a bound in time.

Not noticed by a test of its own: a leader that goes back to the first byte, since the receiver's answer names the offset from which it continues.

--- a/crates/raft/tests/log/sim/network.rs
+++ b/crates/raft/tests/log/sim/network.rs
@@ -166,7 +166,7 @@
     pub(crate) fn compact_all(&mut self, bytes: usize) {
         self.propose(1);
         self.run_for(Duration::from_millis(500));
-        let data = Bytes::from(vec![0; bytes]);
+        let data = state(bytes);
         for (id, node) in &mut self.nodes {
             node.set_retained_entries(self.retained_entries);
             node.compact(node.applied(), data.clone()).expect("a newer snapshot");
@@ -290,6 +290,12 @@
     }
 }
 
+/// Returns a state of this size in which no two parts are equal.
+pub(crate) fn state(bytes: usize) -> Bytes {
+    let words = (0..bytes.div_ceil(8) as u64).flat_map(u64::to_le_bytes);
+    words.take(bytes).collect()
+}
+
 fn member(id: Id) -> Member {
     Member { id, host: format!("h{id}") }
 }
--- a/crates/raft/tests/log/transfers.rs
+++ b/crates/raft/tests/log/transfers.rs
@@ -10,6 +10,7 @@
 
 use super::sim::network::Faults;
 use super::sim::network::Network;
+use super::sim::network::state;
 use super::sim::replica::CONFIG;
 
 const KB: usize = 1 << 10;
@@ -73,7 +74,7 @@
             let least = Duration::from_secs_f64(bytes as f64 / speed as f64);
             let took = catch_up(&mut network, id, least * 3 + ms(3_000));
             assert_eq!((network.leader, network.term()), (leader, term), "{bytes} at {speed}");
-            assert_eq!(network.states[&id].len(), bytes, "{bytes} bytes at {speed} a second");
+            assert!(network.states[&id] == state(bytes), "{bytes} bytes at {speed} a second");
             for (other, silence) in &network.max_silence {
                 let limit = if *other == id { SIZES.election_timeout } else { MAX_SILENCE };
                 assert!(*silence <= limit, "{bytes} at {speed}: {silence:?} without a message");
@@ -94,11 +95,13 @@
         network.run_for(ms(700));
         network.restore(leader, id);
     }
-    catch_up(&mut network, id, ms(10_000));
+    let took = catch_up(&mut network, id, ms(10_000));
     let sent = network.sent_bytes[&(leader, id)];
+    // The parts that were lost are sent again after the next heartbeat, not after a timeout.
+    assert!(took < ms(1_200), "{took:?} after the last lost link");
     // Of each lost link, the parts of one window are sent again.
     assert!(sent < 16 * MB + 5 * MB, "{sent} bytes for a state of {}", 16 * MB);
-    assert_eq!(network.states[&id].len(), 16 * MB);
+    assert!(network.states[&id] == state(16 * MB));
 }
 
 #[test]
@@ -111,6 +114,9 @@
         network.run_until(ms(60_000), |network| {
             network.states.get(&id).is_some_and(|state| state.len() == 2 * MB)
         });
+        assert!(network.states[&id] == state(2 * MB), "seed {seed}");
+        let sent = network.sent_bytes[&(network.leader, id)];
+        assert!(sent < 12 * MB, "seed {seed}: {sent} bytes for a state of {}", 2 * MB);
     }
 }
 
@@ -122,7 +128,7 @@
     let second = network.join();
     catch_up(&mut network, first, ms(8_000));
     catch_up(&mut network, second, ms(8_000));
-    assert_eq!(network.states[&second].len(), 8 * MB);
+    assert!(network.states[&second] == state(8 * MB));
 }
 
 #[test]
@@ -134,7 +140,7 @@
     network.stop(leader);
     network.run_until(ms(3_000), |network| network.leader != leader);
     catch_up(&mut network, id, ms(8_000));
-    assert_eq!(network.states[&id].len(), 8 * MB);
+    assert!(network.states[&id] == state(8 * MB));
 }
 
 #[test]
@@ -191,7 +197,7 @@
     network.propose(3 * MB);
     catch_up(&mut network, id, ms(5_000));
     assert_eq!(network.part_messages, 0);
-    assert_eq!(network.states[&id].len(), 3 * MB);
+    assert!(network.states[&id] == state(3 * MB));
 }
 
 #[test]
@@ -211,7 +217,7 @@
         network.states.get(&id).is_some_and(|state| state.len() == MB)
     });
     assert!(damaged);
-    assert!(network.states[&id].iter().all(|byte| *byte == 0));
+    assert!(network.states[&id] == state(MB));
 }
 
 #[test]
