--- a/crates/raft/src/replication.rs
+++ b/crates/raft/src/replication.rs
@@ -85,8 +85,11 @@
         }
         let resend_delay = self.config.election_timeout;
         if progress.next <= self.log.start() {
-            let whole = matches!(progress.mode, Mode::Snapshot { .. });
-            let snapshot = self.snapshot.as_ref().filter(|_| !whole);
+            let awaits_response = match progress.mode {
+                Mode::Snapshot { resend_at, .. } => self.now < resend_at,
+                _ => false,
+            };
+            let snapshot = self.snapshot.as_ref().filter(|_| !awaits_response);
             let snapshot = snapshot.filter(|snapshot| self.needs_parts(to, snapshot.data.len()));
             if let Some(snapshot) = snapshot.cloned() {
                 let transfer = Transfer::snapshot(snapshot, resend_delay, self.now);
--- a/crates/raft/tests/log/transfers.rs
+++ b/crates/raft/tests/log/transfers.rs
@@ -200,6 +200,25 @@
     assert!(network.states[&id] == state(3 * MB));
 }
 
+// Guards against a large snapshot that is sent whole again and again, because the replica's release
+// was not known yet when it was sent first.
+#[test]
+fn a_whole_snapshot_without_a_response_is_sent_again_in_parts() {
+    let mut network = network(3 * MB, 100 * MB);
+    network.knows_parts = false;
+    let id = replace_follower(&mut network);
+    network.run_until(ms(1_000), |network| {
+        network.in_transit_to(id).any(|message| matches!(message.body, Body::Install { .. }))
+    });
+    let leader = network.leader;
+    network.cut(leader, id);
+    network.restore(leader, id);
+    network.knows_parts = true;
+    catch_up(&mut network, id, ms(3_000));
+    assert!(network.part_messages > 0);
+    assert!(network.states[&id] == state(3 * MB));
+}
+
 #[test]
 fn a_damaged_part_is_noticed_and_the_transfer_begins_again() {
     let mut network = network(MB, 100 * MB);
