--- a/crates/quota/tests/faults.rs
+++ b/crates/quota/tests/faults.rs
@@ -167,3 +167,73 @@
         assert!(admitted >= least, "seed {seed}: {admitted}, at least {least}");
     });
 }
+
+// Guards against two leaders that each have the whole limit: both know what was spent before the partition, so a former
+// leader adds no more than what is free and what its window frees within its lease.
+#[test]
+fn a_former_leader_adds_no_more_than_its_lease_allows() {
+    for_sites(|mut site, quota, seed| {
+        run(&mut site, OVERLOAD, secs(20));
+        let (start, lease) = (site.now, ms(1_000));
+        let (_, mut former) = site.leader.take().expect("a leader");
+        let used = former.list(start).first().map_or(0, |total| total.used);
+        let gate = base::Name::from("gate-0");
+        let need = (quota.limit() / 16).min(2_000);
+        let mut granted = 0;
+        while site.now < start + lease {
+            granted += former.reserve(&gate, "t", (need, 0), site.now).granted;
+            site.now += ms(5);
+        }
+        // What leaves the window within the lease; units of credit were counted up to 600 ms before they were used.
+        let span = quota::span(&quota);
+        let (from, to) = (start - span - quota::SLICE, site.now - span + ms(600));
+        let most = quota.limit().saturating_sub(used) + site.admitted_in(from, to);
+        println!("seed {seed}: {granted} of {most}");
+        assert!(granted <= most, "seed {seed}: {granted} of {most}");
+    });
+}
+
+// Guards against a gate whose clock jumps and which then uses credit that has expired.
+#[test]
+fn a_clock_that_jumps_drops_credit() {
+    let quota = sim::quota(40_000.0, 80_000.0);
+    let tenant = base::Name::from("t");
+    for jump in [ms(501), secs(3), secs(100)] {
+        let mut account = quota::Account::new(Duration::ZERO);
+        account.follow(1, Duration::ZERO);
+        let quota::Charge::Reserve(need) = account.charge(&tenant, &quota, 100, ms(1)) else {
+            panic!("a reservation");
+        };
+        let answer = (5_000, 5_000);
+        assert_eq!(account.settle(&tenant, &quota, &need, answer, ms(2)), quota::Source::Paid);
+        assert_eq!(account.charge(&tenant, &quota, 100, ms(3)), quota::Charge::Paid);
+        let charge = account.charge(&tenant, &quota, 100, ms(3) + jump);
+        assert!(matches!(charge, quota::Charge::Reserve(_)), "{charge:?}");
+        // An answer to what was asked before the jump is not trusted either.
+        let settled = account.settle(&tenant, &quota, &need, answer, ms(4) + jump);
+        assert!(matches!(settled, quota::Source::Outdated(_)), "{settled:?}");
+    }
+}
+
+// Guards against a time to come back at which the limit has no room, if nobody else comes.
+#[test]
+fn a_refused_request_fits_when_it_comes_back() {
+    for_sites(|mut site, quota, seed| {
+        run(&mut site, OVERLOAD, secs(15));
+        site.step();
+        let (_, mut ledger) = site.leader.take().expect("a leader");
+        let gate = base::Name::from("gate-0");
+        let mut refused = Vec::new();
+        for _ in 0..5 {
+            let need = quota.limit() / 8;
+            let answer = ledger.reserve(&gate, "t", (need, 0), site.now);
+            if answer.granted == 0 {
+                refused.push((site.now + answer.wait.expect("a time"), need));
+            }
+        }
+        for (at, need) in refused {
+            let answer = ledger.reserve(&gate, "t", (need, 0), at);
+            assert_eq!(answer.granted, need, "seed {seed}: {answer:?}");
+        }
+    });
+}
