--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -7,7 +7,6 @@
 
 use base::Map;
 use base::Name;
-use base::Set;
 use fleet::message::Frame;
 use fleet::message::Spending;
 use fleet::revision::Revision;
@@ -28,10 +27,6 @@
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(150);
 /// The reservations that are made for a request if the leader changes meanwhile.
 const MAX_RESERVATIONS: u32 = 2;
-/// The tenants that metrics name; the others count as [`OTHER`].
-const MAX_LABELS: usize = 64;
-/// The label of the other tenants.
-const OTHER: &str = "other";
 
 /// A reservation that waits for its answer.
 #[derive(Debug)]
@@ -46,7 +41,6 @@
     account: Mutex<Account>,
     pending: Mutex<Map<u64, Pending>>,
     lag: Lag,
-    labels: Mutex<Set<Name>>,
 }
 
 impl Default for Quotas {
@@ -55,7 +49,6 @@
             account: Mutex::new(Account::new(Duration::ZERO)),
             pending: Mutex::default(),
             lag: Lag::new(),
-            labels: Mutex::default(),
         }
     }
 }
@@ -258,23 +251,10 @@
         }
     }
 
-    /// Returns the credit that the gate holds, by the label of the tenant in metrics.
-    pub(crate) fn held_credit(&self) -> Map<Name, u64> {
-        let labels = self.quotas.labels.lock();
-        let mut held: Map<Name, u64> = labels.iter().map(|label| (label.clone(), 0)).collect();
-        for (tenant, units) in self.quotas.account.lock().held() {
-            let label = labels.get(tenant).cloned().unwrap_or_else(|| Name::from(OTHER));
-            *held.entry(label).or_default() += units;
-        }
-        held
-    }
-
-    /// Returns the label of a tenant in metrics.
-    pub(crate) fn tenant_label(&self, tenant: &Name) -> Name {
-        let mut labels = self.quotas.labels.lock();
-        if labels.len() < MAX_LABELS {
-            labels.insert(tenant.clone());
-        }
-        labels.get(tenant).cloned().unwrap_or_else(|| Name::from(OTHER))
+    /// Returns the credit of each tenant that the gate holds.
+    pub(crate) fn held_credit(&self) -> Vec<(Name, u64)> {
+        let account = self.quotas.account.lock();
+        let held = account.held().filter(|(_, units)| *units > 0);
+        held.map(|(tenant, units)| (tenant.clone(), units)).collect()
     }
 }
