--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -112,7 +112,7 @@
         let Some(quota) = tenant.quota else { return Ok(None) };
         let units = quota.units(tokens);
         let mut paid = self.pay(&tenant.name, &quota, units).await;
-        let alone = !self.quotas.account.lock().has_leader();
+        let alone = self.quotas.account.lock().leader().is_none();
         if let Err(Some(_)) = paid
             && alone
             && self.await_leader(patience).await
@@ -147,6 +147,10 @@
                     if let Some(paid) = self.reserve(tenant, quota, &need).await {
                         return paid;
                     }
+                    // A leader that does not answer is not asked twice.
+                    if self.quotas.account.lock().leader() == Some(need.term) {
+                        break;
+                    }
                 }
             }
         }
--- a/crates/quota/src/account.rs
+++ b/crates/quota/src/account.rs
@@ -233,9 +233,9 @@
         report
     }
 
-    /// Returns whether the gate follows a leader that keeps a ledger.
-    pub fn has_leader(&self) -> bool {
-        self.leader.is_some()
+    /// Returns the term of the leader that the gate follows, if that keeps a ledger.
+    pub fn leader(&self) -> Option<u64> {
+        self.leader
     }
 
     /// Records that the leader is lost.
--- a/crates/quota/tests/faults.rs
+++ b/crates/quota/tests/faults.rs
@@ -237,3 +237,23 @@
         }
     });
 }
+
+// Guards against an election that costs more than the shares explain: callers use half of the rate, evenly.
+#[test]
+fn an_election_refuses_few_requests_of_large_tenants() {
+    for_sites(|mut site, quota, seed| {
+        let demand = Demand { rate: 0.5, few: 0, within: true };
+        run(&mut site, demand, secs(20));
+        assert!(site.refused.is_empty(), "seed {seed}: {:?}", site.refused.first());
+        site.kill_leader();
+        run(&mut site, demand, secs(2));
+        let refused: u64 = site.refused.iter().map(|(_, units, _)| units).sum();
+        let part = refused as f64 / (refused + site.admitted_in(secs(20), site.now)) as f64;
+        let gates = site.gates.len();
+        println!("seed {seed}, {gates} gates, {} of limit: refused {part:.2}", quota.limit());
+        // A share of 25 requests and more.
+        if quota.limit() / gates as u64 > 7_000 * 25 {
+            assert!(part < 0.1, "seed {seed}: {part}");
+        }
+    });
+}
