quota: a keeper grants units while none leads

Change: while no keeper leads, gates reserve with the keeper whose address has the lowest digest of those to which they have links, which all choose alike. It answers only if it knows no leader, starts from the totals that the leader told and the gates' reports, and grants the part of what is free that corresponds to the gates with a link to it. Shares are for gates that get no answer. Event 722 QuotaDeputy. A request that no keeper answers is tried again every 20 ms until half of its target has passed.

Ruled out: larger shares (28 gates with one request each are 1.8 limits).

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -152,6 +152,7 @@
     709 EndpointProbed Request "A gate opened a connection to an endpoint that may have crashed."
     720 QuotaRefused Request "A request was refused because of its tenant's quota."
     721 QuotaRestored State "A new leader knows what tenants have spent of their quotas."
+    722 QuotaDeputy State "A gate reserves quota with a keeper that does not lead, because none does."
     800 Commanded State "An operator's command was accepted or refused."
     900 FaultInjected Request "A stub injected a fault."
     901 Violation State "A stub observed a protocol violation."
--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -31,6 +31,7 @@
 use crate::leadership::Leadership;
 use crate::lease::Lease;
 use crate::links::Links;
+use crate::quotas::Deputy;
 use crate::replica::Status;
 use crate::settings::MAINTENANCE_INTERVAL;
 use crate::settings::Settings;
@@ -51,6 +52,8 @@
     pub(crate) departures: Departures,
     /// What tenants have spent, as the leader told; not used while this keeper leads.
     pub(crate) totals: Totals,
+    /// The ledger that gates use while no keeper leads.
+    pub(crate) deputy: Option<Deputy>,
     lease: Lease,
     settings: sched::settings::Settings,
     endpoint_timeout: Duration,
@@ -89,6 +92,7 @@
             origins: origin::Table::default(),
             departures: Departures::new(settings.endpoint_drain),
             totals: Totals::default(),
+            deputy: None,
             lease: Lease::new(settings.order_lease, settings.fenced_orders, last_term),
             settings: settings.scheduler.clone(),
             endpoint_timeout: settings.endpoint_timeout,
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -241,12 +241,17 @@
             }
             Frame::Reserve { request, tenant, need, extra } => {
                 let units = (need, extra);
-                self.coordinator.lock().answer_reservation(link_id, request, &tenant, units);
+                let mut coordinator = self.coordinator.lock();
+                let state = self.state.read();
+                coordinator.answer_reservation(link_id, request, &tenant, units, &state);
             }
             Frame::Unspent { tenant, units } => {
-                self.coordinator.lock().take_unspent(link_id, &tenant, units);
+                let mut coordinator = self.coordinator.lock();
+                coordinator.take_unspent(link_id, &tenant, units, &self.state.read());
+            }
+            Frame::Spent(report) => {
+                self.coordinator.lock().record_spent(link_id, &report, &self.state.read());
             }
-            Frame::Spent(report) => self.coordinator.lock().record_spent(link_id, &report),
             Frame::QuarantineHit(subject) => {
                 self.coordinator.lock().record_quarantine_hit(link_id, subject);
             }
--- a/crates/edge/src/keepers.rs
+++ b/crates/edge/src/keepers.rs
@@ -85,8 +85,8 @@
     /// The group members that the latest leader announced.
     members: Mutex<Set<SocketAddr>>,
     /// The open links.
-    links: Mutex<Map<SocketAddr, Link<Frame>>>,
-    leader: Mutex<Option<Leader>>,
+    pub(crate) links: Mutex<Map<SocketAddr, Link<Frame>>>,
+    pub(crate) leader: Mutex<Option<Leader>>,
     /// Notified when a leader becomes known.
     leader_known: Notify,
     /// The requests that wait for a decision, by request number.
@@ -201,6 +201,7 @@
         }
         self.links.lock().remove(&address);
         self.clear_leader(address);
+        self.replace_deputy(address);
         received
     }
 
@@ -249,8 +250,8 @@
                     reply.send(wait.map_or(Ok(()), Err)).ok();
                 }
             }
-            Frame::Reserved { request, granted, used, wait_ms } if self.is_leader(address) => {
-                self.handle_reserved(request, (granted, used, wait_ms));
+            Frame::Reserved { request, granted, used, wait_ms } => {
+                self.handle_reserved(address, request, (granted, used, wait_ms));
             }
             Frame::Suspects(subjects) => self.quarantine.add_suspects(&subjects),
             Frame::Located { lookup, origin, sole_build } => {
@@ -268,6 +269,7 @@
         link: &Link<Frame>,
         welcome: &Welcome,
     ) {
+        self.quotas.set_revision(address, welcome.revision);
         match welcome.leads {
             Some(term) => {
                 let (link, revision) = (link.clone(), welcome.revision);
@@ -331,8 +333,8 @@
         let mut leader = self.leader.lock();
         if leader.as_ref().is_some_and(|leader| leader.address == address) {
             *leader = None;
-            self.lose_quota_leader();
             drop(leader);
+            self.follow_deputy();
             self.fail_pending();
         }
     }
--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -1,10 +1,12 @@
 //! The quotas of tenants: reserves units with the leader, or pays for requests from this gate's share without one.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use base::Event;
 use base::Map;
 use base::Name;
 use fleet::message::Frame;
@@ -17,6 +19,7 @@
 use quota::Need;
 use quota::Source;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use crate::clock::Lag;
 use crate::keepers::Keepers;
@@ -25,6 +28,8 @@
 
 /// The timeout of a reservation; several round trips to a keeper.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(150);
+/// The interval at which a request that no keeper answered is tried again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// The reservations that are made for a request if the leader changes meanwhile.
 const MAX_RESERVATIONS: u32 = 2;
 
@@ -41,6 +46,10 @@
     account: Mutex<Account>,
     pending: Mutex<Map<u64, Pending>>,
     lag: Lag,
+    /// The keeper with which units are reserved while no keeper leads.
+    deputy: Mutex<Option<Leader>>,
+    /// The revision that each keeper named last.
+    revisions: Mutex<Map<SocketAddr, Revision>>,
 }
 
 impl Default for Quotas {
@@ -49,10 +58,19 @@
             account: Mutex::new(Account::new(Duration::ZERO)),
             pending: Mutex::default(),
             lag: Lag::new(),
+            deputy: Mutex::default(),
+            revisions: Mutex::default(),
         }
     }
 }
 
+impl Quotas {
+    /// Records the revision that a keeper names.
+    pub(crate) fn set_revision(&self, keeper: SocketAddr, revision: Revision) {
+        self.revisions.lock().insert(keeper, revision);
+    }
+}
+
 /// What a request has paid. It is given back unless the request ran.
 #[derive(Debug)]
 pub(crate) struct Charge {
@@ -75,6 +93,15 @@
     pub(crate) wait: Option<Duration>,
 }
 
+/// Why a request was not paid for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Refused {
+    /// The limit has no room for it until then; `None` if it never will.
+    Answered(Option<Duration>),
+    /// No keeper answered, and the gate's share has no room for it until then.
+    Alone(Duration),
+}
+
 impl Charge {
     /// Returns the units.
     pub(crate) fn units(&self) -> u64 {
@@ -111,12 +138,14 @@
     ) -> Result<Option<Charge>, Excess> {
         let Some(quota) = tenant.quota else { return Ok(None) };
         let units = quota.units(tokens);
+        let end = Instant::now() + patience;
         let mut paid = self.pay(&tenant.name, &quota, units).await;
-        let alone = self.quotas.account.lock().leader().is_none();
-        if let Err(Some(_)) = paid
-            && alone
-            && self.await_leader(patience).await
-        {
+        while let Err(Refused::Alone(_)) = paid {
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break;
+            }
+            tokio::time::sleep(left.min(RETRY_INTERVAL)).await;
             paid = self.pay(&tenant.name, &quota, units).await;
         }
         let tenant = tenant.name.clone();
@@ -125,7 +154,11 @@
                 let (keepers, ran) = (self.clone(), AtomicBool::new(false));
                 Ok(Some(Charge { keepers, tenant, units, ran }))
             }
-            Err(wait) => {
+            Err(refused) => {
+                let wait = match refused {
+                    Refused::Answered(wait) => wait,
+                    Refused::Alone(wait) => Some(wait),
+                };
                 let now = self.quota_time();
                 let answer = self.quotas.account.lock().answer(&tenant, now);
                 Err(Excess { units, limit: quota.limit(), answer, wait })
@@ -133,19 +166,18 @@
         }
     }
 
-    /// Pays for a request with credit, a reservation or the gate's share. Returns the time until the units are available
-    /// if they are not; `None` if they never will be.
-    async fn pay(&self, tenant: &Name, quota: &Quota, units: u64) -> Result<(), Option<Duration>> {
+    /// Pays for a request with credit, a reservation or the gate's share.
+    async fn pay(&self, tenant: &Name, quota: &Quota, units: u64) -> Result<(), Refused> {
         for _ in 0..MAX_RESERVATIONS {
             let now = self.quota_time();
             let charge = self.quotas.account.lock().charge(tenant, quota, units, now);
             match charge {
                 quota::Charge::Paid => return Ok(()),
-                quota::Charge::TooLarge => return Err(None),
+                quota::Charge::TooLarge => return Err(Refused::Answered(None)),
                 quota::Charge::Alone => break,
                 quota::Charge::Reserve(need) => {
                     if let Some(paid) = self.reserve(tenant, quota, &need).await {
-                        return paid;
+                        return paid.map_err(Refused::Answered);
                     }
                     // A leader that does not answer is not asked twice.
                     if self.quotas.account.lock().leader() == Some(need.term) {
@@ -154,7 +186,7 @@
                 }
             }
         }
-        self.take_quota_share(tenant, quota, units).map_err(Some)
+        self.take_quota_share(tenant, quota, units).map_err(Refused::Alone)
     }
 
     /// Reserves units with the leader. Returns the time until they are available if they are not, and `None` if the
@@ -171,7 +203,7 @@
         self.quotas.pending.lock().insert(request, Pending { tenant: tenant.clone(), reply });
         let (units, extra) = (need.units, need.extra);
         let sent =
-            self.send(Frame::Reserve { request, tenant: tenant.clone(), need: units, extra });
+            self.send_quota(Frame::Reserve { request, tenant: tenant.clone(), need: units, extra });
         let answer = match sent {
             true => tokio::time::timeout(RESERVE_TIMEOUT, answer).await.ok().and_then(Result::ok),
             false => {
@@ -203,14 +235,24 @@
         self.quotas.account.lock().take_share(tenant, quota, units, share, now)?;
         // A leader that did not answer may answer others, so it must count them.
         let spending = Spending { tenant: tenant.clone(), slices: vec![(0, units)] };
-        if self.send(Frame::Spent(vec![spending])) {
+        if self.send_quota(Frame::Spent(vec![spending])) {
             self.quotas.account.lock().counted(tenant, units, now);
         }
         Ok(())
     }
 
-    /// Passes the leader's answer to its reservation; returns the units if the request no longer waits for them.
-    pub(crate) fn handle_reserved(&self, request: u64, answer: (u64, u64, Option<u32>)) {
+    /// Passes the answer of a keeper to its reservation; returns the units if the request no longer waits for them.
+    pub(crate) fn handle_reserved(
+        &self,
+        keeper: SocketAddr,
+        request: u64,
+        answer: (u64, u64, Option<u32>),
+    ) {
+        let leads = |leader: &Leader| leader.address == keeper;
+        let known = self.leader.lock().as_ref().map(leads);
+        if !known.unwrap_or_else(|| self.quotas.deputy.lock().as_ref().is_some_and(leads)) {
+            return;
+        }
         let Some(pending) = self.quotas.pending.lock().remove(&request) else { return };
         if pending.reply.send(answer).is_err() {
             self.return_units(pending.tenant, answer.0);
@@ -225,7 +267,7 @@
 
     fn return_units(&self, tenant: Name, units: u64) {
         if units > 0 {
-            self.send(Frame::Unspent { tenant, units });
+            self.send_quota(Frame::Unspent { tenant, units });
         }
     }
 
@@ -235,16 +277,56 @@
         if leader.revision < Revision::TENANTS {
             return;
         }
+        *self.quotas.deputy.lock() = None;
         let report = self.quotas.account.lock().follow(leader.term, self.quota_time());
         if !report.is_empty() {
             leader.send(Frame::Spent(report));
         }
     }
 
-    /// Records that the leader is lost. Reservations that wait for it end without an answer.
-    pub(crate) fn lose_quota_leader(&self) {
+    /// Records that the leader is lost, and reserves with a keeper that all gates choose alike until another one leads.
+    pub(crate) fn follow_deputy(&self) {
+        // Held to the end, so that a new leader is followed before or after this, not meanwhile.
+        let leader = self.leader.lock();
+        if leader.is_some() {
+            return;
+        }
         self.quotas.pending.lock().clear();
         self.quotas.account.lock().lose_leader(self.quota_time());
+        let able = |address: &SocketAddr| {
+            let revisions = self.quotas.revisions.lock();
+            revisions.get(address).is_some_and(|revision| *revision >= Revision::TENANTS)
+        };
+        let rank = |address: &SocketAddr| base::digest(address.to_string().as_bytes());
+        let links = self.links.lock();
+        let first =
+            links.iter().filter(|(address, _)| able(address)).min_by_key(|link| rank(link.0));
+        let deputy = first.map(|(address, link)| {
+            // Unlike the term of any leader.
+            let term = rank(address) | 1 << 63;
+            Leader { address: *address, term, link: link.clone(), revision: Revision::TENANTS }
+        });
+        drop(links);
+        if let Some(deputy) = &deputy {
+            base::event!(INFO, Event::QuotaDeputy, peer = %deputy.address);
+            self.report_spending(deputy);
+        }
+        *self.quotas.deputy.lock() = deputy;
+    }
+
+    /// Chooses another deputy if the link to this one was lost and no keeper leads.
+    pub(crate) fn replace_deputy(&self, lost: SocketAddr) {
+        let deputy = self.quotas.deputy.lock().as_ref().map(|deputy| deputy.address);
+        if deputy == Some(lost) {
+            self.follow_deputy();
+        }
+    }
+
+    /// Sends a frame to the leader, or to the deputy while no keeper leads; returns whether it was sent.
+    fn send_quota(&self, frame: Frame) -> bool {
+        let leader = self.leader.lock().clone();
+        let receiver = leader.or_else(|| self.quotas.deputy.lock().clone());
+        receiver.is_some_and(|receiver| receiver.send(frame))
     }
 
     /// Returns expired credit to the leader.
--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -66,13 +66,15 @@
 }
 
 /// The spending of all tenants with a quota over all gates. Only the leader has one.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Ledger {
     entries: Map<Name, Entry>,
     /// What the former leader told of tenants that the plan did not name yet.
     totals: Totals,
     /// Up to when `former` is complete.
     since: Duration,
+    /// The part of what is free that may be granted; 1 at a leader.
+    part: f64,
     /// The gates that were absent when the ledger was created, and the number of all gates.
     absent: (Vec<Name>, u32),
 }
@@ -82,7 +84,13 @@
     /// have no link to it.
     pub fn new(totals: Totals, absent: Vec<Name>, gates: u32) -> Ledger {
         let absent = (absent, gates);
-        Ledger { entries: Map::default(), since: totals.until, totals, absent }
+        Ledger { entries: Map::default(), since: totals.until, totals, part: 1.0, absent }
+    }
+
+    /// Bounds what may be granted to a part of what the former leader left free. A keeper that replaces a lost leader may
+    /// have links to some of the gates only, and another one to the rest.
+    pub fn set_part(&mut self, part: f64) {
+        self.part = part.clamp(0.0, 1.0);
     }
 
     /// Applies the quotas of a plan. What was spent still counts.
@@ -121,7 +129,8 @@
             return Answer { granted: need, used: 0, wait: Some(Duration::ZERO) };
         };
         let limit = entry.quota.limit();
-        let used = entry.used(now) + entry.absence.units(limit, now);
+        let others = (1.0 - self.part) * limit.saturating_sub(entry.before(now)) as f64;
+        let used = entry.used(now) + entry.absence.units(limit, now) + others as u64;
         if used.saturating_add(need) > limit {
             entry.refused += 1;
             return Answer { granted: 0, used, wait: entry.promise(need, limit, now) };
@@ -250,8 +259,12 @@
     }
 
     fn used(&mut self, now: Duration) -> u64 {
-        let before = self.former.used(now).max(self.reported.used(now));
-        self.granted.used(now) + before
+        self.granted.used(now) + self.before(now)
+    }
+
+    /// Returns the units that were used before this ledger began.
+    fn before(&mut self, now: Duration) -> u64 {
+        self.former.used(now).max(self.reported.used(now))
     }
 
     /// Returns all that counts as one window.
--- a/crates/quota/tests/faults.rs
+++ b/crates/quota/tests/faults.rs
@@ -32,6 +32,10 @@
         for _ in 0..3 {
             run(&mut site, OVERLOAD, secs(10));
             site.kill_leader();
+            if seed % 2 == 0 {
+                run(&mut site, OVERLOAD, ms(100));
+                site.depute();
+            }
             let election = ms(site.rng.random_range(1_000..3_000));
             run(&mut site, OVERLOAD, election);
             site.elect();
@@ -238,6 +242,51 @@
     });
 }
 
+// Guards against refusals of a tenant that is within its limit while a deputy replaces the leader, for long also.
+#[test]
+fn a_deputy_refuses_nothing_within_the_limit() {
+    for_sites(|mut site, _, seed| {
+        let demand = Demand { rate: 0.5, few: 0, within: true };
+        run(&mut site, demand, secs(20));
+        site.kill_leader();
+        site.depute();
+        run(&mut site, demand, secs(10));
+        site.kill_leader();
+        site.elect();
+        run(&mut site, demand, secs(10));
+        let refused: u64 = site.refused.iter().map(|(_, units, _)| units).sum();
+        let part = refused as f64 / (refused + site.admitted_in(secs(20), site.now)) as f64;
+        println!("seed {seed}: refused {part:.3} beside a deputy");
+        assert!(part < 0.01, "seed {seed}: {part}");
+    });
+}
+
+// Guards against deputies on both sides of a partition that each grant what is free.
+#[test]
+fn deputies_divide_what_is_free() {
+    for_sites(|mut site, quota, seed| {
+        run(&mut site, Demand { rate: 0.5, few: 0, within: true }, secs(20));
+        let gate = base::Name::from("gate-0");
+        let tenant = fleet::tenant::Tenant {
+            name: base::Name::from("t"),
+            keys: Vec::new(),
+            rank: None,
+            quota: Some(quota),
+        };
+        let (mut sum, mut used) = (0, 0);
+        for part in [0.3, 0.7] {
+            let mut ledger = quota::Ledger::new(site.follower.clone(), Vec::new(), 0);
+            ledger.set_tenants(std::slice::from_ref(&tenant), site.now);
+            ledger.set_part(part);
+            used = ledger.list(site.now).first().map_or(0, |total| total.used);
+            while ledger.reserve(&gate, "t", (100, 0), site.now).granted > 0 {
+                sum += 100;
+            }
+        }
+        assert!(sum <= quota.limit() - used, "seed {seed}: {sum} with {used} used");
+    });
+}
+
 // Guards against an election that costs more than the shares explain: callers use half of the rate, evenly.
 #[test]
 fn an_election_refuses_few_requests_of_large_tenants() {
--- a/crates/quota/tests/sim/mod.rs
+++ b/crates/quota/tests/sim/mod.rs
@@ -64,6 +64,8 @@
     pub follower: Totals,
     term: u64,
     told: Duration,
+    /// Whether the leader is a deputy, which tells nobody.
+    deputy: bool,
     pub rng: StdRng,
     /// The part of the messages that is lost.
     pub loss: f64,
@@ -91,6 +93,7 @@
             follower: Totals::default(),
             term: 0,
             told: Duration::ZERO,
+            deputy: false,
             rng: StdRng::seed_from_u64(seed),
             loss: 0.0,
             delay: (Duration::from_micros(500), Duration::from_micros(1_400)),
@@ -108,9 +111,16 @@
         Name::from(format!("gate-{gate}"))
     }
 
+    /// Lets a keeper replace a lost leader until another one is elected.
+    pub fn depute(&mut self) {
+        self.elect();
+        self.deputy = true;
+    }
+
     /// Lets a keeper lead that knows what the former leader told the others.
     pub fn elect(&mut self) {
         self.term += 1;
+        self.deputy = false;
         let mut ledger = Ledger::new(self.follower.clone(), Vec::new(), self.gates.len() as u32);
         ledger.set_tenants(&[tenant(self.quota)], self.now);
         self.leader = Some((self.term, ledger));
@@ -315,6 +325,7 @@
         }
         if let Some((_, ledger)) = &mut self.leader
             && now >= self.told + ms(500)
+            && !self.deputy
         {
             self.told = now;
             let changes = ledger.take_changes(now);
