--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
+use base::Event;
 use base::Map;
 use base::Name;
-use bytes::Bytes;
+use fleet::document::Document;
 use fleet::endpoint::Incarnation;
 use fleet::extension::Extension;
 use fleet::message::Frame;
@@ -27,7 +28,7 @@
         /// The plan.
         plan: Arc<Plan>,
         /// The plan document as received, before parsing.
-        document: Bytes,
+        document: Document,
     },
     /// Puts a version of an adapter into force unless a newer one already is.
     Name(Version),
@@ -46,11 +47,40 @@
         /// The fields that the encoding of the plan lacks.
         extension: Arc<Extension>,
         /// The plan document as received, before parsing.
-        document: Bytes,
+        document: Document,
     },
 }
 
 impl Command {
+    /// Logs that the command was applied.
+    pub(crate) fn log(&self) {
+        match self {
+            Command::Publish { plan, .. } | Command::PublishExtended { plan, .. } => {
+                base::event!(
+                    INFO,
+                    Event::PlanApplied,
+                    version = plan.version,
+                    routes = plan.routes.len()
+                );
+            }
+            Command::Name(version) => {
+                base::event!(
+                    INFO, Event::VersionNamed, adapter = %version.adapter, version = version.version
+                );
+            }
+            Command::Quarantine(subject) => {
+                base::event!(INFO, Event::QuarantineApplied, subject = %subject, quarantined = true);
+            }
+            Command::Release(subject) => {
+                base::event!(INFO, Event::QuarantineApplied, subject = %subject, quarantined = false);
+            }
+            Command::Raise(level) => base::event!(INFO, Event::LevelRaised, level = %level),
+            Command::Depart(Incarnation { endpoint, born }) => {
+                base::event!(INFO, Event::DepartureApplied, endpoint = %endpoint, born);
+            }
+        }
+    }
+
     /// Returns the level from which the command may be proposed: a voter of an earlier revision can't apply it.
     pub fn level(&self) -> Revision {
         match self {
@@ -72,7 +102,7 @@
 pub struct State {
     pub(crate) plan: Option<Arc<Plan>>,
     /// The plan document as received, before parsing.
-    pub(crate) document: Option<Bytes>,
+    pub(crate) document: Option<Document>,
     versions: Map<(Name, Name), u64>,
     quarantine: List,
     /// The revision that all members support.
@@ -88,7 +118,7 @@
 #[derive(Deserialize)]
 struct Base {
     plan: Option<Arc<Plan>>,
-    document: Option<Bytes>,
+    document: Option<Document>,
     versions: Map<(Name, Name), u64>,
 }
 
@@ -137,7 +167,7 @@
         &mut self,
         plan: Arc<Plan>,
         extension: Option<Arc<Extension>>,
-        document: Bytes,
+        document: Document,
     ) -> bool {
         let current = self.plan.as_ref().map(|plan| plan.version);
         let newer = current.is_none_or(|current| plan.version > current);
--- a/crates/cell/tests/quotas.rs
+++ b/crates/cell/tests/quotas.rs
@@ -97,7 +97,7 @@
         let start = Instant::now();
         for keeper in self.keepers.iter().flatten().cycle() {
             let (plan, extension) = (plan.clone(), extension.clone());
-            let call = Call::PublishExtended { plan, extension, document: Bytes::new() };
+            let call = Call::PublishExtended { plan, extension, document: Bytes::new().into() };
             if keeper.keeper.call(call).await == Reply::Done {
                 return;
             }
--- a/crates/raft/src/message.rs
+++ b/crates/raft/src/message.rs
@@ -1,5 +1,7 @@
 //! Messages between replicas, and the state that replicas persist.
 
+use std::fmt;
+
 use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
@@ -23,8 +25,8 @@
     pub payload: Payload,
 }
 
-/// The content of an entry.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// The content of an entry. The `Debug` output of data has its length and a digest only, since it may contain secrets.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Payload {
     /// Empty. A new leader appends one to commit the entries of earlier terms.
     Empty,
@@ -34,6 +36,21 @@
     Members(Members),
 }
 
+impl fmt::Debug for Payload {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Payload::Empty => f.write_str("Empty"),
+            Payload::Data(data) => write!(f, "Data({})", summary(data)),
+            Payload::Members(members) => f.debug_tuple("Members").field(members).finish(),
+        }
+    }
+}
+
+/// Returns the length and a digest of data.
+fn summary(data: &[u8]) -> String {
+    format!("{} bytes, {:016x}", data.len(), base::digest(data))
+}
+
 /// The members of the group.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Members {
@@ -63,8 +80,8 @@
     pub commit: Index,
 }
 
-/// A snapshot of the driver's state.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// A snapshot of the driver's state. Its `Debug` output has the length and a digest of the data.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
     /// The index of the last entry included.
     pub index: Index,
@@ -76,6 +93,17 @@
     pub data: Bytes,
 }
 
+impl fmt::Debug for Snapshot {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Snapshot")
+            .field("index", &self.index)
+            .field("term", &self.term)
+            .field("members", &self.members)
+            .field("data", &format_args!("{}", summary(&self.data)))
+            .finish()
+    }
+}
+
 /// A message between replicas.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
@@ -85,6 +113,22 @@
     pub body: Body,
 }
 
+impl Message {
+    /// Returns the size of the commands, parts and snapshots that the message contains, in bytes.
+    pub fn data_bytes(&self) -> usize {
+        let entry_bytes = |entry: &Entry| match &entry.payload {
+            Payload::Data(data) => data.len(),
+            Payload::Empty | Payload::Members(_) => 0,
+        };
+        match &self.body {
+            Body::Append { entries, .. } => entries.iter().map(entry_bytes).sum(),
+            Body::Install { snapshot, .. } => snapshot.data.len(),
+            Body::Part { part, .. } => part.data.len(),
+            _ => 0,
+        }
+    }
+}
+
 /// The content of a message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
@@ -134,4 +178,72 @@
         /// The heartbeat round.
         round: u64,
     },
+    /// A part of a snapshot or entry that is too large for one message. Earlier releases do not know
+    /// it, see [`crate::Node::set_part_receivers`].
+    Part {
+        /// The part.
+        part: Part,
+        /// The heartbeat round.
+        round: u64,
+    },
+    /// The response to [`Body::Part`], unless the object is complete: then it is
+    /// [`Body::Appended`].
+    PartReceived {
+        /// The digest of the object.
+        digest: u64,
+        /// The offset of the part to which this responds.
+        offset: u64,
+        /// The number of bytes that the receiver has, from the first one on.
+        received: u64,
+        /// The heartbeat round of that part.
+        round: u64,
+    },
+}
+
+/// A part of a snapshot or entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// What the part belongs to.
+    pub object: Object,
+    /// The digest of the object's data. The snapshots of two leaders at the same index may differ
+    /// in the order of their content.
+    pub digest: u64,
+    /// The size of the object's data, in bytes.
+    pub total: u64,
+    /// The offset of this part in the data.
+    pub offset: u64,
+    /// The bytes from there on.
+    pub data: Bytes,
+}
+
+/// A snapshot or entry without its data.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Object {
+    /// A snapshot; see [`Snapshot`].
+    Snapshot {
+        /// The index of the last entry included.
+        index: Index,
+        /// The term of that entry.
+        term: Term,
+        /// The members at that entry.
+        members: Members,
+    },
+    /// A command in the log.
+    Entry {
+        /// The index.
+        index: Index,
+        /// The term of the leader that appended it.
+        term: Term,
+        /// The term of the entry before it.
+        prev_term: Term,
+    },
+}
+
+impl Object {
+    /// Returns the index of the entry, or of the last one that the snapshot includes.
+    pub fn index(&self) -> Index {
+        match self {
+            Object::Snapshot { index, .. } | Object::Entry { index, .. } => *index,
+        }
+    }
 }
--- a/crates/sched/src/engine.rs
+++ b/crates/sched/src/engine.rs
@@ -9,9 +9,12 @@
 
 use crate::health::Health;
 use crate::prefix::Cache;
+use crate::reading::Reading;
 use crate::request::Key;
 use crate::settings::Settings;
 use crate::slots::Slots;
+use crate::speed::Fit;
+use crate::speed::Pace;
 use crate::speed::Prefill;
 use crate::warm;
 
@@ -44,11 +47,18 @@
     /// Admits requests at the rate that the engine has named, if it has.
     pub(crate) limit: Option<Bucket>,
     pub(crate) prefill_speed: Prefill,
-    /// How long work takes on the engine's host, in percent of the usual time, and when the engine stated that.
-    #[allow(dead_code, reason = "read once speeds are learned from it")]
-    pub(crate) host_pace: Option<(u32, Duration)>,
+    /// The speed as requests that are alone in its queue show it.
+    pub(crate) fit: Fit,
+    /// The speed that requests alone at engines of its service show, in tokens per ms, if that is known.
+    pub(crate) service_speed: Option<f64>,
+    /// The pace of the engine's host, if the engine states it.
+    pub(crate) host_pace: Option<Pace>,
     pub(crate) health: Health,
     pub(crate) prefix_cache: Cache,
+    /// The prompts that it reads.
+    pub(crate) reading: Reading,
+    /// The streams with a bound on pauses that are expected to be on time so far, with that bound in ms.
+    pub(crate) streams: Vec<(Key, u32)>,
     pub(crate) order_state: OrderState,
     /// The number of consecutive orders without an answer.
     pub(crate) unanswered_orders: u32,
@@ -148,9 +158,13 @@
             full_until: Duration::ZERO,
             limit: None,
             prefill_speed: Prefill::new(settings.prefill_tokens_per_ms),
+            fit: Fit::default(),
+            service_speed: None,
             host_pace: None,
             health: Health::default(),
             prefix_cache: Cache::default(),
+            reading: Reading::default(),
+            streams: Vec::new(),
             order_state: OrderState::Unknown { min_sequence: 0, inspect_at: now },
             unanswered_orders: 0,
         }
@@ -184,6 +198,38 @@
         self.limit.as_ref().map(|limit| limit.wait(now)).unwrap_or_default()
     }
 
+    /// Returns the speed at which it reads prompts while its host has its usual pace, in tokens per ms.
+    pub(crate) fn reading_speed(&self) -> f64 {
+        self.fitted_speed().unwrap_or(self.prefill_speed.tokens_per_ms)
+    }
+
+    /// Returns the speed at which it is expected to read prompts now, in tokens per ms.
+    pub(crate) fn current_reading_speed(&self, now: Duration) -> f64 {
+        self.reading_speed() / self.host_pace.map_or(1.0, |pace| pace.expected(now))
+    }
+
+    /// Returns the speed that is expected of its queue, in tokens per ms. Where the engine does not state the pace of its
+    /// host, a fit would follow the host's noise, so the bounded estimate is used.
+    pub(crate) fn queue_speed(&self) -> f64 {
+        let fitted = self.host_pace.and_then(|_| self.fit.tokens_per_ms(self.assumed_speed()));
+        fitted.unwrap_or(self.prefill_speed.tokens_per_ms)
+    }
+
+    /// Returns the time from the end of a prompt's prefill to the first event, in ms.
+    pub(crate) fn first_event_ms(&self) -> Option<f64> {
+        self.fit.constant_ms(self.assumed_speed())
+    }
+
+    /// Returns [`Engine::reading_speed`] if there is evidence for it.
+    pub(crate) fn fitted_speed(&self) -> Option<f64> {
+        self.fit.tokens_per_ms(self.assumed_speed()).or(self.service_speed)
+    }
+
+    /// Returns the speed that is assumed before the engine has shown its own.
+    fn assumed_speed(&self) -> f64 {
+        self.service_speed.unwrap_or(self.prefill_speed.default_tokens_per_ms)
+    }
+
     /// Returns the number of queued and running loads.
     pub(crate) fn load_count(&self) -> usize {
         let loads = self.adapter_slots.values().filter(|slot| slot.is_loading());
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -9,10 +9,12 @@
 //! within their latency targets.
 
 pub mod action;
+pub mod pause;
 pub mod settings;
 
 mod candidate;
 mod engine;
+mod fairness;
 mod figures;
 mod health;
 mod order;
@@ -20,6 +22,7 @@
 mod pool;
 mod popularity;
 mod prefix;
+mod reading;
 mod request;
 mod retries;
 mod scheduler;
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod completion;
+mod pauses;
 mod placement;
 
 use std::cmp::Reverse;
@@ -21,7 +22,9 @@
 use crate::engine::Base;
 use crate::engine::Engine;
 use crate::engine::Stage;
+use crate::fairness::Fairness;
 use crate::paths::Paths;
+use crate::pause::Pauses;
 use crate::pool::Pool;
 use crate::popularity::Popularity;
 use crate::request::Assignment;
@@ -31,6 +34,7 @@
 use crate::retries::Retries;
 use crate::settings::Settings;
 use crate::speed::Decode;
+use crate::speed::Fit;
 use crate::store::Limiter;
 use crate::unmet::Unmet;
 
@@ -69,9 +73,14 @@
     pub(crate) base_loads: VecDeque<Duration>,
     pub(crate) popularity: Popularity,
     decode: Decode,
+    /// The prefill speed over all engines, by service.
+    speeds: Map<Name, Fit>,
+    /// The pauses of streams, by service.
+    pub(crate) pauses: Map<Name, Pauses>,
     retries: Retries,
     pub(crate) unmet: Unmet,
     paths: Paths,
+    fairness: Fairness,
     /// When the queue was last processed.
     last_pass: Duration,
     /// Whether something has changed since the queue was last processed.
@@ -95,9 +104,12 @@
             base_loads: VecDeque::new(),
             popularity: Popularity::new(settings.popularity_half_life),
             decode: Decode::new(settings.decode_ms_per_token),
+            speeds: Map::default(),
+            pauses: Map::default(),
             retries: Retries::default(),
             unmet: Unmet::default(),
             paths: Paths::default(),
+            fairness: Fairness::new(),
             last_pass: Duration::ZERO,
             dirty: false,
             actions: Vec::new(),
@@ -119,6 +131,7 @@
         self.specs = engines.collect();
         let base_rate = self.specs.values().map(|spec| spec.loads_per_s).fold(0.0, f64::max);
         self.store.expect(base_rate);
+        self.fairness.set_tenants(&plan.tenants);
         for engine in self.engines.values_mut() {
             apply_spec(engine, &self.specs);
         }
@@ -192,16 +205,16 @@
     }
 
     /// Removes an engine; the requests that wait for an adapter there return to the queue.
-    pub fn remove_engine(&mut self, id: &Name, _now: Duration) {
+    pub fn remove_engine(&mut self, id: &Name, now: Duration) {
         let Some(engine) = self.engines.remove(id) else { return };
         for slot in engine.adapter_slots.values() {
             if slot.uses_store {
                 self.store.load_ended(None);
             }
             for key in &slot.waiting {
-                if let Some(Assignment { phase: Phase::Reserved(pending), .. }) =
-                    self.assignments.remove(key)
-                {
+                let Some(assignment) = self.assignments.remove(key) else { continue };
+                self.fairness.refund(&assignment, now);
+                if let Phase::Reserved(pending) = assignment.phase {
                     self.queue.push_back(*pending);
                 }
             }
@@ -218,17 +231,19 @@
     /// actions to carry out, which include those from events since the last poll.
     pub fn poll(&mut self, now: Duration) -> Vec<Action> {
         self.expire(now);
-        // Waits for a slot and for a limit end as time passes, without any other change.
-        let awaits_time = self.queue.iter().any(|pending| pending.awaited_engine.is_some())
-            || (!self.queue.is_empty()
-                && self.engines.values().any(|engine| engine.limit.is_some()));
+        // Waits for a slot, for a gap and for a limit end as time passes, without any other change.
+        let awaits_time =
+            self.queue.iter().any(|pending| pending.awaited_engine.is_some() || pending.awaits_gap)
+                || (!self.queue.is_empty()
+                    && self.engines.values().any(|engine| engine.limit.is_some()));
         if self.dirty || (awaits_time && now >= self.last_pass + AWAIT_POLL_INTERVAL) {
             self.dirty = false;
             self.last_pass = now;
             let mut queued: Vec<Pending> = std::mem::take(&mut self.queue).into();
-            queued.sort_by_key(|pending| {
+            queued.sort_by_cached_key(|pending| {
                 let unmet = pending.unmet.min(MAX_COUNTED_REFUSALS);
-                (pending.query.rank, Reverse(unmet), pending.received_at)
+                let level = self.fairness.level(pending, now);
+                (pending.query.rank, level, Reverse(unmet), pending.received_at)
             });
             for pending in queued {
                 if let Some(pending) = self.schedule(pending, now) {
--- a/crates/sched/src/scheduler/completion.rs
+++ b/crates/sched/src/scheduler/completion.rs
@@ -15,16 +15,20 @@
 use crate::request::Phase;
 use crate::scheduler::DEADLINE_SHARE;
 use crate::scheduler::Scheduler;
+use crate::speed::Pace;
 
 /// The time for which an engine gets no requests after it refused one.
 const FULL_BACKOFF: Duration = Duration::from_millis(100);
+/// The part of the time to a first event that passes before its prompt is read: the end of the step in progress, less the
+/// time of the messages between leader and gate.
+const ARRIVAL_DELAY: Duration = Duration::from_millis(5);
 
 impl Scheduler {
     /// Records how long work takes on the host of a request's engine at the moment, in percent of the usual time.
     pub fn record_pace(&mut self, gate: u64, request: u64, pace: u32, now: Duration) {
         let Some(assignment) = self.assignments.get(&(gate, request)) else { return };
         if let Some(engine) = self.engines.get_mut(&assignment.engine) {
-            engine.host_pace = Some((pace, now));
+            engine.host_pace = Some(Pace::new(pace, now));
         }
     }
 
@@ -40,18 +44,29 @@
         if let Some(slot) = engine.adapter_slots.get_mut(&assignment.adapter) {
             slot.expect_end((gate, request), now + self.decode.duration(assignment.output_tokens));
         }
+        // Prompts that are read before or after this one, until its first event, delay that event.
+        let alone = assignment.queued_prefill_tokens == assignment.prefill_tokens
+            && engine.backlog_tokens == assignment.prefill_tokens;
         engine.backlog_tokens = (engine.backlog_tokens - assignment.prefill_tokens).max(0.0);
         engine.start_deadlines.retain(|(key, _)| *key != (gate, request));
+        if let Some(batch) = assignment.batch {
+            let ms = engine.first_event_ms().unwrap_or(self.settings.first_event_ms);
+            let delay = Duration::from_secs_f64(ms / 1e3).saturating_sub(ARRIVAL_DELAY);
+            engine.reading.record_first_event(batch, now.saturating_sub(delay), now);
+        }
         let ms = after.as_secs_f64() * 1e3 - self.settings.first_event_ms;
         engine.prefill_speed.observe(assignment.queued_prefill_tokens, ms);
-        self.dirty = true;
-    }
-
-    /// Records the longest pause between two events of a request.
-    pub fn request_paused(&mut self, gate: u64, request: u64, longest: Duration) {
-        if let Some(assignment) = self.assignments.get_mut(&(gate, request)) {
-            assignment.longest_pause = Some(longest);
+        if alone {
+            let pace = engine.host_pace.map_or(1.0, |pace| pace.stated());
+            let ms = after.as_secs_f64() * 1e3 / pace;
+            engine.fit.observe(assignment.prefill_tokens, ms);
+            let speed = self.speeds.entry(engine.endpoint.service.clone()).or_default();
+            speed.observe(assignment.prefill_tokens, ms);
         }
+        let speed = self.speeds.get(&engine.endpoint.service);
+        engine.service_speed =
+            speed.and_then(|speed| speed.tokens_per_ms(self.settings.prefill_tokens_per_ms));
+        self.dirty = true;
     }
 
     /// Records the end of a request.
@@ -102,6 +117,9 @@
     pub(super) fn release(&mut self, key: Key, now: Duration) -> Option<Assignment> {
         let assignment = self.assignments.remove(&key)?;
         self.dirty = true;
+        if matches!(assignment.phase, Phase::Reserved(_)) {
+            self.fairness.refund(&assignment, now);
+        }
         let Some(engine) = self.engines.get_mut(&assignment.engine) else {
             return Some(assignment);
         };
@@ -111,6 +129,7 @@
         engine.running = engine.running.saturating_sub(1);
         engine.kv_tokens = engine.kv_tokens.saturating_sub(assignment.kv_tokens);
         engine.start_deadlines.retain(|(user, _)| *user != key);
+        engine.streams.retain(|(stream, _)| *stream != key);
         if !matches!(assignment.phase, Phase::Started(_)) {
             engine.backlog_tokens = (engine.backlog_tokens - assignment.prefill_tokens).max(0.0);
         }
