--- a/crates/cell/src/coordinator.rs
+++ b/crates/cell/src/coordinator.rs
@@ -32,6 +32,7 @@
 use crate::lease::Lease;
 use crate::links::Links;
 use crate::placing::Decisions;
+use crate::quotas::Deputy;
 use crate::replica::Status;
 use crate::settings::MAINTENANCE_INTERVAL;
 use crate::settings::Settings;
@@ -52,6 +53,8 @@
     pub(crate) departures: Departures,
     /// What tenants have spent, as the leader told; not used while this keeper leads.
     pub(crate) totals: Totals,
+    /// The ledger that gates use while no keeper leads.
+    pub(crate) deputy: Option<Deputy>,
     lease: Lease,
     pub(crate) placements: Decisions,
     settings: sched::settings::Settings,
@@ -91,6 +94,7 @@
             origins: origin::Table::default(),
             departures: Departures::new(settings.endpoint_drain),
             totals: Totals::default(),
+            deputy: None,
             lease: Lease::new(settings.order_lease, settings.fenced_orders, last_term),
             placements: Decisions::default(),
             settings: settings.scheduler.clone(),
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -113,8 +113,8 @@
         // A refusal for a quota is logged with the budget.
         if !matches!(refusal.code, Code::QuotaExceeded | Code::QuotaTooLarge) {
             base::event!(
-                INFO, Event::Refused, request = %id, tenant = tenant.as_deref(), code = refusal.code.number(),
-            reason = refusal.code.name(), retry_ms, ms
+                INFO, Event::Refused, request = %id, tenant = tenant.as_deref(),
+                code = refusal.code.number(), reason = refusal.code.name(), retry_ms, ms
             );
         }
         self.metrics.refusals.with_label_values(&[refusal.code.name()]).inc();
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -110,10 +110,15 @@
 
     /// Counts a response to a tenant.
     pub(crate) fn count_tenant_request(&self, tenant: &Name, status: &str) {
+        let label = self.tenant_label(tenant);
+        self.tenant_requests.with_label_values(&[label, status]).inc();
+    }
+
+    /// Returns the label of a tenant.
+    pub(crate) fn tenant_label<'a>(&self, tenant: &'a Name) -> &'a str {
         let mut tenants = self.tenants.lock();
         let known = tenants.contains(tenant)
             || (tenants.len() < MAX_TENANTS && tenants.insert(tenant.clone()));
-        let label = if known { tenant } else { OTHER_TENANTS };
-        self.tenant_requests.with_label_values(&[label, status]).inc();
+        if known { tenant } else { OTHER_TENANTS }
     }
 }
--- a/crates/link/src/link.rs
+++ b/crates/link/src/link.rs
@@ -185,6 +185,8 @@
     let silent = Arc::new(AtomicBool::new(false));
     let link = Link { queue, closed: closed.clone(), silent: silent.clone() };
     tokio::spawn(run_half(closed.clone(), async move {
+        // The inbox ends only after the cause is stored.
+        let _open = sender.clone();
         let read = read_frames(read, received, sender).await;
         let timed_out = |error: &io::Error| error.kind() == io::ErrorKind::TimedOut;
         silent.store(read.as_ref().is_err_and(timed_out), Ordering::Relaxed);
--- a/crates/link/tests/frames.rs
+++ b/crates/link/tests/frames.rs
@@ -108,3 +108,16 @@
     assert_eq!(ended, Ok(None));
     assert!(link.is_closed());
 }
+
+/// Guards against a peer that has ended being taken for one that is cut off and may go on, and the reverse.
+#[tokio::test]
+async fn a_link_tells_whether_its_peer_fell_silent() {
+    let (link, mut inbox, stream) = connect().await;
+    drop(stream);
+    assert_eq!(next(&mut inbox).await, None);
+    assert!(!link.is_silent());
+    let (link, mut inbox, _stream) = connect().await;
+    let ended = tokio::time::timeout(Duration::from_secs(4), next(&mut inbox)).await;
+    assert_eq!(ended, Ok(None));
+    assert!(link.is_silent());
+}
