conf, gate: tenants with API keys in the settings

Cause: the product's own gates took the name in X-Caller for the caller, without proof, and served whoever reached them. Without tenants nothing changes. The check of the settings refuses empty and shared names and keys with line, setting and the tenants' names; no error and no debug output contains a key. Ruled out: a public flag for services, which have no routes here; keys that change without a restart, since no setting does.

--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -22,6 +22,7 @@
     let mut diagnostics = Diagnostics::default();
     entries(config, &mut diagnostics);
     tokens(config, &mut diagnostics);
+    tenants(config, &mut diagnostics);
     timing(config, &mut diagnostics);
     store(config, &mut diagnostics);
     limits(config, &mut diagnostics);
@@ -148,6 +149,30 @@
     }
 }
 
+/// Requires that names and keys of tenants are not empty and belong to one tenant. The messages never contain a key.
+fn tenants(config: &Config, diagnostics: &mut Diagnostics) {
+    let mut names = Map::default();
+    let mut keys: Map<&str, (usize, &str)> = Map::default();
+    for (index, tenant) in config.tenants.iter().enumerate() {
+        let setting = format!("tenants[{index}].name");
+        diagnostics.require(!tenant.name.is_empty(), &*setting, "must not be empty");
+        let valid = tenant.name.chars().all(|letter| (' '..='~').contains(&letter));
+        diagnostics.require(valid, &*setting, "must consist of visible ASCII characters");
+        unique(&mut names, &tenant.name, setting, diagnostics);
+        for (number, key) in tenant.keys.iter().enumerate() {
+            let setting = format!("tenants[{index}].keys[{number}]");
+            diagnostics.require(!key.is_empty(), &*setting, "must not be empty");
+            if let Some((first, name)) = keys.insert(key, (index, &tenant.name))
+                && first != index
+            {
+                let message =
+                    format!("the tenants '{name}' and '{}' have a key in common", tenant.name);
+                diagnostics.require(false, setting, message);
+            }
+        }
+    }
+}
+
 fn timing(config: &Config, diagnostics: &mut Diagnostics) {
     let timing = &config.timing;
     diagnostics.positive(timing.heartbeat_ms, "timing.heartbeat_ms");
--- a/crates/conf/src/config.rs
+++ b/crates/conf/src/config.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::keys::Keys;
 use crate::table::section;
 
 /// The description of [`Config::site`] in the table of settings.
@@ -22,6 +23,8 @@
     pub entries: Vec<Entry>,
     /// The access tokens.
     pub tokens: Tokens,
+    /// The tenants. Without any, callers need no API key.
+    pub tenants: Vec<Tenant>,
     /// Intervals and timeouts of leases, elections, announcements and calls.
     pub timing: Timing,
     /// The weight store and its load limits.
@@ -75,6 +78,16 @@
     }
 }
 
+section! {
+    /// A tenant. Once there is one, requests need the API key of a tenant.
+    Tenant {
+        /// The name, which replaces what callers send as `X-Caller`.
+        name: Name = Name::default(),
+        /// The keys, of which callers send one as `Authorization: Bearer`. Whoever can read the file knows them.
+        keys: Keys = Keys::default(),
+    }
+}
+
 section! {
     /// Intervals and timeouts. The heartbeat interval must be shorter than the election timeout, the
     /// election timeout shorter than the lease, and the lease with drift and one renewal shorter than 3 s.
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -3,6 +3,7 @@
 mod check;
 mod config;
 mod error;
+mod keys;
 mod read;
 mod source;
 mod table;
@@ -13,6 +14,7 @@
 pub use crate::error::Diagnostic;
 pub use crate::error::Error;
 pub use crate::error::Position;
+pub use crate::keys::Keys;
 pub use crate::read::parse;
 pub use crate::read::read;
 pub use crate::table::Setting;
@@ -28,6 +30,7 @@
     pub use crate::config::Placement;
     pub use crate::config::Store;
     pub use crate::config::Strategy;
+    pub use crate::config::Tenant;
     pub use crate::config::Timing;
     pub use crate::config::Tls;
     pub use crate::config::Tokens;
--- a/crates/conf/src/table.rs
+++ b/crates/conf/src/table.rs
@@ -67,6 +67,7 @@
     let mut rows = vec![row("", "site", &"", config::SITE_DOC)];
     rows.extend(config::Entry::rows("entries[]."));
     rows.extend(config::Tokens::rows("tokens."));
+    rows.extend(config::Tenant::rows("tenants[]."));
     rows.extend(config::Timing::rows("timing."));
     rows.extend(config::Store::rows("store."));
     rows.extend(config::Limits::rows("limits."));
--- a/crates/conf/tests/table.rs
+++ b/crates/conf/tests/table.rs
@@ -5,12 +5,14 @@
 
 use conf::Config;
 use conf::Entry;
+use conf::section::Tenant;
 use conf::section::Tls;
 
 #[test]
 fn table_lists_all_settings_with_their_defaults() {
     let mut config = Config { entries: vec![Entry::default()], ..Config::default() };
     config.tls = Some(Tls::default());
+    config.tenants = vec![Tenant::default()];
     let value = serde_json::to_value(&config).unwrap();
     let mut expected = Vec::new();
     flatten("", &value, &mut expected);
@@ -29,8 +31,8 @@
                 flatten(&path, value, into);
             }
         }
-        serde_json::Value::Array(array) if path == "entries" => {
-            flatten("entries[]", &array[0], into);
+        serde_json::Value::Array(array) if ["entries", "tenants"].contains(&path) => {
+            flatten(&format!("{path}[]"), &array[0], into);
         }
         _ => into.push((path.to_owned(), value.to_string())),
     }
--- a/crates/gate/src/caller.rs
+++ b/crates/gate/src/caller.rs
@@ -80,8 +80,12 @@
         return Err(Refusal::new(Code::NotServing));
     }
     let (parts, body) = message.into_parts();
-    let caller = parse::text(&parts.headers, header::CALLER)?;
-    let caller = caller.unwrap_or_else(|| Name::from(remote.ip().to_string()));
+    let caller = match context.tenants.authenticate(id, &parts.headers)? {
+        Some(tenant) => tenant,
+        // A name without proof.
+        None => parse::text(&parts.headers, header::CALLER)?
+            .unwrap_or_else(|| Name::from(remote.ip().to_string())),
+    };
     let caller_limit = context.board.view.read().defaults.caller_limit as usize;
     let guard =
         context.admission.admit(&caller, context.config.limits.in_progress, caller_limit)?;
--- a/crates/gate/src/context.rs
+++ b/crates/gate/src/context.rs
@@ -25,6 +25,7 @@
 use crate::metrics::Metrics;
 use crate::peer::Clients;
 use crate::planner::History;
+use crate::tenants::Tenants;
 use crate::trace::Trace;
 
 /// The maximum and initial number of retries in the retry budget.
@@ -46,6 +47,8 @@
     pub(crate) keepers: Keepers,
     /// The clients of the other gates.
     pub(crate) peer_clients: Clients,
+    /// The tenants by their keys.
+    pub(crate) tenants: Tenants,
     /// The HTTP client for endpoints and other gates.
     pub(crate) client: Client,
     /// The metrics.
@@ -92,6 +95,7 @@
         Ok(Context {
             keepers: Keepers::new(&config),
             peer_clients: Clients::new(call),
+            tenants: Tenants::new(&config.tenants),
             client: Client::new(call),
             metrics: Metrics::new()?,
             trace: Trace::default(),
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -40,6 +40,7 @@
 mod stream;
 mod summary;
 mod sweep;
+mod tenants;
 mod token;
 mod trace;
 
--- a/crates/gate/src/models.rs
+++ b/crates/gate/src/models.rs
@@ -5,6 +5,9 @@
 use axum::Json;
 use axum::extract::Query;
 use axum::extract::State;
+use axum::http::HeaderMap;
+use axum::response::IntoResponse;
+use axum::response::Response;
 use base::Name;
 use serde::Deserialize;
 use state::view::Adapter;
@@ -12,6 +15,7 @@
 use wire::http::Models;
 
 use crate::context::Context;
+use crate::request;
 
 /// The models in a page if the caller sets no limit.
 const DEFAULT_PAGE_SIZE: usize = 100;
@@ -31,7 +35,12 @@
 pub(crate) async fn handle(
     State(context): State<Arc<Context>>,
     Query(page): Query<Page>,
-) -> Json<Models> {
+    headers: HeaderMap,
+) -> Response {
+    let id = request::id();
+    if let Err(refusal) = context.tenants.authenticate(&id, &headers) {
+        return refusal.response(&context, &id);
+    }
     let limit = page.limit.unwrap_or(DEFAULT_PAGE_SIZE).clamp(1, MAX_PAGE_SIZE);
     let view = context.board.view.read();
     let mut all: Vec<Model> =
@@ -43,7 +52,7 @@
     }
     let has_more = all.len() > limit;
     all.truncate(limit);
-    Json(Models { object: Name::from("list"), data: all, has_more })
+    Json(Models { object: Name::from("list"), data: all, has_more }).into_response()
 }
 
 fn versions(name: &Name, adapter: &Adapter) -> Vec<Model> {
--- a/crates/gate/tests/fake/engine.rs
+++ b/crates/gate/tests/fake/engine.rs
@@ -67,6 +67,15 @@
     pub(crate) max_running: usize,
 }
 
+impl Tables {
+    /// Records a violation if a request contains the credential of its caller.
+    fn check_headers(&mut self, headers: &HeaderMap) {
+        if headers.contains_key("authorization") {
+            self.violations.push("a request contains a credential".to_owned());
+        }
+    }
+}
+
 /// A running fake endpoint.
 #[derive(Clone)]
 pub(crate) struct Engine {
@@ -179,6 +188,7 @@
     let model = Model { adapter: Name::from(adapter), version: Name::from(version) };
     let mode = {
         let mut tables = engine.tables.lock();
+        tables.check_headers(&headers);
         if tables.mode == Mode::Busy {
             return fault(Reason::Busy);
         }
@@ -244,6 +254,7 @@
     let key = header(&headers, "idempotency-key");
     let (mode, count) = {
         let mut tables = engine.tables.lock();
+        tables.check_headers(&headers);
         if tables.mode == Mode::Busy {
             return fault(Reason::Busy);
         }
