quota: the ledger grants as much as its longer window may use

Cause: the ledger counts a unit for up to a second longer than the guaranteed window, with the limit of the window. A tenant that asked for its whole limit in each window lost one unit of nine (rate and burst alike). Without an overage nothing changes. Ruled out: no longer window at all (a trial): requests that wait for their adapter would count in the next window.

--- a/crates/cell/tests/quotas.rs
+++ b/crates/cell/tests/quotas.rs
@@ -88,6 +88,7 @@
             unit: Unit::Tokens,
             plain_tokens: 0,
             window,
+            overage: 0.0,
         };
         let quota = Some(quota);
         let tenant = Tenant { name: Name::from("blue"), keys: Vec::new(), rank: None, quota };
--- a/crates/fleet/src/tenant.rs
+++ b/crates/fleet/src/tenant.rs
@@ -52,6 +52,8 @@
     pub plain_tokens: u64,
     /// The sliding window in which requests are counted.
     pub window: Duration,
+    /// The share of the limit by which more may be used, because counting over all gates is not exact.
+    pub overage: f64,
 }
 
 impl Digest {
--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -10,6 +10,7 @@
 
 use crate::absence::Absence;
 use crate::account::CREDIT_TIME;
+use crate::allowance;
 use crate::promise::Promises;
 use crate::span;
 use crate::totals::Totals;
@@ -128,7 +129,7 @@
         let Some(entry) = self.entries.get_mut(tenant) else {
             return Answer { granted: need, used: 0, wait: Some(Duration::ZERO) };
         };
-        let limit = entry.quota.limit();
+        let limit = allowance(&entry.quota);
         let others = (1.0 - self.part) * limit.saturating_sub(entry.before(now)) as f64;
         let used = entry.used(now) + entry.absence.units(limit, now) + others as u64;
         if used.saturating_add(need) > limit {
--- a/crates/quota/tests/sim/mod.rs
+++ b/crates/quota/tests/sim/mod.rs
@@ -32,7 +32,7 @@
 }
 
 pub fn quota(rate: f64, burst: f64) -> Quota {
-    Quota { rate, burst, unit: Unit::Tokens, plain_tokens: 0, window: WINDOW }
+    Quota { rate, burst, unit: Unit::Tokens, plain_tokens: 0, window: WINDOW, overage: 0.0 }
 }
 
 enum Message {
