--- a/crates/cell/tests/bounds.rs
+++ b/crates/cell/tests/bounds.rs
@@ -11,6 +11,7 @@
 use cell::engines::Holder;
 use cell::engines::Response;
 use fleet::endpoint::Endpoint;
+use fleet::document::Document;
 use fleet::extension::Extension;
 use fleet::message::Call;
 use fleet::message::Reply;
@@ -54,7 +55,7 @@
         tenants: Vec::new(),
     };
     let (plan, extension) = (Arc::new(plan), Arc::new(Extension::default()));
-    let document = Bytes::from(vec![b' '; bytes]);
+    let document = Document::from(Bytes::from(vec![b' '; bytes]));
     let start = Instant::now();
     loop {
         let (plan, extension, document) = (plan.clone(), extension.clone(), document.clone());
@@ -87,6 +88,6 @@
         assert_eq!(limit, LIMIT as u64);
         let document = keeper.keeper.call(Call::Document).await;
         let Reply::Document(Some(document)) = document else { panic!("{document:?}") };
-        assert_eq!(document.len(), fitting);
+        assert_eq!(document.into_bytes().len(), fitting);
     }
 }
