capacity: endpoints of nearly equal cost take turns

Cause: run times in whole ms below 1 ms made one of two equal endpoints ten times as fast, so it got all calls of a light load, and the other, which had named a limit of one a second, got 3 calls in 8 s instead of at least 4 (an_endpoint_whose_calls_the_leader_places_gets_no_more_ than_its_limit failed once in two runs). Run times count as 1 ms at least, and of endpoints that differ by less than 1 ms and 5% the one whose last call is the longest ago is chosen. A shorter interval of trials was ruled out: each trial of a slow endpoint may be a late call.

Three runs of platform's tests limits and placing passed.

--- a/crates/capacity/src/balancer.rs
+++ b/crates/capacity/src/balancer.rs
@@ -25,6 +25,10 @@
 /// The calls of the queue for which an endpoint is looked for when one has room, so that a call that may not be sent there
 /// holds up no other.
 const MAX_PASSED_OVER: usize = 8;
+/// The difference of two costs up to which they are equal: the resolution of run times, and the error of an estimate from
+/// some 50 runs.
+const EQUAL_MS: f64 = 1.0;
+const EQUAL_SHARE: f64 = 0.05;
 /// The shortest retry delay.
 const MIN_RETRY: Duration = Duration::from_millis(50);
 /// The retry delay if nothing is known of the endpoints.
@@ -154,7 +158,7 @@
         // Without any run the endpoints are compared by their used slots and paces alone.
         let work_ms = self.work_ms(now).unwrap_or(1.0);
         let admitted = self.sites.iter().enumerate().filter(|(_, site)| site.admits(placement));
-        let mut best: Option<(usize, f64)> = None;
+        let mut room: Option<(usize, f64)> = None;
         for (index, site) in admitted {
             if placement.excluded.is_empty()
                 && site.is_due(work_ms, f64::from(placement.left_ms), now)
@@ -162,11 +166,15 @@
                 return Some(index);
             }
             let cost = site.cost(work_ms, domain, now);
-            if site.has_room(now) && best.is_none_or(|(_, least)| cost < least) {
-                best = Some((index, cost));
+            let better = |(best, least): (usize, f64)| match is_equal(cost, least) {
+                true => site.placed < self.sites[best].placed,
+                false => cost < least,
+            };
+            if site.has_room(now) && room.is_none_or(better) {
+                room = Some((index, cost));
             }
         }
-        let (index, _) = best?;
+        let (index, _) = room?;
         let site = &self.sites[index];
         let in_time = site.expected_ms(work_ms, now) * MARGIN <= goal_ms;
         (at_once || in_time || site.is_free(now)).then_some(index)
@@ -481,6 +489,13 @@
     }
 }
 
+/// Returns whether two costs differ by no more than the uncertainty of the speeds. The endpoint whose last call is the
+/// longest ago goes first then. Otherwise one gets all calls as long as one call ends before the next, and another, which
+/// may have named a limit, learns and lifts nothing.
+fn is_equal(cost: f64, other: f64) -> bool {
+    (cost - other).abs() <= EQUAL_MS + EQUAL_SHARE * cost.min(other)
+}
+
 fn denial(placement: &Placement, code: Code, retry: Duration) -> Denial {
     Denial { request: placement.request, code, retry_ms: retry.as_millis() as u32 }
 }
--- a/crates/capacity/src/curve.rs
+++ b/crates/capacity/src/curve.rs
@@ -20,6 +20,8 @@
 const FIT_INTERVAL: u32 = 8;
 /// The ratio of a capacity that is tried to the next smaller one.
 const FIT_RATIO: f64 = 0.9;
+/// The shortest time of a run, in ms: gates report whole ms, and shorter ones differ by more than noise explains.
+const RESOLUTION_MS: f64 = 1.0;
 /// The variance of the logarithm of a run's time before it is measured, as of work that varies by half.
 const INITIAL_VARIANCE: f64 = 0.22;
 
@@ -73,7 +75,7 @@
     /// Records that a run took `ms` while there were `calls` calls, itself included. `slots` is the stated capacity, or 0.
     pub(crate) fn record(&mut self, calls: f64, ms: f64, slots: u32) {
         let calls = calls.max(1.0);
-        let time = ms.max(0.1).ln();
+        let time = ms.max(RESOLUTION_MS).ln();
         self.most = self.most.max(calls);
         self.runs = self.runs.saturating_add(1);
         if let Some(work) = self.work {
--- a/crates/capacity/src/site.rs
+++ b/crates/capacity/src/site.rs
@@ -58,7 +58,7 @@
     /// The moving average of failures, and when it was updated.
     failures: (f64, Duration),
     /// When it last got a call.
-    placed: Duration,
+    pub(crate) placed: Duration,
 }
 
 impl Site {
