--- a/crates/capacity/src/balancer.rs
+++ b/crates/capacity/src/balancer.rs
@@ -15,6 +15,7 @@
 use crate::queue::Queue;
 use crate::queue::Waiting;
 use crate::site::Site;
+use crate::site::is_equal;
 
 /// The longest wait of a call at the leader. A gate that gets no answer for 150 ms chooses itself, and two messages take part
 /// of that on a busy host.
@@ -25,10 +26,6 @@
 /// The calls of the queue for which an endpoint is looked for when one has room, so that a call that may not be sent there
 /// holds up no other.
 const MAX_PASSED_OVER: usize = 8;
-/// The difference of two costs up to which they are equal: the resolution of run times, and the error of an estimate from
-/// some 50 runs.
-const EQUAL_MS: f64 = 1.0;
-const EQUAL_SHARE: f64 = 0.05;
 /// The shortest retry delay.
 const MIN_RETRY: Duration = Duration::from_millis(50);
 /// The retry delay if nothing is known of the endpoints.
@@ -489,13 +486,6 @@
     }
 }
 
-/// Returns whether two costs differ by no more than the uncertainty of the speeds. The endpoint whose last call is the
-/// longest ago goes first then. Otherwise one gets all calls as long as one call ends before the next, and another, which
-/// may have named a limit, learns and lifts nothing.
-fn is_equal(cost: f64, other: f64) -> bool {
-    (cost - other).abs() <= EQUAL_MS + EQUAL_SHARE * cost.min(other)
-}
-
 fn denial(placement: &Placement, code: Code, retry: Duration) -> Denial {
     Denial { request: placement.request, code, retry_ms: retry.as_millis() as u32 }
 }
--- a/crates/capacity/src/site.rs
+++ b/crates/capacity/src/site.rs
@@ -24,6 +24,10 @@
 const REMOTE_MS: f64 = 1.0;
 /// The cost of an endpoint of which all calls fail, in ms; above the time of any call that is on time.
 const FAILURE_MS: f64 = 2_000.0;
+/// The difference of two costs up to which they are equal: the resolution of run times, and the error of an estimate from
+/// some 50 runs.
+const EQUAL_MS: f64 = 1.0;
+const EQUAL_SHARE: f64 = 0.05;
 /// The weight of the latest outcome in the moving average of failures.
 const FAILURE_WEIGHT: f64 = 0.2;
 /// The half-life of the failure rate.
@@ -209,3 +213,10 @@
 fn decay(value: f64, at: Duration, half_life: Duration, now: Duration) -> f64 {
     value * (-millis(now.saturating_sub(at)) / millis(half_life)).exp2()
 }
+
+/// Returns whether two costs differ by no more than the uncertainty of the speeds. The endpoint whose last call is the
+/// longest ago goes first then. Otherwise one gets all calls as long as one call ends before the next, and another, which
+/// may have named a limit, learns and lifts nothing.
+pub(crate) fn is_equal(cost: f64, other: f64) -> bool {
+    (cost - other).abs() <= EQUAL_MS + EQUAL_SHARE * cost.min(other)
+}
