--- a/crates/capacity/src/balancer.rs
+++ b/crates/capacity/src/balancer.rs
@@ -15,6 +15,7 @@
 use crate::queue::Queue;
 use crate::queue::Waiting;
 use crate::site::Site;
+use crate::site::is_equal;
 
 /// The longest wait of a call at the leader. A gate that gets no answer for 150 ms chooses itself, and two messages take part
 /// of that on a busy host.
@@ -154,7 +155,7 @@
         // Without any run the endpoints are compared by their used slots and paces alone.
         let work_ms = self.work_ms(now).unwrap_or(1.0);
         let admitted = self.sites.iter().enumerate().filter(|(_, site)| site.admits(placement));
-        let mut best: Option<(usize, f64)> = None;
+        let mut room: Option<(usize, f64)> = None;
         for (index, site) in admitted {
             if placement.excluded.is_empty()
                 && site.is_due(work_ms, f64::from(placement.left_ms), now)
@@ -162,11 +163,15 @@
                 return Some(index);
             }
             let cost = site.cost(work_ms, domain, now);
-            if site.has_room(now) && best.is_none_or(|(_, least)| cost < least) {
-                best = Some((index, cost));
+            let better = |(best, least): (usize, f64)| match is_equal(cost, least) {
+                true => site.placed < self.sites[best].placed,
+                false => cost < least,
+            };
+            if site.has_room(now) && room.is_none_or(better) {
+                room = Some((index, cost));
             }
         }
-        let (index, _) = best?;
+        let (index, _) = room?;
         let site = &self.sites[index];
         let in_time = site.expected_ms(work_ms, now) * MARGIN <= goal_ms;
         (at_once || in_time || site.is_free(now)).then_some(index)
