--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -129,7 +129,15 @@
         let Base { plan, document, versions } = base;
         let (quarantine, rest) = take_or_default(rest)?;
         let (level, rest) = take_or_default(rest)?;
+        // A snapshot that lacks a field of its own level was cut off. Without the extension, requests would need no keys.
+        let cut_off = |rest: &[u8], since| rest.is_empty() && level >= since;
+        if cut_off(rest, Revision::DEPARTURES) {
+            return Err(postcard::Error::DeserializeUnexpectedEnd);
+        }
         let (departed, rest) = take_or_default(rest)?;
+        if cut_off(rest, Revision::TENANTS) {
+            return Err(postcard::Error::DeserializeUnexpectedEnd);
+        }
         let (extension, _) = take_or_default::<Option<Arc<Extension>>>(rest)?;
         let plan = match (plan, &extension) {
             (Some(plan), Some(extension)) => Some(extended(&plan, extension)),
