quota: a refund after the window gives back no other request's units

A request that did not run is refunded when it ends. If that is later than the window of its charge (an engine that refuses a request after 10 s in its queue), its units are no longer counted, and the refund took those of later requests instead, at the gate and at the leader. Tenants whose requests are refused late could so run up to twice their limit.

Ruled out: a refund of part of the units, because the slices don't tell requests apart.

Before (with the check removed): a_refund_after_the_window_forgets_no_other_request fails, 5000 units of another request are given back. After: it passes, as do the other tests of quota.

--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -77,6 +77,8 @@
     keepers: Arc<Keepers>,
     tenant: Name,
     units: u64,
+    /// When it was paid, by [`Keepers::quota_time`].
+    charged: Duration,
     ran: AtomicBool,
 }
 
@@ -117,7 +119,7 @@
 impl Drop for Charge {
     fn drop(&mut self) {
         if !self.ran.load(Ordering::Relaxed) {
-            self.keepers.refund(&self.tenant, self.units);
+            self.keepers.refund(&self.tenant, self.units, self.charged);
         }
     }
 }
@@ -152,7 +154,8 @@
         match paid {
             Ok(()) => {
                 let (keepers, ran) = (self.clone(), AtomicBool::new(false));
-                Ok(Some(Charge { keepers, tenant, units, ran }))
+                let charged = self.quota_time();
+                Ok(Some(Charge { keepers, tenant, units, charged, ran }))
             }
             Err(refused) => {
                 let wait = match refused {
@@ -260,8 +263,9 @@
     }
 
     /// Gives back the units of a request that did not run.
-    fn refund(&self, tenant: &Name, units: u64) {
-        let units = self.quotas.account.lock().refund(tenant, units, self.quota_time());
+    fn refund(&self, tenant: &Name, units: u64, charged: Duration) {
+        let now = self.quota_time();
+        let units = self.quotas.account.lock().refund(tenant, units, charged, now);
         self.return_units(tenant.clone(), units);
     }
 
--- a/crates/quota/src/account.rs
+++ b/crates/quota/src/account.rs
@@ -202,9 +202,14 @@
         }
     }
 
-    /// Takes back the units of a request that did not run; returns those that are to be returned to the leader.
-    pub fn refund(&mut self, tenant: &Name, units: u64, now: Duration) -> u64 {
+    /// Takes back the units of a request that did not run and was `charged` at that time; returns those that are to be
+    /// returned to the leader. None are if the charge may no longer be counted, since others would be forgotten instead.
+    pub fn refund(&mut self, tenant: &Name, units: u64, charged: Duration, now: Duration) -> u64 {
         let Some(entry) = self.entries.get_mut(tenant) else { return 0 };
+        // The leader counted units of credit up to its lifetime earlier.
+        if now + CREDIT_TIME >= charged + entry.spent.span() {
+            return 0;
+        }
         let units = entry.spent.give_back(units, now);
         if let Some(share) = &mut entry.share {
             share.give_back(units);
