quota: a leader that is followed again does not count a gate's spending twice

A gate that loses its link to the leader follows a deputy, and then reports all that it spent to the next leader. If that is the same leader in the same term (the link was lost for a moment), the leader counted everything since the start of its term a second time, with each reconnection. Its tenants were refused within their limits for up to a window.

The account keeps what the last leader may not know: what was reserved with a deputy, and what the gate told that leader since it last answered, since such a report may be lost with the link. Only this is reported to a leader that is followed again. Deputies still get everything, because they start from the totals of the leader, which may be old. The simulation tells deputies from leaders as gates do.

Ruled out: removing duplicates at the leader, which does not know which of its grants a report contains. Reporting only what was not sent before, because reports on a silent link are lost.

--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -30,6 +30,8 @@
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(150);
 /// The interval at which a request that no keeper answered is tried again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(20);
+/// Distinguishes the term of a deputy from that of any leader.
+const DEPUTY_TERM: u64 = 1 << 63;
 /// The reservations that are made for a request if the leader changes meanwhile.
 const MAX_RESERVATIONS: u32 = 2;
 
@@ -282,7 +284,12 @@
             return;
         }
         *self.quotas.deputy.lock() = None;
-        let report = self.quotas.account.lock().follow(leader.term, self.quota_time());
+        let (now, mut account) = (self.quota_time(), self.quotas.account.lock());
+        let report = match leader.term & DEPUTY_TERM {
+            0 => account.follow(leader.term, now),
+            _ => account.follow_deputy(leader.term, now),
+        };
+        drop(account);
         if !report.is_empty() {
             leader.send(Frame::Spent(report));
         }
@@ -306,8 +313,7 @@
         let first =
             links.iter().filter(|(address, _)| able(address)).min_by_key(|link| rank(link.0));
         let deputy = first.map(|(address, link)| {
-            // Unlike the term of any leader.
-            let term = rank(address) | 1 << 63;
+            let term = rank(address) | DEPUTY_TERM;
             Leader { address: *address, term, link: link.clone(), revision: Revision::TENANTS }
         });
         drop(links);
--- a/crates/quota/src/account.rs
+++ b/crates/quota/src/account.rs
@@ -74,6 +74,9 @@
     spent: Window,
     /// What of it no leader has counted.
     uncounted: Window,
+    /// What of it the leader [`Account::known`] may not have counted: what was reserved with a deputy, and what it was told
+    /// since it last answered.
+    unknown: Window,
     /// The units that all gates had used, and when the leader said so.
     answer: Option<(u64, Duration)>,
     /// The gate's share while there is no leader; created when it is first used.
@@ -86,8 +89,10 @@
     entries: Map<Name, Entry>,
     /// The term of the leader that the gate follows.
     leader: Option<u64>,
-    /// The term of the last leader that was told of everything that the gate had spent.
+    /// The term of the last leader or deputy that was told of everything that the gate had spent.
     told: Option<u64>,
+    /// The term of the last leader that was told so, also while a deputy replaces it.
+    known: Option<u64>,
     /// Since when no leader has answered.
     alone: Option<Duration>,
     /// When the account was last used.
@@ -103,6 +108,7 @@
             entries: Map::default(),
             leader: None,
             told: None,
+            known: None,
             alone: Some(now),
             used: now,
             resumed: now,
@@ -116,9 +122,13 @@
             return Charge::TooLarge;
         }
         let leader = self.leader;
+        let leads = leader == self.known;
         let entry = self.entry(tenant, quota);
         if entry.use_credit(units, now) {
             entry.spent.spend(units, now);
+            if !leads {
+                entry.unknown.spend(units, now);
+            }
             return Charge::Paid;
         }
         let Some(term) = leader else { return Charge::Alone };
@@ -145,13 +155,21 @@
             return Source::Outdated(if returned { granted } else { 0 });
         }
         self.alone = None;
+        let leads = self.leader == self.known;
         let entry = self.entry(tenant, quota);
         entry.share = None;
         entry.answer = Some((used, now));
+        if leads {
+            // A link keeps the order, so the leader has got what it was told before.
+            entry.unknown.remove_until(need.asked);
+        }
         if granted < need.units {
             return Source::Refused;
         }
         entry.spent.spend(need.units, now);
+        if !leads {
+            entry.unknown.spend(need.units, now);
+        }
         let credit = Credit { units: granted - need.units, expires: need.asked + CREDIT_TIME };
         if credit.units > 0 {
             entry.credit.push(credit);
@@ -191,6 +209,7 @@
         if taken.is_ok() {
             entry.spent.spend(units, now);
             entry.uncounted.spend(units, now);
+            entry.unknown.spend(units, now);
         }
         taken
     }
@@ -214,16 +233,43 @@
         if let Some(share) = &mut entry.share {
             share.give_back(units);
         }
+        entry.unknown.give_back(units, now);
         units - entry.uncounted.give_back(units, now)
     }
 
-    /// Follows a leader; returns what it must be told before anything is reserved with it.
+    /// Follows a leader; returns what it must be told before anything is reserved with it. A leader that was followed
+    /// before, and that a deputy replaced for a while, is told only what it may not know, since it would count the rest
+    /// twice.
     pub fn follow(&mut self, term: u64, now: Duration) -> Vec<Spending> {
+        let again = self.known.replace(term) == Some(term);
+        if !again {
+            for entry in self.entries.values_mut() {
+                entry.unknown = entry.spent.clone();
+            }
+        }
+        self.report(term, now, |entry| &mut entry.unknown)
+    }
+
+    /// Follows a keeper that replaces the leader; returns what it must be told before anything is reserved with it.
+    pub fn follow_deputy(&mut self, term: u64, now: Duration) -> Vec<Spending> {
+        match self.told == Some(term) {
+            true => self.report(term, now, |entry| &mut entry.uncounted),
+            false => self.report(term, now, |entry| &mut entry.spent),
+        }
+    }
+
+    /// Returns a window of each tenant as the report to a leader or deputy that is followed from now on.
+    fn report(
+        &mut self,
+        term: u64,
+        now: Duration,
+        window: impl Fn(&mut Entry) -> &mut Window,
+    ) -> Vec<Spending> {
         self.leader = Some(term);
         let anew = self.told.replace(term) != Some(term);
         let mut report = Vec::new();
         for (tenant, entry) in &mut self.entries {
-            let window = if anew { &mut entry.spent } else { &mut entry.uncounted };
+            let window = window(entry);
             window.used(now);
             let slices = window.all_slices(now);
             if !slices.is_empty() {
@@ -231,7 +277,7 @@
             }
             entry.uncounted = Window::new(entry.uncounted.span());
             if anew {
-                // The new leader does not know what of it is unused.
+                // The credit is that of another ledger.
                 entry.credit.clear();
             }
         }
@@ -305,11 +351,13 @@
             credit: Vec::new(),
             spent: Window::new(span),
             uncounted: Window::new(span),
+            unknown: Window::new(span),
             answer: None,
             share: None,
         });
         entry.spent.set_span(span);
         entry.uncounted.set_span(span);
+        entry.unknown.set_span(span);
         entry
     }
 }
--- a/crates/quota/src/window.rs
+++ b/crates/quota/src/window.rs
@@ -112,6 +112,13 @@
         }
     }
 
+    /// Removes the slices that end until `at`.
+    pub fn remove_until(&mut self, at: Duration) {
+        while let Some((_, units)) = self.slices.pop_front_if(|(end, _)| *end <= at) {
+            self.total -= units;
+        }
+    }
+
     /// Returns the slices that end after `from` and have ended, with the ages of their ends.
     pub fn slices(&self, from: Duration, now: Duration) -> Vec<(u32, u64)> {
         let recent = self.slices.iter().filter(|(end, _)| *end > from && *end <= now);
--- a/crates/quota/tests/sim/mod.rs
+++ b/crates/quota/tests/sim/mod.rs
@@ -113,14 +113,17 @@
 
     /// Lets a keeper replace a lost leader until another one is elected.
     pub fn depute(&mut self) {
-        self.elect();
-        self.deputy = true;
+        self.start_ledger(true);
     }
 
     /// Lets a keeper lead that knows what the former leader told the others.
     pub fn elect(&mut self) {
+        self.start_ledger(false);
+    }
+
+    fn start_ledger(&mut self, deputy: bool) {
         self.term += 1;
-        self.deputy = false;
+        self.deputy = deputy;
         let mut ledger = Ledger::new(self.follower.clone(), Vec::new(), self.gates.len() as u32);
         ledger.set_tenants(&[tenant(self.quota)], self.now);
         self.leader = Some((self.term, ledger));
@@ -136,7 +139,11 @@
         let Some((term, ledger)) = &mut self.leader else { return };
         ledger.add_gate(&Site::name(gate));
         self.gates[gate].cut_off = false;
-        let report = self.gates[gate].account.follow(*term, self.now);
+        let account = &mut self.gates[gate].account;
+        let report = match self.deputy {
+            true => account.follow_deputy(*term, self.now),
+            false => account.follow(*term, self.now),
+        };
         self.gates[gate].pending.clear();
         self.send(gate, Message::Spent(report));
     }
