--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -30,6 +30,8 @@
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(150);
 /// The interval at which a request that no keeper answered is tried again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(20);
+/// Distinguishes the term of a deputy from that of any leader.
+const DEPUTY_TERM: u64 = 1 << 63;
 /// The reservations that are made for a request if the leader changes meanwhile.
 const MAX_RESERVATIONS: u32 = 2;
 
@@ -77,6 +79,8 @@
     keepers: Arc<Keepers>,
     tenant: Name,
     units: u64,
+    /// When it was paid, by [`Keepers::quota_time`].
+    charged: Duration,
     ran: AtomicBool,
 }
 
@@ -117,7 +121,7 @@
 impl Drop for Charge {
     fn drop(&mut self) {
         if !self.ran.load(Ordering::Relaxed) {
-            self.keepers.refund(&self.tenant, self.units);
+            self.keepers.refund(&self.tenant, self.units, self.charged);
         }
     }
 }
@@ -152,7 +156,8 @@
         match paid {
             Ok(()) => {
                 let (keepers, ran) = (self.clone(), AtomicBool::new(false));
-                Ok(Some(Charge { keepers, tenant, units, ran }))
+                let charged = self.quota_time();
+                Ok(Some(Charge { keepers, tenant, units, charged, ran }))
             }
             Err(refused) => {
                 let wait = match refused {
@@ -260,8 +265,9 @@
     }
 
     /// Gives back the units of a request that did not run.
-    fn refund(&self, tenant: &Name, units: u64) {
-        let units = self.quotas.account.lock().refund(tenant, units, self.quota_time());
+    fn refund(&self, tenant: &Name, units: u64, charged: Duration) {
+        let now = self.quota_time();
+        let units = self.quotas.account.lock().refund(tenant, units, charged, now);
         self.return_units(tenant.clone(), units);
     }
 
@@ -278,7 +284,12 @@
             return;
         }
         *self.quotas.deputy.lock() = None;
-        let report = self.quotas.account.lock().follow(leader.term, self.quota_time());
+        let (now, mut account) = (self.quota_time(), self.quotas.account.lock());
+        let report = match leader.term & DEPUTY_TERM {
+            0 => account.follow(leader.term, now),
+            _ => account.follow_deputy(leader.term, now),
+        };
+        drop(account);
         if !report.is_empty() {
             leader.send(Frame::Spent(report));
         }
@@ -302,8 +313,7 @@
         let first =
             links.iter().filter(|(address, _)| able(address)).min_by_key(|link| rank(link.0));
         let deputy = first.map(|(address, link)| {
-            // Unlike the term of any leader.
-            let term = rank(address) | 1 << 63;
+            let term = rank(address) | DEPUTY_TERM;
             Leader { address: *address, term, link: link.clone(), revision: Revision::TENANTS }
         });
         drop(links);
