sched: prompts are sent as the engine reads the former ones

Change: where the learned pauses of a service pass the gap, an engine is sent at most 0.6 of the prompt tokens that it reads within the gap; the others wait at the leader, by rank and age, and go elsewhere if the engine's first events are overdue or the engine is lost. The speed of such an engine is learned from what was sent, not from requests that wait for adapters.

--- a/crates/sched/src/engine.rs
+++ b/crates/sched/src/engine.rs
@@ -8,6 +8,7 @@
 use limit::Bucket;
 
 use crate::health::Health;
+use crate::pacing::Pacing;
 use crate::prefix::Cache;
 use crate::reading::Reading;
 use crate::request::Key;
@@ -36,6 +37,8 @@
     pub(crate) warm: warm::Cache,
     /// The prompt tokens of requests without a first event.
     pub(crate) backlog_tokens: f64,
+    /// The prompts that were sent and those that wait to be sent.
+    pub(crate) pacing: Pacing,
     /// The number of requests that are granted or reserved and have not ended.
     pub(crate) running: u32,
     /// The tokens in the KV cache when all those requests are complete.
@@ -152,6 +155,7 @@
             max_adapters: 0,
             warm: warm::Cache::default(),
             backlog_tokens: 0.0,
+            pacing: Pacing::default(),
             running: 0,
             kv_tokens: 0,
             start_deadlines: Vec::new(),
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -18,6 +18,7 @@
 mod figures;
 mod health;
 mod order;
+mod pacing;
 mod paths;
 mod pool;
 mod popularity;
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod completion;
+mod pacing;
 mod pauses;
 mod placement;
 
@@ -11,6 +12,7 @@
 
 use base::Map;
 use base::Name;
+use base::Set;
 use fleet::endpoint::Announcement;
 use fleet::limit::Limit;
 use fleet::message::Version;
@@ -64,6 +66,8 @@
     pub(crate) assignments: Map<Key, Assignment>,
     /// A time before which no assignment expires.
     next_expiry: Duration,
+    /// The engines for which requests wait until it has read the prompts that it was sent.
+    paced: Set<Name>,
     /// The requests without an engine.
     queue: VecDeque<Pending>,
     pub(crate) store: Limiter,
@@ -98,6 +102,7 @@
             engines: Pool::default(),
             assignments: Map::default(),
             next_expiry: Duration::MAX,
+            paced: Set::default(),
             queue: VecDeque::new(),
             store: Limiter::new(settings.cold_load_ms, settings.cold_load_limit),
             orders_from: Duration::ZERO,
@@ -207,6 +212,9 @@
     /// Removes an engine; the requests that wait for an adapter there return to the queue.
     pub fn remove_engine(&mut self, id: &Name, now: Duration) {
         let Some(engine) = self.engines.remove(id) else { return };
+        self.paced.remove(id);
+        let paced = self.take_paced(engine.pacing.keys());
+        self.queue.extend(paced);
         for slot in engine.adapter_slots.values() {
             if slot.uses_store {
                 self.store.load_ended(None);
@@ -231,6 +239,7 @@
     /// actions to carry out, which include those from events since the last poll.
     pub fn poll(&mut self, now: Duration) -> Vec<Action> {
         self.expire(now);
+        self.requeue_paced(now);
         // Waits for a slot, for a gap and for a limit end as time passes, without any other change.
         let awaits_time =
             self.queue.iter().any(|pending| pending.awaited_engine.is_some() || pending.awaits_gap)
@@ -257,7 +266,7 @@
 
     /// Returns whether [`Scheduler::poll`] may have work to do without another event.
     pub fn has_pending_work(&self) -> bool {
-        self.dirty || !self.queue.is_empty() || self.engines.has_work()
+        self.dirty || !self.queue.is_empty() || !self.paced.is_empty() || self.engines.has_work()
     }
 }
 
--- a/crates/sched/src/scheduler/admission.rs
+++ b/crates/sched/src/scheduler/admission.rs
@@ -129,13 +129,29 @@
         if self.is_outdated(assignment, &pending.query) {
             return self.requeue(key, now);
         }
+        let (id, prefill_tokens) = (assignment.engine.clone(), assignment.prefill_tokens);
+        if !self.wait_for_pace(&pending, &id, prefill_tokens, now) {
+            self.send_reserved(key, now);
+        }
+    }
+
+    /// Grants a request whose adapter is loaded and whose prompt the engine can read now.
+    pub(super) fn send_reserved(&mut self, key: Key, now: Duration) {
+        let Some(assignment) = self.assignments.get(&key) else { return };
+        let Phase::Reserved(pending) = &assignment.phase else { return };
+        let pending = pending.clone();
+        if self.is_outdated(assignment, &pending.query) {
+            return self.requeue(key, now);
+        }
+        let (id, prefill_tokens) = (assignment.engine.clone(), assignment.prefill_tokens);
+        let paced = self.pace_limit(pending.gap_ms, &pending.query.service, &id, now).is_some();
+        let queued_tokens =
+            self.queued_tokens(&pending, &id, now) + if paced { prefill_tokens } else { 0.0 };
         let Some(assignment) = self.assignments.get_mut(&key) else { return };
         assignment.phase = Phase::Granted;
-        let id = assignment.engine.clone();
         let Some(engine) = self.engines.get(&id) else { return };
-        assignment.queued_prefill_tokens = engine.backlog_tokens;
-        let expected_ms =
-            engine.backlog_tokens / engine.queue_speed() + self.settings.first_event_ms;
+        assignment.queued_prefill_tokens = queued_tokens;
+        let expected_ms = queued_tokens / engine.queue_speed() + self.settings.first_event_ms;
         let urgency = assignment.urgency;
         self.grant(&pending, &id, expected_ms, urgency, now);
     }
@@ -159,7 +175,10 @@
         let version = self.required_version(&pending.query);
         self.record_sent(pending, id, urgency, now);
         self.unmet.record_grant(&pending.query.adapter);
+        let prefill_tokens =
+            self.assignments.get(&pending.key).map_or(0.0, |assignment| assignment.prefill_tokens);
         let Some(engine) = self.engines.get_mut(id) else { return };
+        engine.pacing.send(prefill_tokens);
         let overdue = Duration::from_secs_f64((expected_ms * 1.5 + 100.0) / 1e3);
         engine.start_deadlines.push((pending.key, now + overdue));
         let reason = Reason {
--- a/crates/sched/src/scheduler/completion.rs
+++ b/crates/sched/src/scheduler/completion.rs
@@ -48,6 +48,8 @@
         let alone = assignment.queued_prefill_tokens == assignment.prefill_tokens
             && engine.backlog_tokens == assignment.prefill_tokens;
         engine.backlog_tokens = (engine.backlog_tokens - assignment.prefill_tokens).max(0.0);
+        engine.pacing.record_read(assignment.prefill_tokens);
+        let id = assignment.engine.clone();
         engine.start_deadlines.retain(|(key, _)| *key != (gate, request));
         if let Some(batch) = assignment.batch {
             let ms = engine.first_event_ms().unwrap_or(self.settings.first_event_ms);
@@ -67,6 +69,7 @@
         engine.service_speed =
             speed.and_then(|speed| speed.tokens_per_ms(self.settings.prefill_tokens_per_ms));
         self.dirty = true;
+        self.release_paced(&id, now);
     }
 
     /// Records the end of a request.
@@ -130,6 +133,10 @@
         engine.kv_tokens = engine.kv_tokens.saturating_sub(assignment.kv_tokens);
         engine.start_deadlines.retain(|(user, _)| *user != key);
         engine.streams.retain(|(stream, _)| *stream != key);
+        engine.pacing.remove(key);
+        if matches!(assignment.phase, Phase::Granted) {
+            engine.pacing.record_read(assignment.prefill_tokens);
+        }
         if !matches!(assignment.phase, Phase::Started(_)) {
             engine.backlog_tokens = (engine.backlog_tokens - assignment.prefill_tokens).max(0.0);
         }
@@ -140,6 +147,7 @@
             slot.waiting.retain(|waiting| *waiting != key);
         }
         self.unload_outdated(&assignment.engine, &assignment.adapter);
+        self.release_paced(&assignment.engine, now);
         Some(assignment)
     }
 
--- a/crates/sched/src/scheduler/placement.rs
+++ b/crates/sched/src/scheduler/placement.rs
@@ -278,6 +278,7 @@
         now: Duration,
     ) {
         let version = self.min_version(&pending.query);
+        let queued_tokens = self.queued_tokens(&pending, &best.engine, now) + best.prefill_tokens;
         let Some(engine) = self.engines.get_mut(&best.engine) else { return };
         let query = &pending.query;
         let tokens = best.prefill_tokens + f64::from(query.output);
@@ -318,7 +319,7 @@
             output_tokens: query.output,
             tenant: pending.tenant.clone(),
             gap_ms: pending.gap_ms,
-            queued_prefill_tokens: engine.backlog_tokens,
+            queued_prefill_tokens: queued_tokens,
             batch: None,
             urgency,
             phase: Phase::Granted,
@@ -326,7 +327,8 @@
         };
         let key = pending.key;
         self.next_expiry = self.next_expiry.min(assignment.expires_at);
-        if best.availability == Availability::Loaded {
+        let ready = best.availability == Availability::Loaded;
+        if ready && !self.wait_for_pace(&pending, &best.engine, best.prefill_tokens, now) {
             self.assignments.insert(key, assignment);
             self.grant(&pending, &best.engine, best.expected_ms, urgency, now);
         } else {
