--- a/crates/quota/tests/account.rs
+++ b/crates/quota/tests/account.rs
@@ -22,7 +22,14 @@
 
 /// Returns a quota of 8,000 units in a window.
 fn quota() -> Quota {
-    Quota { rate: 1_000.0, burst: 0.0, unit: Unit::Tokens, plain_tokens: 0, window: WINDOW }
+    Quota {
+        rate: 1_000.0,
+        burst: 0.0,
+        unit: Unit::Tokens,
+        plain_tokens: 0,
+        window: WINDOW,
+        overage: 0.0,
+    }
 }
 
 /// Spends units that the leader or deputy that the gate follows grants.
