quota: the ledger forgets lost gates also for idle tenants

The ledger records each lost gate for each tenant, and removed the records only when the tenant next reserved. Those of idle tenants stayed for the term of the leader: 700 gates and 10,000 tenants are 7 million records.

They are removed when the other keepers are told the totals, every 500 ms, 30 s after the loss, when such a gate may spend nothing in addition any more.

Ruled out: one list of lost gates for all tenants, since a gate's share is by tenant. Within the 30 s the number of records is still gates x tenants.

Before: lost_gates_are_forgotten_for_idle_tenants fails (329546 bytes of debug output, 20146 expected). After: it passes.

--- a/crates/quota/src/absence.rs
+++ b/crates/quota/src/absence.rs
@@ -70,8 +70,9 @@
         (units - TOLERATED * limit as f64).max(0.0) as u64
     }
 
-    /// Forgets gates that spent nothing in the window.
+    /// Forgets gates that spent nothing in the window, and those that may spend nothing any more.
     pub(crate) fn expire(&mut self, now: Duration) {
+        self.absent.retain(|_, absent| now < absent.since + SHARE_TIME);
         self.spent.retain(|_, window| !window.is_empty(now));
     }
 }
--- a/crates/quota/tests/cost.rs
+++ b/crates/quota/tests/cost.rs
@@ -57,3 +57,18 @@
         assert!(each < Duration::from_millis(1), "{each:?}");
     }
 }
+
+// Guards against a ledger that grows with each gate that is lost, for tenants that are idle.
+#[test]
+fn lost_gates_are_forgotten_for_idle_tenants() {
+    let mut ledger = Ledger::new(Totals::default(), Vec::new(), 100);
+    ledger.set_tenants(&tenants(50), Duration::ZERO);
+    let size = |ledger: &Ledger| format!("{ledger:?}").len();
+    let empty = size(&ledger);
+    for gate in 0..100 {
+        ledger.remove_gate(&Name::from(format!("gate-{gate}")), 100, Duration::from_secs(1));
+    }
+    assert!(size(&ledger) > 2 * empty, "all are counted at first");
+    ledger.take_changes(Duration::from_secs(40));
+    assert_eq!(size(&ledger), empty);
+}
