quota: a quota that a plan removes and a later one sets again keeps its spending

The ledger dropped what a tenant had spent when a plan omitted the tenant or its quota. A plan that sets the quota again within the window (an omission that is corrected at once) gave the tenant a second limit.

What was spent is kept with the totals of tenants that the plan does not limit until it expires, and counts when a later plan limits the tenant again. What a tenant spends while it has no quota is not counted, as before.

Before: a_quota_that_is_removed_and_set_again_keeps_its_spending fails (1 unit granted above the limit).

--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -70,7 +70,7 @@
 #[derive(Clone, Debug)]
 pub struct Ledger {
     entries: Map<Name, Entry>,
-    /// What the former leader told of tenants that the plan did not name yet.
+    /// What tenants spent that the plan does not limit, as the former leader told or before a plan removed the quota.
     totals: Totals,
     /// Up to when `former` is complete.
     since: Duration,
@@ -115,6 +115,10 @@
             }
             self.entries.insert(tenant.name.clone(), entry);
         }
+        // A later plan may limit them again.
+        for (tenant, mut entry) in former {
+            self.totals.windows.insert(tenant, entry.total(now));
+        }
     }
 
     /// Reserves the `need` of a request, and some of the `extra` that its gate expects to need soon. A tenant without a
@@ -195,6 +199,7 @@
     /// Returns what has changed since the last call, for the other keepers.
     pub fn take_changes(&mut self, now: Duration) -> Vec<Spending> {
         let mut changes = Vec::new();
+        self.totals.windows.retain(|_, window| !window.is_empty(now));
         for (tenant, entry) in &mut self.entries {
             entry.absence.expire(now);
             let Some(changed) = entry.changed.take() else { continue };
--- a/crates/quota/tests/account.rs
+++ b/crates/quota/tests/account.rs
@@ -5,10 +5,13 @@
 use base::Name;
 use fleet::message::Spending;
 use fleet::tenant::Quota;
+use fleet::tenant::Tenant;
 use fleet::tenant::Unit;
 use quota::Account;
 use quota::Charge;
+use quota::Ledger;
 use quota::Source;
+use quota::Totals;
 
 const WINDOW: Duration = Duration::from_secs(8);
 
@@ -100,3 +103,21 @@
     account.lose_leader(ms(3_600));
     assert_eq!(reported(&account.follow(1, ms(3_600))), 40);
 }
+
+// Guards against spending that is forgotten because a plan omits a tenant or its quota for a moment.
+#[test]
+fn a_quota_that_is_removed_and_set_again_keeps_its_spending() {
+    let tenants = [Tenant { name: tenant(), keys: Vec::new(), rank: None, quota: Some(quota()) }];
+    let gate = Name::from("gate");
+    let mut ledger = Ledger::new(Totals::default(), Vec::new(), 1);
+    ledger.set_tenants(&tenants, ms(0));
+    assert_eq!(ledger.reserve(&gate, "t", (8_000, 0), ms(1_000)).granted, 8_000);
+    ledger.set_tenants(&[], ms(2_000));
+    ledger.set_tenants(&tenants, ms(3_000));
+    assert_eq!(ledger.reserve(&gate, "t", (1, 0), ms(3_000)).granted, 0);
+    // What expired meanwhile no longer counts.
+    ledger.set_tenants(&[], ms(4_000));
+    ledger.take_changes(ms(12_000));
+    ledger.set_tenants(&tenants, ms(12_000));
+    assert_eq!(ledger.reserve(&gate, "t", (8_000, 0), ms(12_000)).granted, 8_000);
+}
