raft, cell: no debug output contains the data of transfers and proposals

Part, the two sides of a transfer and the replica's request to propose derived Debug, so that the output of a frame or of a node contained the operator's document, which has the API keys.

Ruled out: that only tests print them; a derived output also reaches the message of a failed assertion and any later log line.

Before: no_debug_output_contains_the_operators_document, with a part, fails.

--- a/crates/cell/src/replica.rs
+++ b/crates/cell/src/replica.rs
@@ -57,8 +57,7 @@
 /// Size of a part of a larger entry or snapshot, in bytes.
 const PART_BYTES: usize = 64 << 10;
 
-/// A request to the replica.
-#[derive(Debug)]
+/// A request to the replica. It has no `Debug` output, because a command may contain API keys.
 pub(crate) enum Request {
     /// Messages from another replica.
     Deliver(Envelope),
--- a/crates/cell/tests/state.rs
+++ b/crates/cell/tests/state.rs
@@ -22,6 +22,8 @@
 use fleet::tenant::Tenant;
 use raft::message::Entry;
 use raft::message::Members;
+use raft::message::Object;
+use raft::message::Part;
 use raft::message::Payload;
 use raft::message::Snapshot;
 
@@ -231,6 +233,7 @@
     let data = Bytes::from(postcard::to_stdvec(&state).expect("encoded"));
     let (members, call) =
         (Members::default(), Call::PublishExtended { plan, extension, document: document.clone() });
+    let object = Object::Entry { index: 1, term: 1, prev_term: 1 };
     let outputs = [
         format!("{command:?}"),
         format!("{state:?}"),
@@ -238,7 +241,8 @@
         format!("{:?}", Frame::Call(1, call)),
         format!("{:?}", Reply::Document(Some(document))),
         format!("{:?}", Entry { index: 1, term: 1, payload: Payload::Data(encoded) }),
-        format!("{:?}", Snapshot { index: 1, term: 1, members, data }),
+        format!("{:?}", Snapshot { index: 1, term: 1, members, data: data.clone() }),
+        format!("{:?}", Part { object, digest: 1, total: data.len() as u64, offset: 0, data }),
     ];
     for output in outputs {
         assert!(output.len() > 20 && !output.contains(secret), "{output}");
--- a/crates/raft/src/message.rs
+++ b/crates/raft/src/message.rs
@@ -47,7 +47,7 @@
 }
 
 /// Returns the length and a digest of data.
-fn summary(data: &[u8]) -> String {
+pub(crate) fn summary(data: &[u8]) -> String {
     format!("{} bytes, {:016x}", data.len(), base::digest(data))
 }
 
@@ -200,8 +200,8 @@
     },
 }
 
-/// A part of a snapshot or entry.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// A part of a snapshot or entry. Its `Debug` output has the length and a digest of the data.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Part {
     /// What the part belongs to.
     pub object: Object,
@@ -216,6 +216,18 @@
     pub data: Bytes,
 }
 
+impl fmt::Debug for Part {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Part")
+            .field("object", &self.object)
+            .field("digest", &self.digest)
+            .field("total", &self.total)
+            .field("offset", &self.offset)
+            .field("data", &format_args!("{}", summary(&self.data)))
+            .finish()
+    }
+}
+
 /// A snapshot or entry without its data.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Object {
--- a/crates/raft/src/transfer.rs
+++ b/crates/raft/src/transfer.rs
@@ -4,6 +4,7 @@
 //! those on the link. The receiver keeps the parts that it has across lost links and changes of the
 //! leader, and each response names the offset from which it continues.
 
+use std::fmt;
 use std::time::Duration;
 
 use base::Event;
@@ -27,8 +28,7 @@
 /// A link must carry a part within it.
 const MAX_RESEND_ELECTION_TIMEOUTS: u32 = 8;
 
-/// The sender's side of a transfer.
-#[derive(Debug)]
+/// The sender's side of a transfer. Its `Debug` output has no data, which may contain secrets.
 pub(crate) struct Transfer {
     object: Object,
     data: Bytes,
@@ -53,6 +53,18 @@
     recovering: bool,
 }
 
+impl fmt::Debug for Transfer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Transfer")
+            .field("object", &self.object)
+            .field("total", &self.data.len())
+            .field("acknowledged", &self.acknowledged)
+            .field("sent", &self.sent)
+            .field("window", &self.window)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Transfer {
     pub(crate) fn snapshot(snapshot: Snapshot, resend_delay: Duration, now: Duration) -> Transfer {
         let Snapshot { index, term, members, data } = snapshot;
@@ -173,8 +185,7 @@
     }
 }
 
-/// The receiver's side of a transfer.
-#[derive(Debug)]
+/// The receiver's side of a transfer. Its `Debug` output has no data, which may contain secrets.
 pub(crate) struct Assembly {
     /// The term of the leader that sent the last part.
     term: Term,
@@ -184,6 +195,17 @@
     data: Vec<u8>,
 }
 
+impl fmt::Debug for Assembly {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Assembly")
+            .field("term", &self.term)
+            .field("object", &self.object)
+            .field("total", &self.total)
+            .field("received", &self.data.len())
+            .finish_non_exhaustive()
+    }
+}
+
 impl Assembly {
     fn is_of(&self, part: &Part) -> bool {
         self.object == part.object && self.digest == part.digest && self.total as u64 == part.total
