--- a/crates/cell/src/calls.rs
+++ b/crates/cell/src/calls.rs
@@ -75,6 +75,16 @@
 
     async fn carry_out(&self, call: Call) -> Reply {
         match call {
+            // A keeper of an earlier release reads a plan without its tenants, so its call must not end the check of keys.
+            Call::Publish { plan, .. } if self.has_tenants() => {
+                base::event!(
+                    WARN,
+                    Event::PlanDeferred,
+                    version = plan.version,
+                    "sent by a keeper of an earlier release"
+                );
+                Reply::Unsure
+            }
             Call::Publish { plan, document } => {
                 self.publish(plan, Arc::new(Extension::default()), document).await
             }
@@ -113,6 +123,11 @@
         Reply::Unsure
     }
 
+    /// Returns whether the plan in force has tenants.
+    fn has_tenants(&self) -> bool {
+        self.state.read().plan.as_ref().is_some_and(|plan| !plan.tenants.is_empty())
+    }
+
     /// Waits until the log has reached a level, unless a member does not support it; returns the level.
     async fn await_level(&self, wanted: Revision) -> Revision {
         let deadline = Instant::now() + LEVEL_TIMEOUT;
--- a/crates/cell/tests/quotas.rs
+++ b/crates/cell/tests/quotas.rs
@@ -280,3 +280,16 @@
         assert_eq!(keeper.gets_ledger().await, expected, "revision {revision}");
     }
 }
+
+// Guards against a keeper of an earlier release, which reads a plan without its tenants, through which an operator puts a
+// plan into force that is served without checking keys.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_plan_from_a_former_keeper_does_not_remove_the_tenants() {
+    let cell = Cell::start(101).await;
+    for keeper in cell.keepers.iter().flatten() {
+        let plan = Arc::new(Plan { version: 2, ..Plan::default() });
+        let call = Call::Publish { plan, document: Bytes::new().into() };
+        assert_eq!(keeper.keeper.call(call).await, Reply::Unsure);
+    }
+    cell.publish(2, LIMIT / 2).await;
+}
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -225,13 +225,12 @@
                 Err(refusal) => return last.unwrap_or(Err(refusal)),
             };
             if let Err(refusal) = self.reauthenticate(&mut call) {
-                if let Some(query) = &target.query {
-                    self.keepers.send(Frame::Withdraw(query.request));
-                }
+                self.withdraw(&target);
                 return last.unwrap_or(Err(refusal));
             }
             let retry = attempts > 0;
             if retry && !self.try_retry(&call) {
+                self.withdraw(&target);
                 return last
                     .unwrap_or(Err(Refusal::retryable(Code::RetryBudget, DEFAULT_RETRY_AFTER)));
             }
@@ -288,6 +287,13 @@
         last.unwrap_or(Err(Refusal::retryable(Code::NoEndpoint, DEFAULT_RETRY_AFTER)))
     }
 
+    /// Returns the scheduler's grant of a target to which nothing is sent.
+    fn withdraw(&self, target: &Target) {
+        if let Some(query) = &target.query {
+            self.keepers.send(Frame::Withdraw(query.request));
+        }
+    }
+
     /// Takes one retry of a request from the budget of its service; returns false if none is left.
     fn try_retry(&self, call: &Call) -> bool {
         let (gates, now) = (self.view.gates(), self.view.now());
