sched: the decision on a request is a pure function, and is explained

Operators could not learn where a request would go without sending it: the decision and its effects were one function.

Scheduler::decide returns what is to be done with a request (an engine, a wait, a refusal with its code), and schedule carries it out. Scheduler::explain returns the same decision with an estimate, or the obstacle, for each engine of the service. Context::obstacle and Context::access name the reason that was a plain None before; can_run and may_load are derived from them. Recognizing a retry no longer forgets it: submit does that in a step of its own.

Ruled out: a copy of the decision for explanations, which would drift, and a clone of the scheduler on which to submit, whose cost grows with the site.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod document;
 pub mod endpoint;
+pub mod explanation;
 pub mod extension;
 pub mod limit;
 pub mod message;
--- a/crates/sched/src/candidate.rs
+++ b/crates/sched/src/candidate.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use base::Name;
+use fleet::explanation::Obstacle;
 use fleet::plan::EngineSpec;
 
 use crate::engine::Engine;
@@ -136,13 +137,17 @@
 }
 
 impl Context<'_> {
-    /// Returns the estimate for an engine; `None` if the engine can't take the request now.
-    pub(crate) fn candidate(&self, member: Member<'_>, pending: &Pending) -> Option<Candidate> {
+    /// Returns the estimate for an engine that can run the request, or why the engine can't get the adapter now.
+    pub(crate) fn candidate(
+        &self,
+        member: Member<'_>,
+        pending: &Pending,
+    ) -> Result<Candidate, Obstacle> {
         let access = self.access(member, &pending.query.adapter)?;
         let mut penalty = access.penalty + self.own_pauses(member, pending);
         let mut victim = None;
         if access.availability == Availability::NeedsEviction {
-            let (name, eviction_penalty) = self.victim(member)?;
+            let (name, eviction_penalty) = self.victim(member).ok_or(Obstacle::AdapterSlots)?;
             penalty += eviction_penalty;
             victim = Some(name.clone());
         }
@@ -150,7 +155,7 @@
         let queue_ms = member.figures.queue_ms(self.now).max(access.load_ms);
         let (expected_ms, cost) =
             self.latency_and_cost(member.figures, pending, queue_ms, prefill_tokens, penalty);
-        Some(Candidate {
+        Ok(Candidate {
             engine: member.engine.endpoint.id.clone(),
             availability: access.availability,
             victim,
@@ -175,7 +180,7 @@
             return None;
         }
         let Member { position, engine, figures, .. } = member;
-        let access = self.access(member, &pending.query.adapter)?;
+        let access = self.access(member, &pending.query.adapter).ok()?;
         let queue_ms = figures.queue_ms(self.now).max(access.load_ms);
         let limit_ms = target_ms * self.settings.target_share(access.cold);
         let idle = engine.limit.as_ref().is_some_and(|limit| limit.is_idle(self.now));
@@ -270,19 +275,35 @@
 
     /// Returns whether an engine could take a request if its adapter were loaded.
     fn can_run(&self, member: Member<'_>, pending: &Pending) -> bool {
+        self.obstacle(member, pending).is_none()
+    }
+
+    /// Returns why an engine could not take a request even if its adapter were loaded.
+    pub(crate) fn obstacle(&self, member: Member<'_>, pending: &Pending) -> Option<Obstacle> {
         let Member { engine, figures, .. } = member;
         let query = &pending.query;
         let tokens = u64::from(query.input) + u64::from(query.output);
         let memory = self.spec.kv_tokens as f64 * self.settings.kv_memory_share;
         let fits = (figures.kv_tokens + tokens) as f64 <= memory || figures.running == 0;
-        figures.model.is_some_and(|model| Some(model) == self.model)
-            && fits
-            && figures.running < self.spec.slots
-            && self.now >= figures.full_until
-            && engine.limit_wait(self.now).is_zero()
-            && (self.ignore_health || figures.health.admits(figures.running, self.now))
-            && !query.excluded.contains(&engine.endpoint.id)
-            && query.build.as_ref().is_none_or(|build| engine.endpoint.build == *build)
+        if figures.model.is_none_or(|model| Some(model) != self.model) {
+            Some(Obstacle::Model)
+        } else if !fits {
+            Some(Obstacle::Memory)
+        } else if figures.running >= self.spec.slots {
+            Some(Obstacle::Slots)
+        } else if self.now < figures.full_until {
+            Some(Obstacle::Full)
+        } else if !engine.limit_wait(self.now).is_zero() {
+            Some(Obstacle::Limit)
+        } else if !self.ignore_health && !figures.health.admits(figures.running, self.now) {
+            Some(Obstacle::Health)
+        } else if query.excluded.contains(&engine.endpoint.id) {
+            Some(Obstacle::Excluded)
+        } else if query.build.as_ref().is_some_and(|build| engine.endpoint.build != *build) {
+            Some(Obstacle::Build)
+        } else {
+            None
+        }
     }
 
     /// Returns the expected time to the first event if the prefill starts after `queue_ms`, and that
@@ -303,11 +324,10 @@
         (expected_ms, expected_ms + penalty + domain + risk)
     }
 
-    /// Returns how an engine would get an adapter; `None` if it can't get it now.
-    fn access(&self, member: Member<'_>, adapter: &Name) -> Option<Access> {
-        let access = |availability, load_ms| {
-            Some(Access { availability, cold: false, load_ms, penalty: 0.0 })
-        };
+    /// Returns how an engine would get an adapter, or why it can't get it now.
+    fn access(&self, member: Member<'_>, adapter: &Name) -> Result<Access, Obstacle> {
+        let access =
+            |availability, load_ms| Ok(Access { availability, cold: false, load_ms, penalty: 0.0 });
         if adapter.is_empty() {
             return access(Availability::Loaded, 0.0);
         }
@@ -316,7 +336,7 @@
             return self.new_load(figures, true);
         }
         match engine.adapter_slots.get(adapter) {
-            Some(Slot { stage: Stage::Unloading { .. }, .. }) => None,
+            Some(Slot { stage: Stage::Unloading { .. }, .. }) => Err(Obstacle::Unloading),
             Some(slot) if slot.version >= self.min_version && slot.stage == Stage::Loaded => {
                 access(Availability::Loaded, 0.0)
             }
@@ -325,7 +345,7 @@
             }
             // The old version is unloaded before the new one is loaded, since together they need
             // two slots.
-            Some(_) => None,
+            Some(_) => Err(Obstacle::Version),
             None => self.new_load(figures, !engine.is_warm(adapter)),
         }
     }
@@ -340,10 +360,13 @@
     }
 
     /// Returns how an engine would load an adapter that it does not hold: into a free slot, or in
-    /// place of the least popular idle adapter.
-    fn new_load(&self, figures: &Figures, cold: bool) -> Option<Access> {
-        if !figures.may_load() || figures.loads >= self.settings.engine_load_limit {
-            return None;
+    /// place of the least popular idle adapter. Fails if it may not load one now.
+    fn new_load(&self, figures: &Figures, cold: bool) -> Result<Access, Obstacle> {
+        if let Some(obstacle) = figures.load_obstacle() {
+            return Err(obstacle);
+        }
+        if figures.loads >= self.settings.engine_load_limit {
+            return Err(Obstacle::Loads);
         }
         let availability = if figures.has_free_slot {
             Availability::NeedsLoad
@@ -355,7 +378,7 @@
         } else {
             (self.order_delay_ms + self.settings.warm_load_ms, self.settings.slot_penalty_ms)
         };
-        Some(Access { availability, cold, load_ms, penalty })
+        Ok(Access { availability, cold, load_ms, penalty })
     }
 
     /// Returns the adapter that an engine would evict, and the penalty for its eviction in ms.
--- a/crates/sched/src/figures.rs
+++ b/crates/sched/src/figures.rs
@@ -3,6 +3,8 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+use fleet::explanation::Obstacle;
+
 use crate::engine::Engine;
 use crate::engine::OrderState;
 use crate::engine::Slot;
@@ -70,7 +72,20 @@
 
     /// Returns whether the engine may load one more adapter.
     pub(crate) fn may_load(&self) -> bool {
-        self.model.is_some() && self.accepts_orders && (self.has_free_slot || self.has_idle_adapter)
+        self.load_obstacle().is_none()
+    }
+
+    /// Returns why the engine may not load one more adapter.
+    pub(crate) fn load_obstacle(&self) -> Option<Obstacle> {
+        if self.model.is_none() {
+            Some(Obstacle::Model)
+        } else if !self.accepts_orders {
+            Some(Obstacle::Orders)
+        } else if !self.has_free_slot && !self.has_idle_adapter {
+            Some(Obstacle::AdapterSlots)
+        } else {
+            None
+        }
     }
 
     /// Returns the time that its host is expected to take for work, relative to the usual time.
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -32,4 +32,6 @@
 mod unmet;
 mod warm;
 
+pub use fleet::explanation::Explanation;
+
 pub use crate::scheduler::Scheduler;
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -138,6 +138,18 @@
         others.map(|position| self.member(*position, false))
     }
 
+    /// Returns all engines of a service, in the order of their ids.
+    pub(crate) fn members(
+        &self,
+        service: &Name,
+        adapter: &Name,
+    ) -> impl Iterator<Item = Member<'_>> {
+        self.check_fresh();
+        let all = self.services.get(service).map(|service| service.all.as_slice());
+        let all = all.unwrap_or_default().iter();
+        all.map(|position| self.member(*position, self.knows(*position, adapter)))
+    }
+
     /// Returns the engine at a position, for a request whose adapter it knows or does not know.
     pub(crate) fn member(&self, position: usize, knows_adapter: bool) -> Member<'_> {
         let (engine, figures) = (&self.engines[position], &self.figures[position]);
--- a/crates/sched/src/retries.rs
+++ b/crates/sched/src/retries.rs
@@ -42,10 +42,15 @@
     }
 
     /// Returns when the first attempt of a request arrived: `now` unless it is a retry.
-    pub(crate) fn first_received_at(&mut self, query: &Query, now: Duration) -> Duration {
-        let first = self.first_received_at.remove(&digest(query)).unwrap_or(now);
+    pub(crate) fn first_received_at(&self, query: &Query, now: Duration) -> Duration {
+        let first = self.first_received_at.get(&digest(query)).copied().unwrap_or(now);
         if now >= first + RETENTION { now } else { first }
     }
+
+    /// Records that a request arrived again.
+    pub(crate) fn record_arrival(&mut self, query: &Query) {
+        self.first_received_at.remove(&digest(query));
+    }
 }
 
 /// Returns a digest of a request's content.
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod completion;
+mod decision;
 mod pauses;
 mod placement;
 
--- a/crates/sched/src/scheduler/admission.rs
+++ b/crates/sched/src/scheduler/admission.rs
@@ -23,6 +23,17 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::URGENCY_ON_TIME;
 
+/// Whether the queue has room for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Admission {
+    /// It has.
+    Admitted,
+    /// The queue is full, and the request replaces the queued one with this index.
+    Displaces(usize),
+    /// The queue is full.
+    Full,
+}
+
 impl Scheduler {
     /// Schedules a new request of a gate in the failure domain `domain`: grants it, queues it or
     /// refuses it.
@@ -33,16 +44,51 @@
         submission: impl Into<Submission>,
         now: Duration,
     ) {
-        let Submission { query, tenant, gap_ms } = submission.into();
-        if self.popularity.record(&query.adapter, now) {
+        let pending = self.pending(gate, domain, submission.into(), now);
+        if self.popularity.record(&pending.query.adapter, now) {
             self.engines.mark_all_changed();
         }
-        let key = (gate, query.request);
+        self.retries.record_arrival(&pending.query);
+        if self.lacks_build(&pending) {
+            return self.deny(&pending, Code::BuildUnavailable, None, now);
+        }
+        if let Some(pending) = self.schedule(pending, now) {
+            match self.admission(&pending) {
+                Admission::Admitted => {}
+                Admission::Full => {
+                    self.fairness.record_shortage(now);
+                    return self.deny(&pending, Code::QueueFull, None, now);
+                }
+                Admission::Displaces(index) => {
+                    self.fairness.record_shortage(now);
+                    if let Some(displaced) = self.queue.remove(index) {
+                        self.deny(&displaced, Code::QueueFull, None, now);
+                    }
+                }
+            }
+            base::event!(
+                INFO, Event::Waiting, gate, request = pending.query.request, adapter = %pending.query.adapter,
+                endpoint = pending.awaited_engine.as_deref().unwrap_or_default(),
+                target_ms = pending.target_ms(now), waiting = self.queue.len()
+            );
+            self.queue.push_back(pending);
+        }
+    }
+
+    /// Returns a new request without an engine.
+    pub(super) fn pending(
+        &self,
+        gate: u64,
+        domain: &Name,
+        submission: Submission,
+        now: Duration,
+    ) -> Pending {
+        let Submission { query, tenant, gap_ms } = submission;
         let first_received_at = self.retries.first_received_at(&query, now);
         let own_refusals = u32::from(first_received_at < now);
         let unmet = self.unmet.refusals(&query.adapter, now).saturating_sub(own_refusals);
-        let pending = Pending {
-            key,
+        Pending {
+            key: (gate, query.request),
             domain: domain.clone(),
             prefixes: Prefixes::new(&query.adapter, &query.parts),
             query,
@@ -53,28 +99,22 @@
             awaited_engine: None,
             awaits_gap: false,
             unmet,
-        };
-        if let Some(build) = &pending.query.build
-            && !self.engines.has_build(&pending.query.service, build)
-        {
-            return self.deny(&pending, Code::BuildUnavailable, None, now);
         }
-        if let Some(pending) = self.schedule(pending, now) {
-            if self.queue.len() >= self.settings.max_queued {
-                self.fairness.record_shortage(now);
-                let displaced = self.fairness.displaced(self.queue.iter(), &pending);
-                let Some(displaced) = displaced.and_then(|index| self.queue.remove(index)) else {
-                    return self.deny(&pending, Code::QueueFull, None, now);
-                };
-                self.deny(&displaced, Code::QueueFull, None, now);
-            }
-            base::event!(
-                INFO, Event::Waiting, gate, request = pending.query.request, adapter = %pending.query.adapter,
-                endpoint = pending.awaited_engine.as_deref().unwrap_or_default(),
-                target_ms = pending.target_ms(now), waiting = self.queue.len()
-            );
-            self.queue.push_back(pending);
+    }
+
+    /// Returns whether no engine has the build that a request needs.
+    pub(super) fn lacks_build(&self, pending: &Pending) -> bool {
+        let Query { service, build, .. } = &pending.query;
+        build.as_ref().is_some_and(|build| !self.engines.has_build(service, build))
+    }
+
+    /// Returns whether the queue has room for a request.
+    pub(super) fn admission(&self, pending: &Pending) -> Admission {
+        if self.queue.len() < self.settings.max_queued {
+            return Admission::Admitted;
         }
+        let displaced = self.fairness.displaced(self.queue.iter(), pending);
+        displaced.map_or(Admission::Full, Admission::Displaces)
     }
 
     /// Removes a request that has no engine yet or whose grant was not used.
--- a/crates/sched/src/scheduler/placement.rs
+++ b/crates/sched/src/scheduler/placement.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use base::Code;
 use base::Event;
 use base::Map;
 use base::Name;
@@ -21,12 +20,10 @@
 use crate::scheduler::DEADLINE_SHARE;
 use crate::scheduler::EXPIRY_GRACE;
 use crate::scheduler::Scheduler;
-use crate::scheduler::URGENCY_ON_TIME;
+use crate::scheduler::decision::Decision;
 
 /// The urgency at an engine of a request of rank 0 that misses its target.
 pub(super) const URGENCY_LATE: u8 = 7;
-/// The lowest urgency.
-const URGENCY_LAST: u8 = 9;
 /// The share of trusted engines below which health is ignored. If most engines fail, the cause is
 /// likely elsewhere, and a request that may fail is better than one that is refused.
 const TRUSTED_SHARE: f64 = 0.5;
@@ -40,42 +37,27 @@
     /// Assigns a request to an engine or refuses it; returns it if it must be queued.
     pub(super) fn schedule(&mut self, mut pending: Pending, now: Duration) -> Option<Pending> {
         self.engines.refresh();
-        let target_ms = pending.target_ms(now) - self.settings.network_ms;
-        let margin = 1.0 - self.settings.rank_margin * f64::from(pending.query.rank).min(4.0);
-        let fair = self.fairness.target_share(&pending, now);
-        let best = self.best_candidate(&pending, target_ms * margin * fair, now);
-        pending.awaited_engine =
-            self.engine_to_await(&pending, best.as_ref(), target_ms * margin, now);
-        if pending.awaited_engine.is_some() {
+        let decision = self.decide(&pending, now);
+        pending.awaited_engine = None;
+        if let Decision::AwaitSlot(engine) = decision {
+            pending.awaited_engine = Some(engine);
             return Some(pending);
         }
-        pending.awaits_gap = best
-            .as_ref()
-            .is_some_and(|best| self.should_await_gap(&pending, best, target_ms * margin, now));
-        if pending.awaits_gap {
-            return Some(pending);
-        }
-        let Some(best) = best else {
-            if self.store_admits(&pending, now) {
-                return self.queue_or_deny(pending, now);
+        pending.awaits_gap = matches!(decision, Decision::AwaitGap(_));
+        match decision {
+            Decision::AwaitSlot(_) | Decision::AwaitGap(_) => return Some(pending),
+            Decision::Queue => {
+                self.fairness.record_shortage(now);
+                return Some(pending);
+            }
+            Decision::Assign { best, urgency } => self.assign(pending, &best, urgency, now),
+            Decision::Refuse { code, reason, wait, over_share } => {
+                self.record_scarcity(&pending, over_share, now);
+                match wait {
+                    Some(wait) => self.deny_for(&pending, code, wait, now),
+                    None => self.deny(&pending, code, reason, now),
+                }
             }
-            self.record_scarcity(&pending, self.has_room(&pending, 1.0), now);
-            let reason = self.store_reason(&pending, now);
-            self.deny(&pending, Code::DeadlineUnreachable, Some(reason), now);
-            return None;
-        };
-        if self.meets_target(&best, target_ms * margin * fair) {
-            let urgency = (URGENCY_ON_TIME + pending.query.rank).min(URGENCY_LATE - 1);
-            self.assign(pending, &best, urgency, now);
-        } else if self.accepts_late(&best, &pending, fair, now) {
-            let urgency = (URGENCY_LATE + pending.query.rank).min(URGENCY_LAST);
-            self.assign(pending, &best, urgency, now);
-        } else {
-            let unshared = self.meets_target(&best, target_ms * margin)
-                || self.accepts_late(&best, &pending, 1.0, now);
-            self.record_scarcity(&pending, unshared, now);
-            let reason = self.denial_reason(&pending, &best, now);
-            self.deny(&pending, Code::DeadlineUnreachable, Some(reason), now);
         }
         None
     }
@@ -95,26 +77,9 @@
         );
     }
 
-    /// Handles a request that no engine can take now: returns it to be queued, or refuses it if it
-    /// was queued for too long.
-    pub(super) fn queue_or_deny(&mut self, pending: Pending, now: Duration) -> Option<Pending> {
-        let limit_ms = f64::from(pending.query.target_ms) * self.settings.queue_target_share;
-        let wait = self.limit_wait(&pending.query, now);
-        self.fairness.record_shortage(now);
-        if pending.held_ms(now) + wait.as_secs_f64() * 1e3 >= limit_ms && !wait.is_zero() {
-            self.deny_for(&pending, Code::LimitReached, wait, now);
-            return None;
-        }
-        if pending.held_ms(now) < limit_ms && !self.engines.is_empty() {
-            return Some(pending);
-        }
-        self.deny(&pending, Code::NoEndpoint, None, now);
-        None
-    }
-
     /// Returns the time until the limits of the engines that may run a request admit one; zero if one of them has no
     /// limit, or if there is none.
-    fn limit_wait(&self, query: &Query, now: Duration) -> Duration {
+    pub(super) fn limit_wait(&self, query: &Query, now: Duration) -> Duration {
         let engines = self.engines.values().filter(|engine| {
             engine.endpoint.service == query.service
                 && query.build.as_ref().is_none_or(|build| engine.endpoint.build == *build)
@@ -206,16 +171,16 @@
         }
         let position = best?.position;
         let member = self.engines.member(position, self.engines.knows(position, adapter));
-        context.candidate(member, pending)
+        context.candidate(member, pending).ok()
     }
 
     /// Returns whether the store has room for a load for a request. True for a request of a base model.
-    fn store_admits(&self, pending: &Pending, now: Duration) -> bool {
+    pub(super) fn store_admits(&self, pending: &Pending, now: Duration) -> bool {
         self.has_room(pending, self.fairness.store_share(pending, now))
     }
 
     /// Returns whether the store has room for a load for a request that may use a part of it.
-    fn has_room(&self, pending: &Pending, part: f64) -> bool {
+    pub(super) fn has_room(&self, pending: &Pending, part: f64) -> bool {
         let utilization = self.store.utilization(self.engines.queued_store_loads(u8::MAX));
         pending.query.adapter.is_empty()
             || utilization < self.settings.store_share(pending.unmet) * part
--- a/crates/sched/src/speed.rs
+++ b/crates/sched/src/speed.rs
@@ -120,6 +120,11 @@
         self.factor
     }
 
+    /// Returns the time since the pace was stated.
+    pub(crate) fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.stated_at)
+    }
+
     /// Returns the pace that is expected now.
     pub(crate) fn expected(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.stated_at).as_secs_f64() / PACE_DECAY.as_secs_f64();
