capacity: the decision on a call is a pure function, and is explained

Operators could not learn where a call of a plain service would go without sending it.

Balancer::decide returns what is to be done with a new call, and place carries it out. Balancer::explain returns the same decision, with the estimate or the obstacle of each endpoint.

Ruled out: explaining the statuses alone, which do not show the queue and the goal.

--- a/crates/capacity/src/balancer.rs
+++ b/crates/capacity/src/balancer.rs
@@ -6,31 +6,26 @@
 use base::Map;
 use base::Name;
 use fleet::endpoint::Endpoint;
+use fleet::explanation;
+use fleet::explanation::Explanation;
 use fleet::message::Denial;
 use fleet::message::Load;
 use fleet::message::Outcome;
 use fleet::message::Placement;
 use fleet::placed::Call;
 
-use crate::queue::Queue;
 use crate::queue::Waiting;
+use crate::service::DEFAULT_RETRY;
+use crate::service::MARGIN;
+use crate::service::Service;
 use crate::site::Site;
 
 /// The longest wait of a call at the leader. A gate that gets no answer for 150 ms chooses itself, and two messages take part
 /// of that on a busy host.
 pub(crate) const MAX_WAIT: Duration = Duration::from_millis(100);
-/// The share by which a call may take longer than the mean and still is on time; of work that varies by half, three calls in
-/// four.
-const MARGIN: f64 = 1.3;
 /// The calls of the queue for which an endpoint is looked for when one has room, so that a call that may not be sent there
 /// holds up no other.
 const MAX_PASSED_OVER: usize = 8;
-/// The shortest retry delay.
-const MIN_RETRY: Duration = Duration::from_millis(50);
-/// The retry delay if nothing is known of the endpoints.
-const DEFAULT_RETRY: Duration = Duration::from_millis(400);
-/// The longest retry delay.
-const MAX_RETRY: Duration = Duration::from_secs(5);
 /// The time after its deadline when a call whose end was not reported is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(2);
 
@@ -88,6 +83,19 @@
     pub age: Option<Duration>,
 }
 
+/// What is to be done with a new call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Decision {
+    /// No endpoint may take it.
+    NoEndpoint,
+    /// It is sent to the endpoint with this index.
+    Send(usize),
+    /// It waits for this time at most.
+    Wait(Duration),
+    /// It is refused, since it would wait for longer than it may.
+    Refuse { wait_ms: f64, allowed_ms: f64 },
+}
+
 /// A call in progress.
 #[derive(Clone, Debug)]
 struct Placed {
@@ -99,91 +107,6 @@
     forget_at: Duration,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Service {
-    sites: Vec<Site>,
-    queue: Queue,
-    /// The refused calls that were told to come back and may not have, and when they were counted.
-    returning: (f64, Duration),
-}
-
-impl Service {
-    /// Returns the mean time of a call that does not wait, in ms; `None` without any run.
-    fn work_ms(&self, now: Duration) -> Option<f64> {
-        let (mut sum, mut known) = (0.0, 0.0);
-        for work in self.sites.iter().filter_map(|site| site.estimate.work_ms(now)) {
-            sum += work;
-            known += 1.0;
-        }
-        (known > 0.0).then(|| sum / known)
-    }
-
-    /// Returns the calls per ms that the endpoints which may take a call complete; `None` without any run.
-    fn rate(&self, placement: &Placement, now: Duration) -> Option<f64> {
-        let sites = self.sites.iter().filter(|site| site.admits(placement));
-        let rate: f64 = sites.filter_map(|site| site.rate(now)).sum();
-        (rate > 0.0).then_some(rate)
-    }
-
-    /// Returns the time in ms within which a call is in time: its target, or its deadline if the target has passed or is too
-    /// short for any endpoint.
-    fn goal_ms(&self, placement: &Placement, work_ms: f64, waited: Duration, now: Duration) -> f64 {
-        let waited_ms = waited.as_secs_f64() * 1e3;
-        let left = f64::from(placement.left_ms) - waited_ms;
-        let target = f64::from(placement.target_ms) - waited_ms;
-        let sites = self.sites.iter().filter(|site| site.admits(placement));
-        let alone = sites.map(|site| site.estimate.work_ms(now).unwrap_or(work_ms));
-        let shortest = alone.fold(f64::INFINITY, f64::min);
-        if placement.target_ms > 0 && shortest * MARGIN <= f64::from(placement.target_ms) {
-            target.min(left)
-        } else {
-            left
-        }
-    }
-
-    /// Returns the endpoint for a call now; `None` if it had better wait. With `at_once` it is `None` only if no endpoint has
-    /// room.
-    fn choose(
-        &self,
-        placement: &Placement,
-        domain: &str,
-        goal_ms: f64,
-        at_once: bool,
-        now: Duration,
-    ) -> Option<usize> {
-        // Without any run the endpoints are compared by their used slots and paces alone.
-        let work_ms = self.work_ms(now).unwrap_or(1.0);
-        let admitted = self.sites.iter().enumerate().filter(|(_, site)| site.admits(placement));
-        let mut best: Option<(usize, f64)> = None;
-        for (index, site) in admitted {
-            if placement.excluded.is_empty()
-                && site.is_due(work_ms, f64::from(placement.left_ms), now)
-            {
-                return Some(index);
-            }
-            let cost = site.cost(work_ms, domain, now);
-            if site.has_room(now) && best.is_none_or(|(_, least)| cost < least) {
-                best = Some((index, cost));
-            }
-        }
-        let (index, _) = best?;
-        let site = &self.sites[index];
-        let in_time = site.expected_ms(work_ms, now) * MARGIN <= goal_ms;
-        (at_once || in_time || site.is_free(now)).then_some(index)
-    }
-
-    /// Returns the delay after which a refused call may be served, and counts it among those that come back.
-    fn retry_after(&mut self, excess_ms: f64, rate: Option<f64>, now: Duration) -> Duration {
-        let Some(rate) = rate else { return DEFAULT_RETRY };
-        let (count, at) = self.returning;
-        let drained = now.saturating_sub(at).as_secs_f64() * 1e3 * rate;
-        let before = (count - drained).max(0.0);
-        self.returning = (before + 1.0, now);
-        let ms = excess_ms.max(0.0) + before / rate;
-        Duration::from_secs_f64(ms / 1e3).clamp(MIN_RETRY, MAX_RETRY)
-    }
-}
-
 /// Chooses the endpoints for the calls of plain services, over all gates. It counts the calls in progress at each endpoint,
 /// and keeps the calls that wait.
 #[derive(Debug, Default)]
@@ -234,43 +157,100 @@
         excess: f64,
         now: Duration,
     ) {
-        let service = self.services.get_mut(&placement.service);
-        let admits = |service: &Service| service.sites.iter().any(|site| site.admits(&placement));
-        let Some(service) = service.filter(|service| admits(service)) else {
-            let denial = denial(&placement, Code::NoEndpoint, DEFAULT_RETRY);
-            self.answers.push(Answer::Denied { gate, denial, waiting: 0, wait_ms: 0 });
-            return;
-        };
+        let name = placement.service.clone();
         let excess = excess.max(1.0);
+        match self.decide(domain, &placement, excess, now) {
+            Decision::NoEndpoint => {
+                let denial = denial(&placement, Code::NoEndpoint, DEFAULT_RETRY);
+                self.answers.push(Answer::Denied { gate, denial, waiting: 0, wait_ms: 0 });
+            }
+            Decision::Send(index) => {
+                self.send(gate, &name, index, &placement, Duration::ZERO, now);
+            }
+            Decision::Refuse { wait_ms, allowed_ms } => {
+                let Some(service) = self.services.get_mut(&name) else { return };
+                let rate = service.rate(&placement, now);
+                let retry = service.retry_after(wait_ms - allowed_ms, rate, now);
+                let waiting = service.queue.len();
+                let denial = denial(&placement, Code::QueueFull, retry);
+                let wait_ms = wait_ms as u64;
+                self.answers.push(Answer::Denied { gate, denial, waiting, wait_ms });
+            }
+            Decision::Wait(time) => {
+                let Some(service) = self.services.get_mut(&name) else { return };
+                let (domain, until) = (Name::from(domain), now + time);
+                let call = Waiting { gate, domain, placement, arrived: now, until, excess };
+                if let Some(last) = service.queue.push(call) {
+                    self.deny(last, Code::QueueFull, now);
+                }
+            }
+        }
+    }
+
+    /// Decides on a new call, without any effect.
+    fn decide(&self, domain: &str, placement: &Placement, excess: f64, now: Duration) -> Decision {
+        let service = self.services.get(&placement.service);
+        let admits = |service: &&Service| service.sites.iter().any(|site| site.admits(placement));
+        let Some(service) = service.filter(admits) else { return Decision::NoEndpoint };
         let work_ms = service.work_ms(now);
         let work = work_ms.unwrap_or(1.0);
-        let goal_ms = service.goal_ms(&placement, work, Duration::ZERO, now);
+        let goal_ms = service.goal_ms(placement, work, Duration::ZERO, now);
         let ahead = service.queue.ahead(placement.rank, excess);
         if ahead == 0
-            && let Some(index) = service.choose(&placement, domain, goal_ms, false, now)
+            && let Some(index) = service.choose(placement, domain, goal_ms, false, now)
         {
-            let name = placement.service.clone();
-            self.send(gate, &name, index, &placement, Duration::ZERO, now);
-            return;
+            return Decision::Send(index);
         }
-        let rate = service.rate(&placement, now);
+        let rate = service.rate(placement, now);
         let wait_ms = rate.map_or(0.0, |rate| (ahead + 1) as f64 / rate);
         let longest = MAX_WAIT.as_secs_f64() * 1e3;
         // Without any run the wait is unknown; the queue then is bounded by its length and by the wait.
-        let allowed = work_ms.map_or(longest, |work| longest.min(goal_ms - work * MARGIN));
-        if wait_ms > allowed {
-            let retry = service.retry_after(wait_ms - allowed, rate, now);
-            let waiting = service.queue.len();
-            let denial = denial(&placement, Code::QueueFull, retry);
-            let wait_ms = wait_ms as u64;
-            self.answers.push(Answer::Denied { gate, denial, waiting, wait_ms });
-            return;
+        let allowed_ms = work_ms.map_or(longest, |work| longest.min(goal_ms - work * MARGIN));
+        if wait_ms > allowed_ms {
+            return Decision::Refuse { wait_ms, allowed_ms };
         }
-        let until = now + Duration::from_secs_f64(allowed.max(1.0) / 1e3);
-        let domain = Name::from(domain);
-        let call = Waiting { gate, domain, placement, arrived: now, until, excess };
-        if let Some(last) = service.queue.push(call) {
-            self.deny(last, Code::QueueFull, now);
+        Decision::Wait(Duration::from_secs_f64(allowed_ms.max(1.0) / 1e3))
+    }
+
+    /// Returns what [`Balancer::place`] would do with a call now, and the state of each endpoint of its service.
+    pub fn explain(
+        &self,
+        domain: &str,
+        placement: &Placement,
+        excess: f64,
+        now: Duration,
+    ) -> Explanation {
+        let excess = excess.max(1.0);
+        let service = self.services.get(&placement.service);
+        let refused = |code| (explanation::Outcome::Refused, None, Some(code));
+        let (outcome, endpoint, code) = match self.decide(domain, placement, excess, now) {
+            Decision::NoEndpoint => refused(Code::NoEndpoint),
+            Decision::Refuse { .. } => refused(Code::QueueFull),
+            Decision::Send(index) => {
+                let site = service.and_then(|service| service.sites.get(index));
+                (explanation::Outcome::Granted, site.map(|site| site.id.clone()), None)
+            }
+            Decision::Wait(_) => {
+                let admits = |service: &Service| service.queue.admits(placement.rank, excess);
+                match service.is_some_and(admits) {
+                    true => (explanation::Outcome::Queued, None, None),
+                    false => refused(Code::QueueFull),
+                }
+            }
+        };
+        let work_ms = service.and_then(|service| service.work_ms(now)).unwrap_or(1.0);
+        let goal_ms = service.map_or(0.0, |service| {
+            service.goal_ms(placement, work_ms, Duration::ZERO, now) / MARGIN
+        });
+        let sites = service.into_iter().flat_map(|service| &service.sites);
+        Explanation {
+            outcome,
+            endpoint,
+            code,
+            goal_ms,
+            excess,
+            waiting: service.map_or(0, |service| service.queue.len()),
+            endpoints: sites.map(|site| site.explain(placement, domain, work_ms, now)).collect(),
         }
     }
 
--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -6,6 +6,7 @@
 mod estimate;
 mod pick;
 mod queue;
+mod service;
 mod site;
 
 pub use crate::balancer::Answer;
--- a/crates/capacity/src/queue.rs
+++ b/crates/capacity/src/queue.rs
@@ -47,6 +47,11 @@
         self.waiting.iter().filter(before).count()
     }
 
+    /// Returns whether a new call of a rank and an excess would stay in the queue.
+    pub(crate) fn admits(&self, rank: u8, excess: f64) -> bool {
+        self.waiting.len() < MAX_WAITING || self.ahead(rank, excess) < self.waiting.len()
+    }
+
     /// Adds a call; returns the last one if there are too many.
     pub(crate) fn push(&mut self, call: Waiting) -> Option<Waiting> {
         let at = self.waiting.partition_point(|waiting| !call.precedes(waiting));
--- a/crates/capacity/src/site.rs
+++ b/crates/capacity/src/site.rs
@@ -4,6 +4,8 @@
 
 use base::Name;
 use fleet::endpoint::Endpoint;
+use fleet::explanation;
+use fleet::explanation::Obstacle;
 use fleet::message::Load;
 use fleet::message::Outcome;
 use fleet::message::Placement;
@@ -129,6 +131,42 @@
         expected + used + remote + FAILURE_MS * self.failure_rate(now)
     }
 
+    /// Returns what is known of the endpoint, with the estimate for another call.
+    pub(crate) fn explain(
+        &self,
+        placement: &Placement,
+        domain: &str,
+        work_ms: f64,
+        now: Duration,
+    ) -> explanation::Estimate {
+        let obstacle = self.obstacle(placement, now);
+        let known = obstacle.is_none();
+        explanation::Estimate {
+            endpoint: self.id.clone(),
+            obstacle,
+            expected_ms: known.then(|| self.expected_ms(work_ms, now)),
+            cost: known.then(|| self.cost(work_ms, domain, now)),
+            backlog: self.calls(now) - f64::from(self.in_progress),
+            running: self.in_progress,
+            slots: self.takes(),
+            speed: None,
+            work_ms: self.estimate.work_ms(now),
+            pace: self.estimate.pace(now) * 100.0,
+            age_ms: self.estimate.age(now).map(millis),
+            adapter: None,
+            stalled: None,
+        }
+    }
+
+    fn obstacle(&self, placement: &Placement, now: Duration) -> Option<Obstacle> {
+        if !self.admits(placement) {
+            let excluded = placement.excluded.contains(&self.id);
+            return Some(if excluded { Obstacle::Excluded } else { Obstacle::Build });
+        }
+        let full = if self.refused.is_some() { Obstacle::Full } else { Obstacle::Slots };
+        (!self.has_room(now)).then_some(full)
+    }
+
     fn failure_rate(&self, now: Duration) -> f64 {
         let (rate, at) = self.failures;
         decay(rate, at, FAILURE_HALF_LIFE, now)
--- a/crates/capacity/tests/balancer.rs
+++ b/crates/capacity/tests/balancer.rs
@@ -7,6 +7,7 @@
 use capacity::Answer;
 use capacity::Balancer;
 use fleet::endpoint::Endpoint;
+use fleet::explanation;
 use fleet::message::Load;
 use fleet::message::Outcome;
 use fleet::message::Placement;
@@ -113,6 +114,38 @@
     assert_eq!(answers(&mut balancer).0, [(24, placed[0].1.clone())]);
 }
 
+/// Guards against an explanation that takes another path than the placement, or that counts as a call.
+#[test]
+fn calls_go_where_the_explanation_says() {
+    let mut balancer = balancer(3);
+    let now = train(&mut balancer, 1, |id| if id == "e0" { 40 } else { 70 });
+    let mut outcomes = Vec::new();
+    for request in 0..120 {
+        let explanation = balancer.explain("a", &placement(request), 1.0, at(now));
+        assert_eq!(explanation, balancer.explain("a", &placement(request), 1.0, at(now)));
+        assert_eq!(explanation.endpoints.len(), 3);
+        balancer.place(1, "a", placement(request), 1.0, at(now));
+        let answer = balancer.take_answers().next();
+        match (explanation.outcome, answer) {
+            (explanation::Outcome::Granted, Some(Answer::Placed { endpoint, .. })) => {
+                assert_eq!(explanation.endpoint, Some(endpoint));
+            }
+            (explanation::Outcome::Refused, Some(Answer::Denied { denial, .. })) => {
+                assert_eq!(explanation.code, Some(denial.code));
+            }
+            (explanation::Outcome::Queued, None) => {}
+            other => panic!("request {request}: {other:?}"),
+        }
+        outcomes.push(explanation.outcome);
+    }
+    let all = [
+        explanation::Outcome::Granted,
+        explanation::Outcome::Queued,
+        explanation::Outcome::Refused,
+    ];
+    assert!(all.iter().all(|outcome| outcomes.contains(outcome)));
+}
+
 #[test]
 fn a_refused_call_is_told_when_the_calls_before_it_are_served() {
     let mut balancer = balancer(1);
