keeper: GET /explain on the metrics address says where a request would go

An operator could ask neither the scheduler nor the balancer.

The keeper that leads answers with its decision, its estimate or obstacle for each endpoint, and the tenant's budget; the others answer 503 with the metrics address of the leader if they know it. Target, time-out, rank and the bound on pauses are those of the tenant and of the first route to the service unless the question states them.

Ruled out: a frame between nodes, which a mixed cell would have to negotiate, and an answer of a keeper that does not lead, whose scheduler is empty.

--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -25,6 +25,7 @@
 mod dispatch;
 mod endpoints;
 mod error;
+mod explanation;
 mod keeper;
 mod leadership;
 mod links;
--- a/crates/cell/src/placing.rs
+++ b/crates/cell/src/placing.rs
@@ -16,7 +16,7 @@
 use crate::keeper::Keeper;
 
 /// The excess of each tenant over its share while no usage is counted: none.
-const EQUAL_SHARE: f64 = 1.0;
+pub(crate) const EQUAL_SHARE: f64 = 1.0;
 /// The longest time between two checks of the calls that wait, since one that arrives later may wait for a shorter time.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
--- a/crates/meter/src/lib.rs
+++ b/crates/meter/src/lib.rs
@@ -55,14 +55,15 @@
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
     }
 
-    /// Serves the metrics at `path`.
+    /// Serves the metrics at `path`, next to the routes of `other`.
     pub fn serve(
         self,
         listener: TcpListener,
         path: &str,
+        other: Router,
     ) -> impl Future<Output = io::Result<()>> + use<> {
         let handler = get(move || std::future::ready(self.render()));
-        let router = Router::new().route(path, handler);
+        let router = other.route(path, handler);
         async move { axum::serve(listener, router).await }
     }
 }
--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -233,18 +233,25 @@
 
     /// Returns the totals of the tenants, in no order.
     pub fn list(&mut self, now: Duration) -> Vec<Total> {
-        let entries = self.entries.iter_mut();
-        let total = |(tenant, entry): (&Name, &mut Entry)| Total {
-            tenant: tenant.clone(),
-            limit: entry.quota.limit(),
-            used: entry.used(now),
-            refused: entry.refused,
-        };
-        entries.map(total).collect()
+        self.entries.iter_mut().map(|(tenant, entry)| entry.summary(tenant, now)).collect()
+    }
+
+    /// Returns the total of a tenant; `None` if it has no quota.
+    pub fn total(&mut self, tenant: &Name, now: Duration) -> Option<Total> {
+        self.entries.get_mut(tenant).map(|entry| entry.summary(tenant, now))
     }
 }
 
 impl Entry {
+    fn summary(&mut self, tenant: &Name, now: Duration) -> Total {
+        Total {
+            tenant: tenant.clone(),
+            limit: self.quota.limit(),
+            used: self.used(now),
+            refused: self.refused,
+        }
+    }
+
     fn new(quota: Quota, former: Window) -> Entry {
         let span = span(&quota);
         Entry {
