--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use base::Name;
+use fleet::explanation::Question;
 use lexopt::Arg;
 use lexopt::Parser;
 use lexopt::ValueExt;
@@ -44,6 +45,11 @@
   status                              show the status of the site
   in-force REVISION                   show whether a revision is in force at every gate
   explain REQUEST                     show the routing decisions on a request
+  explain --keeper IP:PORT... --service SERVICE [--model MODEL] [--adapter ADAPTER]
+          [--input TOKENS] [--output TOKENS] [--target-ms MS] [--left-ms MS] [--rank RANK]
+          [--tenant TENANT] [--domain DOMAIN]
+                                      show where a request would go now, and why, without
+                                      sending it; IP:PORT is a keeper's metrics address
   apply FILE                          apply a file of changes, one JSON object per line
   check FILE                          check a settings file
 
@@ -81,6 +87,8 @@
     InForce(u64),
     /// Show the routing decisions on a request.
     Explain(Name),
+    /// Show where a request would go now.
+    ExplainQuestion(Box<Question>),
     /// Apply a file of changes.
     Apply(PathBuf),
     /// Check a settings file.
@@ -111,6 +119,8 @@
     pub command: Command,
     /// The operator addresses of the gates, tried in order.
     pub addresses: Vec<Name>,
+    /// The metrics addresses of keepers, tried in order.
+    pub keepers: Vec<Name>,
     /// The settings file.
     pub config: Option<PathBuf>,
     /// The file that contains the token.
@@ -127,13 +137,14 @@
     pub json: bool,
 }
 
-/// The options that apply only to particular changes.
+/// The options that apply only to particular commands.
 #[derive(Default)]
 struct ChangeOptions {
     base: Option<Name>,
     reason: Option<Name>,
     non_idempotent: Vec<Name>,
     undo: bool,
+    question: Question,
 }
 
 /// Parses the arguments that follow the program name.
@@ -146,6 +157,7 @@
     let mut options = Options {
         command: Command::Help,
         addresses: Vec::new(),
+        keepers: Vec::new(),
         config: None,
         token_file: None,
         author: None,
@@ -157,6 +169,7 @@
     let mut change_options = ChangeOptions::default();
     let mut words = Vec::new();
     while let Some(arg) = parser.next()? {
+        let question = &mut change_options.question;
         match arg {
             Arg::Short('h') | Arg::Long("help") => return Ok(options),
             Arg::Short('V') | Arg::Long("version") => {
@@ -177,6 +190,17 @@
                 change_options.non_idempotent.push(parse_name(&mut parser)?);
             }
             Arg::Long("undo") => change_options.undo = true,
+            Arg::Long("keeper") => options.keepers.push(parse_name(&mut parser)?),
+            Arg::Long("service") => question.service = parse_name(&mut parser)?,
+            Arg::Long("model") => question.model = Some(parse_name(&mut parser)?),
+            Arg::Long("adapter") => question.adapter = parse_name(&mut parser)?,
+            Arg::Long("input") => question.input = parser.value()?.parse()?,
+            Arg::Long("output") => question.output = parser.value()?.parse()?,
+            Arg::Long("target-ms") => question.target_ms = Some(parser.value()?.parse()?),
+            Arg::Long("left-ms") => question.left_ms = Some(parser.value()?.parse()?),
+            Arg::Long("rank") => question.rank = Some(parser.value()?.parse()?),
+            Arg::Long("tenant") => question.tenant = Some(parse_name(&mut parser)?),
+            Arg::Long("domain") => question.domain = parse_name(&mut parser)?,
             Arg::Value(word) => words.push(word.string()?),
             other => return Err(other.unexpected().into()),
         }
@@ -202,6 +226,10 @@
         ["members"] => Command::Members,
         ["status"] => Command::Status,
         ["in-force", revision] => Command::InForce(parse_number(revision)?),
+        ["explain"] if change_options.question.service.is_empty() => {
+            return Err(Error::Usage("missing request or option --service".to_owned()));
+        }
+        ["explain"] => Command::ExplainQuestion(Box::new(change_options.question)),
         ["explain", request] => Command::Explain(Name::from(request)),
         ["apply", file] => Command::Apply(PathBuf::from(file)),
         ["check", file] => Command::Check(PathBuf::from(file)),
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -135,6 +135,20 @@
         decode(address, status, &body)
     }
 
+    /// Reads a path at an address, without the token. The response may have any status.
+    pub(crate) async fn fetch(
+        &self,
+        address: &Name,
+        path: &str,
+    ) -> Result<(StatusCode, Bytes), String> {
+        let request = Request::builder().uri(format!("http://{address}{path}"));
+        let request = request.body(Full::default()).map_err(|error| error.to_string())?;
+        match tokio::time::timeout(CALL_TIMEOUT, self.exchange(request)).await {
+            Ok(response) => response,
+            Err(_) => Err("no response in time".to_owned()),
+        }
+    }
+
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes), String> {
         let response = self.http.request(request).await.map_err(|error| error.to_string())?;
         let status = response.status();
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -34,6 +34,12 @@
     /// No gate responded.
     #[error("no gate responded: {0}")]
     Unreachable(String),
+    /// No keeper that leads responded.
+    #[error("{0}")]
+    NoLeader(String),
+    /// The keeper that leads can't answer a question.
+    #[error("{0}")]
+    Question(String),
     /// The site refused the request.
     #[error("refused: {} {}: {}", .0.code.number(), .0.kind, .0.message)]
     Refused(Box<http::Error>),
@@ -61,8 +67,8 @@
     pub fn exit_code(&self) -> u8 {
         match self {
             Error::Usage(_) => 2,
-            Error::Unreachable(_) => 3,
-            Error::Refused(_) => 4,
+            Error::Unreachable(_) | Error::NoLeader(_) => 3,
+            Error::Refused(_) | Error::Question(_) => 4,
             Error::NotInForce { .. } => 5,
             Error::Line { source, .. } => source.exit_code(),
             Error::Settings(_) | Error::File { .. } | Error::Response { .. } => 1,
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -1,6 +1,7 @@
 //! Execution of commands.
 
 mod apply;
+mod decision;
 mod show;
 
 use std::env;
@@ -35,6 +36,7 @@
             conf::read(file)?;
             return Ok(format!("{}: the settings are valid\n", file.display()));
         }
+        Command::ExplainQuestion(question) => return decision::explain(options, question).await,
         _ => {}
     }
     let client = create_client(options)?;
@@ -66,7 +68,9 @@
                 client.get(&format!("/v1/explain/{request}")).await?;
             if options.json { json(&explanation) } else { Ok(show::explanation(&explanation)) }
         }
-        Command::Help | Command::Version | Command::Check(_) => Ok(String::new()),
+        Command::Help | Command::Version | Command::Check(_) | Command::ExplainQuestion(_) => {
+            Ok(String::new())
+        }
     }
 }
 
