--- a/crates/sched/tests/common/load.rs
+++ b/crates/sched/tests/common/load.rs
@@ -7,14 +7,12 @@
 
 use base::Name;
 use fleet::endpoint::Announcement;
-use fleet::explanation::Outcome as Decision;
 use fleet::message::Grant;
 use fleet::message::Outcome;
 use fleet::message::Query;
 use fleet::message::Running;
 use fleet::message::Submission;
 use fleet::message::Version;
-use sched::Explanation;
 use sched::Scheduler;
 use sched::action::Action;
 use sched::action::Answer;
@@ -24,6 +22,7 @@
 use crate::common;
 use crate::common::Engine;
 use crate::common::MODEL;
+use crate::common::explained::Explained;
 
 const MS: Duration = Duration::from_millis(1);
 /// The interval at which a scheduler with pending work is polled.
@@ -146,13 +145,8 @@
     pub digest: u64,
     /// The time within which reports of engines arrive, each at a random time.
     pub report_spread: Duration,
-    /// Whether each request is explained before it is submitted.
-    pub explains: bool,
-    /// The explanations that what became of the request has confirmed.
-    pub confirmed: Vec<Decision>,
-    /// The explanations that it contradicts.
-    pub contradicted: Vec<String>,
-    explanations: BTreeMap<(u64, u64), (Duration, Explanation)>,
+    /// The explanations of requests before they are submitted; `None` if there are none.
+    pub explained: Option<Explained>,
     settings: Settings,
     engines: BTreeMap<Name, (Announcement, Engine)>,
     prefill_ends: BTreeMap<Name, Duration>,
@@ -192,10 +186,7 @@
             tenants: Vec::new(),
             digest: 0,
             report_spread: Duration::ZERO,
-            explains: false,
-            confirmed: Vec::new(),
-            contradicted: Vec::new(),
-            explanations: BTreeMap::new(),
+            explained: None,
             engines: BTreeMap::new(),
             prefill_ends: BTreeMap::new(),
             prefixes: BTreeSet::new(),
@@ -374,38 +365,15 @@
         let now = self.now;
         let actions = self.probe.call(Call::Poll, || self.scheduler.poll(now));
         for action in actions {
-            self.check_explanation(&action);
+            if let Some(explained) = &mut self.explained {
+                explained.check(&action, now);
+            }
             let text = format!("{:x} {now:?} {action:?}", self.digest);
             self.digest = base::digest(text.as_bytes());
             self.perform(action);
         }
     }
 
-    /// Compares the first answer to a request with its explanation. What becomes of a request that waits depends on later
-    /// events.
-    fn check_explanation(&mut self, action: &Action) {
-        let (key, engine, code) = match action {
-            Action::Grant { gate, grant, .. } => {
-                ((*gate, grant.request), Some(grant.endpoint.id.clone()), None)
-            }
-            Action::Deny { gate, denial, .. } => ((*gate, denial.request), None, Some(denial.code)),
-            _ => return,
-        };
-        let Some((at, explanation)) = self.explanations.remove(&key) else { return };
-        let holds = match explanation.outcome {
-            Decision::Granted => at == self.now && engine == explanation.endpoint,
-            Decision::Refused => at == self.now && code == explanation.code,
-            // A request whose engine can't load the adapter in time is refused.
-            Decision::LoadsFirst => engine == explanation.endpoint || engine.is_none(),
-            Decision::AwaitsSlot | Decision::AwaitsGap | Decision::Queued => return,
-        };
-        if holds {
-            self.confirmed.push(explanation.outcome);
-        } else {
-            self.contradicted.push(format!("{at:?} {explanation:?}: {:?} {action:?}", self.now));
-        }
-    }
-
     fn perform(&mut self, action: Action) {
         match action {
             Action::Grant { gate, grant, .. } => self.grant(gate, grant),
@@ -503,9 +471,9 @@
                 self.requests.insert((gate, request), (query.clone(), now));
                 let domain = Name::from(DOMAINS[gate as usize % DOMAINS.len()]);
                 let submission = Submission { query, tenant, gap_ms: 0 };
-                if self.explains {
+                if let Some(explained) = &mut self.explained {
                     let explanation = scheduler.explain(&domain, submission.clone(), now);
-                    self.explanations.insert((gate, request), (now, explanation));
+                    explained.add((gate, request), explanation, now);
                 }
                 probe.call(Call::Submit, || scheduler.submit(gate, &domain, submission, now));
                 if self.random(200) == 0 {
--- a/crates/sched/tests/common/mod.rs
+++ b/crates/sched/tests/common/mod.rs
@@ -3,6 +3,7 @@
 //! A simulated cell: engines that carry out the orders of a scheduler, on a clock that tests
 //! advance.
 
+pub mod explained;
 pub mod load;
 pub mod streams;
 
--- a/crates/sched/tests/explanation.rs
+++ b/crates/sched/tests/explanation.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use common::Cell;
+use common::explained::Explained;
 use common::load::Load;
 use common::load::Site;
 use common::load::Tenant;
@@ -33,7 +34,7 @@
 /// Plays usual load, and a burst that brings waits and refusals.
 fn play(seed: u64, explains: bool) -> Load<Unobserved> {
     let mut load = Load::new(site(seed), Unobserved);
-    load.explains = explains;
+    load.explained = explains.then(Explained::default);
     load.tenants = vec![Tenant::new("large", 6), Tenant::new("small", 1)];
     load.start_scheduler();
     load.run(Duration::from_secs(3), 1.0);
@@ -46,10 +47,10 @@
 #[test]
 fn requests_go_where_the_explanation_says() {
     for seed in 1..=4 {
-        let load = play(seed, true);
-        assert_eq!(load.contradicted, Vec::<String>::new(), "seed {seed}");
+        let explained = play(seed, true).explained.expect("explained");
+        assert_eq!(explained.contradicted, Vec::<String>::new(), "seed {seed}");
         for outcome in [Outcome::Granted, Outcome::LoadsFirst, Outcome::Refused] {
-            let confirmed = load.confirmed.iter().filter(|other| **other == outcome).count();
+            let confirmed = explained.confirmed.iter().filter(|other| **other == outcome).count();
             assert!(confirmed >= 20, "seed {seed}: {confirmed} of {outcome:?}");
         }
     }
--- a/crates/sched/tests/golden.rs
+++ b/crates/sched/tests/golden.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use common::explained::Explained;
 use common::load::Load;
 use common::load::Site;
 use common::load::Totals;
@@ -32,7 +33,7 @@
 /// number of orders and the digest of all actions.
 fn play(seed: u64, explains: bool) -> String {
     let mut load = Load::new(site(seed), Unobserved);
-    load.explains = explains;
+    load.explained = explains.then(Explained::default);
     load.run(Duration::from_secs(4), 1.0);
     load.publish_version();
     load.run(Duration::from_secs(2), 3.0);
@@ -48,7 +49,7 @@
 /// Plays new plans, versions, engines, gates and leaders in turn, with reports that arrive late.
 fn play_changes(seed: u64, explains: bool) -> String {
     let mut load = Load::new(site(seed), Unobserved);
-    load.explains = explains;
+    load.explained = explains.then(Explained::default);
     load.report_spread = Duration::from_millis(300);
     for round in 0..3 {
         load.run(Duration::from_secs(1), 1.5);
