--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod completion;
+mod decision;
 mod pacing;
 mod pauses;
 mod placement;
--- a/crates/sched/tests/common/load.rs
+++ b/crates/sched/tests/common/load.rs
@@ -22,6 +22,7 @@
 use crate::common;
 use crate::common::Engine;
 use crate::common::MODEL;
+use crate::common::explained::Explained;
 
 const MS: Duration = Duration::from_millis(1);
 /// The interval at which a scheduler with pending work is polled.
@@ -144,6 +145,8 @@
     pub digest: u64,
     /// The time within which reports of engines arrive, each at a random time.
     pub report_spread: Duration,
+    /// The explanations of requests before they are submitted; `None` if there are none.
+    pub explained: Option<Explained>,
     settings: Settings,
     engines: BTreeMap<Name, (Announcement, Engine)>,
     prefill_ends: BTreeMap<Name, Duration>,
@@ -183,6 +186,7 @@
             tenants: Vec::new(),
             digest: 0,
             report_spread: Duration::ZERO,
+            explained: None,
             engines: BTreeMap::new(),
             prefill_ends: BTreeMap::new(),
             prefixes: BTreeSet::new(),
@@ -361,6 +365,9 @@
         let now = self.now;
         let actions = self.probe.call(Call::Poll, || self.scheduler.poll(now));
         for action in actions {
+            if let Some(explained) = &mut self.explained {
+                explained.check(&action, now);
+            }
             let text = format!("{:x} {now:?} {action:?}", self.digest);
             self.digest = base::digest(text.as_bytes());
             self.perform(action);
@@ -464,6 +471,10 @@
                 self.requests.insert((gate, request), (query.clone(), now));
                 let domain = Name::from(DOMAINS[gate as usize % DOMAINS.len()]);
                 let submission = Submission { query, tenant, gap_ms: 0 };
+                if let Some(explained) = &mut self.explained {
+                    let explanation = scheduler.explain(&domain, submission.clone(), now);
+                    explained.add((gate, request), explanation, now);
+                }
                 probe.call(Call::Submit, || scheduler.submit(gate, &domain, submission, now));
                 if self.random(200) == 0 {
                     self.schedule(Duration::from_millis(100), Event::Cancel(gate, request));
