cell: a replica with a full disk stays closed until a write succeeds

No metric showed it. A failed write of `endpoints` was not repeated before the next change, and an incomplete temporary file of a cache kept its room.

Change: after a disk error the replica runs again once its identity was written; before that `state` is not replaced. `keeper_state{what="disk_failed"}` and event 627 `DiskRecovered`. The endpoints are written again after a failure, and a failed write of a cache removes the temporary file. `supervise` is in its own module.

Ruled out: a seam for failing files in the keeper's settings; a limit of the size of files (prlimit, SIGXFSZ ignored) fails the same calls in real processes. The limit gives EFBIG; ENOSPC itself is only in the test of the caches (/dev/full).

With the program before the change both tests fail, but only for the metric that is missing: it gave up the lead and acknowledged nothing too. Not tested: the second write of the endpoints; the replacement of the voter by a standby; other tests of the platform were not run.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -148,6 +148,7 @@
     624 LogFull State "A change was not accepted, because the log in memory is full of changes that are not committed."
     625 ObjectTooLarge State "An entry or snapshot was not accepted, because it is larger than the memory of the host allows."
     626 TransferDamaged State "An entry or snapshot that was received in parts is damaged; its transfer begins again."
+    627 DiskRecovered State "The files of a replica can be written again after an error."
     700 KeyClaimed Request "A non-idempotent request was claimed in the journal."
     701 KeyFinished Request "The answer of a non-idempotent request was recorded."
     702 KeyReleased Request "A claim was released because the request did not run."
--- a/crates/cell/src/endpoints.rs
+++ b/crates/cell/src/endpoints.rs
@@ -4,6 +4,8 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use base::Event;
@@ -23,7 +25,7 @@
 pub(crate) struct Writer {
     path: PathBuf,
     /// The number of changes of the registry that the file contains.
-    written: u64,
+    written: Arc<AtomicU64>,
     last_write: Instant,
     /// The write in progress; no other one starts before it ends.
     writing: Option<JoinHandle<()>>,
@@ -32,7 +34,7 @@
 impl Writer {
     pub(crate) fn new(settings: &Settings) -> Writer {
         let path = path(settings);
-        Writer { path, written: 0, last_write: Instant::now(), writing: None }
+        Writer { path, written: Arc::default(), last_write: Instant::now(), writing: None }
     }
 
     /// Starts a write if the registry has changed and the write interval has passed.
@@ -43,22 +45,29 @@
         }
         let (registry, changes) = {
             let coordinator = keeper.coordinator.lock();
-            if coordinator.registry_changes == self.written {
+            if coordinator.registry_changes == self.written.load(Ordering::Relaxed) {
                 return;
             }
             (coordinator.registry.clone(), coordinator.registry_changes)
         };
-        self.written = changes;
         self.last_write = Instant::now();
-        let path = self.path.clone();
-        self.writing = Some(tokio::task::spawn_blocking(move || write(&path, &registry)));
+        let (path, written) = (self.path.clone(), self.written.clone());
+        self.writing = Some(tokio::task::spawn_blocking(move || {
+            // After a failure the next round tries again.
+            if write(&path, &registry) {
+                written.store(changes, Ordering::Relaxed);
+            }
+        }));
     }
 }
 
-fn write(path: &Path, registry: &Registry) {
-    if let Err(error) = disk::save_cache(path, registry) {
+/// Returns whether the file was written; otherwise it is as before.
+fn write(path: &Path, registry: &Registry) -> bool {
+    let written = disk::save_cache(path, registry);
+    if let Err(error) = &written {
         base::event!(WARN, Event::DiskFailed, error = %error, "the endpoints were not written");
     }
+    written.is_ok()
 }
 
 /// Reads the registry; returns an empty one if the file is missing or damaged.
--- a/crates/cell/src/keeper.rs
+++ b/crates/cell/src/keeper.rs
@@ -30,7 +30,6 @@
 use crate::metrics::Metrics;
 use crate::orders;
 use crate::peers::Peers;
-use crate::replica;
 use crate::replica::Monitor;
 use crate::replica::Replica;
 use crate::replica::Request;
@@ -39,6 +38,7 @@
 use crate::settings::Settings;
 use crate::settings::WARM_UP;
 use crate::state::State;
+use crate::supervision;
 use crate::thread::Thread;
 use crate::watchdog::Pulse;
 
@@ -104,6 +104,7 @@
             state.clone(),
             publisher.clone(),
             monitor.clone(),
+            false,
         )
         .await?;
         let registry = endpoints::read(&settings).await;
@@ -131,7 +132,7 @@
             _thread: thread,
         });
         let (failed, failures) = mpsc::channel(1);
-        let supervised = replica::supervise(
+        let supervised = supervision::supervise(
             keeper.settings.clone(),
             peers.clone(),
             keeper.state.clone(),
@@ -338,6 +339,8 @@
             let leads = status.leads.is_some();
             self.metrics.state.with_label_values(&["leads"]).set(i64::from(leads));
             self.metrics.state.with_label_values(&["applied"]).set(status.applied as i64);
+            let disk_failed = i64::from(status.disk_failed);
+            self.metrics.state.with_label_values(&["disk_failed"]).set(disk_failed);
             self.metrics.state.with_label_values(&["voters"]).set(status.voters as i64);
             self.metrics.state.with_label_values(&["standbys"]).set(status.standbys as i64);
             self.coordinator.lock().apply_status(status, &self.state.read());
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -37,6 +37,7 @@
 mod quotas;
 mod replica;
 mod storage;
+mod supervision;
 mod thread;
 mod tolerance;
 mod watchdog;
--- a/crates/cell/src/replica.rs
+++ b/crates/cell/src/replica.rs
@@ -37,7 +37,6 @@
 use crate::settings::ELECTION_TIMEOUT;
 use crate::settings::HEARTBEAT_INTERVAL;
 use crate::settings::JOIN_INTERVAL;
-use crate::settings::REOPEN_DELAY;
 use crate::settings::Settings;
 use crate::settings::TICK_INTERVAL;
 use crate::settings::VOTER_TIMEOUT;
@@ -73,33 +72,6 @@
     Disconnected { host: Name },
 }
 
-/// Runs a replica and reopens its files after a disk error: a full or failing disk may recover, and
-/// nothing unsynced has been acknowledged.
-pub(crate) async fn supervise(
-    settings: Settings,
-    peers: Arc<Peers>,
-    state: Arc<RwLock<State>>,
-    status: Arc<watch::Sender<Status>>,
-    monitor: Monitor,
-    first: Replica,
-    mut inbox: mpsc::Receiver<Request>,
-) -> Result<(), Error> {
-    let mut opened = Ok(first);
-    loop {
-        let ended = match opened {
-            Ok(replica) => replica.run(&mut inbox).await,
-            Err(error) => Err(error),
-        };
-        let Err(Error::Disk(error)) = ended else { return ended };
-        base::event!(ERROR, Event::DiskFailed, error = %error);
-        status.send_replace(Status::default());
-        tokio::time::sleep(REOPEN_DELAY).await;
-        opened =
-            Replica::open(&settings, peers.clone(), state.clone(), status.clone(), monitor.clone())
-                .await;
-    }
-}
-
 /// The metrics of a replica's task and the pulse of the main thread.
 #[derive(Clone, Debug)]
 pub(crate) struct Monitor {
@@ -122,6 +94,8 @@
     pub(crate) standbys: usize,
     /// Index of the last applied entry.
     pub(crate) applied: Index,
+    /// Whether the last write failed. The replica does not run then.
+    pub(crate) disk_failed: bool,
 }
 
 /// A replica of the log with its files.
@@ -159,15 +133,16 @@
 
 impl Replica {
     /// Opens the replica's files. Fills `state` from the snapshot; `status` is published while it
-    /// runs.
+    /// runs. With `probe`, fails without a change of `state` unless a write succeeds.
     pub(crate) async fn open(
         settings: &Settings,
         peers: Arc<Peers>,
         state: Arc<RwLock<State>>,
         status: Arc<watch::Sender<Status>>,
         monitor: Monitor,
+        probe: bool,
     ) -> Result<Replica, Error> {
-        let (storage, Recovery { id, group, stored }) = Storage::open(settings).await?;
+        let (storage, Recovery { id, group, stored }) = Storage::open(settings, probe).await?;
         let restored = match &stored.snapshot {
             Some(snapshot) => decode_snapshot(snapshot.index, &snapshot.data)?,
             None => State::default(),
@@ -476,6 +451,7 @@
             voters: members.voters.len(),
             standbys: members.learners.len(),
             applied: self.applied,
+            disk_failed: false,
         };
         self.status.send_if_modified(|old| {
             let changed = *old != status;
--- a/crates/cell/src/storage.rs
+++ b/crates/cell/src/storage.rs
@@ -34,9 +34,13 @@
 impl Storage {
     /// Opens the data directory. An empty one becomes one of the first voters if `bootstrap` is set
     /// and this keeper is a seed; otherwise a new replica that has to join.
-    pub(crate) async fn open(settings: &Settings) -> Result<(Storage, Recovery), Error> {
+    /// With `probe`, fails unless a write succeeds.
+    pub(crate) async fn open(
+        settings: &Settings,
+        probe: bool,
+    ) -> Result<(Storage, Recovery), Error> {
         let settings = settings.clone();
-        let opened = tokio::task::spawn_blocking(move || open(&settings)).await;
+        let opened = tokio::task::spawn_blocking(move || open(&settings, probe)).await;
         let (store, recovery) = opened.map_err(|error| Error::Task(error.to_string()))??;
         Ok((Storage(Some(store)), recovery))
     }
@@ -89,7 +93,7 @@
     }
 }
 
-fn open(settings: &Settings) -> Result<(Store, Recovery), Error> {
+fn open(settings: &Settings, probe: bool) -> Result<(Store, Recovery), Error> {
     let opened = match Store::open(&settings.data_dir) {
         Err(disk::Error::Damaged { file, offset, message }) => {
             base::event!(ERROR, Event::LogDamaged, file, offset, message);
@@ -100,6 +104,9 @@
     };
     let (mut store, stored, identity) = opened;
     if let Some(identity) = identity {
+        if probe {
+            store.write_identity(&identity)?;
+        }
         let recovery = Recovery { id: identity.replica, group: identity.group, stored };
         return Ok((store, recovery));
     }
--- a/crates/disk/src/cache.rs
+++ b/crates/disk/src/cache.rs
@@ -22,7 +22,11 @@
         file.sync_data()?;
         fs::rename(&temporary, path)
     };
-    write().map_err(Error::io(&path.to_string_lossy()))
+    write().map_err(|error| {
+        // An incomplete file takes up room. Without effect if it was not created.
+        fs::remove_file(&temporary).ok();
+        Error::io(&path.to_string_lossy())(error)
+    })
 }
 
 /// Reads a file. Returns `None` if it does not exist; fails if it is damaged or has a value of another type.
