sched: the pace of prompts follows the usual speed of an engine

Cause: the number of prompt tokens that are sent ahead followed the momentary pace of the host, so an engine whose host was slow for 600 ms got one prompt at a time, although its engines read too little in an event to stop streams for long. Change: the usual speed decides.

--- a/crates/sched/src/scheduler/admission.rs
+++ b/crates/sched/src/scheduler/admission.rs
@@ -184,9 +184,9 @@
             return self.requeue(key, now);
         }
         let (id, prefill_tokens) = (assignment.engine.clone(), assignment.prefill_tokens);
-        let paced = self.pace_limit(pending.gap_ms, &pending.query.service, &id, now).is_some();
+        let paced = self.pace_limit(pending.gap_ms, &pending.query.service, &id).is_some();
         let queued_tokens =
-            self.queued_tokens(&pending, &id, now) + if paced { prefill_tokens } else { 0.0 };
+            self.queued_tokens(&pending, &id) + if paced { prefill_tokens } else { 0.0 };
         let Some(assignment) = self.assignments.get_mut(&key) else { return };
         assignment.phase = Phase::Granted;
         let Some(engine) = self.engines.get(&id) else { return };
--- a/crates/sched/src/scheduler/pacing.rs
+++ b/crates/sched/src/scheduler/pacing.rs
@@ -26,7 +26,7 @@
         prefill_tokens: f64,
         now: Duration,
     ) -> bool {
-        let Some(limit) = self.pace_limit(pending.gap_ms, &pending.query.service, id, now) else {
+        let Some(limit) = self.pace_limit(pending.gap_ms, &pending.query.service, id) else {
             return false;
         };
         let Some(engine) = self.engines.get_mut(id) else { return false };
@@ -40,27 +40,22 @@
 
     /// Returns the number of prompt tokens that may be sent ahead to an engine; `None` if there is no bound. `gap_ms` is the
     /// gap of a request that would become a stream there, or 0.
-    pub(super) fn pace_limit(
-        &self,
-        gap_ms: u32,
-        service: &Name,
-        id: &Name,
-        now: Duration,
-    ) -> Option<f64> {
+    pub(super) fn pace_limit(&self, gap_ms: u32, service: &Name, id: &Name) -> Option<f64> {
         let pauses = self.pauses.get(service)?;
         let engine = self.engines.get(id)?;
         let gaps = engine.streams.iter().map(|(_, gap_ms)| *gap_ms).chain([gap_ms]);
         let gap_ms = f64::from(gaps.filter(|gap_ms| *gap_ms > 0).min()?);
-        let speed = engine.current_reading_speed(now);
+        // Not the momentary speed: a host that is slow for a moment would get one prompt at a time.
+        let speed = engine.reading_speed();
         let binds = pauses.binds(speed, gap_ms);
         binds.then(|| PACE_SHARE * (gap_ms - pauses.base_ms()).max(0.0) * speed)
     }
 
     /// Returns the prompt tokens that an engine has to read before it can read that of a request which is sent now. Where
     /// prompts are paced, those of requests that wait for their adapters don't count.
-    pub(super) fn queued_tokens(&self, pending: &Pending, id: &Name, now: Duration) -> f64 {
+    pub(super) fn queued_tokens(&self, pending: &Pending, id: &Name) -> f64 {
         let Some(engine) = self.engines.get(id) else { return 0.0 };
-        match self.pace_limit(pending.gap_ms, &pending.query.service, id, now) {
+        match self.pace_limit(pending.gap_ms, &pending.query.service, id) {
             Some(_) => engine.pacing.sent_tokens(),
             None => engine.backlog_tokens - engine.pacing.waiting_tokens(),
         }
@@ -73,7 +68,7 @@
         {
             let service = engine.endpoint.service.clone();
             let gap_ms = self.assignments.get(&key).map_or(0, |assignment| assignment.gap_ms);
-            let limit = self.pace_limit(gap_ms, &service, id, now).unwrap_or(f64::INFINITY);
+            let limit = self.pace_limit(gap_ms, &service, id).unwrap_or(f64::INFINITY);
             let Some(engine) = self.engines.get_mut(id) else { return };
             if engine.pacing.should_wait(prefill_tokens, limit) {
                 return;
--- a/crates/sched/src/scheduler/placement.rs
+++ b/crates/sched/src/scheduler/placement.rs
@@ -243,7 +243,7 @@
         now: Duration,
     ) {
         let version = self.min_version(&pending.query);
-        let queued_tokens = self.queued_tokens(&pending, &best.engine, now) + best.prefill_tokens;
+        let queued_tokens = self.queued_tokens(&pending, &best.engine) + best.prefill_tokens;
         let Some(engine) = self.engines.get_mut(&best.engine) else { return };
         let query = &pending.query;
         let tokens = best.prefill_tokens + f64::from(query.output);
