review: clients who read slowly are cut off in the middle of their answers (case 9)

Cause: TCP_USER_TIMEOUT is 1.5 s on the connections of callers. A caller who reads slowly keeps its receive window closed for longer, answers each probe, and counts as dead all the same.

Tried: twelve orders on kept connections, with answers of 240 KB that are read at 27 KB a second.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -12,8 +12,8 @@
 mod record;
 mod same_id;
 mod server;
-mod shared_read;
 mod site;
+mod slow_reader;
 mod streams;
 
 use std::panic;
@@ -35,7 +35,7 @@
     let play: fn(&Record, bool) -> bool = match case.as_str() {
         "adapters" => adapters::play,
         "same-id" => same_id::play,
-        "shared-read" => shared_read::play,
+        "slow-reader" => slow_reader::play,
         "late-bytes" => late_bytes::play,
         "moved" => moved::play,
         _ => {
--- a/review/stand-ins-2/site.rs
+++ b/review/stand-ins-2/site.rs
@@ -21,9 +21,12 @@
 /// `PR_SET_PDEATHSIG` and `SIGKILL` of Linux: the processes end with the one that started them, however it ends.
 const SET_DEATH_SIGNAL: i32 = 1;
 const KILL: u64 = 9;
+/// `SIGHUP`.
+const HANG_UP: i32 = 1;
 
 unsafe extern "C" {
     fn prctl(option: i32, signal: u64) -> i32;
+    fn kill(process: i32, signal: i32) -> i32;
 }
 
 /// What the settings of a site state.
@@ -178,6 +181,12 @@
         Node { name: name.to_owned(), child }
     }
 
+    /// Sends SIGHUP to a gate.
+    pub fn hang_up_gate(&self, gate: usize) {
+        self.record.write(&format!("SIGHUP to {}", self.gates[gate].name));
+        unsafe { kill(self.gates[gate].child.id() as i32, HANG_UP) };
+    }
+
     /// Sends a configuration until it is acknowledged.
     pub fn publish(&self, config: &str) {
         let deadline = Instant::now() + Duration::from_secs(30);
